Lay out the workspace with the types that all parts share

Cause: the parts are built side by side and need one set of types, interfaces and crate borders. Measured: nothing yet; the workspace builds.

--- /dev/null
+++ b/crates/bench/src/lib.rs
@@ -0,0 +1,1 @@
+//! Load and experiments over the stand-ins.
--- /dev/null
+++ b/crates/core/src/process/mod.rs
@@ -0,0 +1,1 @@
+//! What lives as long as one process.
--- /dev/null
+++ b/crates/core/src/request/mod.rs
@@ -0,0 +1,3 @@
+//! What lives as long as one request.
+
+pub mod error_kind;
--- /dev/null
+++ b/crates/core/src/version/mod.rs
@@ -0,0 +1,4 @@
+//! What lives as long as one version of the configuration.
+
+pub mod objects;
+pub mod topology;
--- /dev/null
+++ b/crates/ctl/src/lib.rs
@@ -0,0 +1,1 @@
+//! The operators' command line.
--- /dev/null
+++ b/crates/platform/src/http.rs
@@ -0,0 +1,107 @@
+//! [`ObjectStore`] over HTTP.
+
+use std::time::Duration;
+
+use serde::de;
+use skylark_core::version::objects::ObjectKind;
+use skylark_core::version::objects::Snapshot;
+use skylark_core::version::objects::StoredObject;
+use skylark_core::version::objects::VmRecord;
+
+use crate::ObjectStore;
+use crate::PutAnswer;
+use crate::PutRequest;
+use crate::StoreError;
+use crate::WatchAnswer;
+
+/// The header that names the availability zone of the calling VM.
+pub const ZONE_HEADER: &str = "x-availability-zone";
+
+/// The time limit of a call, on top of what a watch waits.
+const CALL_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// A client of one platform endpoint.
+#[derive(Clone, Debug)]
+pub struct HttpStore {
+    client: reqwest::Client,
+    base_url: String,
+    zone: String,
+}
+
+impl HttpStore {
+    /// A client of the platform at `address` (IP address and port), for a VM of `zone`.
+    pub fn new(address: &str, zone: &str) -> HttpStore {
+        HttpStore {
+            client: reqwest::Client::new(),
+            base_url: format!("http://{address}/v1"),
+            zone: zone.to_owned(),
+        }
+    }
+
+    fn object_url(&self, kind: ObjectKind, name: &str) -> String {
+        format!("{}/objects/{}/{name}", self.base_url, kind.name())
+    }
+
+    async fn call<T>(
+        &self,
+        request: reqwest::RequestBuilder,
+        timeout: Duration,
+    ) -> Result<T, StoreError>
+    where
+        T: de::DeserializeOwned,
+    {
+        let request = request.header(ZONE_HEADER, &self.zone).timeout(timeout);
+        let response = request.send().await.map_err(no_answer)?;
+        match response.status() {
+            reqwest::StatusCode::OK => response.json().await.map_err(no_answer),
+            reqwest::StatusCode::NOT_FOUND => Err(StoreError::NotFound),
+            reqwest::StatusCode::CONFLICT => {
+                let current: PutAnswer = response.json().await.map_err(no_answer)?;
+                Err(StoreError::Conflict { actual: current.version })
+            }
+            status if status.is_client_error() => {
+                let reason = response.text().await.unwrap_or_default();
+                Err(StoreError::Refused(format!("{status}: {reason}")))
+            }
+            status => Err(StoreError::NoAnswer(status.to_string())),
+        }
+    }
+}
+
+impl ObjectStore for HttpStore {
+    async fn get(&self, kind: ObjectKind, name: &str) -> Result<StoredObject, StoreError> {
+        self.call(self.client.get(self.object_url(kind, name)), CALL_TIMEOUT).await
+    }
+
+    async fn snapshot(&self) -> Result<Snapshot, StoreError> {
+        let url = format!("{}/snapshot", self.base_url);
+        self.call(self.client.get(url), CALL_TIMEOUT).await
+    }
+
+    async fn put(
+        &self,
+        kind: ObjectKind,
+        name: &str,
+        expected_version: u64,
+        body: serde_json::Value,
+    ) -> Result<PutAnswer, StoreError> {
+        let request = PutRequest { expected_version, body };
+        self.call(self.client.put(self.object_url(kind, name)).json(&request), CALL_TIMEOUT).await
+    }
+
+    async fn watch(&self, after_revision: u64, wait: Duration) -> Result<WatchAnswer, StoreError> {
+        let url = format!("{}/watch", self.base_url);
+        let wait_ms = wait.as_millis() as u64;
+        let request =
+            self.client.get(url).query(&[("after", after_revision), ("wait_ms", wait_ms)]);
+        self.call(request, CALL_TIMEOUT + wait).await
+    }
+
+    async fn vms(&self) -> Result<Vec<VmRecord>, StoreError> {
+        self.call(self.client.get(format!("{}/vms", self.base_url)), CALL_TIMEOUT).await
+    }
+}
+
+fn no_answer(error: reqwest::Error) -> StoreError {
+    StoreError::NoAnswer(error.to_string())
+}
--- /dev/null
+++ b/crates/proxy/src/process/mod.rs
@@ -0,0 +1,3 @@
+//! What lives as long as the process.
+
+pub mod control_handle;
--- /dev/null
+++ b/crates/proxy/src/version/mod.rs
@@ -0,0 +1,3 @@
+//! What lives as long as one version of the configuration.
+
+pub mod published;
--- /dev/null
+++ b/crates/settings/src/lib.rs
@@ -0,0 +1,1 @@
+//! Checked settings of the skylarklb programs.
--- /dev/null
+++ b/crates/spec/src/lib.rs
@@ -0,0 +1,1 @@
+//! Small specification of the core protocol, explored exhaustively.
--- /dev/null
+++ b/crates/standin/src/lib.rs
@@ -0,0 +1,1 @@
+//! Small stand-ins of the platform's object API and of target databases.
