Send events to the control thread with the version that issued their indices

A new version may number groups and targets differently, and an event that crossed one would name another group: a floor recorded there lets a session miss its own write. The event now carries its version.

--- a/crates/proxy/src/process/control_handle.rs
+++ b/crates/proxy/src/process/control_handle.rs
@@ -1,11 +1,15 @@
 //! How traffic threads reach the control thread.
 
+use std::sync::Arc;
+
 use skylark_core::ids::GroupId;
 use skylark_core::ids::TargetId;
 use skylark_core::log_position::LogPosition;
 use tokio::sync::mpsc;
 use tokio::sync::oneshot;
 
+use crate::version::published::Published;
+
 /// What traffic tells or asks the control thread.
 #[derive(Debug)]
 pub enum ControlEvent {
@@ -47,21 +51,35 @@
     Leaving,
 }
 
+/// An event with the version that issued the indices in it.
+///
+/// A new version may number groups and targets differently. An event that crosses one on its way
+/// would otherwise name another group, and a floor recorded there would let a session miss its own
+/// write; with its own version at hand the control thread translates the indices to names.
+#[derive(Debug)]
+pub struct VersionedEvent {
+    /// The version whose indices the event uses.
+    pub version: Arc<Published>,
+    /// The event.
+    pub event: ControlEvent,
+}
+
 /// The traffic threads' end of the channel to the control thread.
 #[derive(Clone, Debug)]
 pub struct ControlHandle {
-    events: mpsc::UnboundedSender<ControlEvent>,
+    events: mpsc::UnboundedSender<VersionedEvent>,
 }
 
 impl ControlHandle {
     /// A handle, and the control thread's end.
-    pub fn new() -> (ControlHandle, mpsc::UnboundedReceiver<ControlEvent>) {
+    pub fn new() -> (ControlHandle, mpsc::UnboundedReceiver<VersionedEvent>) {
         let (events, receiver) = mpsc::unbounded_channel();
         (ControlHandle { events }, receiver)
     }
 
-    /// Sends an event. A control thread that has ended takes no more, and its process is stopping.
-    pub fn send(&self, event: ControlEvent) {
-        let _ = self.events.send(event);
+    /// Sends an event whose indices belong to `version`. A control thread that has ended takes no
+    /// more, and its process is stopping.
+    pub fn send(&self, version: Arc<Published>, event: ControlEvent) {
+        let _ = self.events.send(VersionedEvent { version, event });
     }
 }
