Let an acknowledged write wait until the homes of its session know it

Cause: a session without a token may read at another proxy as soon as it sees its success. A notification that nobody waits for can be overtaken by that read. Change: WriteAcknowledged carries an answer that traffic awaits before the success. Control and traffic also share one monotonic clock, because ages are compared with its times. Conclusion: the order is a matter of the types; control decides when the answer is due.

--- a/crates/proxy/src/process/control_handle.rs
+++ b/crates/proxy/src/process/control_handle.rs
@@ -21,6 +21,9 @@
         session: String,
         /// The commit's position.
         position: LogPosition,
+        /// Answered (or dropped) once the homes that answer for the session know the write: the
+        /// caller sees its success only then, so that its next read can't overtake the record.
+        recorded: oneshot::Sender<()>,
     },
     /// A session with an identity and without a token reads: what must it see?
     FloorWanted {
--- a/crates/proxy/src/process/mod.rs
+++ b/crates/proxy/src/process/mod.rs
@@ -1,3 +1,4 @@
 //! What lives as long as the process.
 
+pub mod clock;
 pub mod control_handle;
