--- /dev/null
+++ b/crates/settings/src/deployment.rs
@@ -0,0 +1,298 @@
+//! Settings of a whole deployment: its zones, VMs, services and groups.
+//!
+//! The stand-ins and the quick start read them, and operators keep them as the description from
+//! which a platform is filled for the first time.
+
+use std::net::SocketAddr;
+
+use serde_json::Value;
+use skylark_core::version::objects;
+use skylark_core::version::objects::ObjectKind;
+
+use crate::Settings;
+use crate::relations::Relations;
+use crate::section::section;
+use crate::shape::Key;
+use crate::shape::Shape;
+
+const ADDRESS: Shape = Shape::Address { any_port: true };
+const MAX_DELAY_US: u64 = 10_000_000;
+const MAX_DELAY_MS: u64 = 60_000;
+const MAX_AGE_MS: u64 = 86_400_000;
+
+section! {
+    /// Settings of a deployment.
+    DeploymentSettings {
+        /// The availability zones.
+        zones: Vec<Zone>, required,
+            Shape::List { of: &Shape::Section(Zone::KEYS), min_len: 1 };
+        /// The delay one way between two availability zones.
+        zone_one_way_us: u64, default(0), Shape::Integer { min: 0, max: MAX_DELAY_US };
+        /// The delay one way between callers and entry VMs.
+        caller_one_way_us: u64, default(0), Shape::Integer { min: 0, max: MAX_DELAY_US };
+        /// Where the stand-in of the platform listens.
+        platform_address: SocketAddr, required, ADDRESS;
+        /// The entry VMs.
+        vms: Vec<Vm>, required, Shape::List { of: &Shape::Section(Vm::KEYS), min_len: 1 };
+        /// The services.
+        services: Vec<Service>, required,
+            Shape::List { of: &Shape::Section(Service::KEYS), min_len: 1 };
+        /// The database groups.
+        groups: Vec<Group>, required,
+            Shape::List { of: &Shape::Section(Group::KEYS), min_len: 1 };
+    }
+}
+
+section! {
+    /// An availability zone.
+    Zone {
+        /// The name.
+        zone: String, required, Shape::Name;
+    }
+}
+
+section! {
+    /// An entry VM.
+    Vm {
+        /// The name.
+        vm: String, required, Shape::Name;
+        /// The availability zone.
+        zone: String, required, Shape::Name;
+        /// Where its proxy serves callers.
+        listen_address: SocketAddr, required, ADDRESS;
+        /// Where its proxy serves control.
+        control_address: SocketAddr, required, ADDRESS;
+    }
+}
+
+section! {
+    /// A service.
+    Service {
+        /// The name.
+        name: String, required, Shape::Name;
+        /// The kinds of reads that callers can declare.
+        read_kinds: Vec<ReadKind>, default(Vec::new()),
+            Shape::List { of: &Shape::Section(ReadKind::KEYS), min_len: 0 };
+        /// The classes that share connections; the first one is the default.
+        classes: Vec<Class>, required,
+            Shape::List { of: &Shape::Section(Class::KEYS), min_len: 1 };
+    }
+}
+
+section! {
+    /// A kind of read.
+    ReadKind {
+        /// The name that callers declare.
+        name: String, required, Shape::Name;
+        /// The oldest age of the data.
+        max_age_ms: u64, required, Shape::Integer { min: 0, max: MAX_AGE_MS };
+        /// The class of requests of this kind, unless the caller names one.
+        class: Option<String>, optional, Shape::Name;
+    }
+}
+
+section! {
+    /// A class of requests.
+    Class {
+        /// The name that callers and read kinds refer to.
+        name: String, required, Shape::Name;
+        /// The share of connections relative to the other classes.
+        weight: u32, required, Shape::Integer { min: 1, max: 1_000_000 };
+        /// The response time that the class aims at.
+        goal_ms: u64, required, Shape::Integer { min: 1, max: MAX_DELAY_MS };
+    }
+}
+
+section! {
+    /// A database group.
+    Group {
+        /// The name, which callers give as their database.
+        name: String, required, Shape::Name;
+        /// The service that the group belongs to.
+        service: String, required, Shape::Name;
+        /// The members; the first one is the primary at the start.
+        members: Vec<Member>, required,
+            Shape::List { of: &Shape::Section(Member::KEYS), min_len: 1 };
+    }
+}
+
+section! {
+    /// A database of a group.
+    Member {
+        /// The target's name, unique over all groups.
+        target: String, required, Shape::Name;
+        /// The availability zone.
+        zone: String, required, Shape::Name;
+        /// Where the target listens.
+        address: SocketAddr, required, ADDRESS;
+        /// How many statements it runs at once.
+        slots: u32, required, Shape::Integer { min: 1, max: 10_000 };
+        /// How many caller connections it accepts in all.
+        connections: u32, required, Shape::Integer { min: 1, max: 100_000 };
+        /// What a new connection costs at the stand-in.
+        connect_cost_ms: u64, default(0), Shape::Integer { min: 0, max: MAX_DELAY_MS };
+        /// How long the stand-in takes to replicate a record to this member.
+        lag_ms: u64, default(0), Shape::Integer { min: 0, max: MAX_DELAY_MS };
+    }
+}
+
+/// An object that a platform is filled with.
+#[derive(Clone, PartialEq, Debug)]
+pub struct SeedObject {
+    /// The kind.
+    pub kind: ObjectKind,
+    /// The name.
+    pub name: String,
+    /// The body.
+    pub body: Value,
+}
+
+impl Service {
+    /// The service as it is stored.
+    pub fn spec(&self) -> objects::ServiceSpec {
+        let read_kinds = self.read_kinds.iter().map(|kind| objects::ReadKindSpec {
+            name: kind.name.clone(),
+            max_age_ms: kind.max_age_ms,
+            class: kind.class.clone(),
+        });
+        let classes = self.classes.iter().map(|class| objects::ClassSpec {
+            name: class.name.clone(),
+            weight: class.weight,
+            goal_ms: class.goal_ms,
+        });
+        objects::ServiceSpec { read_kinds: read_kinds.collect(), classes: classes.collect() }
+    }
+}
+
+impl Member {
+    /// The member as it is stored.
+    pub fn spec(&self) -> objects::MemberSpec {
+        objects::MemberSpec {
+            target: self.target.clone(),
+            zone: self.zone.clone(),
+            address: self.address.to_string(),
+            slots: self.slots,
+            connections: self.connections,
+            drain: false,
+        }
+    }
+}
+
+impl Group {
+    /// The group as it is stored.
+    pub fn spec(&self) -> objects::GroupSpec {
+        objects::GroupSpec {
+            service: self.service.clone(),
+            members: self.members.iter().map(Member::spec).collect(),
+        }
+    }
+}
+
+impl DeploymentSettings {
+    /// The services and groups as objects that a platform is filled with.
+    pub fn seed_objects(&self) -> Vec<SeedObject> {
+        let services = self.services.iter().map(|service| SeedObject {
+            kind: ObjectKind::Service,
+            name: service.name.clone(),
+            body: serde_json::to_value(service.spec()).expect("a service is plain data"),
+        });
+        let groups = self.groups.iter().map(|group| SeedObject {
+            kind: ObjectKind::Group,
+            name: group.name.clone(),
+            body: serde_json::to_value(group.spec()).expect("a group is plain data"),
+        });
+        services.chain(groups).collect()
+    }
+
+    /// The list of VMs that a platform starts with, all live.
+    pub fn vm_records(&self) -> Vec<objects::VmRecord> {
+        let record = |vm: &Vm| objects::VmRecord {
+            vm: vm.vm.clone(),
+            zone: vm.zone.clone(),
+            address: vm.listen_address.to_string(),
+            control_address: vm.control_address.to_string(),
+            state: objects::VmState::Live,
+        };
+        self.vms.iter().map(record).collect()
+    }
+
+    fn check_names(&self, relations: &mut Relations) {
+        let path = |list: &str, index, key: &str| format!("{list}[{index}].{key}");
+        let zones = self.zones.iter().enumerate();
+        relations.refuse_repeated(zones.map(|(i, zone)| (path("zones", i, "zone"), &*zone.zone)));
+        let vms = self.vms.iter().enumerate();
+        relations.refuse_repeated(vms.map(|(i, vm)| (path("vms", i, "vm"), &*vm.vm)));
+        let services = self.services.iter().enumerate();
+        relations.refuse_repeated(services.map(|(i, it)| (path("services", i, "name"), &*it.name)));
+        let groups = self.groups.iter().enumerate();
+        relations.refuse_repeated(groups.map(|(i, it)| (path("groups", i, "name"), &*it.name)));
+        let targets = self.members().map(|(path, member)| (path + ".target", &*member.target));
+        relations.refuse_repeated(targets);
+    }
+
+    fn check_references(&self, relations: &mut Relations) {
+        let zones: Vec<&str> = self.zones.iter().map(|zone| &*zone.zone).collect();
+        let services: Vec<&str> = self.services.iter().map(|service| &*service.name).collect();
+        for (index, vm) in self.vms.iter().enumerate() {
+            relations.refuse_unknown(format!("vms[{index}].zone"), &vm.zone, &zones);
+        }
+        for (path, member) in self.members() {
+            relations.refuse_unknown(path + ".zone", &member.zone, &zones);
+        }
+        for (index, group) in self.groups.iter().enumerate() {
+            relations.refuse_unknown(format!("groups[{index}].service"), &group.service, &services);
+        }
+        for (index, service) in self.services.iter().enumerate() {
+            service.check(&format!("services[{index}]"), relations);
+        }
+    }
+
+    fn check_addresses(&self, relations: &mut Relations) {
+        let mut taken = vec![("platform_address".to_owned(), self.platform_address)];
+        for (index, vm) in self.vms.iter().enumerate() {
+            taken.push((format!("vms[{index}].listen_address"), vm.listen_address));
+            taken.push((format!("vms[{index}].control_address"), vm.control_address));
+        }
+        taken.extend(self.members().map(|(path, member)| (path + ".address", member.address)));
+        taken.retain(|(_, address)| address.port() != 0);
+        let texts: Vec<String> = taken.iter().map(|(_, address)| address.to_string()).collect();
+        let paths = taken.into_iter().map(|(path, _)| path);
+        relations.refuse_repeated(paths.zip(texts.iter().map(String::as_str)));
+    }
+
+    /// Every member with its path.
+    fn members(&self) -> impl Iterator<Item = (String, &Member)> {
+        self.groups.iter().enumerate().flat_map(|(group, spec)| {
+            let members = spec.members.iter().enumerate();
+            members.map(move |(index, it)| (format!("groups[{group}].members[{index}]"), it))
+        })
+    }
+}
+
+impl Service {
+    fn check(&self, path: &str, relations: &mut Relations) {
+        let kinds = self.read_kinds.iter().enumerate();
+        relations.refuse_repeated(
+            kinds.map(|(i, kind)| (format!("{path}.read_kinds[{i}].name"), &*kind.name)),
+        );
+        let classes = self.classes.iter().enumerate();
+        relations.refuse_repeated(
+            classes.map(|(i, class)| (format!("{path}.classes[{i}].name"), &*class.name)),
+        );
+        let known: Vec<&str> = self.classes.iter().map(|class| &*class.name).collect();
+        for (index, kind) in self.read_kinds.iter().enumerate() {
+            let Some(class) = &kind.class else { continue };
+            relations.refuse_unknown(format!("{path}.read_kinds[{index}].class"), class, &known);
+        }
+    }
+}
+
+impl Settings for DeploymentSettings {
+    const KEYS: &'static [Key] = DeploymentSettings::KEYS;
+
+    fn check_relations(&self, relations: &mut Relations) {
+        self.check_names(relations);
+        self.check_references(relations);
+        self.check_addresses(relations);
+    }
+}
--- /dev/null
+++ b/crates/settings/src/reference.rs
@@ -0,0 +1,52 @@
+//! The settings reference: one table a section, written from the same keys as the check.
+
+use std::fmt::Write;
+
+use crate::shape::Key;
+use crate::shape::Presence;
+use crate::shape::Shape;
+
+/// The reference of a file as Markdown. `title` heads the keys at the top of the file.
+pub fn markdown(title: &str, keys: &[Key]) -> String {
+    let mut page = String::new();
+    write_section(&mut page, title, keys);
+    page
+}
+
+fn write_section(page: &mut String, title: &str, keys: &[Key]) {
+    let _ = writeln!(page, "### {title}\n");
+    let _ = writeln!(page, "| key | meaning | accepted | default |\n|---|---|---|---|");
+    for key in keys {
+        write_key(page, key);
+    }
+    page.push('\n');
+    for key in keys {
+        if let Some((suffix, nested)) = nested_section(&key.shape) {
+            write_section(page, &format!("{title}: `{}{suffix}`", key.name), nested);
+        }
+    }
+}
+
+fn write_key(page: &mut String, key: &Key) {
+    let doc: Vec<&str> = key.doc.iter().map(|line| line.trim()).collect();
+    let accepted = match nested_section(&key.shape) {
+        Some(("", _)) => "a section, see below".to_owned(),
+        Some(_) => "a list, see below".to_owned(),
+        None => key.shape.accepted(),
+    };
+    let default = match key.presence {
+        Presence::Required => "required".to_owned(),
+        Presence::Optional => "none".to_owned(),
+        Presence::Default(_) if matches!(key.shape, Shape::Section(_)) => "see below".to_owned(),
+        Presence::Default(value) => format!("`{}`", value()),
+    };
+    let _ = writeln!(page, "| `{}` | {} | {accepted} | {default} |", key.name, doc.join(" "));
+}
+
+fn nested_section(shape: &Shape) -> Option<(&'static str, &'static [Key])> {
+    match shape {
+        Shape::Section(keys) => Some(("", keys)),
+        Shape::List { of: Shape::Section(keys), .. } => Some(("[]", keys)),
+        _ => None,
+    }
+}
