--- /dev/null
+++ b/crates/core/src/process/homes.rs
@@ -0,0 +1,242 @@
+//! Which proxies are home to a target: the few that connect to it.
+//!
+//! A target with 16 connections can't be dialled by hundreds of proxies. Each target has a few homes
+//! among the VMs of its own zone, ranked by rendezvous hashing (Thaler and Ravishankar, "Using
+//! name-based mappings to increase hit rates"): every proxy computes the same score for each pair of
+//! target and VM from their names alone, and the VMs with the highest scores are the homes. A VM
+//! that goes moves only the targets that it was home to. No proxy tells another about homes; two
+//! whose lists of VMs differ for a while differ only about the targets that the difference touches.
+//!
+//! When a zone has no usable VM, the VMs of the other zones take its targets over.
+
+use xxhash_rust::xxh3;
+
+use crate::ids::TargetId;
+use crate::ids::VmId;
+use crate::ids::ZoneId;
+use crate::version::topology::Topology;
+
+/// How many homes a target has unless the settings say otherwise.
+pub const DEFAULT_HOMES: usize = 2;
+
+/// How many VMs of a zone watch the platform for the others.
+pub const WATCHERS_PER_ZONE: usize = 2;
+
+/// Seeds of the hashes. They are part of the protocol: proxies with other seeds disagree.
+const VM_SEED: u64 = 0x5b1d_03c7_9e42_a6f1;
+const TARGET_SEED: u64 = 0x2c94_7ae5_613b_d08f;
+const PAIR_SEED: u64 = 0xd30f_86b2_47c9_51e4;
+
+/// The part of a target's connections that the home of this rank may open.
+///
+/// The parts of all ranks together are exactly `connections`. A rank beyond the connections gets
+/// none.
+pub fn connection_share(connections: u32, homes: usize, rank: usize) -> u32 {
+    if rank >= homes {
+        return 0;
+    }
+    let homes = homes as u32;
+    let remainder = u32::from((rank as u32) < connections % homes);
+    connections / homes + remainder
+}
+
+/// A place in the ranking: the score, and the name's hash and index to settle equal scores.
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Debug)]
+struct Ranked {
+    score: u64,
+    vm_hash: u64,
+    vm: VmId,
+}
+
+/// What the ranking knows of a VM.
+#[derive(Clone, Copy, Debug)]
+struct Candidate {
+    hash: u64,
+    zone: ZoneId,
+    usable: bool,
+}
+
+/// What the ranking knows of a target.
+#[derive(Clone, Copy, Debug)]
+struct Place {
+    hash: u64,
+    zone: ZoneId,
+}
+
+/// The homes of every target in one version of the configuration.
+#[derive(Clone, Debug)]
+pub struct Homes {
+    homes_per_target: usize,
+    vms: Vec<Candidate>,
+    targets: Vec<Place>,
+    zone_hashes: Vec<u64>,
+    vms_by_zone: Vec<Vec<VmId>>,
+    targets_by_zone: Vec<Vec<TargetId>>,
+    homes: Vec<Vec<VmId>>,
+}
+
+impl Homes {
+    /// Ranks the VMs of a version. `usable` says for each VM whether it gets work, indexed by
+    /// [`VmId`]; see `process/membership.rs`.
+    pub fn build(topology: &Topology, usable: &[bool], homes_per_target: usize) -> Homes {
+        let zones = topology.zones.len();
+        let mut homes = Homes {
+            homes_per_target,
+            vms: Vec::with_capacity(topology.vms.len()),
+            targets: Vec::with_capacity(topology.targets.len()),
+            zone_hashes: topology.zones.iter().map(|zone| hash_name(zone, TARGET_SEED)).collect(),
+            vms_by_zone: vec![Vec::new(); zones],
+            targets_by_zone: vec![Vec::new(); zones],
+            homes: vec![Vec::new(); topology.targets.len()],
+        };
+        for (index, vm) in topology.vms.iter().enumerate() {
+            let hash = hash_name(&vm.name, VM_SEED);
+            homes.vms.push(Candidate { hash, zone: vm.zone, usable: usable[index] });
+            homes.vms_by_zone[vm.zone.index()].push(VmId(index as u32));
+        }
+        for (index, target) in topology.targets.iter().enumerate() {
+            let hash = hash_name(&target.name, TARGET_SEED);
+            homes.targets.push(Place { hash, zone: target.zone });
+            homes.targets_by_zone[target.zone.index()].push(TargetId(index as u32));
+        }
+        for target in 0..homes.targets.len() {
+            homes.rank_target(TargetId(target as u32));
+        }
+        homes
+    }
+
+    /// The homes of a target in order of rank.
+    pub fn of(&self, target: TargetId) -> &[VmId] {
+        &self.homes[target.index()]
+    }
+
+    /// The homes of all targets, indexed by [`TargetId`].
+    pub fn all(&self) -> &[Vec<VmId>] {
+        &self.homes
+    }
+
+    /// The rank of a VM among the homes of a target.
+    pub fn rank_of(&self, target: TargetId, vm: VmId) -> Option<usize> {
+        self.of(target).iter().position(|home| *home == vm)
+    }
+
+    /// Changes whether a VM gets work, and ranks again only the targets that this touches.
+    ///
+    /// Returns the targets whose homes changed.
+    pub fn set_usable(&mut self, vm: VmId, usable: bool) -> Vec<TargetId> {
+        let candidate = &mut self.vms[vm.index()];
+        if candidate.usable == usable {
+            return Vec::new();
+        }
+        candidate.usable = usable;
+        let zone = candidate.zone;
+        // The last usable VM of a zone that goes, or the first that comes, moves the zone's targets
+        // to or from the other zones; and a zone without any depends on all the others.
+        let mut changed = Vec::new();
+        for index in 0..self.targets.len() {
+            let target = TargetId(index as u32);
+            let place = self.targets[index];
+            if (place.zone == zone || !self.zone_has_usable(place.zone))
+                && self.update_target(target, vm, usable)
+            {
+                changed.push(target);
+            }
+        }
+        changed
+    }
+
+    /// The VMs of a zone that watch the platform for the others, in order of rank.
+    pub fn watchers(&self, zone: ZoneId) -> Vec<VmId> {
+        let vms = self.vms_by_zone[zone.index()].iter().copied();
+        self.best(self.zone_hashes[zone.index()], vms, WATCHERS_PER_ZONE)
+    }
+
+    /// Every violated invariant.
+    pub fn verify(&self) -> Vec<String> {
+        let mut problems = Vec::new();
+        for (index, homes) in self.homes.iter().enumerate() {
+            let place = self.targets[index];
+            let expected = self.ranking(place.hash, place.zone, self.homes_per_target);
+            if *homes != expected {
+                problems.push(format!("target{index} has homes {homes:?}, not {expected:?}"));
+            }
+            if let Some(vm) = homes.iter().find(|vm| !self.vms[vm.index()].usable) {
+                problems.push(format!("target{index} has the unusable home {vm}"));
+            }
+        }
+        problems
+    }
+
+    fn zone_has_usable(&self, zone: ZoneId) -> bool {
+        self.vms_by_zone[zone.index()].iter().any(|vm| self.vms[vm.index()].usable)
+    }
+
+    fn update_target(&mut self, target: TargetId, vm: VmId, usable: bool) -> bool {
+        let place = self.targets[target.index()];
+        let homes = &self.homes[target.index()];
+        let touched = if usable { self.would_rank(target, vm) } else { homes.contains(&vm) };
+        if !touched {
+            return false;
+        }
+        self.homes[target.index()] = self.ranking(place.hash, place.zone, self.homes_per_target);
+        true
+    }
+
+    fn would_rank(&self, target: TargetId, vm: VmId) -> bool {
+        let homes = &self.homes[target.index()];
+        let place = self.targets[target.index()];
+        let Some(lowest) = homes.last() else { return true };
+        let from_elsewhere = self.vms[lowest.index()].zone != place.zone;
+        let own_zone = self.vms[vm.index()].zone == place.zone;
+        if homes.len() < self.homes_per_target || (own_zone && from_elsewhere) {
+            return true;
+        }
+        self.ranked(place.hash, vm) > self.ranked(place.hash, *lowest)
+    }
+
+    fn rank_target(&mut self, target: TargetId) {
+        let place = self.targets[target.index()];
+        self.homes[target.index()] = self.ranking(place.hash, place.zone, self.homes_per_target);
+    }
+
+    fn ranked(&self, key: u64, vm: VmId) -> Ranked {
+        let vm_hash = self.vms[vm.index()].hash;
+        Ranked { score: score(key, vm_hash), vm_hash, vm }
+    }
+
+    fn ranking(&self, key: u64, zone: ZoneId, count: usize) -> Vec<VmId> {
+        let own_zone = self.vms_by_zone[zone.index()].iter().copied();
+        let homes = self.best(key, own_zone, count);
+        if !homes.is_empty() {
+            return homes;
+        }
+        self.best(key, (0..self.vms.len() as u32).map(VmId), count)
+    }
+
+    fn best<V>(&self, key: u64, vms: V, count: usize) -> Vec<VmId>
+    where
+        V: Iterator<Item = VmId>,
+    {
+        let mut best: Vec<Ranked> = Vec::with_capacity(count + 1);
+        for vm in vms.filter(|vm| self.vms[vm.index()].usable) {
+            let ranked = self.ranked(key, vm);
+            let place = best.partition_point(|better| *better > ranked);
+            if place < count {
+                best.insert(place, ranked);
+                best.truncate(count);
+            }
+        }
+        best.into_iter().map(|ranked| ranked.vm).collect()
+    }
+}
+
+fn hash_name(name: &str, seed: u64) -> u64 {
+    xxh3::xxh3_64_with_seed(name.as_bytes(), seed)
+}
+
+fn score(key: u64, vm_hash: u64) -> u64 {
+    let mut pair = [0; 16];
+    pair[..8].copy_from_slice(&key.to_le_bytes());
+    pair[8..].copy_from_slice(&vm_hash.to_le_bytes());
+    xxh3::xxh3_64_with_seed(&pair, PAIR_SEED)
+}
--- /dev/null
+++ b/crates/core/src/process/membership.rs
@@ -0,0 +1,234 @@
+//! Which VMs and targets get work: the platform's lagging list together with evidence of our own.
+//!
+//! The list goes on naming a VM for a while after it died or began to leave. Without evidence of
+//! our own, a request would be forwarded to it until the list catches up. So what this process sees
+//! itself counts at once: an answer that says "leaving" takes the VM or target out with one
+//! sighting, failures to connect after a few, since a single one may be a lost packet. Evidence
+//! expires, so that one that came back is tried again even if nobody told us; a healthy answer
+//! clears it before that. A VM that the list doesn't name is never used: evidence only takes away.
+
+use crate::FastMap;
+use crate::version::topology::Target;
+use crate::version::topology::Topology;
+use crate::version::topology::Vm;
+
+/// What this process saw of a VM or a target.
+#[derive(Clone, Copy, PartialEq, Eq, Hash, Debug)]
+pub enum Evidence {
+    /// It answered, and takes work.
+    Healthy,
+    /// It answered that it is leaving, stopping or drained.
+    Leaving,
+    /// Its machine refused or reset a connection: nothing listens there.
+    Refused,
+    /// It gave no answer in time.
+    Unreachable,
+}
+
+/// Whether a VM or a target gets work, and why not.
+#[derive(Clone, Copy, PartialEq, Eq, Hash, Debug)]
+pub enum Standing {
+    /// It gets work.
+    Usable,
+    /// The list or an operator says that it leaves.
+    ListedLeaving,
+    /// It said itself that it leaves.
+    SaidLeaving,
+    /// It evidently does not answer.
+    Unreachable,
+    /// The list doesn't name it.
+    Unknown,
+}
+
+impl Standing {
+    /// Whether it gets new work.
+    pub fn is_usable(self) -> bool {
+        self == Standing::Usable
+    }
+}
+
+/// How much evidence is needed, and how long it counts.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub struct MembershipPolicy {
+    /// How long a "leaving" answer counts: longer than the platform's list lags.
+    pub leaving_expiry_us: u64,
+    /// How long failures count: long enough that they don't expire between two tries at a dead
+    /// VM, short enough that one that came back is soon found.
+    pub failure_expiry_us: u64,
+    /// How many points of failure take a VM or target out.
+    pub failure_limit: u32,
+    /// The points of a refused connection.
+    pub refused_points: u32,
+    /// The points of a missing answer.
+    pub unreachable_points: u32,
+}
+
+impl Default for MembershipPolicy {
+    fn default() -> MembershipPolicy {
+        MembershipPolicy {
+            leaving_expiry_us: 120_000_000,
+            failure_expiry_us: 10_000_000,
+            failure_limit: 4,
+            refused_points: 2,
+            unreachable_points: 1,
+        }
+    }
+}
+
+/// What was seen of one VM or target.
+#[derive(Clone, Copy, PartialEq, Eq, Debug, Default)]
+struct Record {
+    leaving_until_us: u64,
+    failure_points: u32,
+    failures_until_us: u64,
+}
+
+impl Record {
+    fn is_leaving(&self, now_us: u64) -> bool {
+        now_us < self.leaving_until_us
+    }
+
+    fn is_dead(&self, policy: &MembershipPolicy, now_us: u64) -> bool {
+        now_us < self.failures_until_us && self.failure_points >= policy.failure_limit
+    }
+
+    fn expires_us(&self) -> u64 {
+        self.leaving_until_us.max(self.failures_until_us)
+    }
+
+    fn take(&mut self, policy: &MembershipPolicy, evidence: Evidence, now_us: u64) {
+        match evidence {
+            Evidence::Healthy => *self = Record::default(),
+            Evidence::Leaving => self.leaving_until_us = now_us + policy.leaving_expiry_us,
+            Evidence::Refused => self.add_failure(policy, policy.refused_points, now_us),
+            Evidence::Unreachable => self.add_failure(policy, policy.unreachable_points, now_us),
+        }
+    }
+
+    fn add_failure(&mut self, policy: &MembershipPolicy, points: u32, now_us: u64) {
+        if now_us >= self.failures_until_us {
+            self.failure_points = 0;
+        }
+        self.failure_points = self.failure_points.saturating_add(points);
+        self.failures_until_us = now_us + policy.failure_expiry_us;
+    }
+}
+
+/// The evidence of this process, by name: names outlive the versions that number them.
+#[derive(Clone, Debug, Default)]
+pub struct Membership {
+    policy: MembershipPolicy,
+    vms: FastMap<String, Record>,
+    targets: FastMap<String, Record>,
+}
+
+impl Membership {
+    /// No evidence yet.
+    pub fn new(policy: MembershipPolicy) -> Membership {
+        Membership { policy, ..Membership::default() }
+    }
+
+    /// Takes evidence about a VM. Returns whether its standing may have changed.
+    pub fn vm_seen(&mut self, vm: &str, evidence: Evidence, now_us: u64) -> bool {
+        let policy = self.policy;
+        record_seen(&mut self.vms, &policy, vm, evidence, now_us)
+    }
+
+    /// Takes evidence about a target. Returns whether its standing may have changed.
+    pub fn target_seen(&mut self, target: &str, evidence: Evidence, now_us: u64) -> bool {
+        let policy = self.policy;
+        record_seen(&mut self.targets, &policy, target, evidence, now_us)
+    }
+
+    /// The standing of a VM of a version.
+    pub fn vm_standing(&self, vm: &Vm, now_us: u64) -> Standing {
+        self.standing(self.vms.get(&vm.name), vm.leaving, now_us)
+    }
+
+    /// The standing of a VM by name; one that the version doesn't list is unknown.
+    pub fn vm_standing_by_name(&self, topology: &Topology, vm: &str, now_us: u64) -> Standing {
+        match topology.vm_id(vm) {
+            Some(id) => self.vm_standing(topology.vm(id), now_us),
+            None => Standing::Unknown,
+        }
+    }
+
+    /// The standing of a target of a version.
+    pub fn target_standing(&self, target: &Target, now_us: u64) -> Standing {
+        self.standing(self.targets.get(&target.name), target.drain, now_us)
+    }
+
+    /// Fills `usable` with one entry for each VM of the version, as `process/homes.rs` takes it.
+    pub fn usable_vms(&self, topology: &Topology, now_us: u64, usable: &mut Vec<bool>) {
+        usable.clear();
+        usable.extend(topology.vms.iter().map(|vm| self.vm_standing(vm, now_us).is_usable()));
+    }
+
+    /// Drops what has expired and returns when the next evidence expires: standings change then
+    /// without any event.
+    pub fn expire(&mut self, now_us: u64) -> Option<u64> {
+        self.vms.retain(|_, record| record.expires_us() > now_us);
+        self.targets.retain(|_, record| record.expires_us() > now_us);
+        let records = self.vms.values().chain(self.targets.values());
+        let times = records.flat_map(|record| [record.leaving_until_us, record.failures_until_us]);
+        times.filter(|time| *time > now_us).min()
+    }
+
+    /// How many VMs and targets there is evidence about.
+    pub fn len(&self) -> usize {
+        self.vms.len() + self.targets.len()
+    }
+
+    /// Whether there is no evidence.
+    pub fn is_empty(&self) -> bool {
+        self.len() == 0
+    }
+
+    /// Every violated invariant.
+    pub fn verify(&self) -> Vec<String> {
+        let mut problems = Vec::new();
+        for (name, record) in self.vms.iter().chain(self.targets.iter()) {
+            if *record == Record::default() {
+                problems.push(format!("`{name}` has an empty record"));
+            }
+            if record.failure_points > 0 && record.failures_until_us == 0 {
+                problems.push(format!("the failures of `{name}` never counted"));
+            }
+        }
+        problems
+    }
+
+    fn standing(&self, record: Option<&Record>, listed_leaving: bool, now_us: u64) -> Standing {
+        if listed_leaving {
+            return Standing::ListedLeaving;
+        }
+        match record {
+            Some(record) if record.is_leaving(now_us) => Standing::SaidLeaving,
+            Some(record) if record.is_dead(&self.policy, now_us) => Standing::Unreachable,
+            _ => Standing::Usable,
+        }
+    }
+}
+
+fn record_seen(
+    records: &mut FastMap<String, Record>,
+    policy: &MembershipPolicy,
+    name: &str,
+    evidence: Evidence,
+    now_us: u64,
+) -> bool {
+    if evidence == Evidence::Healthy {
+        return records.remove(name).is_some();
+    }
+    // The name is copied only when it is new: a dead VM is reported again and again.
+    if let Some(record) = records.get_mut(name) {
+        let before = (record.is_leaving(now_us), record.is_dead(policy, now_us));
+        record.take(policy, evidence, now_us);
+        return before != (record.is_leaving(now_us), record.is_dead(policy, now_us));
+    }
+    let mut record = Record::default();
+    record.take(policy, evidence, now_us);
+    let changed = record.is_leaving(now_us) || record.is_dead(policy, now_us);
+    records.insert(name.to_owned(), record);
+    changed
+}
--- /dev/null
+++ b/crates/core/src/process/read_age.rs
@@ -0,0 +1,184 @@
+//! How old the data of each member can be, shown without synchronised clocks.
+//!
+//! A sample is a pair of a time `t` of this process's monotonic clock and the end of the primary's
+//! log read after `t`. All that was acknowledged by `t` is at or below the sample's position, so a
+//! member whose applied position covers it is at most `now - t` old.
+//!
+//! A primary that is isolated and still believes it leads would yield samples too, while another
+//! one acknowledges writes that it never sees. So a sample's time is not the time of the primary's
+//! probe alone: it is the latest `t` such that the primary and members that together make a
+//! majority answered probes *sent* at `t` or later without having promised themselves to a later
+//! term. A promise is never taken back, a newer primary needs promises of a majority before it
+//! acknowledges anything, and two majorities share a member: at `t` there was no newer primary.
+//!
+//! The time of sending counts, not that of the answer: the answer may have been under way for long.
+
+use std::collections;
+
+use crate::log_position::LogPosition;
+use crate::member_status::MemberStatus;
+use crate::member_status::Role;
+
+/// How many samples are kept for a group.
+pub const MAX_SAMPLES: usize = 64;
+
+/// The weight of the newest observation in the average lag, as one part in this many.
+const LAG_DIVISOR: u64 = 8;
+
+/// The primary's log end at a time.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub struct Sample {
+    /// All that was acknowledged by this time is at or below `position`.
+    pub taken_us: u64,
+    /// The end of the primary's log, read after `taken_us`.
+    pub position: LogPosition,
+}
+
+/// What is known of one member.
+#[derive(Clone, Debug, Default)]
+struct MemberAge {
+    /// The newest answered probe: when it was sent, and the report.
+    probe: Option<(u64, MemberStatus)>,
+    applied: LogPosition,
+    lag_us: Option<u64>,
+}
+
+/// The samples of one group and what its members have applied.
+#[derive(Clone, Debug, Default)]
+pub struct ReadAge {
+    members: Vec<MemberAge>,
+    samples: collections::VecDeque<Sample>,
+}
+
+impl ReadAge {
+    /// A group of this many members, about which nothing is known.
+    pub fn new(members: usize) -> ReadAge {
+        let members = vec![MemberAge::default(); members];
+        ReadAge { members, samples: collections::VecDeque::with_capacity(MAX_SAMPLES) }
+    }
+
+    /// Takes a member's answer to a probe that was sent at `sent_us` and answered at `now_us`.
+    ///
+    /// Answers of one member may come out of order; an older one than the newest is ignored.
+    pub fn probe_answered(
+        &mut self,
+        member: usize,
+        sent_us: u64,
+        now_us: u64,
+        status: &MemberStatus,
+    ) {
+        let state = &mut self.members[member];
+        if state.probe.as_ref().is_some_and(|(newest_us, _)| *newest_us >= sent_us) {
+            return;
+        }
+        state.probe = Some((sent_us, status.clone()));
+        state.applied = status.applied;
+        self.take_sample();
+        self.observe_lag(member, now_us);
+    }
+
+    /// Takes a notice that a member sent on its own after a change.
+    ///
+    /// It carries no time of sending, so it moves the applied position and proves nothing of terms.
+    pub fn notified(&mut self, member: usize, now_us: u64, applied: LogPosition) {
+        self.members[member].applied = applied;
+        self.observe_lag(member, now_us);
+    }
+
+    /// The time up to which reads at the member see all that was acknowledged.
+    pub fn fresh_as_of_us(&self, member: usize) -> Option<u64> {
+        let applied = self.members[member].applied;
+        let covered = self.samples.iter().rev().find(|sample| applied.covers(sample.position));
+        covered.map(|sample| sample.taken_us)
+    }
+
+    /// How old the member's data usually is when it reports: its replication delay together with
+    /// the time between probes.
+    pub fn lag_us(&self, member: usize) -> Option<u64> {
+        self.members[member].lag_us
+    }
+
+    /// The samples, oldest first.
+    pub fn samples(&self) -> impl Iterator<Item = &Sample> {
+        self.samples.iter()
+    }
+
+    /// Every violated invariant.
+    pub fn verify(&self) -> Vec<String> {
+        let mut problems = Vec::new();
+        if self.samples.len() > MAX_SAMPLES {
+            problems.push(format!("{} samples pass the bound", self.samples.len()));
+        }
+        for (older, newer) in self.samples.iter().zip(self.samples.iter().skip(1)) {
+            if older.taken_us >= newer.taken_us || older.position >= newer.position {
+                problems.push(format!("{newer:?} does not follow {older:?}"));
+            }
+        }
+        problems
+    }
+
+    /// Adds the best sample that the newest probes prove, if it says more than the last one.
+    fn take_sample(&mut self) {
+        let Some((primary_sent_us, position)) = self.primary_report() else { return };
+        let Some(majority_us) = self.majority_sent_us(position) else { return };
+        let taken_us = primary_sent_us.min(majority_us);
+        let Some(last) = self.samples.back_mut() else {
+            self.samples.push_back(Sample { taken_us, position });
+            return;
+        };
+        if taken_us <= last.taken_us || position < last.position {
+            return;
+        }
+        if last.position == position {
+            last.taken_us = taken_us;
+            return;
+        }
+        if self.samples.len() == MAX_SAMPLES {
+            self.thin_out();
+        }
+        self.samples.push_back(Sample { taken_us, position });
+    }
+
+    /// The probe time and log end of the primary of the highest term.
+    fn primary_report(&self) -> Option<(u64, LogPosition)> {
+        let probes = self.members.iter().filter_map(|member| member.probe.as_ref());
+        // A primary whose log does not end in its own term has not opened the term yet.
+        let primaries = probes.filter(|(_, status)| {
+            status.role == Role::Primary && status.log.term == status.raised_term
+        });
+        let reports = primaries.map(|(sent_us, status)| (*sent_us, status.log));
+        reports.max_by_key(|(_, log)| log.term)
+    }
+
+    /// The latest time at which probes were sent to a majority that had then promised itself to no
+    /// later term than the position's.
+    fn majority_sent_us(&self, position: LogPosition) -> Option<u64> {
+        let bound = |member: &MemberAge| {
+            let (sent_us, status) = member.probe.as_ref()?;
+            (status.raised_term <= position.term).then_some(*sent_us)
+        };
+        let majority = self.members.len() / 2 + 1;
+        let times = || self.members.iter().filter_map(bound);
+        times().filter(|time| times().filter(|other| other >= time).count() >= majority).max()
+    }
+
+    /// Drops every second sample. A missing sample makes claims older, never wrong, and the span
+    /// that the ring covers doubles, so that a long lag is still shown.
+    fn thin_out(&mut self) {
+        let mut keep = false;
+        self.samples.retain(|_| {
+            keep = !keep;
+            keep
+        });
+    }
+
+    fn observe_lag(&mut self, member: usize, now_us: u64) {
+        let Some(fresh_us) = self.fresh_as_of_us(member) else { return };
+        let observed_us = now_us.saturating_sub(fresh_us);
+        let state = &mut self.members[member];
+        state.lag_us = Some(match state.lag_us {
+            None => observed_us,
+            Some(average_us) => average_us - average_us / LAG_DIVISOR + observed_us / LAG_DIVISOR,
+        });
+    }
+}
--- a/crates/core/src/version/mod.rs
+++ b/crates/core/src/version/mod.rs
@@ -1,4 +1,5 @@
 //! What lives as long as one version of the configuration.
 
 pub mod objects;
+pub mod spreading;
 pub mod topology;
