--- a/crates/proxy/src/version/published.rs
+++ b/crates/proxy/src/version/published.rs
@@ -97,6 +97,8 @@
     /// A time of this process's monotonic clock, in microseconds: reads at this member see all
     /// that the primary had acknowledged by then. Zero when nothing is shown.
     pub fresh_as_of_us: AtomicU64,
+    /// How old the member's data usually is when it reports, in microseconds; zero when unknown.
+    pub lag_us: AtomicU64,
     /// Whether the member answers now.
     pub reachable: AtomicBool,
     /// Whether the member is leaving or drained and gets no new work.
