Connect to members over control connections

Cause: the control thread has to hear each change of a member's status at once, since writes wait for it.

--- a/crates/proxy/src/process/mod.rs
+++ b/crates/proxy/src/process/mod.rs
@@ -2,3 +2,4 @@
 
 pub mod clock;
 pub mod control_handle;
+pub mod member;
