--- a/crates/settings/src/check.rs
+++ b/crates/settings/src/check.rs
@@ -23,7 +23,7 @@
 use crate::shape::Shape;
 
 /// How alike an unknown key must be to a known one to be taken for a slip, from 0 to 1.
-const MIN_LIKENESS: f64 = 0.6;
+const MIN_LIKENESS: f64 = 0.8;
 /// The longest value that a mistake repeats in full, in characters.
 const MAX_SHOWN_CHARS: usize = 60;
 
--- a/crates/settings/src/relations.rs
+++ b/crates/settings/src/relations.rs
@@ -1,6 +1,7 @@
 //! Collects mistakes in the rules between keys.
 
 use crate::mistake::Mistake;
+use crate::shape;
 
 /// The mistakes found so far.
 #[derive(Debug, Default)]
@@ -24,7 +25,7 @@
             match seen.iter().find(|(_, known)| *known == name) {
                 Some((first, _)) => {
                     let problem = format!("`{name}` already stands at {first}");
-                    self.refuse(path, problem, "a name used once".to_owned());
+                    self.refuse(path, problem, "one that is used once".to_owned());
                 }
                 None => seen.push((path, name)),
             }
@@ -36,6 +37,9 @@
         if known.contains(&name) {
             return;
         }
-        self.refuse(path, format!("`{name}` is not known"), crate::shape::one_of(known));
+        let mut known = known.to_vec();
+        known.sort_unstable();
+        known.dedup();
+        self.refuse(path, format!("`{name}` is not known"), shape::one_of(&known));
     }
 }
--- /dev/null
+++ b/crates/settings/tests/examples.rs
@@ -0,0 +1,69 @@
+//! The files under `examples/` are accepted and hold what the deployments need.
+
+use std::path::Path;
+
+use skylark_core::version::objects::Snapshot;
+use skylark_core::version::objects::StoredObject;
+use skylark_core::version::topology::Topology;
+use skylark_settings::Settings;
+use skylark_settings::deployment::DeploymentSettings;
+use skylark_settings::proxy::ProxySettings;
+
+fn load<S>(name: &str) -> S
+where
+    S: Settings,
+{
+    let path = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../examples").join(name);
+    skylark_settings::load(&path).unwrap_or_else(|error| panic!("{name}:\n{error}"))
+}
+
+/// The topology that a platform filled from the deployment gives to every proxy.
+fn topology(settings: &DeploymentSettings) -> Topology {
+    let stored = settings.seed_objects().into_iter().zip(1..).map(|(object, version)| {
+        let (kind, name, body) = (object.kind, object.name, object.body);
+        StoredObject { kind, name, version, deleted: false, body }
+    });
+    let objects: Vec<StoredObject> = stored.collect();
+    let revision = objects.len() as u64;
+    Topology::build(&Snapshot { revision, objects, vms: settings.vm_records() })
+}
+
+macro_rules! deployments {
+    ($($name:ident: $file:literal, $vms:literal VMs, $connections:literal connections, $cost:literal ms;)+) => {
+        $(#[test]
+        fn $name() {
+            let settings: DeploymentSettings = load($file);
+            let topology = topology(&settings);
+            assert_eq!(topology.problems, []);
+            assert_eq!(topology.zones.len(), 3);
+            assert_eq!(topology.vms.len(), $vms);
+            assert_eq!(topology.groups.len(), 3);
+            for group in &topology.groups {
+                assert_eq!(group.members.len(), 3);
+            }
+            for target in &topology.targets {
+                assert_eq!((target.slots, target.connections), (2, $connections));
+            }
+            let members = settings.groups.iter().flat_map(|group| &group.members);
+            assert!(members.into_iter().all(|member| member.connect_cost_ms == $cost));
+        })+
+    };
+}
+
+deployments! {
+    sfax: "sfax.jsonc", 6 VMs, 16 connections, 10 ms;
+    mittelland: "mittelland.jsonc", 8 VMs, 32 connections, 30 ms;
+}
+
+#[test]
+fn proxy_belongs_to_sfax() {
+    let proxy: ProxySettings = load("proxy.jsonc");
+    let sfax: DeploymentSettings = load("sfax.jsonc");
+    let vm = sfax.vms.iter().find(|vm| vm.vm == proxy.vm).expect("the VM is one of Sfax");
+    assert_eq!(vm.zone, proxy.zone);
+    assert_eq!(vm.listen_address, proxy.listen_address);
+    assert_eq!(vm.control_address, proxy.control_address);
+    assert_eq!(sfax.platform_address, proxy.platform_address);
+    let peers: Vec<_> = sfax.vms.iter().map(|vm| vm.control_address).collect();
+    assert!(proxy.peers.iter().all(|peer| peers.contains(peer)));
+}
