--- /dev/null
+++ b/crates/spec/src/case.rs
@@ -0,0 +1,36 @@
+//! The cases that are explored: a model, its bounds, and the safeguard that is switched off.
+
+use std::fmt;
+
+use crate::acknowledgement;
+use crate::explore::Exploration;
+
+/// How many states a case may have, which bounds its memory to a few hundred megabytes.
+pub const STATE_LIMIT: usize = 3_000_000;
+
+/// One exploration with fixed bounds.
+#[derive(Clone, Copy, Debug)]
+pub struct Case {
+    /// The model's name.
+    pub model: &'static str,
+    /// The name of the safeguard that is off. Then a counterexample is expected.
+    pub without: Option<&'static str>,
+    /// The bounds in words.
+    pub bounds: &'static str,
+    /// Explores.
+    pub run: fn() -> Exploration,
+}
+
+impl fmt::Display for Case {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self.without {
+            Some(safeguard) => write!(f, "{} without {safeguard}: {}", self.model, self.bounds),
+            None => write!(f, "{}: {}", self.model, self.bounds),
+        }
+    }
+}
+
+/// Every case of every model.
+pub fn all() -> Vec<Case> {
+    [acknowledgement::cases::CASES].concat()
+}
--- a/crates/spec/src/lib.rs
+++ b/crates/spec/src/lib.rs
@@ -1,1 +1,16 @@
 //! Small specification of the core protocol, explored exhaustively.
+//!
+//! Each model is a transition system: a compact state, the steps that may come next, and the
+//! invariants that every reachable state keeps. [`explore`] visits every state within the model's
+//! bounds by breadth-first search, so a violation comes with a shortest trace.
+//!
+//! Each safeguard of the protocol has a switch. With all of them on the invariants hold; with any
+//! one off the search must find a counterexample, which shows that the model can see the failure
+//! that the safeguard is there for. Where a transition takes a decision that `skylark-core` takes,
+//! it calls the function of `skylark-core`.
+//!
+//! - [`acknowledgement`]: who may acknowledge a write, the fence, and the choice of a new primary.
+
+pub mod acknowledgement;
+pub mod case;
+pub mod explore;
