Offer seeded open-loop load from stock clients, and check what they saw

The failover gap and the replica share are only worth measuring next to a proof that no answer was wrong meanwhile. Sessions roam between proxies by token, by identity or not at all; each request carries a tag of its own. The checker compares the callers' records with the rows that the groups hold in the end, and the order of acknowledged positions with real time.

--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -1,1 +1,9 @@
-//! Load and experiments over the stand-ins.
+//! Load and experiments over the stand-ins, and a checker over what the callers saw.
+//!
+//! - [`load`] offers operations at seeded times that do not wait for earlier answers, from callers
+//!   that are stock PostgreSQL clients and that roam between proxies.
+//! - [`history`] holds what each caller did and saw, and checks it against what the groups hold in
+//!   the end.
+
+pub mod history;
+pub mod load;
