Share the configuration between published versions, and take evidence about VMs

Cause: a change of a group's leader published a copy of the whole topology; and traffic, which sees first that another VM is gone, had no way to say so. Change: Published holds the topology behind an Arc; ControlEvent has VmSeen with the core's evidence.

--- a/crates/proxy/src/process/control_handle.rs
+++ b/crates/proxy/src/process/control_handle.rs
@@ -4,7 +4,9 @@
 
 use skylark_core::ids::GroupId;
 use skylark_core::ids::TargetId;
+use skylark_core::ids::VmId;
 use skylark_core::log_position::LogPosition;
+use skylark_core::process::membership;
 use tokio::sync::mpsc;
 use tokio::sync::oneshot;
 
@@ -41,6 +43,13 @@
         /// What was seen.
         evidence: TargetEvidence,
     },
+    /// Traffic saw another VM fail or leave, or saw one answer again that had failed.
+    VmSeen {
+        /// The VM.
+        vm: VmId,
+        /// What was seen.
+        evidence: membership::Evidence,
+    },
 }
 
 /// What traffic saw of a failing target.
--- a/crates/proxy/src/version/published.rs
+++ b/crates/proxy/src/version/published.rs
@@ -23,8 +23,8 @@
 /// One version, as the traffic threads see it.
 #[derive(Debug, Default)]
 pub struct Published {
-    /// The configuration.
-    pub topology: Topology,
+    /// The configuration, shared by the versions that differ in the groups' state alone.
+    pub topology: Arc<Topology>,
     /// This process's VM in `topology`, once the platform lists it.
     pub own_vm: Option<VmId>,
     /// The state of each group, indexed by `GroupId`.
