Let objects carry the plan that last changed them, and let them be removed

A confirmation whose answer was lost can only be found again if the object itself says which plan changed it, so services, groups, lead records and VM specs get an optional field for it. Removing a group needs the platform's conditional DELETE, which the client did not offer yet.

--- a/crates/core/src/version/objects.rs
+++ b/crates/core/src/version/objects.rs
@@ -59,6 +59,10 @@
     pub read_kinds: Vec<ReadKindSpec>,
     /// The classes that share connections. The first one is the default.
     pub classes: Vec<ClassSpec>,
+    /// The plan whose confirmation last changed the object; empty for none. It lets an operator
+    /// whose confirmation got no answer find out whether the change took.
+    #[serde(default, skip_serializing_if = "String::is_empty")]
+    pub plan: String,
 }
 
 /// A kind of read and how old its data may be.
@@ -95,6 +99,10 @@
     /// The members. Successive versions differ by one member at most, so that majorities of
     /// neighbouring versions share a member.
     pub members: Vec<MemberSpec>,
+    /// The plan whose confirmation last changed the object; empty for none. It lets an operator
+    /// whose confirmation got no answer find out whether the change took.
+    #[serde(default, skip_serializing_if = "String::is_empty")]
+    pub plan: String,
 }
 
 /// A database of a group.
@@ -132,6 +140,11 @@
     /// The target that an operator asked to lead; empty for none.
     #[serde(default, skip_serializing_if = "String::is_empty")]
     pub wanted: String,
+    /// The plan whose confirmation last changed the object; empty for none. It lets an operator
+    /// whose confirmation got no answer find out whether the change took.
+    /// A driver that writes the record keeps it as it read it.
+    #[serde(default, skip_serializing_if = "String::is_empty")]
+    pub plan: String,
 }
 
 /// What operators ask of an entry VM.
@@ -141,6 +154,10 @@
     /// Whether the VM is drained: it is home to no target and reports itself as leaving.
     #[serde(default)]
     pub drain: bool,
+    /// The plan whose confirmation last changed the object; empty for none. It lets an operator
+    /// whose confirmation got no answer find out whether the change took.
+    #[serde(default, skip_serializing_if = "String::is_empty")]
+    pub plan: String,
 }
 
 /// The state of a VM in the platform's lagging list.
--- a/crates/platform/src/http.rs
+++ b/crates/platform/src/http.rs
@@ -89,6 +89,17 @@
         self.call(self.client.put(self.object_url(kind, name)).json(&request), CALL_TIMEOUT).await
     }
 
+    async fn delete(
+        &self,
+        kind: ObjectKind,
+        name: &str,
+        expected_version: u64,
+    ) -> Result<PutAnswer, StoreError> {
+        let request = self.client.delete(self.object_url(kind, name));
+        let request = request.query(&[("expected_version", expected_version)]);
+        self.call(request, CALL_TIMEOUT).await
+    }
+
     async fn watch(&self, after_revision: u64, wait: Duration) -> Result<WatchAnswer, StoreError> {
         let url = format!("{}/watch", self.base_url);
         let wait_ms = wait.as_millis() as u64;
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -93,6 +93,14 @@
         body: serde_json::Value,
     ) -> impl Future<Output = Result<PutAnswer, StoreError>> + Send;
 
+    /// Removes one object if it still has `expected_version`.
+    fn delete(
+        &self,
+        kind: ObjectKind,
+        name: &str,
+        expected_version: u64,
+    ) -> impl Future<Output = Result<PutAnswer, StoreError>> + Send;
+
     /// Waits up to `wait` for changes after `after_revision`; an answer without objects means that
     /// none came.
     fn watch(
--- a/crates/settings/src/deployment.rs
+++ b/crates/settings/src/deployment.rs
@@ -160,7 +160,11 @@
             weight: class.weight,
             goal_ms: class.goal_ms,
         });
-        objects::ServiceSpec { read_kinds: read_kinds.collect(), classes: classes.collect() }
+        objects::ServiceSpec {
+            read_kinds: read_kinds.collect(),
+            classes: classes.collect(),
+            plan: String::new(),
+        }
     }
 }
 
@@ -184,6 +188,7 @@
         objects::GroupSpec {
             service: self.service.clone(),
             members: self.members.iter().map(Member::spec).collect(),
+            plan: String::new(),
         }
     }
 }
