--- a/crates/proxy/src/process/mod.rs
+++ b/crates/proxy/src/process/mod.rs
@@ -3,3 +3,5 @@
 pub mod clock;
 pub mod control_handle;
 pub mod member;
+pub mod peer;
+pub mod schedule;
--- /dev/null
+++ b/crates/proxy/src/process/peer/client.rs
@@ -0,0 +1,54 @@
+//! Calls to other proxies.
+
+use std::time::Duration;
+
+use jsonrpsee::core::client;
+use jsonrpsee::http_client::HttpClient;
+use jsonrpsee::http_client::HttpClientBuilder;
+use skylark_core::FastMap;
+use skylark_core::process::membership;
+
+/// How many clients are kept. Each holds its connection open between calls.
+const KEPT: usize = 32;
+
+/// Opens clients of control addresses, and keeps the latest ones.
+#[derive(Debug)]
+pub struct PeerClients {
+    timeout: Duration,
+    clients: FastMap<String, HttpClient>,
+}
+
+impl PeerClients {
+    /// Clients whose calls take up to `timeout`.
+    pub fn new(timeout: Duration) -> PeerClients {
+        PeerClients { timeout, clients: FastMap::default() }
+    }
+
+    /// The client of a control address; nothing where the address can't be one.
+    pub fn get(&mut self, control_address: &str) -> Option<HttpClient> {
+        if let Some(client) = self.clients.get(control_address) {
+            return Some(client.clone());
+        }
+        let client = open(control_address, self.timeout)?;
+        if self.clients.len() >= KEPT {
+            self.clients.clear();
+        }
+        self.clients.insert(control_address.to_owned(), client.clone());
+        Some(client)
+    }
+}
+
+/// A client of one control address; nothing where the address can't be one.
+pub fn open(control_address: &str, timeout: Duration) -> Option<HttpClient> {
+    let builder = HttpClientBuilder::default().request_timeout(timeout);
+    builder.build(format!("http://{control_address}")).ok()
+}
+
+/// What a failed call says about the VM that was called.
+pub fn evidence(error: &client::Error) -> membership::Evidence {
+    match error {
+        client::Error::Call(_) => membership::Evidence::Healthy,
+        client::Error::RequestTimeout => membership::Evidence::Unreachable,
+        _ => membership::Evidence::Refused,
+    }
+}
--- /dev/null
+++ b/crates/proxy/src/process/peer/server.rs
@@ -0,0 +1,133 @@
+//! The control address: answers calls of other proxies, of operators, and of the balancer.
+//!
+//! The server keeps no state. Each call becomes a request to the control thread, which owns it all.
+
+use std::io;
+use std::net::SocketAddr;
+
+use jsonrpsee::core::RpcResult;
+use jsonrpsee::core::async_trait;
+use jsonrpsee::server::Server;
+use jsonrpsee::server::ServerHandle;
+use jsonrpsee::server::middleware::http::ProxyGetRequestLayer;
+use jsonrpsee::types::ErrorObjectOwned;
+use skylark_core::version::objects::Snapshot;
+use tokio::sync::mpsc;
+use tokio::sync::oneshot;
+
+use crate::process::peer::api;
+use crate::process::peer::api::PeerApiServer;
+
+/// Why the control thread refuses a call.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub enum Refusal {
+    /// This proxy can't answer now.
+    Unavailable,
+    /// This proxy knows no group of this name.
+    UnknownGroup,
+}
+
+/// Where the answer to a call goes.
+pub type Answer<T> = oneshot::Sender<Result<T, Refusal>>;
+
+/// A call, as the control thread gets it.
+#[derive(Debug)]
+pub enum PeerRequest {
+    /// `peer_version`
+    Version(api::PeerVersion, Answer<api::PeerVersion>),
+    /// `peer_snapshot`
+    Snapshot(Answer<Snapshot>),
+    /// `peer_offer`
+    Offer(api::Offer, Answer<api::PeerVersion>),
+    /// `peer_floor`
+    Floor(api::FloorQuestion, Answer<api::FloorAnswer>),
+    /// `peer_writes`
+    Writes(api::WritesNotice, Answer<api::PeerVersion>),
+    /// `status`
+    Status(Answer<api::StatusReport>),
+    /// `explain`
+    Explain(String, Answer<api::ExplainReport>),
+    /// `health`
+    Health(Answer<api::Health>),
+}
+
+/// The largest call: an offer of a whole snapshot, whose objects are each up to a megabyte.
+const MAX_CALL_BYTES: u32 = 16 * 1024 * 1024;
+
+/// Opens the control address. Returns the address that was bound and the handle that stops it.
+pub async fn start(
+    address: SocketAddr,
+    requests: mpsc::UnboundedSender<PeerRequest>,
+) -> io::Result<(SocketAddr, ServerHandle)> {
+    let health = ProxyGetRequestLayer::new([(api::HEALTH_PATH, "health")])
+        .expect("the path starts with a slash and stands once");
+    let config = jsonrpsee::server::ServerConfig::builder()
+        .max_request_body_size(MAX_CALL_BYTES)
+        .max_response_body_size(MAX_CALL_BYTES)
+        .build();
+    let middleware = tower::ServiceBuilder::new().layer(health);
+    let builder = Server::builder().set_config(config).set_http_middleware(middleware);
+    let server = builder.build(address).await?;
+    let bound = server.local_addr()?;
+    Ok((bound, server.start(PeerServer { requests }.into_rpc())))
+}
+
+#[derive(Debug)]
+struct PeerServer {
+    requests: mpsc::UnboundedSender<PeerRequest>,
+}
+
+impl PeerServer {
+    async fn ask<T, R>(&self, request: R) -> RpcResult<T>
+    where
+        R: FnOnce(Answer<T>) -> PeerRequest,
+    {
+        let (answer, answered) = oneshot::channel();
+        let _ = self.requests.send(request(answer));
+        // A dropped answer means that the control thread is ending.
+        answered.await.unwrap_or(Err(Refusal::Unavailable)).map_err(refused)
+    }
+}
+
+fn refused(refusal: Refusal) -> ErrorObjectOwned {
+    let (code, message) = match refusal {
+        Refusal::Unavailable => (api::UNAVAILABLE_CODE, "this proxy can't answer now"),
+        Refusal::UnknownGroup => (api::UNKNOWN_GROUP_CODE, "no group has this name"),
+    };
+    ErrorObjectOwned::owned(code, message, None::<()>)
+}
+
+#[async_trait]
+impl PeerApiServer for PeerServer {
+    async fn peer_version(&self, version: api::PeerVersion) -> RpcResult<api::PeerVersion> {
+        self.ask(|answer| PeerRequest::Version(version, answer)).await
+    }
+
+    async fn peer_snapshot(&self) -> RpcResult<Snapshot> {
+        self.ask(PeerRequest::Snapshot).await
+    }
+
+    async fn peer_offer(&self, offer: api::Offer) -> RpcResult<api::PeerVersion> {
+        self.ask(|answer| PeerRequest::Offer(offer, answer)).await
+    }
+
+    async fn peer_floor(&self, question: api::FloorQuestion) -> RpcResult<api::FloorAnswer> {
+        self.ask(|answer| PeerRequest::Floor(question, answer)).await
+    }
+
+    async fn peer_writes(&self, notice: api::WritesNotice) -> RpcResult<api::PeerVersion> {
+        self.ask(|answer| PeerRequest::Writes(notice, answer)).await
+    }
+
+    async fn status(&self) -> RpcResult<api::StatusReport> {
+        self.ask(PeerRequest::Status).await
+    }
+
+    async fn explain(&self, group: String) -> RpcResult<api::ExplainReport> {
+        self.ask(|answer| PeerRequest::Explain(group, answer)).await
+    }
+
+    async fn health(&self) -> RpcResult<api::Health> {
+        self.ask(PeerRequest::Health).await
+    }
+}
--- /dev/null
+++ b/crates/proxy/src/version/configuration.rs
@@ -0,0 +1,137 @@
+//! The version of the configuration in force, and how changes make the next one.
+
+use std::sync::Arc;
+
+use skylark_core::version::objects::Snapshot;
+use skylark_core::version::objects::StoredObject;
+use skylark_core::version::objects::VmRecord;
+use skylark_core::version::spreading::OfferVerdict;
+use skylark_core::version::spreading::Source;
+use skylark_core::version::spreading::Spreading;
+use skylark_core::version::topology::Topology;
+
+/// What became of a version that was offered.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub enum Taken {
+    /// It is in force.
+    Version,
+    /// Its objects were in force already; its list of VMs is taken.
+    VmList,
+    /// It says nothing new, or is older than what is in force.
+    Nothing,
+    /// The changes start from a later revision than the one in force: a whole snapshot is needed.
+    NeedsSnapshot,
+}
+
+/// Changes that lead from one revision to a later one.
+#[derive(Clone, PartialEq, Debug)]
+pub struct Changes {
+    /// The revision that they start from; zero for a whole snapshot.
+    pub base_revision: u64,
+    /// The revision that they lead to.
+    pub revision: u64,
+    /// The changed objects in their latest version; deleted ones are marked.
+    pub objects: Vec<StoredObject>,
+    /// The list of VMs, where it comes along.
+    pub vms: Option<Vec<VmRecord>>,
+}
+
+/// The configuration in force.
+#[derive(Debug, Default)]
+pub struct Configuration {
+    spreading: Spreading,
+    snapshot: Snapshot,
+    topology: Arc<Topology>,
+}
+
+impl Configuration {
+    /// How versions spread, for decisions about peers.
+    pub fn spreading(&mut self) -> &mut Spreading {
+        &mut self.spreading
+    }
+
+    /// The revision in force; zero before the first.
+    pub fn revision(&self) -> u64 {
+        self.spreading.revision()
+    }
+
+    /// Whether a version is in force.
+    pub fn is_ready(&self) -> bool {
+        self.spreading.is_ready()
+    }
+
+    /// The objects and VMs in force.
+    pub fn snapshot(&self) -> &Snapshot {
+        &self.snapshot
+    }
+
+    /// The resolved version in force.
+    pub fn topology(&self) -> &Arc<Topology> {
+        &self.topology
+    }
+
+    /// Takes a whole snapshot if it is newer.
+    pub fn take_snapshot(&mut self, snapshot: Snapshot, source: Source) -> Taken {
+        match self.spreading.offered(snapshot.revision, source) {
+            OfferVerdict::Take => {
+                self.snapshot = snapshot;
+                self.resolve();
+                Taken::Version
+            }
+            OfferVerdict::TakeVmsOnly => self.replace_vms(snapshot.vms),
+            OfferVerdict::IgnoreOlder => Taken::Nothing,
+        }
+    }
+
+    /// Takes changes if they lead on from the version in force.
+    pub fn take_changes(&mut self, changes: Changes, source: Source) -> Taken {
+        let Changes { base_revision, revision, objects, vms } = changes;
+        let leads_on = base_revision == 0 || self.is_ready() && base_revision <= self.revision();
+        if !leads_on {
+            return Taken::NeedsSnapshot;
+        }
+        match self.spreading.offered(revision, source) {
+            OfferVerdict::Take => {
+                if base_revision == 0 {
+                    self.snapshot.objects.clear();
+                }
+                self.merge(revision, objects);
+                self.snapshot.vms = vms.unwrap_or_else(|| std::mem::take(&mut self.snapshot.vms));
+                self.resolve();
+                Taken::Version
+            }
+            OfferVerdict::TakeVmsOnly => vms.map_or(Taken::Nothing, |vms| self.replace_vms(vms)),
+            OfferVerdict::IgnoreOlder => Taken::Nothing,
+        }
+    }
+
+    /// Takes a list of VMs, which carries no revision.
+    pub fn replace_vms(&mut self, vms: Vec<VmRecord>) -> Taken {
+        if vms == self.snapshot.vms {
+            return Taken::Nothing;
+        }
+        self.snapshot.vms = vms;
+        self.resolve();
+        Taken::VmList
+    }
+
+    fn merge(&mut self, revision: u64, objects: Vec<StoredObject>) {
+        self.snapshot.revision = revision;
+        for object in objects {
+            let same =
+                |known: &StoredObject| known.kind == object.kind && known.name == object.name;
+            match self.snapshot.objects.iter().position(same) {
+                Some(place) if object.deleted => {
+                    self.snapshot.objects.swap_remove(place);
+                }
+                Some(place) => self.snapshot.objects[place] = object,
+                None if object.deleted => {}
+                None => self.snapshot.objects.push(object),
+            }
+        }
+    }
+
+    fn resolve(&mut self) {
+        self.topology = Arc::new(Topology::build(&self.snapshot));
+    }
+}
