Add the acknowledgement, detection, failover and floor decisions to core

The proxy and the model checker need these as plain calls. This lands the member set, the confirmation tracker, the detector of a primary, the driver of a change of primary, the floors with their token and the table of sessions without a token, each with a verify function.

--- a/crates/core/src/connection/mod.rs
+++ b/crates/core/src/connection/mod.rs
@@ -1,1 +1,3 @@
 //! What lives as long as one connection.
+
+pub mod floor;
--- /dev/null
+++ b/crates/core/src/process/failover/campaign.rs
@@ -0,0 +1,119 @@
+//! When a change of primary begins: its cause, the candidates' order, and the canvass.
+
+use super::Action;
+use super::Cause;
+use super::FailoverDriver;
+use super::MemberCall;
+use super::Phase;
+use super::Step;
+use crate::log_position::Term;
+use crate::process::member_set::MemberMask;
+
+/// The most doublings of the back-off.
+const MAX_BACKOFF_DOUBLINGS: u32 = 4;
+
+impl FailoverDriver {
+    pub(super) fn advance_idle(&mut self, now_us: u64, actions: &mut Vec<Action>) -> Option<Phase> {
+        let cause = self.present_cause();
+        if self.cause.map(|(known, _)| known) != cause {
+            self.cause = cause.map(|cause| (cause, now_us));
+        }
+        let (cause, since_us) = self.cause?;
+        let start_us = self.start_us(cause, since_us);
+        if now_us < start_us {
+            self.wake_at(start_us);
+            return None;
+        }
+        Self::trace(Step::Started(cause), Term::default(), actions);
+        Some(Phase::Canvassing { cause, since_us: now_us })
+    }
+
+    /// The most urgent reason for a change, if there is one.
+    pub(super) fn present_cause(&self) -> Option<Cause> {
+        let Some(leader) = self.leader else { return Some(Cause::Unled) };
+        if self.suspected == Some(leader.term) {
+            return Some(Cause::Suspected);
+        }
+        if self.raised_beyond() {
+            return Some(Cause::RaisedBeyond);
+        }
+        self.wanted_member().filter(|&wanted| self.comes_near(wanted)).map(|_| Cause::Wanted)
+    }
+
+    /// When this candidate's turn comes.
+    fn start_us(&self, cause: Cause, since_us: u64) -> u64 {
+        let delay_us = match cause {
+            Cause::Suspected | Cause::Wanted => 0,
+            Cause::Unled => self.settings.unled_us,
+            Cause::RaisedBeyond => self.settings.driver_us,
+        };
+        let turn_us = since_us.saturating_add(delay_us).saturating_add(self.stagger_us());
+        turn_us.max(self.not_before_us).max(self.after_rivals_us())
+    }
+
+    /// When a rival that was seen at work has had its time.
+    fn after_rivals_us(&self) -> u64 {
+        let claim_us = self.lead.rival_claim_us(&self.name, self.led_term());
+        let Some(seen_us) = self.rival_us.max(claim_us) else { return 0 };
+        seen_us.saturating_add(self.settings.driver_us).saturating_add(self.stagger_us())
+    }
+
+    pub(super) fn stagger_us(&self) -> u64 {
+        self.settings.stagger_us.saturating_mul(u64::from(self.rank))
+    }
+
+    /// Waits for a quorum that answers. A process that reaches no quorum raises nothing: a member
+    /// raised in vain would leave its primary and have to be won back in a higher term, at the cost
+    /// of a change of primary each time that a cut heals.
+    pub(super) fn advance_canvass(
+        &mut self,
+        now_us: u64,
+        cause: Cause,
+        since_us: u64,
+        actions: &mut Vec<Action>,
+    ) -> Option<Phase> {
+        if self.present_cause() != Some(cause) || self.after_rivals_us() > now_us {
+            return Some(Phase::Idle);
+        }
+        if self.members().is_quorum(self.answering(since_us)) {
+            Self::trace(Step::Canvassed, Term::default(), actions);
+            return Some(self.start_claim(now_us, cause, actions));
+        }
+        for member in 0..self.members().count() {
+            let every_us = self.settings.resend_us;
+            self.call_member(now_us, member, MemberCall::ReadStatus, every_us, actions);
+        }
+        None
+    }
+
+    /// The members that reported since shortly before the canvass.
+    fn answering(&self, since_us: u64) -> MemberMask {
+        let earliest_us = since_us.saturating_sub(self.settings.fresh_us);
+        let answers = |member: &usize| {
+            self.reports.latest(*member).is_some_and(|(at_us, _)| at_us >= earliest_us)
+        };
+        (0..self.members().count()).filter(answers).collect()
+    }
+
+    /// Ends a change that another driver or a refusal stopped, with a growing random back-off so
+    /// that two drivers do not go on taking each other's votes.
+    pub(super) fn lose(&mut self, now_us: u64, term: Term, actions: &mut Vec<Action>) -> Phase {
+        Self::trace(Step::Lost, term, actions);
+        self.back_off(now_us);
+        Phase::Idle
+    }
+
+    /// Ends a change that could not be carried through in its time.
+    pub(super) fn give_up(&mut self, now_us: u64, term: Term, actions: &mut Vec<Action>) -> Phase {
+        Self::trace(Step::GivenUp, term, actions);
+        self.back_off(now_us);
+        Phase::Idle
+    }
+
+    fn back_off(&mut self, now_us: u64) {
+        let doublings = self.losses.min(MAX_BACKOFF_DOUBLINGS);
+        self.losses = self.losses.saturating_add(1);
+        let most_us = self.settings.backoff_us << doublings;
+        self.not_before_us = now_us.saturating_add(self.jitter.spread(most_us));
+    }
+}
--- /dev/null
+++ b/crates/core/src/process/failover/claim.rs
@@ -0,0 +1,172 @@
+//! Agreement on the driver through the platform's conditional update.
+
+use super::Action;
+use super::Cause;
+use super::FailoverDriver;
+use super::Phase;
+use super::PlatformAnswer;
+use super::PlatformCall;
+use super::Step;
+use super::record::CallKind;
+use super::record::OpenCall;
+use crate::log_position::Term;
+use crate::version::objects::LeadRecord;
+
+impl FailoverDriver {
+    /// Chooses the term of the change and asks the platform to name this driver.
+    pub(super) fn start_claim(
+        &mut self,
+        now_us: u64,
+        cause: Cause,
+        actions: &mut Vec<Action>,
+    ) -> Phase {
+        let term = self.highest_term().next();
+        self.driven = Some(term);
+        // An answer to an earlier call must not be taken for one about this claim.
+        self.lead.open = None;
+        self.send_claim(now_us, term, actions);
+        let deadline_us = now_us.saturating_add(self.settings.claim_us);
+        Phase::Claiming { cause, term, deadline_us }
+    }
+
+    pub(super) fn advance_claim(
+        &mut self,
+        now_us: u64,
+        cause: Cause,
+        term: Term,
+        deadline_us: u64,
+        actions: &mut Vec<Action>,
+    ) -> Option<Phase> {
+        if self.claimed(term) {
+            Self::trace(Step::Claimed, term, actions);
+            return Some(self.after_claim(now_us, cause, term));
+        }
+        if self.overtaken(term) || self.leader_beyond(term) {
+            return Some(self.lose(now_us, term, actions));
+        }
+        if now_us >= deadline_us {
+            return Some(self.skip_claim(now_us, cause, term, actions));
+        }
+        if self.lead.open.is_none() {
+            self.send_claim(now_us, term, actions);
+        }
+        self.wake_at(deadline_us);
+        None
+    }
+
+    /// Goes on without the platform. An operator's wish came through the platform and can wait for
+    /// it; a missing primary can't.
+    fn skip_claim(
+        &mut self,
+        now_us: u64,
+        cause: Cause,
+        term: Term,
+        actions: &mut Vec<Action>,
+    ) -> Phase {
+        self.lead.open = None;
+        // The update may still take effect, so the version is not known any more.
+        self.lead.version = None;
+        if cause == Cause::Wanted {
+            return self.give_up(now_us, term, actions);
+        }
+        Self::trace(Step::ClaimSkipped, term, actions);
+        Phase::Fencing { cause, term, since_us: now_us }
+    }
+
+    fn after_claim(&self, now_us: u64, cause: Cause, term: Term) -> Phase {
+        match (cause, self.wanted_member()) {
+            (Cause::Wanted, Some(wanted)) => Phase::Holding { term, wanted, since_us: now_us },
+            _ => Phase::Fencing { cause, term, since_us: now_us },
+        }
+    }
+
+    /// Whether the record names this driver for the term.
+    fn claimed(&self, term: Term) -> bool {
+        self.record().is_some_and(|record| record.driver == self.name && record.term == term)
+    }
+
+    /// Whether the record names another driver for this term or a higher one, or for a term that
+    /// it has not opened yet.
+    pub(super) fn overtaken(&self, term: Term) -> bool {
+        let Some(record) = self.record() else { return false };
+        record.driver != self.name && record.term >= term
+    }
+
+    pub(super) fn leader_beyond(&self, term: Term) -> bool {
+        self.led_term() >= term
+    }
+
+    /// Sends the conditional update, or reads the record first where its version is not known.
+    fn send_claim(&mut self, now_us: u64, term: Term, actions: &mut Vec<Action>) {
+        if self.lead.version.is_none() {
+            self.read_lead(now_us, actions);
+            return;
+        }
+        let wanted = self.record().map_or(String::new(), |record| record.wanted.clone());
+        let driver = self.name.clone();
+        let record = LeadRecord { term, driver, primary: String::new(), wanted };
+        self.update_lead(now_us, record, actions);
+    }
+
+    pub(super) fn read_lead(&mut self, now_us: u64, actions: &mut Vec<Action>) {
+        let call = self.open_call(now_us, CallKind::Read);
+        actions.push(Action::ReadLead { call });
+    }
+
+    pub(super) fn update_lead(
+        &mut self,
+        now_us: u64,
+        record: LeadRecord,
+        actions: &mut Vec<Action>,
+    ) {
+        let Some(expected_version) = self.lead.version else { return };
+        let call = self.open_call(now_us, CallKind::Update(record.clone()));
+        actions.push(Action::UpdateLead { call, expected_version, record });
+    }
+
+    fn open_call(&mut self, now_us: u64, kind: CallKind) -> PlatformCall {
+        self.next_call += 1;
+        let call = PlatformCall(self.next_call);
+        self.lead.open = Some(OpenCall { call, kind, sent_us: now_us });
+        call
+    }
+
+    /// Takes in an answer of the platform. One to a call that was given up is dropped; what it
+    /// changed is found when the version does not match.
+    pub(super) fn note_platform(
+        &mut self,
+        now_us: u64,
+        call: PlatformCall,
+        answer: &PlatformAnswer,
+        actions: &mut Vec<Action>,
+    ) {
+        if self.lead.open.as_ref().is_none_or(|open| open.call != call) {
+            return;
+        }
+        let Some(open) = self.lead.open.take() else { return };
+        match (answer, open.kind) {
+            (PlatformAnswer::Took { version }, CallKind::Update(record)) => {
+                self.lead.note_seen(now_us, *version, Some(&record));
+            }
+            (PlatformAnswer::Read { version, record }, CallKind::Read) => {
+                self.lead.note_seen(now_us, *version, record.as_ref());
+            }
+            // The update may have taken effect, so only reading tells. Trying again blindly could
+            // meet the driver's own record and take it for a rival's.
+            (PlatformAnswer::Conflict | PlatformAnswer::NoAnswer, CallKind::Update(_)) => {
+                self.lead.version = None;
+                if matches!(self.phase, Phase::Claiming { .. }) {
+                    self.read_lead(now_us, actions);
+                }
+            }
+            _ => self.stop_waiting(now_us),
+        }
+    }
+
+    /// A read without an answer: the platform is down, so the claim need not wait for its bound.
+    fn stop_waiting(&mut self, now_us: u64) {
+        if let Phase::Claiming { deadline_us, .. } = &mut self.phase {
+            *deadline_us = now_us;
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/process/failover/fence.rs
@@ -0,0 +1,151 @@
+//! Collecting the votes of a term, and promoting the highest log among them.
+
+use super::Action;
+use super::Cause;
+use super::FailoverDriver;
+use super::Leader;
+use super::MemberCall;
+use super::Phase;
+use super::Step;
+use crate::log_position::LogPosition;
+use crate::log_position::Term;
+use crate::member_status::MemberStatus;
+use crate::member_status::Role;
+use crate::process::member_set::MemberMask;
+
+/// How candidates of a fence compare: the log first, for safety; the rest only among equal logs.
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+struct Merit {
+    log: LogPosition,
+    wanted: bool,
+    stays: bool,
+    same_region: bool,
+    leads_already: bool,
+    earlier: usize,
+}
+
+impl FailoverDriver {
+    pub(super) fn advance_fence(
+        &mut self,
+        now_us: u64,
+        cause: Cause,
+        term: Term,
+        since_us: u64,
+        actions: &mut Vec<Action>,
+    ) -> Option<Phase> {
+        if self.leader_beyond(term) {
+            return Some(self.lose(now_us, term, actions));
+        }
+        let voters = self.voters(term);
+        if self.members().is_quorum(voters) && !self.awaits_wanted(now_us, cause, voters, since_us)
+        {
+            Self::trace(Step::Fenced, term, actions);
+            return self.choose(term, voters).map(|member| {
+                self.promoted = Some(Leader { term, member });
+                Phase::Promoting { term, member, since_us: now_us }
+            });
+        }
+        if self.refused(term) || self.overtaken(term) {
+            return Some(self.lose(now_us, term, actions));
+        }
+        if now_us >= since_us.saturating_add(self.settings.driver_us) {
+            return Some(self.give_up(now_us, term, actions));
+        }
+        for member in 0..self.members().count() {
+            if !voters.contains(member) {
+                let every_us = self.settings.resend_us;
+                self.call_member(now_us, member, MemberCall::Raise { term }, every_us, actions);
+            }
+        }
+        self.wake_at(since_us.saturating_add(self.settings.driver_us));
+        None
+    }
+
+    /// The members that gave this driver their vote of the term. Their logs stand still until it
+    /// promotes one.
+    fn voters(&self, term: Term) -> MemberMask {
+        let voted =
+            |status: &MemberStatus| status.raised_term == term && status.raised_by == self.name;
+        (0..self.members().count())
+            .filter(|&member| self.status(member).is_some_and(voted))
+            .collect()
+    }
+
+    /// Whether a member is out of reach for this term: it gave its vote to another driver or
+    /// promised itself to a higher term.
+    fn refused(&self, term: Term) -> bool {
+        let refuses = |status: &MemberStatus| {
+            status.raised_term > term || status.raised_term == term && status.raised_by != self.name
+        };
+        (0..self.members().count()).any(|member| self.status(member).is_some_and(refuses))
+    }
+
+    /// A planned move waits a moment longer for the vote of the wanted member.
+    fn awaits_wanted(
+        &mut self,
+        now_us: u64,
+        cause: Cause,
+        voters: MemberMask,
+        since_us: u64,
+    ) -> bool {
+        let until_us = since_us.saturating_add(self.settings.resend_us);
+        let missing = self.wanted_member().is_some_and(|wanted| !voters.contains(wanted));
+        let waits = cause == Cause::Wanted && missing && now_us < until_us;
+        if waits {
+            self.wake_at(until_us);
+        }
+        waits
+    }
+
+    /// The member to promote: the highest log of the fence.
+    fn choose(&self, term: Term, voters: MemberMask) -> Option<usize> {
+        (0..self.members().count())
+            .filter(|&member| voters.contains(member))
+            .filter(|&member| self.status(member).is_some_and(|s| s.raised_term == term))
+            .max_by_key(|&member| self.merit(member))
+    }
+
+    fn merit(&self, member: usize) -> Option<Merit> {
+        let status = self.status(member)?;
+        let profile = self.profiles[member];
+        Some(Merit {
+            log: status.log,
+            wanted: self.wanted_member() == Some(member),
+            stays: !profile.drained && !status.leaving,
+            same_region: profile.same_region,
+            leads_already: self.announced.is_some_and(|leader| leader.member == member),
+            earlier: usize::MAX - member,
+        })
+    }
+
+    /// Promotes the chosen member. Whatever happens, no other member is promoted in this term: the
+    /// call may have taken effect although its answer was lost.
+    pub(super) fn advance_promotion(
+        &mut self,
+        now_us: u64,
+        term: Term,
+        member: usize,
+        since_us: u64,
+        actions: &mut Vec<Action>,
+    ) -> Option<Phase> {
+        if self.leader == Some(Leader { term, member }) {
+            Self::trace(Step::Promoted, term, actions);
+            self.losses = 0;
+            return Some(Phase::Idle);
+        }
+        let raised = self
+            .status(member)
+            .is_some_and(|status| status.raised_term > term || status.role == Role::Replica);
+        if raised || self.leader_beyond(term) {
+            return Some(self.lose(now_us, term, actions));
+        }
+        let until_us = since_us.saturating_add(self.settings.driver_us);
+        if now_us >= until_us {
+            return Some(self.give_up(now_us, term, actions));
+        }
+        let every_us = self.settings.resend_us;
+        self.call_member(now_us, member, MemberCall::Promote { term }, every_us, actions);
+        self.wake_at(until_us);
+        None
+    }
+}
--- /dev/null
+++ b/crates/core/src/process/failover/planned_move.rs
@@ -0,0 +1,117 @@
+//! Moving the primary to the member that an operator wants.
+
+use super::Action;
+use super::Cause;
+use super::FailoverDriver;
+use super::MemberCall;
+use super::Phase;
+use super::Step;
+use crate::log_position::Term;
+
+impl FailoverDriver {
+    /// The member that the lead record asks for, unless it leads already or the wish was given up.
+    pub(super) fn wanted_member(&self) -> Option<usize> {
+        let record = self.record()?;
+        if record.wanted.is_empty() || self.abandoned_version == Some(self.lead.seen_version()) {
+            return None;
+        }
+        let wanted = self.members().place(&record.wanted)?;
+        let leads = self.leader.is_some_and(|leader| leader.member == wanted);
+        (!leads).then_some(wanted)
+    }
+
+    /// Whether the wanted member lacks so little that holding writes back will be short.
+    pub(super) fn comes_near(&self, wanted: usize) -> bool {
+        let Some(leader) = self.leader else { return false };
+        let (Some(target), Some(primary)) = (self.status(wanted), self.status(leader.member))
+        else {
+            return false;
+        };
+        let lag_records = primary.log.index.saturating_sub(target.log.index);
+        target.raised_term == leader.term
+            && target.log.term == leader.term
+            && lag_records <= self.settings.move_lag_records
+    }
+
+    pub(super) fn advance_hold(
+        &mut self,
+        now_us: u64,
+        term: Term,
+        wanted: usize,
+        since_us: u64,
+        actions: &mut Vec<Action>,
+    ) -> Option<Phase> {
+        let Some(leader) = self.leader.filter(|leader| leader.term < term) else {
+            return Some(self.lose(now_us, term, actions));
+        };
+        if self.overtaken(term) {
+            return Some(self.lose(now_us, term, actions));
+        }
+        if self.suspected == Some(leader.term) {
+            return Some(Phase::Fencing { cause: Cause::Suspected, term, since_us: now_us });
+        }
+        let settled_us = since_us.saturating_add(self.settings.hold_settle_us);
+        if self.level_since(settled_us, leader.member, wanted) {
+            return Some(Phase::Fencing { cause: Cause::Wanted, term, since_us: now_us });
+        }
+        let until_us = since_us.saturating_add(self.settings.hold_us);
+        if now_us >= until_us {
+            self.abandon_move();
+            return Some(self.give_up(now_us, term, actions));
+        }
+        self.poll_move(now_us, settled_us, leader.member, wanted, actions);
+        self.wake_at(until_us);
+        None
+    }
+
+    /// Whether reports of both members from after the settling time show equal logs.
+    fn level_since(&self, settled_us: u64, primary: usize, wanted: usize) -> bool {
+        let (Some((primary_us, of_primary)), Some((wanted_us, of_wanted))) =
+            (self.reports.latest(primary), self.reports.latest(wanted))
+        else {
+            return false;
+        };
+        primary_us >= settled_us && wanted_us >= settled_us && of_primary.log == of_wanted.log
+    }
+
+    fn poll_move(
+        &mut self,
+        now_us: u64,
+        settled_us: u64,
+        primary: usize,
+        wanted: usize,
+        actions: &mut Vec<Action>,
+    ) {
+        if now_us < settled_us {
+            self.wake_at(settled_us);
+            return;
+        }
+        let every_us = self.settings.hold_poll_us;
+        for member in [primary, wanted] {
+            self.call_member(now_us, member, MemberCall::ReadStatus, every_us, actions);
+        }
+    }
+
+    /// Forgets the wish: the record is corrected by the upkeep.
+    pub(super) fn abandon_move(&mut self) {
+        self.abandoned_version = Some(self.lead.seen_version());
+    }
+
+    /// Gives up a wish whose member has not come near in time.
+    pub(super) fn watch_wish(&mut self, now_us: u64, actions: &mut Vec<Action>) {
+        if self.phase != Phase::Idle || self.wanted_member().is_none() {
+            return;
+        }
+        let until_us = self
+            .lead
+            .seen_us()
+            .saturating_add(self.settings.move_us)
+            .saturating_add(self.stagger_us());
+        if now_us < until_us {
+            self.wake_at(until_us);
+            return;
+        }
+        self.abandon_move();
+        Self::trace(Step::GivenUp, Term::default(), actions);
+    }
+}
--- /dev/null
+++ b/crates/core/src/process/failover/upkeep.rs
@@ -0,0 +1,170 @@
+//! What every home does apart from changes of primary: announcing, winning members back, keeping the
+//! lead record true, and holding writes back while another process moves the primary.
+
+use super::Action;
+use super::FailoverDriver;
+use super::Leader;
+use super::MemberCall;
+use super::Phase;
+use super::Step;
+use crate::member_status::Role;
+use crate::version::objects::LeadRecord;
+
+/// How many driver's times a claim may stand without an effect before its record is corrected.
+const DEAD_CLAIM_FACTOR: u64 = 4;
+
+impl FailoverDriver {
+    /// Announces the leader once its term is open: before a quorum confirmed a record of the term,
+    /// a write could wait for confirmations that another driver's fence already rules out.
+    pub(super) fn announce(&mut self, actions: &mut Vec<Action>) {
+        let Some(leader) = self.leader else { return };
+        let open = self.reports.confirmed().term == leader.term;
+        let newer = self.announced.is_none_or(|known| known.term < leader.term);
+        if !open || !newer {
+            return;
+        }
+        self.announced = Some(leader);
+        if self.driven == Some(leader.term) {
+            Self::trace(Step::Opened, leader.term, actions);
+        }
+        actions.push(Action::Announce { leader });
+    }
+
+    pub(super) fn keep_up(&mut self, now_us: u64, actions: &mut Vec<Action>) {
+        self.watch_wish(now_us, actions);
+        if self.phase != Phase::Idle {
+            return;
+        }
+        if let Some(leader) = self.leader {
+            self.win_back(now_us, leader, actions);
+        }
+        self.correct_record(now_us, actions);
+    }
+
+    /// Tells members that follow nobody, or an older primary, whom to follow. This is how an old
+    /// primary rejoins. The order is right from whoever it comes, because a term has one primary.
+    fn win_back(&mut self, now_us: u64, leader: Leader, actions: &mut Vec<Action>) {
+        let astray: Vec<usize> =
+            (0..self.members().count()).filter(|&member| self.is_astray(member, leader)).collect();
+        if astray.is_empty() {
+            return;
+        }
+        let turn_us = self.turn_us(leader, self.led_since_us);
+        if now_us < turn_us {
+            self.wake_at(turn_us);
+            return;
+        }
+        for member in astray {
+            let call = MemberCall::Follow { term: leader.term, primary: leader.member };
+            self.call_member(now_us, member, call, self.settings.upkeep_us, actions);
+        }
+    }
+
+    fn is_astray(&self, member: usize, leader: Leader) -> bool {
+        member != leader.member
+            && self.status(member).is_none_or(|status| {
+                status.raised_term < leader.term
+                    || status.raised_term == leader.term && status.role == Role::Fenced
+            })
+    }
+
+    /// The driver of the leader's term acts at once; others act in its place after a while.
+    fn turn_us(&self, leader: Leader, since_us: u64) -> u64 {
+        if self.driven == Some(leader.term) {
+            return since_us;
+        }
+        since_us.saturating_add(self.settings.driver_us).saturating_add(self.stagger_us())
+    }
+
+    /// Writes the lead record where it lags behind what the members decided.
+    fn correct_record(&mut self, now_us: u64, actions: &mut Vec<Action>) {
+        let Some(leader) = self.announced.filter(|&leader| self.leader == Some(leader)) else {
+            return;
+        };
+        if self.awaits_platform(now_us) {
+            return;
+        }
+        let Some(record) = self.corrected(now_us, leader) else {
+            self.wrong_since_us = None;
+            return;
+        };
+        let since_us = *self.wrong_since_us.get_or_insert(now_us);
+        let own_wish = self.abandoned_version.is_some();
+        let turn_us = if own_wish { since_us } else { self.turn_us(leader, since_us) };
+        let turn_us = turn_us.max(self.platform_retry_us);
+        if now_us < turn_us {
+            self.wake_at(turn_us);
+            return;
+        }
+        self.platform_retry_us = now_us.saturating_add(self.settings.upkeep_us);
+        match self.lead.version {
+            Some(_) => self.update_lead(now_us, record, actions),
+            None => self.read_lead(now_us, actions),
+        }
+        self.awaits_platform(now_us);
+    }
+
+    /// Whether a call to the platform is under way; one that takes too long is given up.
+    fn awaits_platform(&mut self, now_us: u64) -> bool {
+        let Some(open) = &self.lead.open else { return false };
+        let until_us = open.sent_us.saturating_add(self.settings.claim_us);
+        if now_us < until_us {
+            self.wake_at(until_us);
+            return true;
+        }
+        self.lead.open = None;
+        self.lead.version = None;
+        false
+    }
+
+    /// The record as it should be, if it is not.
+    fn corrected(&mut self, now_us: u64, leader: Leader) -> Option<LeadRecord> {
+        let primary = self.member_name(leader.member);
+        let driver = self.status(leader.member)?.raised_by.clone();
+        let known = self.lead.record();
+        let abandoned = self.abandoned_version == Some(self.lead.seen_version());
+        let wish = known.map_or("", |record| record.wanted.as_str());
+        let done = wish == primary || abandoned;
+        let wanted = if done { String::new() } else { wish.to_owned() };
+        let true_record = LeadRecord { term: leader.term, driver, primary, wanted };
+        let Some(record) = known else { return Some(true_record) };
+        if record.term > leader.term && !abandoned {
+            // A claim under way is not to be disturbed; one that led to nothing is dead.
+            let dead_us = self
+                .lead
+                .seen_us()
+                .saturating_add(self.settings.driver_us.saturating_mul(DEAD_CLAIM_FACTOR));
+            if now_us < dead_us {
+                self.wake_at(dead_us);
+                return None;
+            }
+        }
+        let right = record.term == true_record.term
+            && record.primary == true_record.primary
+            && record.wanted == true_record.wanted;
+        (!right).then_some(true_record)
+    }
+
+    /// Holds writes back while the record shows a planned move that is under way, whoever drives
+    /// it, and never longer than the bound: the driver may have died.
+    pub(super) fn update_hold(&mut self, now_us: u64, actions: &mut Vec<Action>) {
+        let until_us = self.hold_until_us();
+        let holds = until_us.is_some_and(|until_us| now_us < until_us);
+        if holds && let Some(until_us) = until_us {
+            self.wake_at(until_us);
+        }
+        if holds != self.holding {
+            self.holding = holds;
+            actions.push(if holds { Action::HoldWrites } else { Action::ReleaseWrites });
+        }
+    }
+
+    fn hold_until_us(&self) -> Option<u64> {
+        let record = self.record()?;
+        let announced_term = self.announced?.term;
+        let moving = record.term > announced_term
+            && record.primary.is_empty()
+            && self.wanted_member().is_some();
+        moving.then(|| self.lead.seen_us().saturating_add(self.settings.hold_us))
+    }
+}
--- /dev/null
+++ b/crates/core/src/process/failover/verify.rs
@@ -0,0 +1,69 @@
+//! Invariants of the failover driver.
+
+use super::FailoverDriver;
+use super::Phase;
+use crate::log_position::Term;
+use crate::process::acknowledgement::AcknowledgementViolation;
+
+/// A broken invariant of [`FailoverDriver`].
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub enum FailoverViolation {
+    /// The confirmation tracker is broken.
+    Reports(AcknowledgementViolation),
+    /// The tables do not match the member set.
+    WrongNumberOfMembers,
+    /// A leader was announced in a term in which no quorum confirmed anything.
+    AnnouncedUnopened {
+        /// The term.
+        term: Term,
+    },
+    /// A change works in a term that it has not chosen as its own.
+    ForeignTerm {
+        /// The term.
+        term: Term,
+    },
+    /// A member is being promoted that is not the one noted for its term.
+    SecondPromotion {
+        /// The term.
+        term: Term,
+    },
+}
+
+impl FailoverDriver {
+    /// Every broken invariant.
+    pub fn verify(&self) -> Vec<FailoverViolation> {
+        let mut violations: Vec<FailoverViolation> =
+            self.reports.verify().into_iter().map(FailoverViolation::Reports).collect();
+        let count = self.members().count();
+        if self.sent.len() != count || self.profiles.len() != count {
+            violations.push(FailoverViolation::WrongNumberOfMembers);
+        }
+        if let Some(leader) = self.announced
+            && self.reports.confirmed().term < leader.term
+        {
+            violations.push(FailoverViolation::AnnouncedUnopened { term: leader.term });
+        }
+        if let Some(term) = self.phase_term()
+            && self.driven != Some(term)
+        {
+            violations.push(FailoverViolation::ForeignTerm { term });
+        }
+        if let Phase::Promoting { term, member, .. } = self.phase {
+            let noted = self.promoted.is_some_and(|p| p.term == term && p.member == member);
+            if !noted {
+                violations.push(FailoverViolation::SecondPromotion { term });
+            }
+        }
+        violations
+    }
+
+    fn phase_term(&self) -> Option<Term> {
+        match self.phase {
+            Phase::Idle | Phase::Canvassing { .. } => None,
+            Phase::Claiming { term, .. }
+            | Phase::Holding { term, .. }
+            | Phase::Fencing { term, .. }
+            | Phase::Promoting { term, .. } => Some(term),
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/process/failover/view.rs
@@ -0,0 +1,67 @@
+//! What the members' reports say about who leads.
+
+use super::FailoverDriver;
+use super::Leader;
+use crate::log_position::Term;
+use crate::member_status::MemberStatus;
+use crate::member_status::Role;
+
+impl FailoverDriver {
+    /// Takes in a report and derives the leader from it.
+    pub(super) fn note_report(&mut self, now_us: u64, member: usize, status: &MemberStatus) {
+        if member >= self.members().count() {
+            return;
+        }
+        let raised_before = self.status(member).map(|known| known.raised_term);
+        self.reports.report(now_us, member, status);
+        let raised_now = self.status(member).map(|known| known.raised_term);
+        // The first report shows a state, not an act.
+        let raised = raised_before.is_some() && raised_now > raised_before;
+        if raised && status.raised_by != self.name && status.role != Role::Primary {
+            self.rival_us = Some(now_us);
+        }
+        self.note_leader(now_us);
+    }
+
+    /// Finds the primary of the highest term.
+    pub(super) fn note_leader(&mut self, now_us: u64) {
+        let leader = (0..self.members().count())
+            .filter_map(|member| {
+                let status = self.status(member)?;
+                leads(status).then_some(Leader { term: status.raised_term, member })
+            })
+            .max_by_key(|leader| leader.term);
+        if leader != self.leader {
+            self.leader = leader;
+            self.led_since_us = now_us;
+        }
+    }
+
+    /// The highest term that any report or the lead record shows.
+    pub(super) fn highest_term(&self) -> Term {
+        let raised = (0..self.members().count())
+            .filter_map(|member| self.status(member).map(|status| status.raised_term))
+            .max();
+        let recorded = self.record().map(|record| record.term);
+        let driven = self.driven;
+        raised.max(recorded).max(driven).unwrap_or_default()
+    }
+
+    /// The term of the known leader, or zero.
+    pub(super) fn led_term(&self) -> Term {
+        self.leader.map_or(Term::default(), |leader| leader.term)
+    }
+
+    /// Whether a member promised itself to a higher term than the leader's: it will neither confirm
+    /// nor follow in the leader's term any more.
+    pub(super) fn raised_beyond(&self) -> bool {
+        (0..self.members().count()).any(|member| {
+            self.status(member).is_some_and(|status| status.raised_term > self.led_term())
+        })
+    }
+}
+
+/// Whether a report shows a primary that opened its term.
+fn leads(status: &MemberStatus) -> bool {
+    status.role == Role::Primary && status.log.term == status.raised_term
+}
--- a/crates/core/src/process/mod.rs
+++ b/crates/core/src/process/mod.rs
@@ -1,9 +1,14 @@
 //! What lives as long as one process.
 
+pub mod acknowledgement;
 pub mod connection_budget;
+pub mod detection;
+pub mod failover;
 pub mod homes;
 pub mod jitter;
+pub mod member_set;
 pub mod membership;
 pub mod read_age;
+pub mod session_floors;
 pub mod sharing;
 pub mod timer;
--- a/crates/core/src/version/objects.rs
+++ b/crates/core/src/version/objects.rs
@@ -128,7 +128,7 @@
 ///
 /// The record keeps candidates from duelling. It is not what makes a change safe: that is the
 /// majority of members that raise their term.
-#[derive(Clone, PartialEq, Eq, Debug, Serialize, Deserialize)]
+#[derive(Clone, PartialEq, Eq, Hash, Debug, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct LeadRecord {
     /// The term that `driver` opens or has opened.
