--- a/crates/core/src/process/failover/claim.rs
+++ b/crates/core/src/process/failover/claim.rs
@@ -102,12 +102,18 @@
             self.read_lead(now_us, actions);
             return;
         }
-        let wanted = self.record().map_or(String::new(), |record| record.wanted.clone());
+        let (wanted, plan) = self.wish_and_plan();
         let driver = self.name.clone();
-        let record = LeadRecord { term, driver, primary: String::new(), wanted };
+        let record = LeadRecord { term, driver, primary: String::new(), wanted, plan };
         self.update_lead(now_us, record, actions);
     }
 
+    /// What a driver keeps of the record as it read it: the operator's.
+    pub(super) fn wish_and_plan(&self) -> (String, String) {
+        let record = self.record();
+        record.map(|record| (record.wanted.clone(), record.plan.clone())).unwrap_or_default()
+    }
+
     pub(super) fn read_lead(&mut self, now_us: u64, actions: &mut Vec<Action>) {
         let call = self.open_call(now_us, CallKind::Read);
         actions.push(Action::ReadLead { call });
--- a/crates/core/src/process/failover/upkeep.rs
+++ b/crates/core/src/process/failover/upkeep.rs
@@ -123,10 +123,10 @@
         let driver = self.status(leader.member)?.raised_by.clone();
         let known = self.lead.record();
         let abandoned = self.abandoned_version == Some(self.lead.seen_version());
-        let wish = known.map_or("", |record| record.wanted.as_str());
+        let (wish, plan) = self.wish_and_plan();
         let done = wish == primary || abandoned;
-        let wanted = if done { String::new() } else { wish.to_owned() };
-        let true_record = LeadRecord { term: leader.term, driver, primary, wanted };
+        let wanted = if done { String::new() } else { wish };
+        let true_record = LeadRecord { term: leader.term, driver, primary, wanted, plan };
         let Some(record) = known else { return Some(true_record) };
         if record.term > leader.term && !abandoned {
             // A claim under way is not to be disturbed; one that led to nothing is dead.
