Keep drivers from deposing primaries that they only have not heard yet

A process that starts may hear the replicas before their primary, so a canvass that has no suspicion waits for the other members a moment, and the lead record stands in for a primary that was never reached. A lost vote no longer ends a fence that can still be won by the others. Holding for a planned move lasts until the new primary is announced. The ranges of positions that a holder accounts for move to a module of their own.

--- a/crates/core/src/process/failover/campaign.rs
+++ b/crates/core/src/process/failover/campaign.rs
@@ -7,8 +7,12 @@
 use super::Phase;
 use super::Step;
 use crate::log_position::Term;
+use crate::process::jitter;
 use crate::process::member_set::MemberMask;
 
+/// How many rounds of calls a canvass waits for members beyond the quorum.
+const CANVASS_ROUNDS: u64 = 2;
+
 /// The most doublings of the back-off.
 const MAX_BACKOFF_DOUBLINGS: u32 = 4;
 
@@ -75,7 +79,9 @@
         if self.present_cause() != Some(cause) || self.after_rivals_us() > now_us {
             return Some(Phase::Idle);
         }
-        if self.members().is_quorum(self.answering(since_us)) {
+        if self.members().is_quorum(self.answering(since_us))
+            && !self.awaits_answers(now_us, cause, since_us)
+        {
             Self::trace(Step::Canvassed, Term::default(), actions);
             return Some(self.start_claim(now_us, cause, actions));
         }
@@ -86,6 +92,19 @@
         None
     }
 
+    /// Whether the canvass waits a moment for members beyond the quorum. A process that starts, or
+    /// that sees a stray member, may hear the replicas before the primary that leads them; a
+    /// suspected primary has had its time already.
+    fn awaits_answers(&mut self, now_us: u64, cause: Cause, since_us: u64) -> bool {
+        let all = self.answering(since_us).count() == self.members().count();
+        let until_us = since_us.saturating_add(CANVASS_ROUNDS * self.settings.resend_us);
+        let waits = cause != Cause::Suspected && !all && now_us < until_us;
+        if waits {
+            self.wake_at(until_us);
+        }
+        waits
+    }
+
     /// The members that reported since shortly before the canvass.
     fn answering(&self, since_us: u64) -> MemberMask {
         let earliest_us = since_us.saturating_sub(self.settings.fresh_us);
@@ -114,6 +133,7 @@
         let doublings = self.losses.min(MAX_BACKOFF_DOUBLINGS);
         self.losses = self.losses.saturating_add(1);
         let most_us = self.settings.backoff_us << doublings;
-        self.not_before_us = now_us.saturating_add(self.jitter.spread(most_us));
+        let delay_us = jitter::upper_half_us(self.seed, u64::from(self.losses), most_us);
+        self.not_before_us = now_us.saturating_add(delay_us);
     }
 }
--- a/crates/core/src/process/failover/fence.rs
+++ b/crates/core/src/process/failover/fence.rs
@@ -71,13 +71,16 @@
             .collect()
     }
 
-    /// Whether a member is out of reach for this term: it gave its vote to another driver or
-    /// promised itself to a higher term.
+    /// Whether the term can't be won any more: too many members gave their vote to another driver
+    /// or promised themselves to a higher term.
     fn refused(&self, term: Term) -> bool {
         let refuses = |status: &MemberStatus| {
             status.raised_term > term || status.raised_term == term && status.raised_by != self.name
         };
-        (0..self.members().count()).any(|member| self.status(member).is_some_and(refuses))
+        let open = (0..self.members().count())
+            .filter(|&member| !self.status(member).is_some_and(refuses))
+            .collect();
+        !self.members().is_quorum(open)
     }
 
     /// A planned move waits a moment longer for the vote of the wanted member.
--- a/crates/core/src/process/failover/mod.rs
+++ b/crates/core/src/process/failover/mod.rs
@@ -44,7 +44,6 @@
 mod claim;
 mod event;
 mod fence;
-mod jitter;
 mod planned_move;
 mod record;
 mod settings;
@@ -64,7 +63,6 @@
 pub use settings::FailoverSettings;
 pub use verify::FailoverViolation;
 
-use jitter::Jitter;
 use record::LeadView;
 
 /// Where a change of primary stands.
@@ -98,7 +96,8 @@
     name: String,
     rank: u32,
     profiles: Vec<MemberProfile>,
-    jitter: Jitter,
+    /// Where the back-off's randomness comes from.
+    seed: u64,
     /// The members' reports, and what they prove.
     reports: Acknowledgement,
     leader: Option<Leader>,
@@ -149,7 +148,7 @@
             name: name.to_owned(),
             rank,
             profiles: padded(profiles, count),
-            jitter: Jitter::new(seed),
+            seed,
             reports: Acknowledgement::new(members, settings.stall),
             leader: None,
             announced: None,
@@ -229,6 +228,7 @@
             Event::MemberFailed { .. } => {}
             Event::LeadSeen { version, record } => {
                 self.lead.note_seen(now_us, *version, record.as_ref());
+                self.note_leader(now_us);
             }
             Event::Platform { call, answer } => {
                 self.note_platform(now_us, *call, answer, actions);
--- a/crates/core/src/process/failover/planned_move.rs
+++ b/crates/core/src/process/failover/planned_move.rs
@@ -9,13 +9,22 @@
 use crate::log_position::Term;
 
 impl FailoverDriver {
-    /// The member that the lead record asks for, unless it leads already or the wish was given up.
-    pub(super) fn wanted_member(&self) -> Option<usize> {
-        let record = self.record()?;
-        if record.wanted.is_empty() || self.abandoned_version == Some(self.lead.seen_version()) {
+    /// The member that the lead record asks for, unless the wish was given up.
+    pub(super) fn wish(&self) -> Option<usize> {
+        if self.abandoned() {
             return None;
         }
-        let wanted = self.members().place(&record.wanted)?;
+        self.members().place(&self.record()?.wanted)
+    }
+
+    /// Whether the wish in the present version of the record was given up.
+    pub(super) fn abandoned(&self) -> bool {
+        self.abandoned_version == Some(self.lead.seen_version())
+    }
+
+    /// The member that is wished for and does not lead yet.
+    pub(super) fn wanted_member(&self) -> Option<usize> {
+        let wanted = self.wish()?;
         let leads = self.leader.is_some_and(|leader| leader.member == wanted);
         (!leads).then_some(wanted)
     }
--- a/crates/core/src/process/failover/upkeep.rs
+++ b/crates/core/src/process/failover/upkeep.rs
@@ -89,8 +89,7 @@
             return;
         };
         let since_us = *self.wrong_since_us.get_or_insert(now_us);
-        let own_wish = self.abandoned_version.is_some();
-        let turn_us = if own_wish { since_us } else { self.turn_us(leader, since_us) };
+        let turn_us = if self.abandoned() { since_us } else { self.turn_us(leader, since_us) };
         let turn_us = turn_us.max(self.platform_retry_us);
         if now_us < turn_us {
             self.wake_at(turn_us);
@@ -122,7 +121,7 @@
         let primary = self.member_name(leader.member);
         let driver = self.status(leader.member)?.raised_by.clone();
         let known = self.lead.record();
-        let abandoned = self.abandoned_version == Some(self.lead.seen_version());
+        let abandoned = self.abandoned();
         let (wish, plan) = self.wish_and_plan();
         let done = wish == primary || abandoned;
         let wanted = if done { String::new() } else { wish };
@@ -162,9 +161,11 @@
     fn hold_until_us(&self) -> Option<u64> {
         let record = self.record()?;
         let announced_term = self.announced?.term;
-        let moving = record.term > announced_term
-            && record.primary.is_empty()
-            && self.wanted_member().is_some();
+        // Once begun, holding lasts until the new primary is announced here, also when the record
+        // names it earlier: writes sent to the old one would only be refused.
+        let begins = record.primary.is_empty() && self.wish().is_some();
+        let goes_on = self.holding && !record.primary.is_empty();
+        let moving = record.term > announced_term && (begins || goes_on);
         moving.then(|| self.lead.seen_us().saturating_add(self.settings.hold_us))
     }
 }
--- a/crates/core/src/process/failover/view.rs
+++ b/crates/core/src/process/failover/view.rs
@@ -31,12 +31,27 @@
                 leads(status).then_some(Leader { term: status.raised_term, member })
             })
             .max_by_key(|leader| leader.term);
+        let leader = leader.or_else(|| self.recorded_leader());
         if leader != self.leader {
             self.leader = leader;
             self.led_since_us = now_us;
         }
     }
 
+    /// The leader by the lead record, for a process that starts and has not heard the primary yet:
+    /// the replicas are in its term. It is watched like any other, so that a process does not depose
+    /// a primary only because it never reached it.
+    fn recorded_leader(&self) -> Option<Leader> {
+        let record = self.record()?;
+        let member = self.members().place(&record.primary)?;
+        let contradicts =
+            self.status(member).is_some_and(|status| status.raised_term >= record.term);
+        let in_term = (0..self.members().count()).any(|other| {
+            self.status(other).is_some_and(|status| status.raised_term == record.term)
+        });
+        (in_term && !contradicts).then_some(Leader { term: record.term, member })
+    }
+
     /// The highest term that any report or the lead record shows.
     pub(super) fn highest_term(&self) -> Term {
         let raised = (0..self.members().count())
--- a/crates/core/src/process/mod.rs
+++ b/crates/core/src/process/mod.rs
@@ -1,5 +1,6 @@
 //! What lives as long as one process.
 
+mod accounted;
 pub mod acknowledgement;
 pub mod connection_budget;
 pub mod detection;
--- a/crates/core/src/process/session_floors.rs
+++ b/crates/core/src/process/session_floors.rs
@@ -24,7 +24,6 @@
 //! no floor, so the table is bounded by the replication lag; where its bound is hit, records are
 //! dropped by letting the beginning move up past them.
 
-use std::collections::BTreeMap;
 use std::mem;
 
 use crate::FastMap;
@@ -32,6 +31,7 @@
 use crate::log_position::Term;
 use crate::member_status::MemberStatus;
 use crate::member_status::Role;
+use crate::process::accounted::Accounted;
 use crate::process::member_set::MemberMask;
 use crate::process::member_set::MemberSet;
 
@@ -99,12 +99,11 @@
 pub struct SessionFloors {
     settings: SessionFloorsSettings,
     members: MemberSet,
-    /// Everything at or below is not accounted for. Its term is the present one.
-    beginning: LogPosition,
-    /// Whether writes in the present member set's time have a known beginning.
+    /// The term of the positions that are accounted for.
+    term: Term,
+    accounted: Accounted,
+    /// Whether the holder has begun since the member set last changed.
     began: bool,
-    /// Indexes of the present term above the beginning that are accounted for, as first → last.
-    accounted: BTreeMap<u64, u64>,
     sessions: FastMap<String, LogPosition>,
     /// The number of sessions at which those that need no floor are dropped. It doubles what the
     /// last sweep left, so that a sweep costs little for each record.
@@ -123,9 +122,9 @@
         SessionFloors {
             settings,
             members,
-            beginning: LogPosition::default(),
+            term: Term::default(),
+            accounted: Accounted::default(),
             began: false,
-            accounted: BTreeMap::new(),
             sessions: FastMap::default(),
             sweep_at: LEAST_SWEEP,
             applied: vec![LogPosition::default(); count],
@@ -189,10 +188,8 @@
         let lookups = mem::take(&mut barrier.lookups);
         self.barrier = None;
         self.enter_term(end);
-        if end.term < self.beginning.term {
-            // The holder has heard of a later term meanwhile, whose beginning covers the rest.
-            return self.answer(&lookups, self.beginning);
-        }
+        // A holder that has heard of a later term meanwhile answers with its beginning there.
+        let end = end.max(self.beginning());
         self.answer(&lookups, end)
     }
 
@@ -220,8 +217,8 @@
         let Some(applied) = self.applied.get_mut(member) else { return };
         *applied = status.applied.max(*applied);
         let everywhere = self.applied_everywhere();
-        if everywhere.term == self.beginning.term {
-            self.drop_ranges_below(everywhere.index);
+        if everywhere.term == self.term {
+            self.accounted.forget_up_to(everywhere.index);
         }
     }
 
@@ -254,7 +251,7 @@
 
     /// How many ranges of positions are accounted for.
     pub fn range_count(&self) -> usize {
-        self.accounted.len()
+        self.accounted.range_count()
     }
 
     /// The position that every member has applied.
@@ -271,16 +268,11 @@
         if self.sessions.len() > self.settings.max_sessions {
             violations.push(SessionFloorsViolation::TooManySessions);
         }
-        if self.accounted.len() > self.settings.max_ranges {
+        if self.accounted.range_count() > self.settings.max_ranges {
             violations.push(SessionFloorsViolation::TooManyRanges);
         }
-        let mut below = self.beginning.index;
-        for (&first, &last) in &self.accounted {
-            if first > last || first <= below {
-                violations.push(SessionFloorsViolation::BadRange { first });
-            }
-            below = last + 1;
-        }
+        let bad = self.accounted.bad_ranges();
+        violations.extend(bad.into_iter().map(|first| SessionFloorsViolation::BadRange { first }));
         violations
     }
 
@@ -303,29 +295,24 @@
 
     /// The highest position at or below `end` that is not accounted for.
     fn highest_unaccounted(&self, end: LogPosition) -> LogPosition {
-        if end.index <= self.beginning.index {
-            return self.beginning;
-        }
-        let range = self.accounted.range(..=end.index).next_back();
-        let index = match range {
-            Some((&first, &last)) if last >= end.index => first - 1,
-            _ => end.index,
-        };
-        LogPosition { term: self.beginning.term, index }
+        LogPosition { term: self.term, index: self.accounted.highest_gap(end.index) }
+    }
+
+    /// Everything at or below is not accounted for.
+    fn beginning(&self) -> LogPosition {
+        LogPosition { term: self.term, index: self.accounted.beginning() }
     }
 
     /// Begins in a later term, or for the first time, at a position seen there. Writes of the term
     /// before that position may have gone unseen.
     fn enter_term(&mut self, seen: LogPosition) {
-        if self.began && seen.term <= self.beginning.term {
-            return;
-        }
-        if seen < self.beginning {
+        let known = self.began && seen.term <= self.term;
+        if known || seen < self.beginning() {
             return;
         }
         self.began = true;
-        self.beginning = seen;
-        self.accounted.clear();
+        self.term = seen.term;
+        self.accounted = Accounted::new(seen.index);
     }
 
     fn record_floor(&mut self, session: &str, position: LogPosition) {
@@ -341,55 +328,22 @@
     }
 
     fn account(&mut self, position: LogPosition) {
-        if position.term != self.beginning.term || position.index <= self.beginning.index {
-            return;
+        if position.term == self.term {
+            self.accounted.insert(position.index);
         }
-        let index = position.index;
-        let before = self.accounted.range(..=index).next_back().map(|(&a, &b)| (a, b));
-        let after = self.accounted.get(&(index + 1)).copied();
-        let (first, joined_last) = match before {
-            Some((_, last)) if last >= index => return,
-            Some((first, last)) if last + 1 == index => (first, index),
-            _ => (index, index),
-        };
-        let last = match after {
-            Some(last) => {
-                self.accounted.remove(&(index + 1));
-                last
-            }
-            None => joined_last,
-        };
-        self.accounted.insert(first, last);
     }
 
     /// Drops sessions that need no floor of their own: every member covers it, or the beginning is
     /// answered for all of them.
     fn sweep(&mut self) {
-        let covered = self.applied_everywhere().max(self.beginning);
+        let covered = self.applied_everywhere().max(self.beginning());
         self.sessions.retain(|_, floor| *floor > covered);
         self.sweep_at = LEAST_SWEEP.max(2 * self.sessions.len());
     }
 
-    /// Moves the beginning up to an index that need not be told apart any more.
-    fn drop_ranges_below(&mut self, index: u64) {
-        if index <= self.beginning.index {
-            return;
-        }
-        self.beginning.index = index;
-        let kept = self.accounted.split_off(&(index + 1));
-        let cut = mem::replace(&mut self.accounted, kept);
-        if let Some((_, &last)) = cut.last_key_value()
-            && last > index
-        {
-            self.accounted.insert(index + 1, last);
-        }
-    }
-
     fn keep_bounds(&mut self) {
-        if self.accounted.len() > self.settings.max_ranges
-            && let Some((&first, _)) = self.accounted.iter().nth(self.accounted.len() / 2)
-        {
-            self.forget_up_to(LogPosition { term: self.beginning.term, index: first - 1 });
+        if self.accounted.range_count() > self.settings.max_ranges {
+            self.accounted.forget_half();
         }
         if self.sessions.len() > self.sweep_at.min(self.settings.max_sessions) {
             self.sweep();
@@ -404,8 +358,8 @@
 
     /// Lets the beginning cover everything up to a position, so that its records can go.
     fn forget_up_to(&mut self, position: LogPosition) {
-        if position.term == self.beginning.term {
-            self.drop_ranges_below(position.index);
+        if position.term == self.term {
+            self.accounted.forget_up_to(position.index);
         }
         self.sweep();
     }
