Stand in for targets and the platform with simple queries

A target serves simple queries over an embedded SQL engine, with terms, a dense log, promotion, following, rewinding and notices of its status; the platform serves the object API; a deployment starts both from its settings and takes faults by name, also over HTTP.

--- /dev/null
+++ b/crates/standin/src/deployment/mod.rs
@@ -0,0 +1,186 @@
+//! A whole deployment's stand-ins in one process: the platform and every target.
+
+use std::fmt;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use skylark_core::log_position::Term;
+use skylark_core::version::objects::LeadRecord;
+use skylark_core::version::objects::ObjectKind;
+use skylark_core::version::objects::VmRecord;
+use skylark_settings::deployment::DeploymentSettings;
+use skylark_settings::deployment::Group;
+use skylark_settings::deployment::Member;
+
+use crate::network::Network;
+use crate::platform::PlatformServer;
+use crate::target::Target;
+use crate::target::options::Lag;
+use crate::target::options::TargetOptions;
+use crate::target::server::TargetServer;
+
+pub mod admin;
+pub mod fault;
+
+/// The driver of each group's first term.
+pub const FIRST_DRIVER: &str = "deployment";
+
+/// The term that each group starts in.
+const FIRST_TERM: Term = Term(1);
+
+const US_PER_MS: u64 = 1000;
+
+/// Why a deployment could not start.
+#[derive(Debug)]
+pub enum StartError {
+    /// An address can't be listened on.
+    Listen(SocketAddr, io::Error),
+}
+
+impl fmt::Display for StartError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            StartError::Listen(address, error) => write!(f, "can't listen on {address}: {error}"),
+        }
+    }
+}
+
+/// The stand-ins of a deployment. They end when it is dropped.
+#[derive(Debug)]
+pub struct Deployment {
+    settings: DeploymentSettings,
+    network: Arc<Network>,
+    platform: PlatformServer,
+    targets: Vec<TargetServer>,
+}
+
+impl Deployment {
+    /// Starts the platform and all targets in the current runtime. Addresses with port zero get a
+    /// free one. The first member of each group is primary of term 1 and the others follow it.
+    ///
+    /// # Errors
+    ///
+    /// When an address can't be listened on.
+    pub async fn start(settings: &DeploymentSettings) -> Result<Deployment, StartError> {
+        let mut settings = settings.clone();
+        let network = Network::new();
+        let platform = PlatformServer::start(settings.platform_address).await;
+        let platform =
+            platform.map_err(|error| StartError::Listen(settings.platform_address, error))?;
+        settings.platform_address = platform.address();
+        let mut targets = Vec::new();
+        for group in &mut settings.groups {
+            for place in 0..group.members.len() {
+                let server = start_member(group, place, &network).await?;
+                group.members[place].address = server.address();
+                targets.push(server);
+            }
+        }
+        let deployment = Deployment { settings, network, platform, targets };
+        deployment.lead_groups();
+        deployment.seed_platform();
+        Ok(deployment)
+    }
+
+    /// The settings, with the addresses that the stand-ins listen on.
+    pub fn settings(&self) -> &DeploymentSettings {
+        &self.settings
+    }
+
+    /// The network between the targets.
+    pub fn network(&self) -> &Arc<Network> {
+        &self.network
+    }
+
+    /// The platform.
+    pub fn platform(&self) -> &PlatformServer {
+        &self.platform
+    }
+
+    /// Every target, in the order of the settings.
+    pub fn targets(&self) -> &[TargetServer] {
+        &self.targets
+    }
+
+    /// The target with this name.
+    pub fn target(&self, name: &str) -> Option<&TargetServer> {
+        self.targets.iter().find(|server| server.target().options().name == name)
+    }
+
+    /// The targets of a group, in the order of its members.
+    pub fn group(&self, name: &str) -> Vec<&TargetServer> {
+        let in_group = |server: &&TargetServer| server.target().options().group == name;
+        self.targets.iter().filter(in_group).collect()
+    }
+
+    /// Changes or adds a VM in the platform's list, which shows it after its lag.
+    pub fn set_vm(&self, record: VmRecord) {
+        self.platform.platform().store.set_vm(record);
+    }
+
+    fn lead_groups(&self) {
+        for group in &self.settings.groups {
+            let members = self.group(&group.name);
+            let Some((first, others)) = members.split_first() else { continue };
+            first.target().raise_term(FIRST_TERM, FIRST_DRIVER);
+            first.target().promote(FIRST_TERM, FIRST_DRIVER);
+            for other in others {
+                other.target().follow(FIRST_TERM, first.address());
+            }
+        }
+    }
+
+    /// Fills the platform. Everything has one version, and nobody else writes yet, so no update
+    /// can meet a conflict.
+    fn seed_platform(&self) {
+        let store = &self.platform.platform().store;
+        for object in self.settings.seed_objects() {
+            let put = store.put(object.kind, &object.name, 0, object.body);
+            assert!(put.is_ok(), "names within a kind are unique in checked settings");
+        }
+        for group in &self.settings.groups {
+            let Some(primary) = group.members.first() else { continue };
+            let lead = LeadRecord {
+                term: FIRST_TERM,
+                driver: FIRST_DRIVER.to_owned(),
+                primary: primary.target.clone(),
+                wanted: String::new(),
+                plan: String::new(),
+            };
+            let body = serde_json::to_value(lead).expect("a lead record is plain data");
+            let put = store.put(ObjectKind::Lead, &group.name, 0, body);
+            assert!(put.is_ok(), "names of groups are unique in checked settings");
+        }
+        store.set_vms(self.settings.vm_records());
+    }
+
+    /// The state of every target.
+    fn states(&self) -> impl Iterator<Item = &Arc<Target>> {
+        self.targets.iter().map(TargetServer::target)
+    }
+}
+
+async fn start_member(
+    group: &Group,
+    place: usize,
+    network: &Arc<Network>,
+) -> Result<TargetServer, StartError> {
+    let member = &group.members[place];
+    let server = TargetServer::start(options(group, member), network).await;
+    server.map_err(|error| StartError::Listen(member.address, error))
+}
+
+fn options(group: &Group, member: &Member) -> TargetOptions {
+    TargetOptions {
+        name: member.target.clone(),
+        group: group.name.clone(),
+        zone: member.zone.clone(),
+        listen: member.address,
+        slots: member.slots,
+        connections: member.connections,
+        connect_cost_ms: member.connect_cost_ms,
+        statement_cost_us: 0,
+        lag: Lag { hold_us: member.lag_ms * US_PER_MS, apply_us: 0 },
+    }
+}
--- /dev/null
+++ b/crates/standin/src/platform/store.rs
@@ -0,0 +1,163 @@
+//! The objects, their versions, and the lagging list of VMs.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+use std::time::Instant;
+
+use parking_lot::Mutex;
+use skylark_core::version::objects::ObjectKind;
+use skylark_core::version::objects::Snapshot;
+use skylark_core::version::objects::StoredObject;
+use skylark_core::version::objects::VmRecord;
+use skylark_platform::WatchAnswer;
+use tokio::sync::watch;
+
+/// Another version than the one expected: the object has this one, zero for none.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub struct Conflict {
+    /// The version that the object has.
+    pub actual: u64,
+}
+
+#[derive(Debug, Default)]
+struct Content {
+    revision: u64,
+    objects: BTreeMap<(&'static str, String), StoredObject>,
+    vm_lists: Vec<(Instant, Vec<VmRecord>)>,
+    vm_lag: Duration,
+}
+
+/// The objects and the list of VMs.
+#[derive(Debug, Default)]
+pub struct Store {
+    content: Mutex<Content>,
+    revision: watch::Sender<u64>,
+}
+
+impl Store {
+    /// Reads one object.
+    pub fn get(&self, kind: ObjectKind, name: &str) -> Option<StoredObject> {
+        let content = self.content.lock();
+        let object = content.objects.get(&(kind.name(), name.to_owned()))?;
+        (!object.deleted).then(|| object.clone())
+    }
+
+    /// Changes an object that has the expected version, and returns the new one.
+    ///
+    /// # Errors
+    ///
+    /// When it has another version.
+    pub fn put(
+        &self,
+        kind: ObjectKind,
+        name: &str,
+        expected_version: u64,
+        body: serde_json::Value,
+    ) -> Result<u64, Conflict> {
+        self.change(kind, name, expected_version, body, false)
+    }
+
+    /// Deletes an object that has the expected version, and returns the deletion's version.
+    ///
+    /// # Errors
+    ///
+    /// When it has another version, or when there is none.
+    pub fn delete(
+        &self,
+        kind: ObjectKind,
+        name: &str,
+        expected_version: u64,
+    ) -> Result<u64, Conflict> {
+        if expected_version == 0 {
+            let actual = self.get(kind, name).map_or(0, |object| object.version);
+            return Err(Conflict { actual });
+        }
+        self.change(kind, name, expected_version, serde_json::Value::Null, true)
+    }
+
+    fn change(
+        &self,
+        kind: ObjectKind,
+        name: &str,
+        expected_version: u64,
+        body: serde_json::Value,
+        deleted: bool,
+    ) -> Result<u64, Conflict> {
+        let mut content = self.content.lock();
+        let key = (kind.name(), name.to_owned());
+        let present = content.objects.get(&key).filter(|object| !object.deleted);
+        let actual = present.map_or(0, |object| object.version);
+        if actual != expected_version {
+            return Err(Conflict { actual });
+        }
+        content.revision += 1;
+        let version = content.revision;
+        let name = name.to_owned();
+        content.objects.insert(key, StoredObject { kind, name, version, deleted, body });
+        self.revision.send_replace(version);
+        Ok(version)
+    }
+
+    /// All objects and the list of VMs.
+    pub fn snapshot(&self) -> Snapshot {
+        let content = self.content.lock();
+        let present = content.objects.values().filter(|object| !object.deleted);
+        Snapshot {
+            revision: content.revision,
+            objects: present.cloned().collect(),
+            vms: content.listed_vms(),
+        }
+    }
+
+    /// What changed after a revision.
+    pub fn changes_after(&self, revision: u64) -> WatchAnswer {
+        let content = self.content.lock();
+        let changed = content.objects.values().filter(|object| object.version > revision);
+        WatchAnswer { revision: content.revision, objects: changed.cloned().collect() }
+    }
+
+    /// The revisions from now on.
+    pub fn subscribe(&self) -> watch::Receiver<u64> {
+        self.revision.subscribe()
+    }
+
+    /// The list of VMs, as old as its lag.
+    pub fn vms(&self) -> Vec<VmRecord> {
+        self.content.lock().listed_vms()
+    }
+
+    /// Sets how long a change of the VMs takes to show in the list.
+    pub fn set_vm_lag(&self, lag: Duration) {
+        self.content.lock().vm_lag = lag;
+    }
+
+    /// Sets the VMs. The first list shows at once, later ones after the lag.
+    pub fn set_vms(&self, vms: Vec<VmRecord>) {
+        let mut content = self.content.lock();
+        let shown = content.shown_list();
+        content.vm_lists.drain(..shown.unwrap_or_default());
+        content.vm_lists.push((Instant::now(), vms));
+    }
+
+    /// Changes one VM's entry or adds it, in the newest list.
+    pub fn set_vm(&self, record: VmRecord) {
+        let newest = self.content.lock().vm_lists.last().map(|(_, vms)| vms.clone());
+        let mut vms = newest.unwrap_or_default();
+        vms.retain(|known| known.vm != record.vm);
+        vms.push(record);
+        self.set_vms(vms);
+    }
+}
+
+impl Content {
+    /// The place of the list that shows now: the newest whose lag is over, else the oldest.
+    fn shown_list(&self) -> Option<usize> {
+        let old_enough = |(since, _): &(Instant, Vec<VmRecord>)| since.elapsed() >= self.vm_lag;
+        let newest = self.vm_lists.iter().rposition(old_enough);
+        newest.or_else(|| (!self.vm_lists.is_empty()).then_some(0))
+    }
+
+    fn listed_vms(&self) -> Vec<VmRecord> {
+        self.shown_list().map(|place| self.vm_lists[place].1.clone()).unwrap_or_default()
+    }
+}
--- /dev/null
+++ b/crates/standin/src/target/mod.rs
@@ -0,0 +1,231 @@
+//! The stand-in of one target database.
+//!
+//! A [`Target`] holds the member's terms and log ([`member`]), and two copies of the data in an
+//! embedded engine: the visible copy, which reads see, and the working copy ([`writer`]), which one
+//! writing transaction at a time has for itself. A commit checks the term, appends the record and
+//! changes the visible copy in one step. [`replication`] brings records from the primary.
+//! [`server`] listens, and [`connection`] speaks the protocol.
+//!
+//! Both copies are private in-memory databases. A database shared by several connections of the
+//! engine locks readers out while a transaction writes, or shows them what is not committed; its
+//! write-ahead mode needs files and shared memory.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::AtomicU32;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+use std::time::SystemTime;
+use std::time::UNIX_EPOCH;
+
+use parking_lot::Mutex;
+use skylark_core::log_position::Term;
+use skylark_core::member_status::MemberStatus;
+use tokio::sync;
+use tokio::sync::watch;
+
+use crate::network::Network;
+
+use self::database::Database;
+use self::error::TargetError;
+use self::member::Followed;
+use self::member::Member;
+use self::options::Lag;
+use self::options::TargetOptions;
+use self::writer::Working;
+
+pub mod connection;
+pub mod counters;
+pub mod database;
+pub mod error;
+pub mod member;
+pub mod options;
+pub mod record;
+pub mod replication;
+pub mod server;
+pub mod sql;
+pub mod statement;
+pub mod writer;
+
+/// What `SELECT version()` answers.
+pub const VERSION_TEXT: &str = "PostgreSQL 16.0 (skylark-standin)";
+
+/// One target's state, shared by its connections and its replication.
+///
+/// Locks are taken in the order: working copy, visible copy, member.
+#[derive(Debug)]
+pub struct Target {
+    options: TargetOptions,
+    network: Arc<Network>,
+    member: Mutex<Member>,
+    visible: Mutex<Database>,
+    working: Arc<sync::Mutex<Working>>,
+    status: watch::Sender<MemberStatus>,
+    lag: watch::Sender<Lag>,
+    slots: sync::Semaphore,
+    callers: AtomicU32,
+    cancels: connection::cancel::Cancels,
+    counters: counters::Counters,
+    seeds: AtomicU64,
+}
+
+impl Target {
+    /// A target that holds nothing and follows nobody.
+    pub fn new(options: TargetOptions, network: Arc<Network>) -> Arc<Target> {
+        let member = Member::default();
+        let status = watch::Sender::new(member.status());
+        Arc::new(Target {
+            lag: watch::Sender::new(options.lag),
+            slots: sync::Semaphore::new(options.slots as usize),
+            options,
+            network,
+            member: Mutex::new(member),
+            visible: Mutex::default(),
+            working: Arc::default(),
+            status,
+            callers: AtomicU32::new(0),
+            cancels: connection::cancel::Cancels::default(),
+            counters: counters::Counters::default(),
+            seeds: AtomicU64::new(0),
+        })
+    }
+
+    /// The options it was started with.
+    pub fn options(&self) -> &TargetOptions {
+        &self.options
+    }
+
+    /// What it has counted.
+    pub fn counters(&self) -> &counters::Counters {
+        &self.counters
+    }
+
+    /// The report of this moment.
+    pub fn status(&self) -> MemberStatus {
+        self.member.lock().status()
+    }
+
+    /// The reports from now on.
+    pub fn subscribe(&self) -> watch::Receiver<MemberStatus> {
+        self.status.subscribe()
+    }
+
+    /// How many callers' connections are open.
+    pub fn callers(&self) -> u32 {
+        self.callers.load(Ordering::Relaxed)
+    }
+
+    /// Changes the delays of the replication towards this target.
+    pub fn set_lag(&self, lag: Lag) {
+        self.lag.send_replace(lag);
+    }
+
+    /// Starts or ends leaving: no new connections of callers, no new transactions.
+    pub fn set_leaving(&self, leaving: bool) -> MemberStatus {
+        let mut member = self.member.lock();
+        member.set_leaving(leaving);
+        self.publish(&member)
+    }
+
+    /// `group_raise_term`.
+    pub fn raise_term(&self, term: Term, driver: &str) -> MemberStatus {
+        let mut member = self.member.lock();
+        member.raise_term(term, driver);
+        self.publish(&member)
+    }
+
+    /// `group_promote`.
+    pub fn promote(&self, term: Term, driver: &str) -> MemberStatus {
+        let visible = self.visible.lock();
+        let mut member = self.member.lock();
+        if member.can_promote(term, driver) {
+            let held = member.log_length();
+            apply_up_to(&visible, &mut member, held);
+            member.promote(now_us());
+        }
+        self.publish(&member)
+    }
+
+    /// `group_follow`.
+    pub fn follow(&self, term: Term, address: SocketAddr) -> MemberStatus {
+        let mut member = self.member.lock();
+        member.follow(Followed { term, address });
+        self.publish(&member)
+    }
+
+    /// The term that writes are accepted in.
+    fn writable_term(&self) -> Result<Term, TargetError> {
+        self.member.lock().writable_term().ok_or(TargetError::NotPrimary)
+    }
+
+    fn leaving(&self) -> bool {
+        self.status.borrow().leaving
+    }
+
+    /// Tells listeners the report. Called with the member locked, so that reports leave in the
+    /// order of the changes.
+    fn publish(&self, member: &Member) -> MemberStatus {
+        let status = member.status();
+        self.status.send_if_modified(|last| {
+            let changed = *last != status;
+            if changed {
+                last.clone_from(&status);
+            }
+            changed
+        });
+        status
+    }
+
+    /// Brings the working copy to the log's end.
+    fn catch_up(&self, working: &mut Working) {
+        let member = self.member.lock();
+        if working.generation == member.generation() {
+            let records = member.records_after(working.applied).to_vec();
+            drop(member);
+            for record in &records {
+                working.database.apply(record);
+            }
+            working.applied += records.len() as u64;
+            return;
+        }
+        drop(member);
+        let visible = self.visible.lock();
+        let member = self.member.lock();
+        working.database.copy_from(&visible);
+        working.applied = member.applied();
+        working.generation = member.generation();
+        for record in member.records_after(working.applied) {
+            working.database.apply(record);
+        }
+        working.applied = member.log_length();
+    }
+
+    /// Waits while the process is paused.
+    async fn awake(&self) {
+        let mut faults = self.network.subscribe();
+        // The network outlives its targets, so there is always an answer.
+        let _ = faults.wait_for(|faults| !faults.paused.contains(&self.options.name)).await;
+    }
+
+    fn next_seed(&self) -> u64 {
+        /// Far apart, as each statement of a transaction takes the next number.
+        const STEP: u64 = 1 << 32;
+        self.seeds.fetch_add(STEP, Ordering::Relaxed)
+    }
+}
+
+/// Shows reads the records up to an index.
+fn apply_up_to(visible: &Database, member: &mut Member, index: u64) {
+    let applied = member.applied();
+    let count = index.saturating_sub(applied) as usize;
+    for record in &member.records_after(applied)[..count] {
+        visible.apply(record);
+    }
+    member.set_applied(index.max(applied));
+}
+
+/// The time in microseconds since the Unix epoch.
+fn now_us() -> i64 {
+    let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    since_epoch.as_micros() as i64
+}
