Explore repeated requests and reused connections exhaustively

The at-most-once rule was decided by retry::decide without a check of how two senders in a row, each with late messages and lost answers, act together. The model repetition drives that very function at both hops; the model answers states when a connection may serve the next caller.

--- a/crates/spec/src/case.rs
+++ b/crates/spec/src/case.rs
@@ -3,7 +3,9 @@
 use std::fmt;
 
 use crate::acknowledgement;
+use crate::answers;
 use crate::explore::Exploration;
+use crate::repetition;
 
 /// How many states a case may have, which bounds its memory to a few hundred megabytes.
 pub const STATE_LIMIT: usize = 3_000_000;
@@ -32,5 +34,5 @@
 
 /// Every case of every model.
 pub fn all() -> Vec<Case> {
-    [acknowledgement::cases::CASES].concat()
+    [acknowledgement::cases::CASES, repetition::cases::CASES, answers::cases::CASES].concat()
 }
--- a/crates/spec/src/lib.rs
+++ b/crates/spec/src/lib.rs
@@ -10,7 +10,11 @@
 //! it calls the function of `skylark-core`.
 //!
 //! - [`acknowledgement`]: who may acknowledge a write, the fence, and the choice of a new primary.
+//! - [`repetition`]: what is sent again, and what a caller is told about it.
+//! - [`answers`]: when a connection may serve the next caller.
 
 pub mod acknowledgement;
+pub mod answers;
 pub mod case;
 pub mod explore;
+pub mod repetition;
