Explore changes of the member set with the acknowledgement model

The rule that member sets change by one was only argued.

A version may count alone only after its joint quorum confirmed a record written after every process knew it.

--- a/crates/spec/src/acknowledgement/cases.rs
+++ b/crates/spec/src/acknowledgement/cases.rs
@@ -8,7 +8,7 @@
 use crate::explore;
 
 macro_rules! cases {
-    ($($without:expr, $members:literal members, $attempts:literal attempts, $terms:literal terms, $writes:literal writes;)*) => {
+    ($($without:expr, $members:literal members, $attempts:literal attempts, $terms:literal terms, $writes:literal writes, sets $sets:expr;)*) => {
         /// Every case.
         pub const CASES: &[Case] = &[$(Case {
             model: "acknowledgement",
@@ -16,10 +16,10 @@
                 Some(safeguard) => Some(Safeguard::name(safeguard)),
                 None => None,
             },
-            bounds: concat!($members, " members, ", $attempts, " attempts, ", $terms, " terms, ", $writes, " writes"),
+            bounds: concat!($members, " members, ", $attempts, " attempts, ", $terms, " terms, ", $writes, " writes, sets ", stringify!($sets)),
             run: || {
-                let bounds = Bounds { attempts: $attempts, terms: $terms, writes: $writes };
-                let model = AcknowledgementModel::<$members> { bounds, without: $without };
+                let bounds = Bounds { attempts: $attempts, terms: $terms, writes: $writes, sets: &$sets };
+                let model = AcknowledgementModel::<$members>::new(bounds, $without);
                 explore::explore(&model, case::STATE_LIMIT)
             },
         },)*];
@@ -27,15 +27,22 @@
 }
 
 cases! {
-    None, 3 members, 2 attempts, 3 terms, 3 writes;
-    None, 3 members, 3 attempts, 4 terms, 1 writes;
-    None, 5 members, 2 attempts, 3 terms, 1 writes;
-    Some(Safeguard::ConfirmationTerm), 3 members, 2 attempts, 3 terms, 1 writes;
-    Some(Safeguard::FenceMajority), 3 members, 1 attempts, 2 terms, 1 writes;
-    Some(Safeguard::TermFirst), 3 members, 2 attempts, 3 terms, 3 writes;
-    Some(Safeguard::RecordTerm), 3 members, 2 attempts, 3 terms, 1 writes;
-    Some(Safeguard::OwnTerm), 3 members, 3 attempts, 4 terms, 1 writes;
-    Some(Safeguard::OneDriver), 3 members, 2 attempts, 2 terms, 1 writes;
-    Some(Safeguard::NewName), 3 members, 2 attempts, 2 terms, 1 writes;
-    Some(Safeguard::OneCandidate), 3 members, 1 attempts, 2 terms, 1 writes;
+    None, 3 members, 2 attempts, 3 terms, 3 writes, sets [0b111];
+    None, 3 members, 3 attempts, 4 terms, 1 writes, sets [0b111];
+    None, 5 members, 2 attempts, 3 terms, 1 writes, sets [0b11111];
+    Some(Safeguard::ConfirmationTerm), 3 members, 2 attempts, 3 terms, 1 writes, sets [0b111];
+    Some(Safeguard::FenceMajority), 3 members, 1 attempts, 2 terms, 1 writes, sets [0b111];
+    Some(Safeguard::TermFirst), 3 members, 2 attempts, 3 terms, 3 writes, sets [0b111];
+    Some(Safeguard::RecordTerm), 3 members, 2 attempts, 3 terms, 1 writes, sets [0b111];
+    Some(Safeguard::OwnTerm), 3 members, 3 attempts, 4 terms, 1 writes, sets [0b111];
+    Some(Safeguard::OneDriver), 3 members, 2 attempts, 2 terms, 1 writes, sets [0b111];
+    Some(Safeguard::NewName), 3 members, 2 attempts, 2 terms, 1 writes, sets [0b111];
+    Some(Safeguard::OneCandidate), 3 members, 1 attempts, 2 terms, 1 writes, sets [0b111];
+    None, 3 members, 2 attempts, 3 terms, 2 writes, sets [0b1, 0b11, 0b111];
+    None, 3 members, 2 attempts, 3 terms, 2 writes, sets [0b111, 0b11, 0b1];
+    None, 3 members, 2 attempts, 3 terms, 2 writes, sets [0b11, 0b111, 0b110];
+    Some(Safeguard::OneMember), 3 members, 1 attempts, 2 terms, 1 writes, sets [0b1, 0b111];
+    Some(Safeguard::KnownSet), 3 members, 1 attempts, 2 terms, 3 writes, sets [0b1, 0b11, 0b111];
+    Some(Safeguard::SettledRecord), 3 members, 1 attempts, 2 terms, 2 writes, sets [0b1, 0b11, 0b111];
+    Some(Safeguard::OneSet), 3 members, 2 attempts, 2 terms, 2 writes, sets [0b1, 0b11, 0b111];
 }
--- a/crates/spec/src/acknowledgement/mod.rs
+++ b/crates/spec/src/acknowledgement/mod.rs
@@ -14,6 +14,9 @@
 //!   platform's record: it may be down, lose answers, or name two drivers.
 //! - A driver that starts again is another attempt under a new name, see [`Safeguard::NewName`].
 //!
+//! - The member set changes while all this goes on. Processes hold the newest version or the one
+//!   before; a change is in force in three phases, see [`Phase`](state::Phase).
+//!
 //! Every member-related fact stands in the [`Member`](state::Member), so sorting the members
 //! identifies all states that differ by a renaming of members.
 
@@ -21,6 +24,7 @@
 pub mod model;
 pub mod state;
 pub mod step;
+pub mod views;
 
 pub use model::AcknowledgementModel;
 pub use model::Bounds;
@@ -47,11 +51,22 @@
     NewName,
     /// A driver promotes one member a term. Off: it may turn to another one when no answer comes.
     OneCandidate,
+    /// Successive member sets differ by one member. Off: two members are added at once.
+    OneMember,
+    /// The next member set is accepted after every process knows the present one. Off: a process may
+    /// hold any older one.
+    KnownSet,
+    /// A member set counts alone only after its quorum confirmed a record that was written when
+    /// every process knew the set. Off: it counts alone as soon as every process knows it.
+    SettledRecord,
+    /// An attempt asks the members of one version of the set and counts them by that version. Off: a
+    /// driver that learns of another version goes on with the votes that it has.
+    OneSet,
 }
 
 impl Safeguard {
     /// Every switch.
-    pub const ALL: [Safeguard; 8] = [
+    pub const ALL: [Safeguard; 12] = [
         Safeguard::ConfirmationTerm,
         Safeguard::FenceMajority,
         Safeguard::TermFirst,
@@ -60,6 +75,10 @@
         Safeguard::OneDriver,
         Safeguard::NewName,
         Safeguard::OneCandidate,
+        Safeguard::OneMember,
+        Safeguard::KnownSet,
+        Safeguard::SettledRecord,
+        Safeguard::OneSet,
     ];
 
     /// The switch's name on the command line.
@@ -73,6 +92,10 @@
             Safeguard::OneDriver => "one-driver",
             Safeguard::NewName => "new-name",
             Safeguard::OneCandidate => "one-candidate",
+            Safeguard::OneMember => "one-member",
+            Safeguard::KnownSet => "known-set",
+            Safeguard::SettledRecord => "settled-record",
+            Safeguard::OneSet => "one-set",
         }
     }
 }
--- a/crates/spec/src/acknowledgement/model.rs
+++ b/crates/spec/src/acknowledgement/model.rs
@@ -1,5 +1,7 @@
 //! The transitions and invariants of the acknowledgement model.
 
+use std::array;
+
 use skylark_core::log_position::LogPosition;
 use skylark_core::log_position::Term;
 use skylark_core::member_status::Role;
@@ -7,9 +9,12 @@
 use super::Safeguard;
 use super::state;
 use super::state::Member;
+use super::state::Phase;
 use super::state::State;
 use super::state::Write;
 use super::step::Step;
+use super::views::View;
+use super::views::Views;
 use crate::explore::Model;
 
 /// How far the model is explored.
@@ -21,21 +26,38 @@
     pub terms: u8,
     /// Writes, each of which runs at one primary.
     pub writes: usize,
+    /// The versions of the member set, one bit for each member. Member 0 leads at first.
+    pub sets: &'static [u8],
 }
 
 /// The model with `N` members.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 pub struct AcknowledgementModel<const N: usize> {
-    /// How far to explore.
-    pub bounds: Bounds,
-    /// The safeguard that is switched off.
-    pub without: Option<Safeguard>,
+    bounds: Bounds,
+    without: Option<Safeguard>,
+    views: Views,
 }
 
 type Next<const N: usize> = Vec<(Step, State<N>)>;
 
 impl<const N: usize> AcknowledgementModel<N> {
-    const MAJORITY: usize = N / 2 + 1;
+    /// The model within `bounds`, with one safeguard switched off or none.
+    pub fn new(bounds: Bounds, without: Option<Safeguard>) -> AcknowledgementModel<N> {
+        AcknowledgementModel { bounds, without, views: Views::new(bounds.sets) }
+    }
+
+    /// Whether the members that `counts` picks make a quorum for some process.
+    fn is_quorum<F>(&self, state: &State<N>, counts: F) -> bool
+    where
+        F: Fn(&Member) -> bool,
+    {
+        let mut views = self.views_in_use(state).into_iter();
+        views.any(|view| self.views.is_quorum(view, state, &counts))
+    }
+
+    fn views_in_use(&self, state: &State<N>) -> Vec<View> {
+        self.views.in_use(state, !self.has(Safeguard::KnownSet))
+    }
 
     fn has(&self, safeguard: Safeguard) -> bool {
         self.without != Some(safeguard)
@@ -62,7 +84,8 @@
                     state.members[member].confirmed |= 1 << write;
                 }
             }
-            if state.confirmations(write) >= Self::MAJORITY {
+            let confirmed = |member: &Member| member.confirmed >> write & 1 == 1;
+            if state.writes[write].acknowledged == 0 && self.is_quorum(state, confirmed) {
                 state.writes[write].acknowledged = state.writes[write].term;
             }
             if !self.has(Safeguard::OwnTerm) {
@@ -88,7 +111,7 @@
                 continue;
             }
             let holds = |member: &Member| member.raised == term && member.log.holds(record);
-            if state.members.iter().filter(|member| holds(member)).count() < Self::MAJORITY {
+            if !self.is_quorum(state, holds) {
                 continue;
             }
             state.writes[write].acknowledged = term;
@@ -105,11 +128,19 @@
             if state.members[member].role() != Role::Primary {
                 continue;
             }
+            let known_version = match state.phase {
+                Phase::Spreading => 0,
+                Phase::Known | Phase::Settled => state.version,
+            };
             let mut after = *state;
             let primary = &mut after.members[member];
             primary.log = primary.log.with(state::write_record(write));
-            after.writes[write] =
-                Write { term: primary.raised, index: primary.log.len() as u8, acknowledged: 0 };
+            after.writes[write] = Write {
+                term: primary.raised,
+                index: primary.log.len() as u8,
+                acknowledged: 0,
+                known_version,
+            };
             self.push(next, Step::Write { member, write }, after);
         }
     }
@@ -118,26 +149,40 @@
         for attempt in 0..self.bounds.attempts {
             match state.attempts[attempt] {
                 0 => {
-                    (2..=self.bounds.terms).for_each(|term| self.raise(state, attempt, term, next));
+                    self.begin(state, attempt, next);
                     // Attempts begin in the order of their numbers.
                     return;
                 }
-                term => self.raise(state, attempt, term, next),
+                _ => self.raise(state, attempt, next),
             }
         }
     }
 
-    fn raise(&self, state: &State<N>, attempt: usize, term: u8, next: &mut Next<N>) {
+    /// An attempt begins with its first raise, in any term and with any member set in use.
+    fn begin(&self, state: &State<N>, attempt: usize, next: &mut Next<N>) {
+        for view in self.views_in_use(state) {
+            for term in 2..=self.bounds.terms {
+                let mut begun = *state;
+                begun.attempts[attempt] = term;
+                begun.attempt_versions[attempt] = view.version as u8;
+                self.raise(&begun, attempt, next);
+            }
+        }
+    }
+
+    fn raise(&self, state: &State<N>, attempt: usize, next: &mut Next<N>) {
+        let term = state.attempts[attempt];
+        let version = usize::from(state.attempt_versions[attempt]);
         for member in 0..N {
             let present = &state.members[member];
             let same_driver =
                 present.raised_by == self.name(attempt) || !self.has(Safeguard::OneDriver);
             let takes = term > present.raised || term == present.raised && same_driver;
-            if !takes {
+            let asked = present.is_in(version) || !self.has(Safeguard::OneSet);
+            if !takes || !asked {
                 continue;
             }
             let mut after = *state;
-            after.attempts[attempt] = term;
             let raised = &mut after.members[member];
             raised.raised_by = self.name(attempt);
             if term > raised.raised {
@@ -166,23 +211,38 @@
             if self.has_chosen(state, attempt) && self.has(Safeguard::OneCandidate) {
                 continue;
             }
-            let answered = |member: &usize| state.members[*member].answered[attempt] > 0;
-            let members = (0..N).filter(answered).collect::<Vec<_>>();
-            let needed = if self.has(Safeguard::FenceMajority) { Self::MAJORITY } else { 1 };
-            if members.len() < needed {
+            for view in self.views_in_use(state) {
+                let same_set = view.version == usize::from(state.attempt_versions[attempt]);
+                if same_set || !self.has(Safeguard::OneSet) {
+                    self.choose(state, attempt, view, next);
+                }
+            }
+        }
+    }
+
+    /// A driver with this member set chooses among the members of the set that answered.
+    fn choose(&self, state: &State<N>, attempt: usize, view: View, next: &mut Next<N>) {
+        let answered = |member: &Member| member.answered[attempt] > 0 && member.is_in(view.version);
+        let fenced = match self.has(Safeguard::FenceMajority) {
+            true => self.views.is_quorum(view, state, answered),
+            false => state.members.iter().any(answered),
+        };
+        if !fenced {
+            return;
+        }
+        let rank = |member: &Member| self.rank(state::unpack(member.answered[attempt]));
+        let highest = state.members.iter().filter(|m| answered(m)).map(rank).max();
+        for member in 0..N {
+            let candidate = &state.members[member];
+            if !answered(candidate) || Some(rank(candidate)) != highest {
                 continue;
             }
-            let position = |member: usize| state::unpack(state.members[member].answered[attempt]);
-            let rank = |member: usize| self.rank(position(member));
-            let highest = members.iter().map(|&member| rank(member)).max();
-            for member in members.into_iter().filter(|&member| Some(rank(member)) == highest) {
-                let mut after = *state;
-                after.members[member].chosen |= 1 << attempt;
-                if self.has(Safeguard::OneCandidate) {
-                    after.members.iter_mut().for_each(|member| member.answered[attempt] = 0);
-                }
-                self.push(next, Step::Choose { attempt, member }, after);
+            let mut after = *state;
+            after.members[member].chosen |= 1 << attempt;
+            if self.has(Safeguard::OneCandidate) {
+                after.members.iter_mut().for_each(|member| member.answered[attempt] = 0);
             }
+            self.push(next, Step::Choose { attempt, member }, after);
         }
     }
 
@@ -240,6 +300,28 @@
         }
     }
 
+    fn member_sets(&self, state: &State<N>, next: &mut Next<N>) {
+        let version = state.version;
+        let holds = |write: &Write| write.acknowledged > 0 && write.known_version == version;
+        let (step, version, phase) = match state.phase {
+            Phase::Spreading => (Step::KnowMembers { version }, version, Phase::Known),
+            Phase::Known => {
+                if self.has(Safeguard::SettledRecord) && !state.writes.iter().any(holds) {
+                    return;
+                }
+                (Step::SettleMembers { version }, version, Phase::Settled)
+            }
+            Phase::Settled => {
+                let version = version + 1;
+                if usize::from(version) == self.views.count() {
+                    return;
+                }
+                (Step::ChangeMembers { version }, version, Phase::Spreading)
+            }
+        };
+        self.push(next, step, State { version, phase, ..*state });
+    }
+
     fn replication(&self, state: &State<N>, next: &mut Next<N>) {
         for member in 0..N {
             let replica = &state.members[member];
@@ -267,12 +349,22 @@
     type Step = Step;
 
     fn initial(&self) -> State<N> {
-        let mut members = [Member::initial(Role::Replica); N];
-        members[0] = Member::initial(Role::Primary);
+        let sets = |member: usize| {
+            let holds = |version: &usize| self.bounds.sets[*version] >> member & 1 == 1;
+            (0..self.bounds.sets.len()).filter(holds).fold(0, |bits, version| bits | 1 << version)
+        };
+        let members = array::from_fn(|member| match (member, sets(member)) {
+            (0, sets) => Member::initial(Role::Primary, sets),
+            (_, sets) if sets & 1 == 1 => Member::initial(Role::Replica, sets),
+            (_, sets) => Member::added_later(sets),
+        });
         State {
             members,
             attempts: [0; state::MAX_ATTEMPTS],
+            attempt_versions: [0; state::MAX_ATTEMPTS],
             writes: [Write::default(); state::MAX_WRITES],
+            version: 0,
+            phase: Phase::Settled,
         }
     }
 
@@ -283,6 +375,7 @@
         self.promotions(state, next);
         self.follows(state, next);
         self.replication(state, next);
+        self.member_sets(state, next);
     }
 
     fn canonical(&self, state: &State<N>) -> State<N> {
--- a/crates/spec/src/acknowledgement/state.rs
+++ b/crates/spec/src/acknowledgement/state.rs
@@ -76,13 +76,15 @@
     pub confirmed: u8,
     /// The attempts that chose it as candidate, one bit each; the order to promote it is sent.
     pub chosen: u8,
+    /// The versions of the member set that hold it, one bit each.
+    pub sets: u8,
     /// The last position that it answered to each attempt that has not chosen yet; zero for none.
     pub answered: [u8; MAX_ATTEMPTS],
 }
 
 impl Member {
-    /// A member that holds the record which opens term 1.
-    pub fn initial(role: Role) -> Member {
+    /// A member of the first set, which holds the record that opens term 1.
+    pub fn initial(role: Role, sets: u8) -> Member {
         let mut member = Member {
             log: Log::default().with(1),
             raised: 1,
@@ -91,12 +93,24 @@
             reigns: u8::from(role == Role::Primary) << 1,
             confirmed: 0,
             chosen: 0,
+            sets,
             answered: [0; MAX_ATTEMPTS],
         };
         member.set_role(role);
         member
     }
 
+    /// A member that a later set adds, with an empty log.
+    pub fn added_later(sets: u8) -> Member {
+        let initial = Member::initial(Role::Fenced, sets);
+        Member { log: Log::default(), raised: 0, ..initial }
+    }
+
+    /// Whether a version of the member set holds it.
+    pub fn is_in(&self, version: usize) -> bool {
+        self.sets >> version & 1 == 1
+    }
+
     /// The part that it plays.
     pub fn role(&self) -> Role {
         match self.role {
@@ -125,6 +139,8 @@
     pub index: u8,
     /// The term in which it was acknowledged; zero before.
     pub acknowledged: u8,
+    /// The version of the member set that every process knew when it ran.
+    pub known_version: u8,
 }
 
 impl Write {
@@ -134,6 +150,17 @@
     }
 }
 
+/// How far the present version of the member set has come.
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Debug)]
+pub enum Phase {
+    /// Processes may hold the version before.
+    Spreading,
+    /// Every process holds this version, and quorums are of both.
+    Known,
+    /// Quorums are of this version alone.
+    Settled,
+}
+
 /// A state of `N` members.
 #[derive(Clone, Copy, PartialEq, Eq, Hash, Debug)]
 pub struct State<const N: usize> {
@@ -141,8 +168,14 @@
     pub members: [Member; N],
     /// The term of each attempt, zero before it begins.
     pub attempts: [u8; MAX_ATTEMPTS],
+    /// The version of the member set with which each attempt began.
+    pub attempt_versions: [u8; MAX_ATTEMPTS],
     /// The writes.
     pub writes: [Write; MAX_WRITES],
+    /// The newest version of the member set.
+    pub version: u8,
+    /// How far it has come.
+    pub phase: Phase,
 }
 
 impl<const N: usize> State<N> {
@@ -191,14 +224,14 @@
     MAX_TERMS + 1 + write as u8
 }
 
-/// Packs a position into a byte.
+/// Packs a position into a byte other than zero.
 pub fn pack(position: LogPosition) -> u8 {
-    (position.term.0 << INDEX_BITS | position.index) as u8
+    0x80 | (position.term.0 << INDEX_BITS | position.index) as u8
 }
 
 /// The position that [`pack`] packed.
 pub fn unpack(packed: u8) -> LogPosition {
-    LogPosition::new(u64::from(packed >> INDEX_BITS), u64::from(packed & 0xf))
+    LogPosition::new(u64::from(packed >> INDEX_BITS & 0x7), u64::from(packed & 0xf))
 }
 
 impl<const N: usize> fmt::Display for State<N> {
@@ -219,6 +252,7 @@
             }
             f.write_str("; ")?;
         }
+        write!(f, "member set {} {:?}; ", self.version, self.phase)?;
         f.write_str("confirmed by:")?;
         for (number, write) in self.writes.iter().enumerate().filter(|(_, w)| w.term > 0) {
             write!(f, " write{number} at {}: {}", write.position(), self.confirmations(number))?;
--- a/crates/spec/src/acknowledgement/step.rs
+++ b/crates/spec/src/acknowledgement/step.rs
@@ -56,6 +56,21 @@
         /// The replica.
         member: usize,
     },
+    /// The next version of the member set is accepted.
+    ChangeMembers {
+        /// The version.
+        version: u8,
+    },
+    /// Every process has taken over the version.
+    KnowMembers {
+        /// The version.
+        version: u8,
+    },
+    /// The version before no longer counts.
+    SettleMembers {
+        /// The version.
+        version: u8,
+    },
 }
 
 impl fmt::Display for Step {
@@ -83,6 +98,15 @@
             Step::Rewind { member } => {
                 write!(f, "member{member} rewinds to the last record in common with its primary")
             }
+            Step::ChangeMembers { version } => {
+                write!(f, "version {version} of the member set is accepted")
+            }
+            Step::KnowMembers { version } => {
+                write!(f, "every process knows version {version} of the member set")
+            }
+            Step::SettleMembers { version } => {
+                write!(f, "version {version} of the member set is settled")
+            }
         }
     }
 }
--- a/crates/spec/tests/acknowledgement.rs
+++ b/crates/spec/tests/acknowledgement.rs
@@ -21,4 +21,12 @@
     driver_keeps_its_name: Some("new-name");
     // No answer to a promotion does not mean that it did not happen.
     second_candidate_in_one_term: Some("one-candidate");
+    // The two new members fence and open a term without the only one that holds the write.
+    two_members_added_at_once: Some("one-member");
+    // A process that missed two changes acknowledges what the new members never heard of.
+    process_with_a_set_two_changes_old: Some("known-set");
+    // Old writes are not yet at the new members when the old set's quorums stop to count.
+    set_settled_before_it_holds_the_writes: Some("settled-record");
+    // Votes given before a change count towards a quorum of the set after it.
+    votes_counted_by_another_set: Some("one-set");
 }
