Measure how a version of the configuration and members' reports grow with their size

`skylark-bench slopes` measures each cost at three sizes or more up to twice the size to come and fits a line.

--- /dev/null
+++ b/crates/bench/src/commands/mod.rs
@@ -0,0 +1,3 @@
+//! The subcommands of the binary.
+
+pub mod slopes;
--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -4,6 +4,9 @@
 //!   that are stock PostgreSQL clients and that roam between proxies.
 //! - [`history`] holds what each caller did and saw, and checks it against what the groups hold in
 //!   the end.
+//! - [`slopes`] measures how costs grow with the size that they depend on.
 
+pub mod commands;
 pub mod history;
 pub mod load;
+pub mod slopes;
