--- a/crates/bench/src/slopes/fleet.rs
+++ b/crates/bench/src/slopes/fleet.rs
@@ -60,6 +60,7 @@
     let spec = ServiceSpec {
         read_kinds: vec![read_kind("history", 5000), read_kind("stock", 500)],
         classes: vec![class("reservations", 8, 50), class("lookups", 1, 400)],
+        plan: String::new(),
     };
     stored(ObjectKind::Service, format!("service-{index:04}"), index, json(&spec))
 }
@@ -76,6 +77,7 @@
     let spec = GroupSpec {
         service: format!("service-{:04}", index / GROUPS_PER_SERVICE),
         members: (0..MEMBERS).map(member).collect(),
+        plan: String::new(),
     };
     stored(ObjectKind::Group, format!("group-{index:05}"), index, json(&spec))
 }
@@ -86,6 +88,7 @@
         driver: format!("entry-{index:04}"),
         primary: format!("database-{index:05}-0"),
         wanted: String::new(),
+        plan: String::new(),
     };
     stored(ObjectKind::Lead, format!("group-{index:05}"), index, json(&record))
 }
