Plan operators' intents, and confirm plans so that the truth about them is known

Operators race each other, and an answer of the platform can be lost after the change took effect. Its confirmation is a state machine over the platform's answers: one conditional update of each object at its base version, which carries the plan's id, so that a lost answer is found by reading back. Whoever overwrites a plan's change first notes in that plan's record that it took; without the note the loser of a lost answer would be told that its plan was superseded.

The tests run three operators with lost calls and answers over seeded schedules.

--- a/crates/core/src/version/mod.rs
+++ b/crates/core/src/version/mod.rs
@@ -1,5 +1,6 @@
 //! What lives as long as one version of the configuration.
 
 pub mod objects;
+pub mod plan;
 pub mod spreading;
 pub mod topology;
--- a/crates/core/src/version/objects.rs
+++ b/crates/core/src/version/objects.rs
@@ -20,7 +20,7 @@
     Lead,
     /// A [`VmSpec`]: what operators ask of a VM.
     VmSpec,
-    /// A plan and how far it has come, see `version/plan.rs`.
+    /// A [`PlanRecord`](super::plan::record::PlanRecord): a plan and how far it has come.
     Plan,
 }
 
@@ -78,6 +78,11 @@
     pub class: Option<String>,
 }
 
+impl ReadKindSpec {
+    /// The highest [`max_age_ms`](Self::max_age_ms) that is accepted: a day.
+    pub const HIGHEST_MAX_AGE_MS: u64 = 86_400_000;
+}
+
 /// A class of requests that shares scarce connections with the others.
 #[derive(Clone, PartialEq, Eq, Debug, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -90,6 +95,11 @@
     pub goal_ms: u64,
 }
 
+impl ClassSpec {
+    /// The highest [`weight`](Self::weight) that is accepted.
+    pub const HIGHEST_WEIGHT: u32 = 1_000_000;
+}
+
 /// A database group: callers name it as their database.
 #[derive(Clone, PartialEq, Eq, Debug, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
--- /dev/null
+++ b/crates/core/src/version/plan/confirmation.rs
@@ -0,0 +1,382 @@
+//! Confirming a plan, as a state machine over the platform's answers.
+//!
+//! A plan is kept as the object `plan/ID`, a [`PlanRecord`]. Confirming it
+//! 1. compares the version of every object that the plan changes with the plan's base versions,
+//! 2. marks the record as confirmed,
+//! 3. takes the steps in order: each is one conditional update of one object at the plan's base
+//!    version, whose new body carries the plan's id, and each is followed by one update of the
+//!    record's progress.
+//!
+//! **Lost answers.** No update is repeated blindly. The object is read first: it carries the
+//! plan's id (the update took), has the base version still (it did not), or something else came
+//! between. In the last case the plan may have taken effect and been overwritten. So whoever is
+//! about to overwrite an object first notes in the record of the plan that it names that this
+//! step was done. A record without the note proves that the plan was superseded before the step.
+//!
+//! **Resuming.** Everything needed stands in the record, so any operator may run the confirmation
+//! again, also two at once: the steps are idempotent.
+
+use std::mem;
+
+use serde::Deserialize;
+
+use crate::version::objects::ObjectKind;
+use crate::version::objects::StoredObject;
+use crate::version::plan::call::Answer;
+use crate::version::plan::call::Call;
+use crate::version::plan::call::End;
+use crate::version::plan::call::Next;
+use crate::version::plan::call::Standing;
+use crate::version::plan::call::Verb;
+use crate::version::plan::record::PlanRecord;
+use crate::version::plan::record::PlanState;
+use crate::version::plan::step::Step;
+use crate::version::plan::step::Verdict;
+use crate::version::plan::step::last_plan;
+
+/// Where the confirmation stands. A stage with a call waits for that call's answer.
+#[derive(Clone, PartialEq, Debug)]
+enum Stage {
+    ReadRecord,
+    CheckBase {
+        index: usize,
+    },
+    WriteRecord {
+        next: PlanRecord,
+    },
+    ReadObject,
+    /// Reads the record of the plan whose change `write` is about to overwrite.
+    ReadOverwritten {
+        other: String,
+        write: Call,
+    },
+    /// Notes there that its step was done.
+    NoteOverwritten {
+        note: Call,
+        write: Call,
+    },
+    WriteObject {
+        write: Call,
+    },
+    /// Reads the own record for a note that another plan's confirmation left there.
+    ReadNote {
+        cause: String,
+    },
+    /// Reads the record of the plan that changed an object which this plan was to remove.
+    ReadRival {
+        rival: String,
+        cause: String,
+    },
+    Ended(End),
+}
+
+/// The confirmation of one plan.
+#[derive(Clone, PartialEq, Debug)]
+pub struct Confirmation {
+    id: String,
+    stage: Stage,
+    /// The record with its version, as last read or written.
+    record: Option<(u64, PlanRecord)>,
+    pause: bool,
+    /// Whether an update of an object was sent whose answer is still to come.
+    in_flight: bool,
+    /// Whether an update of an object got no answer and has not been accounted for since.
+    unanswered: bool,
+}
+
+impl Confirmation {
+    /// The confirmation of the plan with this id.
+    pub fn new(id: &str) -> Confirmation {
+        Confirmation {
+            id: id.to_owned(),
+            stage: Stage::ReadRecord,
+            record: None,
+            pause: false,
+            in_flight: false,
+            unanswered: false,
+        }
+    }
+
+    /// The record as last read or written.
+    pub fn record(&self) -> Option<&PlanRecord> {
+        self.record.as_ref().map(|(_, record)| record)
+    }
+
+    /// What it means to stop here.
+    pub fn standing(&self) -> Standing {
+        let steps_done = self.record().map_or(0, |record| record.steps_done);
+        match (self.in_flight || self.unanswered, steps_done) {
+            (true, _) => Standing::Unanswered,
+            (false, 0) => Standing::Untouched,
+            (false, _) => Standing::Unfinished,
+        }
+    }
+
+    /// What to do next.
+    pub fn next_action(&mut self) -> Next {
+        if mem::take(&mut self.pause) {
+            return Next::Pause;
+        }
+        self.in_flight = matches!(self.stage, Stage::WriteObject { .. });
+        match &self.stage {
+            Stage::ReadRecord | Stage::ReadNote { .. } => Next::Call(get_plan(&self.id)),
+            Stage::CheckBase { index } => Next::Call(self.get_object(*index)),
+            Stage::WriteRecord { next } => {
+                Next::Call(put_record(&self.id, self.record_version(), next))
+            }
+            Stage::ReadObject => Next::Call(self.get_object(self.own().steps_done)),
+            Stage::ReadOverwritten { other, .. } => Next::Call(get_plan(other)),
+            Stage::ReadRival { rival, .. } => Next::Call(get_plan(rival)),
+            Stage::NoteOverwritten { note, .. } => Next::Call(note.clone()),
+            Stage::WriteObject { write } => Next::Call(write.clone()),
+            Stage::Ended(end) => Next::End(end.clone()),
+        }
+    }
+
+    /// Takes the answer to the call that [`Confirmation::next_action`] asked for.
+    pub fn answer(&mut self, answer: Answer) {
+        self.in_flight = false;
+        let stage = mem::replace(&mut self.stage, Stage::ReadRecord);
+        self.stage = match answer {
+            Answer::Lost => self.on_lost(stage),
+            answer => self.on_answer(stage, answer),
+        };
+    }
+
+    /// What was read is read again; what was to be written is looked for first.
+    fn on_lost(&mut self, stage: Stage) -> Stage {
+        self.pause = true;
+        match stage {
+            Stage::WriteRecord { .. } => Stage::ReadRecord,
+            Stage::NoteOverwritten { .. } => Stage::ReadObject,
+            Stage::WriteObject { .. } => {
+                self.unanswered = true;
+                Stage::ReadObject
+            }
+            reading => reading,
+        }
+    }
+
+    fn on_answer(&mut self, stage: Stage, answer: Answer) -> Stage {
+        match (stage, answer) {
+            (Stage::ReadRecord, answer) => self.on_record(answer),
+            (Stage::CheckBase { index }, answer) => self.on_base(index, answer),
+            (Stage::WriteRecord { next }, Answer::Took { version }) => {
+                self.on_record_written(version, next)
+            }
+            (Stage::WriteRecord { .. }, _) => Stage::ReadRecord,
+            (Stage::ReadObject, answer) => self.on_object(answer),
+            (Stage::ReadOverwritten { other, write }, answer) => {
+                on_overwritten(other, write, answer)
+            }
+            (Stage::NoteOverwritten { write, .. }, Answer::Took { .. }) => {
+                Stage::WriteObject { write }
+            }
+            (Stage::NoteOverwritten { .. }, _) => Stage::ReadObject,
+            (Stage::WriteObject { .. }, Answer::Took { .. }) => self.step_done(),
+            (Stage::WriteObject { .. }, _) => Stage::ReadObject,
+            (Stage::ReadNote { cause }, answer) => self.on_note(cause, answer),
+            (Stage::ReadRival { cause, .. }, answer) => self.on_rival(cause, answer),
+            (Stage::Ended(end), _) => Stage::Ended(end),
+        }
+    }
+
+    fn on_record(&mut self, answer: Answer) -> Stage {
+        let first_reading = self.record.is_none();
+        let (version, record) = match read_record(answer) {
+            Ok(Some(read)) => read,
+            Ok(None) => return Stage::Ended(End::NoPlan),
+            Err(reason) => return Stage::Ended(End::BadRecord { reason }),
+        };
+        let state = record.state;
+        let steps_done = record.steps_done;
+        let cause = record.cause.clone();
+        self.record = Some((version, record));
+        match state {
+            PlanState::Proposed => self.check_base(0),
+            PlanState::Confirmed => Stage::ReadObject,
+            PlanState::Done => Stage::Ended(End::Applied { already: first_reading }),
+            PlanState::Superseded => Stage::Ended(End::Superseded { steps_done, cause }),
+        }
+    }
+
+    /// Goes on with the first step from `index` that changes an object.
+    fn check_base(&self, index: usize) -> Stage {
+        let steps = self.own().plan.steps.iter().enumerate().skip(index);
+        let mut changes = steps.filter(|(_, step)| matches!(step, Step::Change(_)));
+        match changes.next() {
+            Some((index, _)) => Stage::CheckBase { index },
+            None => Stage::WriteRecord { next: self.own().advanced(0) },
+        }
+    }
+
+    fn on_base(&mut self, index: usize, answer: Answer) -> Stage {
+        let current = found(answer);
+        let step = &self.own().plan.steps[index];
+        match step.judge(&self.id, current.as_ref()) {
+            Verdict::Superseded { version, by } => {
+                // The record is still `Proposed` in the version that this update expects, so no
+                // run of this plan has changed anything.
+                let next = self.own().superseded(cause(step, version, &by));
+                Stage::WriteRecord { next }
+            }
+            Verdict::Done | Verdict::Write { .. } | Verdict::Wait => self.check_base(index + 1),
+        }
+    }
+
+    fn on_record_written(&mut self, version: u64, next: PlanRecord) -> Stage {
+        let stage = match next.state {
+            PlanState::Proposed | PlanState::Confirmed => Stage::ReadObject,
+            PlanState::Done => Stage::Ended(End::Applied { already: false }),
+            PlanState::Superseded => Stage::Ended(End::Superseded {
+                steps_done: next.steps_done,
+                cause: next.cause.clone(),
+            }),
+        };
+        self.record = Some((version, next));
+        stage
+    }
+
+    fn on_object(&mut self, answer: Answer) -> Stage {
+        let current = found(answer);
+        let step = &self.own().plan.steps[self.own().steps_done];
+        let (kind, name) = step.object();
+        match step.judge(&self.id, current.as_ref()) {
+            Verdict::Done => self.step_done(),
+            Verdict::Wait => {
+                self.pause = true;
+                Stage::ReadObject
+            }
+            Verdict::Write { expected_version, body } => {
+                let verb = match body {
+                    Some(body) => Verb::Put { expected_version, body },
+                    None => Verb::Delete { expected_version },
+                };
+                let write = Call { kind, name: name.to_owned(), verb };
+                match current.as_ref().map_or("", last_plan) {
+                    "" => Stage::WriteObject { write },
+                    other => Stage::ReadOverwritten { other: other.to_owned(), write },
+                }
+            }
+            Verdict::Superseded { version, by } => {
+                let cause = cause(step, version, &by);
+                let removes = matches!(step, Step::Change(change) if change.removes());
+                if removes {
+                    Stage::ReadRival { rival: by, cause }
+                } else {
+                    Stage::ReadNote { cause }
+                }
+            }
+        }
+    }
+
+    fn step_done(&mut self) -> Stage {
+        self.unanswered = false;
+        let own = self.own();
+        Stage::WriteRecord { next: own.advanced(own.steps_done + 1) }
+    }
+
+    /// Another change came between: before this plan's step or after it?
+    fn on_note(&mut self, cause: String, answer: Answer) -> Stage {
+        let steps_done = self.own().steps_done;
+        let (version, record) = match read_record(answer) {
+            Ok(Some(read)) => read,
+            Ok(None) => return Stage::Ended(End::NoPlan),
+            Err(reason) => return Stage::Ended(End::BadRecord { reason }),
+        };
+        if record.state != PlanState::Confirmed || record.steps_done > steps_done {
+            return Stage::ReadRecord;
+        }
+        let next = record.superseded(cause);
+        self.record = Some((version, record));
+        Stage::WriteRecord { next }
+    }
+
+    /// A removed object carries no id, so it can't tell who removed it. A rival that changed the
+    /// very version that this plan was to remove proves that this plan did not remove it.
+    fn on_rival(&mut self, cause: String, answer: Answer) -> Stage {
+        let own = &self.own().plan.steps[self.own().steps_done];
+        let Step::Change(change) = own else { return Stage::ReadNote { cause } };
+        let rival = read_record(answer).ok().flatten();
+        let changed_the_same = rival.is_some_and(|(_, rival)| {
+            let mut bases = rival.plan.base_versions();
+            bases.any(|base| {
+                (base.kind, base.name) == (change.kind(), change.name())
+                    && base.version == change.base_version()
+            })
+        });
+        if changed_the_same {
+            Stage::ReadNote { cause }
+        } else {
+            Stage::Ended(End::Unknown { cause })
+        }
+    }
+
+    fn own(&self) -> &PlanRecord {
+        &self.record.as_ref().expect("the record is read before anything else").1
+    }
+
+    fn record_version(&self) -> u64 {
+        self.record.as_ref().map_or(0, |(version, _)| *version)
+    }
+
+    fn get_object(&self, index: usize) -> Call {
+        let (kind, name) = self.own().plan.steps[index].object();
+        Call { kind, name: name.to_owned(), verb: Verb::Get }
+    }
+}
+
+fn get_plan(id: &str) -> Call {
+    Call { kind: ObjectKind::Plan, name: id.to_owned(), verb: Verb::Get }
+}
+
+fn put_record(id: &str, expected_version: u64, record: &PlanRecord) -> Call {
+    let verb = Verb::Put { expected_version, body: record.to_body() };
+    Call { kind: ObjectKind::Plan, name: id.to_owned(), verb }
+}
+
+fn found(answer: Answer) -> Option<StoredObject> {
+    match answer {
+        Answer::Found(object) if !object.deleted => Some(object),
+        _ => None,
+    }
+}
+
+fn read_record(answer: Answer) -> Result<Option<(u64, PlanRecord)>, String> {
+    let Some(object) = found(answer) else { return Ok(None) };
+    match PlanRecord::deserialize(&object.body) {
+        Ok(record) => Ok(Some((object.version, record))),
+        Err(error) => Err(error.to_string()),
+    }
+}
+
+/// Before another plan's change is overwritten, its record gets the note that it took effect.
+fn on_overwritten(other: String, write: Call, answer: Answer) -> Stage {
+    let Ok(Some((version, record))) = read_record(answer) else {
+        // The record was removed, long after the plan ended: nobody asks for it any more.
+        return Stage::WriteObject { write };
+    };
+    match record.noted(write.kind, &write.name) {
+        Some(noted) => {
+            let note = put_record(&other, version, &noted);
+            Stage::NoteOverwritten { note, write }
+        }
+        None => Stage::WriteObject { write },
+    }
+}
+
+fn cause(step: &Step, version: u64, by: &str) -> String {
+    let (kind, name) = step.object();
+    let kind = kind.name();
+    let state = match version {
+        0 => format!("{kind} `{name}` does not exist"),
+        version => format!("{kind} `{name}` has version {version}"),
+    };
+    match (step, by) {
+        (Step::AwaitPrimary { to, .. }, _) => {
+            format!("the wish that `{to}` leads was withdrawn; {state}")
+        }
+        (Step::Change(_), "") => state,
+        (Step::Change(_), by) => format!("{state}, changed by plan {by}"),
+    }
+}
--- /dev/null
+++ b/crates/core/tests/plan_confirmation.rs
@@ -0,0 +1,484 @@
+//! Confirmations against a small store in memory that loses answers and runs several operators.
+
+use quickcheck::Arbitrary;
+use quickcheck::Gen;
+use skylark_core::version::objects::LeadRecord;
+use skylark_core::version::objects::ObjectKind;
+use skylark_core::version::objects::Snapshot;
+use skylark_core::version::objects::StoredObject;
+use skylark_core::version::plan::Plan;
+use skylark_core::version::plan::call::Answer;
+use skylark_core::version::plan::call::Call;
+use skylark_core::version::plan::call::End;
+use skylark_core::version::plan::call::Next;
+use skylark_core::version::plan::call::Standing;
+use skylark_core::version::plan::call::Verb;
+use skylark_core::version::plan::confirmation::Confirmation;
+use skylark_core::version::plan::intent::Intent;
+use skylark_core::version::plan::planner;
+use skylark_core::version::plan::record::PlanRecord;
+use skylark_core::version::plan::step;
+use skylark_core::version::plan::step::Step;
+
+const BASE: &str = include_str!("cases/plan/base.json");
+/// More calls than any confirmation of these tests needs.
+const MAX_ACTIONS: usize = 100;
+
+/// What becomes of an answer.
+#[derive(Clone, Copy, PartialEq, Debug)]
+enum Fault {
+    None,
+    /// The call does not reach the store.
+    LostBefore,
+    /// The answer is lost after the change took effect.
+    LostAfter,
+}
+
+/// The platform's objects, with every change that took effect.
+struct Store {
+    snapshot: Snapshot,
+    writes: Vec<(ObjectKind, String, String)>,
+}
+
+impl Store {
+    fn new() -> Store {
+        let snapshot = serde_json::from_str(BASE).expect("base.json is a snapshot");
+        Store { snapshot, writes: Vec::new() }
+    }
+
+    fn get(&self, kind: ObjectKind, name: &str) -> Option<&StoredObject> {
+        let mut objects = self.snapshot.objects.iter().filter(|object| !object.deleted);
+        objects.find(|object| object.kind == kind && object.name == name)
+    }
+
+    fn lead(&self, group: &str) -> LeadRecord {
+        let object = self.get(ObjectKind::Lead, group).expect("the group has a lead record");
+        serde_json::from_value(object.body.clone()).expect("a lead record")
+    }
+
+    fn call(&mut self, call: &Call) -> Answer {
+        let version = self.get(call.kind, &call.name).map_or(0, |object| object.version);
+        let (expected_version, body) = match &call.verb {
+            Verb::Get => {
+                let found = self.get(call.kind, &call.name).cloned();
+                return found.map_or(Answer::Missing, Answer::Found);
+            }
+            Verb::Put { expected_version, body } => (*expected_version, Some(body.clone())),
+            Verb::Delete { expected_version } => (*expected_version, None),
+        };
+        if version != expected_version {
+            return Answer::Conflict;
+        }
+        let answer = self.change(call.kind, &call.name, body);
+        if let Some(object) = self.get(call.kind, &call.name) {
+            let by = step::last_plan(object).to_owned();
+            self.writes.push((call.kind, call.name.clone(), by));
+        }
+        answer
+    }
+
+    /// A change by whoever else writes.
+    fn change(&mut self, kind: ObjectKind, name: &str, body: Option<serde_json::Value>) -> Answer {
+        self.snapshot.revision += 1;
+        let version = self.snapshot.revision;
+        self.snapshot.objects.retain(|object| (object.kind, &*object.name) != (kind, name));
+        if let Some(body) = body {
+            let object =
+                StoredObject { kind, name: name.to_owned(), version, deleted: false, body };
+            self.snapshot.objects.push(object);
+        }
+        Answer::Took { version }
+    }
+
+    fn propose(&mut self, intent: &Intent) -> Plan {
+        let plan = planner::plan(intent, &self.snapshot).expect("the intent gives a plan");
+        let body = PlanRecord::proposed(plan.clone()).to_body();
+        self.call(&Call {
+            kind: ObjectKind::Plan,
+            name: plan.id.clone(),
+            verb: Verb::Put { expected_version: 0, body },
+        });
+        plan
+    }
+
+    /// How often a plan changed an object of the configuration.
+    fn writes_of(&self, plan: &Plan) -> usize {
+        self.writes.iter().filter(|(_, _, by)| *by == plan.id).count()
+    }
+
+    /// One action of a confirmation; its end, once it has come to one.
+    fn act(&mut self, confirmation: &mut Confirmation, fault: Fault) -> Option<End> {
+        match confirmation.next_action() {
+            Next::Call(call) => {
+                let reached = fault != Fault::LostBefore;
+                let answer = if reached { self.call(&call) } else { Answer::Lost };
+                let lost = fault != Fault::None;
+                confirmation.answer(if lost { Answer::Lost } else { answer });
+                None
+            }
+            Next::Pause => None,
+            Next::End(end) => Some(end),
+        }
+    }
+
+    /// Acts until the next call is a change of the configuration.
+    fn act_until_change(&mut self, confirmation: &mut Confirmation) {
+        for _ in 0..MAX_ACTIONS {
+            let mut ahead = confirmation.clone();
+            if let Next::Call(call) = ahead.next_action()
+                && call.kind != ObjectKind::Plan
+                && call.verb != Verb::Get
+            {
+                return;
+            }
+            assert_eq!(self.act(confirmation, Fault::None), None);
+        }
+        panic!("the confirmation changes nothing");
+    }
+
+    fn finish(&mut self, confirmation: &mut Confirmation) -> End {
+        let mut ends = (0..MAX_ACTIONS).map(|_| self.act(confirmation, Fault::None));
+        ends.find_map(|end| end).expect("the confirmation comes to an end")
+    }
+}
+
+fn weight(weight: u32) -> Intent {
+    Intent::SetWeight { service: "s".to_owned(), class: "low".to_owned(), weight }
+}
+
+fn drain(target: &str) -> Intent {
+    Intent::DrainTarget { target: target.to_owned() }
+}
+
+const APPLIED: End = End::Applied { already: false };
+
+fn superseded_after(end: &End) -> Option<usize> {
+    match end {
+        End::Superseded { steps_done, .. } => Some(*steps_done),
+        _ => None,
+    }
+}
+
+#[test]
+fn lost_answer_after_effect() {
+    // The operator's confirmation gets no answer, and the change is in force.
+    // Order: the update takes, its answer is lost, the operator's tool reads the object.
+    // The object carries the plan's id, so the change is found and not made twice.
+    let mut store = Store::new();
+    let plan = store.propose(&weight(2));
+    let mut confirmation = Confirmation::new(&plan.id);
+    store.act_until_change(&mut confirmation);
+    store.act(&mut confirmation, Fault::LostAfter);
+    assert_eq!(confirmation.standing(), Standing::Unanswered);
+    assert_eq!(store.finish(&mut confirmation), APPLIED);
+    assert_eq!(store.writes_of(&plan), 1);
+}
+
+#[test]
+fn lost_call_before_effect() {
+    // As above, but the update never reached the store: the object still has the base version, so
+    // the update is safe to send again, and is sent once.
+    let mut store = Store::new();
+    let plan = store.propose(&weight(2));
+    let mut confirmation = Confirmation::new(&plan.id);
+    store.act_until_change(&mut confirmation);
+    store.act(&mut confirmation, Fault::LostBefore);
+    assert_eq!(store.finish(&mut confirmation), APPLIED);
+    assert_eq!(store.writes_of(&plan), 1);
+    assert_eq!(
+        store.finish(&mut Confirmation::new(&plan.id)),
+        End::Applied { already: true },
+        "a second confirmation changes nothing"
+    );
+}
+
+#[test]
+fn racing_operators() {
+    // Two operators plan on the same state and both confirm; both have compared the base versions
+    // before either writes. One update takes; the other operator is told that the plan is
+    // superseded, and nothing of it is in force.
+    let mut store = Store::new();
+    let first = store.propose(&weight(2));
+    let second = store.propose(&weight(3));
+    let mut of_first = Confirmation::new(&first.id);
+    let mut of_second = Confirmation::new(&second.id);
+    store.act_until_change(&mut of_first);
+    store.act_until_change(&mut of_second);
+    assert_eq!(store.finish(&mut of_second), APPLIED);
+    assert_eq!(superseded_after(&store.finish(&mut of_first)), Some(0));
+    assert_eq!((store.writes_of(&first), store.writes_of(&second)), (0, 1));
+}
+
+#[test]
+fn overwritten_before_read_back() {
+    // The first operator's change takes, and its answer is lost. Before the tool reads back, a
+    // second operator plans on the new state and confirms. The object now carries the second
+    // plan's id only. The first operator must not be told that the plan was superseded: whoever
+    // overwrites a plan's change notes first that it took.
+    let mut store = Store::new();
+    let first = store.propose(&weight(2));
+    let mut of_first = Confirmation::new(&first.id);
+    store.act_until_change(&mut of_first);
+    store.act(&mut of_first, Fault::LostAfter);
+    let second = store.propose(&weight(3));
+    assert_eq!(store.finish(&mut Confirmation::new(&second.id)), APPLIED);
+    assert_eq!(store.finish(&mut of_first), APPLIED);
+    assert_eq!((store.writes_of(&first), store.writes_of(&second)), (1, 1));
+}
+
+#[test]
+fn same_plan_confirmed_twice_at_once() {
+    // Two operators confirm one plan at the same time. Both are told that it is in force; the
+    // object changes once.
+    let mut store = Store::new();
+    let plan = store.propose(&weight(2));
+    let mut one = Confirmation::new(&plan.id);
+    let mut other = Confirmation::new(&plan.id);
+    store.act_until_change(&mut one);
+    store.act_until_change(&mut other);
+    assert_eq!(store.finish(&mut one), APPLIED);
+    assert_eq!(store.finish(&mut other), APPLIED);
+    assert_eq!(store.writes_of(&plan), 1);
+}
+
+#[test]
+fn stale_plan_changes_nothing() {
+    // Between plan and confirmation another operator drains another member of the group. Only the
+    // plan's last step no longer fits, but if its first one were taken the primary would move for
+    // nothing. The comparison of all versions refuses the plan before its first step.
+    let mut store = Store::new();
+    let plan = store.propose(&drain("g-a"));
+    let other = store.propose(&drain("g-b"));
+    assert_eq!(store.finish(&mut Confirmation::new(&other.id)), APPLIED);
+    let end = store.finish(&mut Confirmation::new(&plan.id));
+    assert_eq!(superseded_after(&end), Some(0));
+    assert_eq!(store.writes_of(&plan), 0);
+    assert_eq!(store.lead("g").wanted, "");
+}
+
+#[test]
+fn failover_between_plan_and_confirmation() {
+    // A failover comes between plan and confirmation, so that the plan's move starts from a member
+    // that leads no longer. Nothing of the plan is taken.
+    let mut store = Store::new();
+    let plan = store.propose(&drain("g-a"));
+    let lead = LeadRecord { primary: "g-c".to_owned(), ..store.lead("g") };
+    store.change(ObjectKind::Lead, "g", serde_json::to_value(lead).ok());
+    let end = store.finish(&mut Confirmation::new(&plan.id));
+    assert_eq!(superseded_after(&end), Some(0));
+    assert_eq!(store.writes_of(&plan), 0);
+}
+
+/// What a driver writes that has moved the primary to the wanted member, where one is wanted.
+fn drive(store: &mut Store) {
+    let lead = store.lead("g");
+    if lead.wanted.is_empty() {
+        return;
+    }
+    let done = LeadRecord { primary: lead.wanted.clone(), wanted: String::new(), ..lead };
+    store.change(ObjectKind::Lead, "g", serde_json::to_value(done).ok());
+}
+
+#[test]
+fn interrupted_drain_of_a_primary_is_resumed() {
+    // The operator drains a primary and the tool dies while the primary moves: the target leads no
+    // longer but still gets reads. A second operator confirms the same id; the move is not asked
+    // for again, and the drain takes effect.
+    let mut store = Store::new();
+    let plan = store.propose(&drain("g-a"));
+    let mut first = Confirmation::new(&plan.id);
+    store.act_until_change(&mut first);
+    store.act(&mut first, Fault::None);
+    for _ in 0..6 {
+        assert_eq!(store.act(&mut first, Fault::None), None, "the move is awaited");
+    }
+    assert_eq!(first.standing(), Standing::Unfinished);
+    drive(&mut store);
+    assert_eq!(store.finish(&mut Confirmation::new(&plan.id)), APPLIED);
+    assert_eq!(store.writes.iter().filter(|(kind, ..)| *kind == ObjectKind::Group).count(), 1);
+    let group = store.get(ObjectKind::Group, "g").expect("the group is there");
+    assert_eq!(group.body["members"][0]["drain"], true);
+}
+
+#[test]
+fn superseded_while_the_primary_moves() {
+    // While the primary moves, another operator drains another member. Draining the first target
+    // too would leave no majority; its step does not take, because the group's version is not the
+    // one that the plan was made for. The operator is told that the move alone is in force.
+    let mut store = Store::new();
+    let plan = store.propose(&drain("g-a"));
+    let other = store.propose(&drain("g-b"));
+    let mut confirmation = Confirmation::new(&plan.id);
+    store.act_until_change(&mut confirmation);
+    store.act(&mut confirmation, Fault::None);
+    assert_eq!(store.finish(&mut Confirmation::new(&other.id)), APPLIED);
+    drive(&mut store);
+    assert_eq!(superseded_after(&store.finish(&mut confirmation)), Some(2));
+    let group = store.get(ObjectKind::Group, "g").expect("the group is there");
+    assert_eq!(group.body["members"][0].get("drain"), None);
+}
+
+#[test]
+fn withdrawn_move_is_superseded() {
+    // The driver gives the move up and clears the wish. The drain must not wait for ever, and must
+    // not drain a target that still leads.
+    let mut store = Store::new();
+    let plan = store.propose(&drain("g-a"));
+    let mut confirmation = Confirmation::new(&plan.id);
+    store.act_until_change(&mut confirmation);
+    store.act(&mut confirmation, Fault::None);
+    let lead = LeadRecord { wanted: String::new(), ..store.lead("g") };
+    store.change(ObjectKind::Lead, "g", serde_json::to_value(lead).ok());
+    assert_eq!(superseded_after(&store.finish(&mut confirmation)), Some(1));
+}
+
+fn removal() -> Intent {
+    Intent::RemoveGroup { group: "g".to_owned() }
+}
+
+#[test]
+fn removal_against_a_change_of_the_same_version() {
+    // One operator removes a group, another drains a member of it. The drain takes first. A removed
+    // object carries no id, but the rival changed the very version that was to be removed: the
+    // removal did not take.
+    let mut store = Store::new();
+    let plan = store.propose(&removal());
+    let rival = store.propose(&drain("g-b"));
+    let mut confirmation = Confirmation::new(&plan.id);
+    store.act_until_change(&mut confirmation);
+    assert_eq!(store.finish(&mut Confirmation::new(&rival.id)), APPLIED);
+    assert_eq!(superseded_after(&store.finish(&mut confirmation)), Some(0));
+}
+
+#[test]
+fn removal_added_again_before_read_back() {
+    // The removal takes and its answer is lost; another operator adds the group again before the
+    // tool reads back. Nothing proves whose removal it was, so the answer is "not known", and the
+    // new group is left alone.
+    let mut store = Store::new();
+    let plan = store.propose(&removal());
+    let mut confirmation = Confirmation::new(&plan.id);
+    let old = store.get(ObjectKind::Group, "g").expect("the group is there").body.clone();
+    store.act_until_change(&mut confirmation);
+    store.act(&mut confirmation, Fault::LostAfter);
+    let spec = serde_json::from_value(old).expect("a group");
+    let again = store.propose(&Intent::AddGroup { group: "g".to_owned(), spec });
+    assert_eq!(store.finish(&mut Confirmation::new(&again.id)), APPLIED);
+    assert!(matches!(store.finish(&mut confirmation), End::Unknown { .. }));
+    assert!(store.get(ObjectKind::Group, "g").is_some());
+}
+
+/// One event of a random run.
+#[derive(Clone, Copy, Debug)]
+enum Event {
+    /// An operator's tool acts.
+    Act(usize, Fault),
+    /// An operator's tool dies and is started again with the same id.
+    Restart(usize),
+    /// An operator plans anew, on the present state.
+    Plan(usize, u32),
+    /// A driver writes the lead record.
+    Drive,
+}
+
+impl Arbitrary for Event {
+    fn arbitrary(g: &mut Gen) -> Event {
+        let operator = usize::arbitrary(g) % OPERATORS;
+        match u8::arbitrary(g) % 16 {
+            0 => Event::Restart(operator),
+            1 => Event::Plan(operator, u32::arbitrary(g) % 5),
+            2 => Event::Drive,
+            3 => Event::Act(operator, Fault::LostBefore),
+            4 | 5 => Event::Act(operator, Fault::LostAfter),
+            _ => Event::Act(operator, Fault::None),
+        }
+    }
+}
+
+const OPERATORS: usize = 3;
+const RUNS: u64 = 400;
+const EVENTS: usize = 120;
+
+fn random_intent(choice: u32) -> Intent {
+    match choice {
+        0 => drain("g-a"),
+        1 => drain("g-b"),
+        2 => Intent::MovePrimary { group: "g".to_owned(), to: Some("g-c".to_owned()) },
+        choice => weight(choice),
+    }
+}
+
+/// Plans what can be planned in the present state.
+fn try_propose(store: &mut Store, choice: u32) -> Option<Plan> {
+    let intent = random_intent(choice);
+    planner::plan(&intent, &store.snapshot).ok().map(|_| store.propose(&intent))
+}
+
+fn run_events(events: &[Event]) -> usize {
+    let mut store = Store::new();
+    let mut plans: Vec<Plan> = Vec::new();
+    let mut operators: Vec<Option<Confirmation>> = vec![None; OPERATORS];
+    for event in events {
+        match *event {
+            Event::Act(operator, fault) => {
+                if let Some(confirmation) = &mut operators[operator] {
+                    store.act(confirmation, fault);
+                }
+            }
+            Event::Restart(operator) => {
+                if let Some(plan) = plans.last() {
+                    operators[operator] = Some(Confirmation::new(&plan.id));
+                }
+            }
+            Event::Plan(operator, choice) => {
+                if let Some(plan) = try_propose(&mut store, choice) {
+                    operators[operator] = Some(Confirmation::new(&plan.id));
+                    plans.push(plan);
+                }
+            }
+            Event::Drive => drive(&mut store),
+        }
+    }
+    verify(&mut store, &plans);
+    plans.len()
+}
+
+/// Once faults stop, every plan's confirmation tells the truth about what was written.
+fn verify(store: &mut Store, plans: &[Plan]) {
+    for plan in plans {
+        let end = finish_with_driver(store, &plan.id);
+        let steps_done = match end {
+            End::Applied { .. } => plan.steps.len(),
+            End::Superseded { steps_done, .. } => steps_done,
+            end => panic!("{plan} ends as {end:?}"),
+        };
+        let done = plan.steps[..steps_done].iter();
+        let expected = done.filter(|step| matches!(step, Step::Change(_))).count();
+        assert_eq!(store.writes_of(plan), expected, "changes written by {plan}");
+    }
+}
+
+fn finish_with_driver(store: &mut Store, id: &str) -> End {
+    let mut confirmation = Confirmation::new(id);
+    for _ in 0..MAX_ACTIONS {
+        if let Some(end) = store.act(&mut confirmation, Fault::None) {
+            return end;
+        }
+        drive(store);
+    }
+    panic!("the confirmation of {id} comes to no end");
+}
+
+#[test]
+fn random_operators_learn_the_truth() {
+    // Three operators plan and confirm on the same objects; calls and answers are lost, tools die
+    // and are started again, drivers write in between. Afterwards each plan's confirmation is asked
+    // again: `applied` if and only if its changes were written, each exactly once.
+    let mut plans = 0;
+    for seed in 0..RUNS {
+        let mut g = Gen::from_size_and_seed(EVENTS, seed);
+        let events: Vec<Event> = (0..EVENTS).map(|_| Event::arbitrary(&mut g)).collect();
+        plans += run_events(&events);
+    }
+    assert!(plans as u64 > RUNS, "the runs make plans");
+}
--- a/crates/settings/src/deployment.rs
+++ b/crates/settings/src/deployment.rs
@@ -18,7 +18,6 @@
 const ADDRESS: Shape = Shape::Address { any_port: true };
 const MAX_DELAY_US: u64 = 10_000_000;
 const MAX_DELAY_MS: u64 = 60_000;
-const MAX_AGE_MS: u64 = 86_400_000;
 
 section! {
     /// Settings of a deployment.
@@ -85,7 +84,7 @@
         /// The name that callers declare.
         name: String, required, Shape::Name;
         /// The oldest age of the data.
-        max_age_ms: u64, required, Shape::Integer { min: 0, max: MAX_AGE_MS };
+        max_age_ms: u64, required, Shape::Integer { min: 0, max: objects::ReadKindSpec::HIGHEST_MAX_AGE_MS };
         /// The class of requests of this kind, unless the caller names one.
         class: Option<String>, optional, Shape::Name;
     }
@@ -97,7 +96,8 @@
         /// The name that callers and read kinds refer to.
         name: String, required, Shape::Name;
         /// The share of connections relative to the other classes.
-        weight: u32, required, Shape::Integer { min: 1, max: 1_000_000 };
+        weight: u32, required,
+            Shape::Integer { min: 1, max: objects::ClassSpec::HIGHEST_WEIGHT as u64 };
         /// The response time that the class aims at.
         goal_ms: u64, required, Shape::Integer { min: 1, max: MAX_DELAY_MS };
     }
