Test the platform's object API row by row

A longer lag of the VM list took back what the list showed already, found by the test of the lag. What shows stays now when the lag changes.

--- a/crates/standin/src/platform/store.rs
+++ b/crates/standin/src/platform/store.rs
@@ -128,14 +128,16 @@
 
     /// Sets how long a change of the VMs takes to show in the list.
     pub fn set_vm_lag(&self, lag: Duration) {
-        self.content.lock().vm_lag = lag;
+        let mut content = self.content.lock();
+        // What shows already must not vanish behind a longer lag.
+        content.forget_older_lists();
+        content.vm_lag = lag;
     }
 
     /// Sets the VMs. The first list shows at once, later ones after the lag.
     pub fn set_vms(&self, vms: Vec<VmRecord>) {
         let mut content = self.content.lock();
-        let shown = content.shown_list();
-        content.vm_lists.drain(..shown.unwrap_or_default());
+        content.forget_older_lists();
         content.vm_lists.push((Instant::now(), vms));
     }
 
@@ -157,6 +159,12 @@
         newest.or_else(|| (!self.vm_lists.is_empty()).then_some(0))
     }
 
+    /// Forgets the lists before the one that shows.
+    fn forget_older_lists(&mut self) {
+        let shown = self.shown_list();
+        self.vm_lists.drain(..shown.unwrap_or_default());
+    }
+
     fn listed_vms(&self) -> Vec<VmRecord> {
         self.shown_list().map(|place| self.vm_lists[place].1.clone()).unwrap_or_default()
     }
--- /dev/null
+++ b/crates/standin/tests/platform.rs
@@ -0,0 +1,174 @@
+//! The platform's object API, through the client that the programs use.
+
+use std::time::Duration;
+
+use serde_json::json;
+use skylark_core::version::objects::ObjectKind;
+use skylark_core::version::objects::VmRecord;
+use skylark_core::version::objects::VmState;
+use skylark_core::version::topology::Topology;
+use skylark_platform::ObjectStore;
+use skylark_platform::StoreError;
+use skylark_platform::http::HttpStore;
+use skylark_standin::deployment::Deployment;
+use skylark_standin::deployment::fault::Fault;
+
+mod support;
+
+const KIND: ObjectKind = ObjectKind::VmSpec;
+
+fn store(deployment: &Deployment) -> HttpStore {
+    let address = deployment.platform().address();
+    HttpStore::new(&address.to_string(), support::ZONES[0])
+}
+
+fn vm(name: &str, state: VmState) -> VmRecord {
+    VmRecord {
+        vm: name.to_owned(),
+        zone: support::ZONES[0].to_owned(),
+        address: "127.0.0.1:6001".to_owned(),
+        control_address: "127.0.0.1:6002".to_owned(),
+        state,
+    }
+}
+
+cases! {
+    /// The seeded objects make a topology whose targets are where they listen.
+    the_seed_is_a_topology {
+        let deployment = support::start().await;
+        let snapshot = store(&deployment).snapshot().await.expect("answered");
+        let topology = Topology::build(&snapshot);
+        assert!(topology.problems.is_empty(), "{:?}", topology.problems);
+        let group = topology.group_id(support::GROUP).expect("the group is there");
+        for (place, target) in topology.group(group).members.iter().enumerate() {
+            let server = support::server(&deployment, place + 1);
+            assert_eq!(topology.target(*target).address, server.address().to_string());
+        }
+        let (_, lead) = topology.group(group).lead.as_ref().expect("the group has a lead");
+        assert_eq!((lead.term.0, &*lead.primary), (1, "loans-1"));
+    }
+
+    /// An update takes at the expected version only; versions are the store's revisions.
+    updates_are_conditional {
+        let deployment = support::start().await;
+        let store = store(&deployment);
+        let created = store.put(KIND, "vm-1", 0, json!({"drain": false})).await.expect("creates");
+        let revision = store.snapshot().await.expect("answered").revision;
+        assert_eq!(created.version, revision);
+        let conflict = store.put(KIND, "vm-1", 0, json!({})).await;
+        assert_eq!(conflict, Err(StoreError::Conflict { actual: created.version }));
+        let conflict = store.put(KIND, "vm-2", 7, json!({})).await;
+        assert_eq!(conflict, Err(StoreError::Conflict { actual: 0 }));
+        let changed = store.put(KIND, "vm-1", created.version, json!({"drain": true})).await.expect("changes");
+        assert_eq!(changed.version, revision + 1);
+        let object = store.get(KIND, "vm-1").await.expect("there");
+        assert_eq!((object.version, object.body), (changed.version, json!({"drain": true})));
+        assert_eq!(store.get(KIND, "vm-9").await, Err(StoreError::NotFound));
+    }
+
+    /// A deleted object is gone for reads, and shows as deleted to watches.
+    deletions_are_watched {
+        let deployment = support::start().await;
+        let store = store(&deployment);
+        let created = store.put(KIND, "vm-1", 0, json!({})).await.expect("creates");
+        let at_api = &deployment.platform().platform().store;
+        assert!(at_api.delete(KIND, "vm-1", created.version - 1).is_err());
+        assert_eq!(at_api.delete(KIND, "vm-1", created.version), Ok(created.version + 1));
+        assert_eq!(store.get(KIND, "vm-1").await, Err(StoreError::NotFound));
+        let answer = store.watch(created.version, Duration::ZERO).await.expect("answered");
+        assert!(answer.objects.len() == 1 && answer.objects[0].deleted);
+        store.put(KIND, "vm-1", 0, json!({})).await.expect("creates again");
+    }
+
+    /// A watch answers at once when something is newer, else at the first change or empty.
+    watches_wait_for_changes {
+        let deployment = support::start().await;
+        let store = store(&deployment);
+        let all = store.watch(0, support::LONG).await.expect("answered");
+        assert_eq!(all.objects.len(), 3);
+        let none = store.watch(all.revision, Duration::from_millis(20)).await.expect("answered");
+        assert_eq!((none.revision, none.objects.len()), (all.revision, 0));
+        let watcher = store.clone();
+        let watch = tokio::spawn(async move { watcher.watch(all.revision, support::LONG).await });
+        let created = store.put(KIND, "vm-1", 0, json!({})).await.expect("creates");
+        let answer = watch.await.expect("ends").expect("answered");
+        assert_eq!((answer.revision, &*answer.objects[0].name), (created.version, "vm-1"));
+    }
+
+    /// An answer is lost after the update took effect: only reading back tells.
+    ///
+    /// The caller sees a failure and doesn't know whether its update took. Were it to try again
+    /// with the old version it would meet a conflict with itself.
+    a_lost_answer_took_effect {
+        let deployment = support::start().await;
+        let store = store(&deployment);
+        support::inject(&deployment, Fault::PlatformLosesAnswers { count: 1 }).await;
+        let lost = store.put(KIND, "vm-1", 0, json!({"drain": true})).await;
+        assert!(matches!(lost, Err(StoreError::NoAnswer(_))));
+        let object = store.get(KIND, "vm-1").await.expect("it took effect");
+        assert_eq!(object.body, json!({"drain": true}));
+        store.put(KIND, "vm-1", object.version, json!({})).await.expect("answered again");
+        assert_eq!(deployment.platform().platform().counters.lost_answers.get(), 1);
+    }
+
+    /// A platform that is down answers nothing, and a waiting watch ends; afterwards all is there.
+    an_outage_ends_with_everything_kept {
+        let deployment = support::start().await;
+        let store = store(&deployment);
+        let before = store.snapshot().await.expect("answered");
+        let watcher = store.clone();
+        let watch = tokio::spawn(async move { watcher.watch(before.revision, support::LONG).await });
+        while deployment.platform().platform().counters.watches.get() == 0 {
+            tokio::task::yield_now().await;
+        }
+        support::inject(&deployment, Fault::PlatformDown { on: true }).await;
+        assert!(matches!(watch.await.expect("ends"), Err(StoreError::NoAnswer(_))));
+        assert!(matches!(store.snapshot().await, Err(StoreError::NoAnswer(_))));
+        assert!(matches!(store.put(KIND, "vm-1", 0, json!({})).await, Err(StoreError::NoAnswer(_))));
+        support::inject(&deployment, Fault::PlatformDown { on: false }).await;
+        assert_eq!(store.snapshot().await.expect("answered"), before);
+    }
+
+    /// Calls of a refused zone get no answer, while another zone's are served.
+    a_refused_zone_gets_no_answer {
+        let deployment = support::start().await;
+        let cut_off = store(&deployment);
+        let other = HttpStore::new(&deployment.platform().address().to_string(), support::ZONES[1]);
+        let zone = support::ZONES[0].to_owned();
+        support::inject(&deployment, Fault::PlatformRefusesZone { zone, on: true }).await;
+        let call = tokio::time::timeout(support::SHORT, cut_off.snapshot()).await;
+        assert!(call.is_err());
+        assert!(other.snapshot().await.is_ok());
+    }
+
+    /// A change of the VMs shows after the lag only.
+    the_vm_list_lags {
+        let deployment = support::start().await;
+        let store = store(&deployment);
+        deployment.set_vm(vm("vm-1", VmState::Live));
+        assert_eq!(store.vms().await.expect("answered"), [vm("vm-1", VmState::Live)]);
+        support::inject(&deployment, Fault::VmListLag { lag_ms: 3_600_000 }).await;
+        deployment.set_vm(vm("vm-1", VmState::Leaving));
+        assert_eq!(store.vms().await.expect("answered"), [vm("vm-1", VmState::Live)]);
+        assert_eq!(store.snapshot().await.expect("answered").vms, [vm("vm-1", VmState::Live)]);
+        support::inject(&deployment, Fault::VmListLag { lag_ms: 0 }).await;
+        assert_eq!(store.vms().await.expect("answered"), [vm("vm-1", VmState::Leaving)]);
+    }
+
+    /// Each call counts once under its kind, a waiting watch too.
+    calls_are_counted_by_kind {
+        let deployment = support::start().await;
+        let store = store(&deployment);
+        store.snapshot().await.expect("answered");
+        store.vms().await.expect("answered");
+        store.watch(1_000, Duration::from_millis(5)).await.expect("answered");
+        let created = store.put(KIND, "vm-1", 0, json!({})).await.expect("creates");
+        assert!(store.put(KIND, "vm-1", created.version + 1, json!({})).await.is_err());
+        assert!(store.get(KIND, "vm-1").await.is_ok());
+        let counters = serde_json::to_value(&deployment.platform().platform().counters).expect("plain data");
+        assert_eq!(counters, json!({
+            "gets": 1, "puts": 2, "deletes": 0, "snapshots": 1, "watches": 1, "vm_lists": 1,
+            "conflicts": 1, "unavailable": 0, "lost_answers": 0,
+        }));
+    }
+}
