Speak the extended protocol at the stand-in targets

Stock clients prepare their statements. Types of parameters and expressions are guessed from the text, since the engine types values only.

--- a/crates/standin/src/target/connection/rows.rs
+++ b/crates/standin/src/target/connection/rows.rs
@@ -8,6 +8,8 @@
 use crate::target::database;
 use crate::target::database::Database;
 use crate::target::error::TargetError;
+use crate::target::sql::infer::Inference;
+use crate::target::statement::Statement;
 
 use super::backend;
 use super::types;
@@ -17,8 +19,7 @@
 /// How rows are written.
 #[derive(Debug)]
 pub struct RowWriter<'a> {
-    /// The types of the columns, where they were described before.
-    described: Option<&'a [Column]>,
+    describes: bool,
     formats: &'a [u16],
     types: Vec<Type>,
 }
@@ -37,13 +38,13 @@
 impl<'a> RowWriter<'a> {
     /// Rows with their description before them, in text format.
     pub fn for_simple_query() -> RowWriter<'static> {
-        RowWriter { described: None, formats: &[], types: Vec::new() }
+        RowWriter { describes: true, formats: &[], types: Vec::new() }
     }
 
     /// Rows whose description the caller has or doesn't want.
-    pub fn for_portal(columns: &'a [Column], formats: &'a [u16]) -> RowWriter<'a> {
+    pub fn for_portal(columns: &[Column], formats: &'a [u16]) -> RowWriter<'a> {
         let types = columns.iter().map(|column| column.type_).collect();
-        RowWriter { described: Some(columns), formats, types }
+        RowWriter { describes: false, formats, types }
     }
 
     /// Runs a statement on a database. On an error the output is as it was before.
@@ -55,13 +56,13 @@
     pub fn run(
         &mut self,
         database: &Database,
-        sql: &str,
+        statement: &Statement,
         parameters: &[Value],
         only_read: bool,
         output: &mut BytesMut,
     ) -> Result<Ran, TargetError> {
         let start = output.len();
-        let ran = self.run_open(database, sql, parameters, only_read, output);
+        let ran = self.run_open(database, statement, parameters, only_read, output);
         if ran.is_err() {
             output.truncate(start);
         }
@@ -71,30 +72,29 @@
     fn run_open(
         &mut self,
         database: &Database,
-        sql: &str,
+        text: &Statement,
         parameters: &[Value],
         only_read: bool,
         output: &mut BytesMut,
     ) -> Result<Ran, TargetError> {
         let changes_before = database.total_changes();
-        let mut statement = database.prepare(sql)?;
+        let source = &*text.source;
+        let mut statement = database.prepare(&text.sql)?;
         if only_read && !statement.readonly() {
             return Err(TargetError::Unsupported("this statement that writes".to_owned()));
         }
         database::bind(&mut statement, parameters)?;
-        let columns = match self.described {
-            Some(_) => Vec::new(),
-            None => described_columns(&statement),
-        };
         let width = statement.column_count();
+        if self.describes && width > 0 {
+            let inferred = || {
+                let inference = Inference::new(source, database);
+                inference.results(&[])
+            };
+            self.describe(&columns(&statement, inferred), output);
+        }
         let mut count = 0;
         let mut rows = statement.raw_query();
-        loop {
-            let row = rows.next()?;
-            if count == 0 && width > 0 && self.described.is_none() {
-                self.describe(&columns, row, output);
-            }
-            let Some(row) = row else { break };
+        while let Some(row) = rows.next()? {
             self.write_row(row, width, output)?;
             count += 1;
         }
@@ -103,28 +103,17 @@
         Ok(Ran { rows: count, changed: database.changes(), wrote })
     }
 
-    /// Describes columns of simple queries. Those without a declared type get the type of the first
-    /// row's value.
-    fn describe(
-        &mut self,
-        columns: &[(String, Option<Type>)],
-        first: Option<&rusqlite::Row<'_>>,
-        output: &mut BytesMut,
-    ) {
-        let type_of = |place: usize, declared: Option<Type>| {
-            let value = first.and_then(|row| row.get_ref(place).ok());
-            declared.or_else(|| value.map(Type::of_value)).unwrap_or(Type::Text)
-        };
-        let columns: Vec<Column> = columns
-            .iter()
-            .enumerate()
-            .map(|(place, (name, declared))| Column {
-                name: name.clone(),
-                type_: type_of(place, *declared),
-            })
-            .collect();
+    /// Writes a result of one row with one text.
+    pub fn write_text(&mut self, name: &str, value: &str, output: &mut BytesMut) {
+        if self.describes {
+            self.describe(&[Column { name: name.to_owned(), type_: Type::Text }], output);
+        }
+        backend::text_row(output, value);
+    }
+
+    fn describe(&mut self, columns: &[Column], output: &mut BytesMut) {
         self.types = columns.iter().map(|column| column.type_).collect();
-        backend::row_description(output, &columns, |_| false);
+        backend::row_description(output, columns, |_| false);
     }
 
     fn write_row(
@@ -153,10 +142,26 @@
     }
 }
 
-/// The names of a statement's columns, and the types of those that are plain columns of a table.
-pub fn described_columns(statement: &rusqlite::Statement<'_>) -> Vec<(String, Option<Type>)> {
-    let columns = statement.columns();
-    let declared =
-        |column: &rusqlite::Column<'_>| column.decl_type().and_then(Type::from_declaration);
-    columns.map(|column| (column.name().to_owned(), declared(&column))).collect()
+/// The columns of a statement's result. `inferred` gives the types of those that are no plain
+/// columns of a table.
+pub fn columns<F>(statement: &rusqlite::Statement<'_>, inferred: F) -> Vec<Column>
+where
+    F: FnOnce() -> Vec<Option<Type>>,
+{
+    let declared: Vec<(String, Option<Type>)> = statement
+        .columns()
+        .map(|column| {
+            let type_ = column.decl_type().and_then(Type::from_declaration);
+            (column.name().to_owned(), type_)
+        })
+        .collect();
+    let known = declared.iter().all(|(_, type_)| type_.is_some());
+    let inferred = if known { Vec::new() } else { inferred() };
+    let certain = inferred.len() == declared.len();
+    let inferred = inferred.into_iter().filter(|_| certain).chain(std::iter::repeat(None));
+    let column = |((name, declared), inferred): ((String, Option<Type>), Option<Type>)| Column {
+        name,
+        type_: declared.or(inferred).unwrap_or(Type::Text),
+    };
+    declared.into_iter().zip(inferred).map(column).collect()
 }
--- a/crates/standin/src/target/connection/run.rs
+++ b/crates/standin/src/target/connection/run.rs
@@ -14,13 +14,10 @@
 use crate::target::writer::WriteTransaction;
 use crate::timer;
 
-use super::backend;
 use super::rows::Ran;
 use super::rows::RowWriter;
 use super::session::Block;
 use super::session::Session;
-use super::types::Column;
-use super::types::Type;
 use super::wire::Wire;
 
 impl Session {
@@ -47,7 +44,7 @@
                 Ok("SAVEPOINT".to_owned())
             }
             StatementKind::Show(name) => {
-                self.show(wire, name);
+                self.show(wire, name, rows);
                 Ok("SHOW".to_owned())
             }
             StatementKind::Commit => self.end(wire),
@@ -151,7 +148,7 @@
         self.begin_write().await?.savepoint(name)
     }
 
-    fn show(&self, wire: &mut Wire<'_>, name: &str) {
+    fn show(&self, wire: &mut Wire<'_>, name: &str, rows: &mut RowWriter<'_>) {
         let value = match name {
             "server_version" => "16.0",
             "transaction_isolation" | "transaction isolation level" => "read committed",
@@ -161,9 +158,7 @@
             "in_hot_standby" => "off",
             _ => self.settings.get(name).map_or("", String::as_str),
         };
-        let column = Column { name: name.to_owned(), type_: Type::Text };
-        backend::row_description(&mut wire.output, &[column], |_| false);
-        backend::text_row(&mut wire.output, value);
+        rows.write_text(name, value, &mut wire.output);
     }
 
     async fn work(
@@ -215,8 +210,7 @@
         let only_read = !kind.writes;
         if let Some(write) = &mut self.write {
             let database = write.database();
-            let ran =
-                rows.run(database, &statement.sql, parameters, only_read, &mut wire.output)?;
+            let ran = rows.run(database, statement, parameters, only_read, &mut wire.output)?;
             let asked = database.take_work();
             if kind.writes && (ran.wrote || !kind.changes_rows()) {
                 write.log(&statement.sql, parameters);
@@ -226,7 +220,7 @@
         let moment = Moment { time_us: target::now_us(), seed: self.target.next_seed() };
         let visible = self.target.visible.lock();
         visible.set_moment(moment);
-        let ran = rows.run(&visible, &statement.sql, parameters, only_read, &mut wire.output)?;
+        let ran = rows.run(&visible, statement, parameters, only_read, &mut wire.output)?;
         let asked = visible.take_work();
         self.target.counters().reads.add();
         Ok((ran, asked))
--- a/crates/standin/src/target/connection/session.rs
+++ b/crates/standin/src/target/connection/session.rs
@@ -67,18 +67,19 @@
     pub async fn serve(&mut self, wire: &mut Wire<'_>) -> Result<(), WireError> {
         loop {
             match wire.next().await? {
+                Message::Terminate => return Ok(()),
+                Message::Sync => {
+                    self.sync(wire);
+                    self.ready(wire).await?;
+                }
+                _ if self.skips() => {}
                 Message::Query(sql) => {
                     self.cancel.begin();
                     self.simple_query(wire, &sql).await?;
                     self.cancel.end();
                     self.ready(wire).await?;
                 }
-                Message::Sync => {
-                    self.sync(wire).await;
-                    self.ready(wire).await?;
-                }
                 Message::Flush => wire.flush().await?,
-                Message::Terminate => return Ok(()),
                 message => self.extended_message(wire, message).await?,
             }
         }
--- a/crates/standin/src/target/connection/types.rs
+++ b/crates/standin/src/target/connection/types.rs
@@ -83,16 +83,6 @@
             _ => return None,
         })
     }
-
-    /// The type that shows a value of the engine best.
-    pub fn of_value(value: ValueRef<'_>) -> Type {
-        match value {
-            ValueRef::Integer(_) => Type::Int8,
-            ValueRef::Real(_) => Type::Float8,
-            ValueRef::Blob(_) => Type::Bytea,
-            ValueRef::Text(_) | ValueRef::Null => Type::Text,
-        }
-    }
 }
 
 /// A column of a result.
--- a/crates/standin/src/target/database.rs
+++ b/crates/standin/src/target/database.rs
@@ -17,7 +17,9 @@
 use rusqlite::functions::FunctionFlags;
 use rusqlite::types::Value;
 
+use super::connection::types::Type;
 use super::record::Record;
+use super::sql::infer::Catalogue;
 
 /// How many prepared statements each copy keeps.
 const CACHED_STATEMENTS: usize = 512;
@@ -115,6 +117,15 @@
         self.take_work();
     }
 
+    fn declared_type<P>(&self, sql: &str, parameters: P) -> Option<Type>
+    where
+        P: rusqlite::Params,
+    {
+        let mut statement = self.prepare(sql).ok()?;
+        let declared: String = statement.query_row(parameters, |row| row.get(0)).ok()?;
+        Type::from_declaration(&declared)
+    }
+
     fn run_record(&self, record: &Record) -> Result<(), rusqlite::Error> {
         self.control("BEGIN IMMEDIATE")?;
         for logged in &record.statements {
@@ -141,6 +152,18 @@
     }
 }
 
+impl Catalogue for Database {
+    fn column(&self, table: &str, column: &str) -> Option<Type> {
+        const SQL: &str = "SELECT type FROM pragma_table_info(?1) WHERE name = ?2 COLLATE NOCASE";
+        self.declared_type(SQL, (table, column))
+    }
+
+    fn column_at(&self, table: &str, place: usize) -> Option<Type> {
+        const SQL: &str = "SELECT type FROM pragma_table_info(?1) WHERE cid = ?2";
+        self.declared_type(SQL, (table, place as i64))
+    }
+}
+
 impl Default for Database {
     fn default() -> Database {
         Database::new()
--- a/crates/standin/src/target/sql/mod.rs
+++ b/crates/standin/src/target/sql/mod.rs
@@ -2,5 +2,6 @@
 //! the embedded engine takes.
 
 pub mod classify;
+pub mod infer;
 pub mod lexer;
 pub mod translate;
