--- a/crates/settings/src/deployment.rs
+++ b/crates/settings/src/deployment.rs
@@ -131,6 +131,8 @@
         connections: u32, required, Shape::Integer { min: 1, max: 100_000 };
         /// What a new connection costs at the stand-in.
         connect_cost_ms: u64, default(0), Shape::Integer { min: 0, max: MAX_DELAY_MS };
+        /// The service time of each statement at the stand-in, on top of what its engine takes.
+        statement_cost_us: u64, default(0), Shape::Integer { min: 0, max: MAX_DELAY_US };
         /// How long the stand-in takes to replicate a record to this member.
         lag_ms: u64, default(0), Shape::Integer { min: 0, max: MAX_DELAY_MS };
     }
--- a/crates/standin/src/deployment/mod.rs
+++ b/crates/standin/src/deployment/mod.rs
@@ -180,7 +180,7 @@
         slots: member.slots,
         connections: member.connections,
         connect_cost_ms: member.connect_cost_ms,
-        statement_cost_us: 0,
+        statement_cost_us: member.statement_cost_us,
         lag: Lag { hold_us: member.lag_ms * US_PER_MS, apply_us: 0 },
     }
 }
