Test changes of primary under random faults

A fake group of three members, three drivers, a platform and a network in virtual time runs random sequences of lost, repeated and reordered messages, pauses, restarts, cuts and wishes. It checks one primary a term, that each acknowledged position is in the log of every later primary, and that writes work again within four virtual seconds after the last fault.

It does not find a confirmation that ignores the raised term, a vote counted for another driver, or a name used twice in its runs; those get tests of their own.

--- /dev/null
+++ b/crates/core/tests/failover_group.rs
@@ -0,0 +1,150 @@
+//! Random faults around a small group of members and several drivers: no acknowledged write is
+//! lost, a term has one primary, and writes work again once faults stop.
+
+mod group;
+
+use quickcheck::Arbitrary;
+use quickcheck::Gen;
+use quickcheck::QuickCheck;
+use quickcheck::TestResult;
+
+use group::COUNT;
+use group::Group;
+use skylark_core::process::failover::Event;
+
+const TESTS: u64 = 400;
+const OPS: usize = 800;
+
+/// One thing that happens. Numbers pick a message, member or process by remainder.
+#[derive(Clone, Debug)]
+enum Op {
+    Deliver(usize),
+    Lose(usize),
+    Repeat(usize),
+    Advance { by_ms: u64 },
+    Run { by_ms: u64 },
+    Write(usize),
+    Replicate(usize),
+    Suspect(usize),
+    SuspectEverywhere,
+    Pause(usize),
+    Resume(usize),
+    Restart(usize),
+    Cut(usize),
+    Heal(usize),
+    Down(usize),
+    Up(usize),
+    PlatformUp(bool),
+    Want(usize),
+}
+
+impl Arbitrary for Op {
+    fn arbitrary(g: &mut Gen) -> Op {
+        let pick = usize::arbitrary(g);
+        match u8::arbitrary(g) % 100 {
+            0..36 => Op::Deliver(pick),
+            36..39 => Op::Lose(pick),
+            39..42 => Op::Repeat(pick),
+            42..48 => Op::Advance { by_ms: [1, 5, 60, 300][pick % 4] },
+            48..58 => Op::Run { by_ms: [1, 2, 5, 120][pick % 4] },
+            58..66 => Op::Write(pick),
+            66..74 => Op::Replicate(pick),
+            74..79 => Op::Suspect(pick),
+            79..81 => Op::SuspectEverywhere,
+            81..83 => Op::Pause(pick),
+            83..85 => Op::Resume(pick),
+            85..87 => Op::Restart(pick),
+            87..89 => Op::Cut(pick),
+            89..91 => Op::Heal(pick),
+            91..93 => Op::Down(pick),
+            93..96 => Op::Up(pick),
+            96 => Op::PlatformUp(false),
+            97 => Op::PlatformUp(true),
+            _ => Op::Want(pick),
+        }
+    }
+}
+
+fn apply(group: &mut Group, op: &Op) {
+    match *op {
+        Op::Deliver(pick) => group.deliver(pick),
+        Op::Lose(pick) => group.lose(pick),
+        Op::Repeat(pick) => group.repeat(pick),
+        Op::Advance { by_ms } => group.advance(by_ms * 1_000),
+        Op::Run { by_ms } => group.run(by_ms),
+        Op::Write(pick) => {
+            group.write(pick % COUNT);
+        }
+        Op::Replicate(pick) => group.replicate(pick % COUNT),
+        Op::Suspect(pick) => suspect(group, pick % COUNT),
+        Op::SuspectEverywhere => (0..COUNT).for_each(|process| suspect(group, process)),
+        Op::Pause(pick) => group.processes[pick % COUNT].paused = true,
+        Op::Resume(pick) => group.resume(pick % COUNT),
+        Op::Restart(pick) => group.restart(pick % COUNT),
+        Op::Cut(pick) => group.cut[pick % COUNT] = true,
+        Op::Heal(pick) => group.cut[pick % COUNT] = false,
+        Op::Down(pick) => group.members[pick % COUNT].down = true,
+        Op::Up(pick) => group.members[pick % COUNT].down = false,
+        Op::PlatformUp(up) => group.platform_up = up,
+        Op::Want(pick) => group.want(pick % COUNT),
+    }
+}
+
+fn suspect(group: &mut Group, process: usize) {
+    if let Some(leader) = group.processes[process].driver.leader() {
+        group.tell(process, Event::Suspected { term: leader.term });
+    }
+}
+
+fn end_faults(group: &mut Group) {
+    for place in 0..COUNT {
+        group.cut[place] = false;
+        group.members[place].down = false;
+        group.resume(place);
+        group.tell(place, Event::Trusted);
+    }
+    group.platform_up = true;
+}
+
+fn started() -> Group {
+    let mut group = Group::new();
+    group.run(1_000);
+    group
+}
+
+fn check(group: &Group) -> TestResult {
+    match group.faults.is_empty() {
+        true => TestResult::passed(),
+        false => TestResult::error(group.faults.join("; ")),
+    }
+}
+
+fn random_faults(ops: Vec<Op>) -> TestResult {
+    let mut group = started();
+    for op in &ops {
+        apply(&mut group, op);
+        if !group.faults.is_empty() {
+            return check(&group);
+        }
+    }
+    end_faults(&mut group);
+    group.run(4_000);
+    if let Err(reason) = group.works_in(&[0, 1, 2]) {
+        return TestResult::error(format!("no work after the faults: {reason}"));
+    }
+    check(&group)
+}
+
+/// Callers write through three proxies while messages are lost, repeated and reordered, drivers
+/// pause, restart and duel, members and zones go away, and the platform comes and goes. Each
+/// acknowledged write must be in the log of every later primary, and writes must work again
+/// within seconds after the last fault.
+#[test]
+fn acknowledged_writes_survive_random_faults() {
+    for seed in [1, 2, 3, 4] {
+        QuickCheck::new()
+            .rng(Gen::from_size_and_seed(OPS, seed))
+            .tests(TESTS / 4)
+            .quickcheck(random_faults as fn(Vec<Op>) -> TestResult);
+    }
+}
--- /dev/null
+++ b/crates/core/tests/group/mod.rs
@@ -0,0 +1,450 @@
+//! A small fake group: members, processes with failover drivers, a platform, and a network whose
+//! messages the test delivers, loses or repeats one by one in virtual time.
+
+use skylark_core::log_position::LogPosition;
+use skylark_core::log_position::Term;
+use skylark_core::process::failover::Action;
+use skylark_core::process::failover::Event;
+use skylark_core::process::failover::FailoverDriver;
+use skylark_core::process::failover::FailoverSettings;
+use skylark_core::process::failover::MemberCall;
+use skylark_core::process::failover::MemberProfile;
+use skylark_core::process::failover::PlatformAnswer;
+use skylark_core::process::failover::PlatformCall;
+use skylark_core::process::member_set::MemberSet;
+use skylark_core::version::objects::LeadRecord;
+
+use member::FakeMember;
+
+pub mod member;
+
+/// Members and processes; process `i` and member `i` are in zone `i`.
+pub const COUNT: usize = 3;
+/// The virtual step of a settling group.
+const STEP_US: u64 = 1_000;
+/// How often a settling group's processes probe all members.
+const PROBE_STEPS: u64 = 50;
+
+#[derive(Clone, Debug)]
+enum Payload {
+    ToMember { name: String, member: usize, call: MemberCall },
+    ToProcess(Event),
+    Update { call: PlatformCall, expected_version: u64, record: LeadRecord },
+    Read { call: PlatformCall },
+}
+
+#[derive(Clone, Debug)]
+struct Wire {
+    process: usize,
+    run: u64,
+    sent_us: u64,
+    payload: Payload,
+}
+
+pub struct Process {
+    pub driver: FailoverDriver,
+    run: u64,
+    timer_us: Option<u64>,
+    pub paused: bool,
+    inbox: Vec<Event>,
+    pub pending: Vec<LogPosition>,
+}
+
+pub struct Reign {
+    term: Term,
+    member: usize,
+    log: Vec<Term>,
+}
+
+pub struct Group {
+    pub now_us: u64,
+    pub members: Vec<FakeMember>,
+    pub processes: Vec<Process>,
+    pub platform_up: bool,
+    pub record_version: u64,
+    pub record: Option<LeadRecord>,
+    pub cut: [bool; COUNT],
+    wires: Vec<Wire>,
+    pub acked: Vec<LogPosition>,
+    pub reigns: Vec<Reign>,
+    /// What went wrong; empty in a correct run.
+    pub faults: Vec<String>,
+    runs: u64,
+}
+
+impl Group {
+    pub fn new() -> Group {
+        let mut group = Group {
+            now_us: 1_000_000,
+            members: (0..COUNT).map(|_| FakeMember::new()).collect(),
+            processes: Vec::new(),
+            platform_up: true,
+            record_version: 0,
+            record: None,
+            cut: [false; COUNT],
+            wires: Vec::new(),
+            acked: Vec::new(),
+            reigns: Vec::new(),
+            faults: Vec::new(),
+            runs: 0,
+        };
+        for process in 0..COUNT {
+            let fresh = group.start(process);
+            group.processes.push(fresh);
+            group.tell(process, Event::LeadSeen { version: 0, record: None });
+        }
+        group
+    }
+
+    fn start(&mut self, process: usize) -> Process {
+        self.runs += 1;
+        let names = (0..COUNT).map(|member| format!("target{member}")).collect();
+        let members = MemberSet::new(1, names).expect("distinct names");
+        let driver = FailoverDriver::new(
+            FailoverSettings::default(),
+            &format!("vm{process}/{}", self.runs),
+            members,
+            &[MemberProfile::default(); COUNT],
+            process as u32,
+            self.runs,
+        );
+        Process {
+            driver,
+            run: self.runs,
+            timer_us: None,
+            paused: false,
+            inbox: Vec::new(),
+            pending: Vec::new(),
+        }
+    }
+
+    /// Whether two zones reach each other.
+    fn linked(&self, a: usize, b: usize) -> bool {
+        a == b || !self.cut[a] && !self.cut[b]
+    }
+
+    /// A process dies; another takes its place and knows nothing.
+    pub fn restart(&mut self, process: usize) {
+        self.processes[process] = self.start(process);
+        let seen = Event::LeadSeen { version: self.record_version, record: self.record.clone() };
+        if self.platform_up && !self.cut[process] {
+            self.tell(process, seen);
+        }
+    }
+
+    pub fn resume(&mut self, process: usize) {
+        self.processes[process].paused = false;
+        for event in std::mem::take(&mut self.processes[process].inbox) {
+            self.tell(process, event);
+        }
+    }
+
+    /// Gives an event to a process at once.
+    pub fn tell(&mut self, process: usize, event: Event) {
+        let target = &mut self.processes[process];
+        if target.paused {
+            target.inbox.push(event);
+            return;
+        }
+        let mut actions = Vec::new();
+        target.driver.on_event(self.now_us, &event, &mut actions);
+        for violation in target.driver.verify() {
+            self.faults.push(format!("process {process}: {violation:?}"));
+        }
+        for action in actions {
+            self.act(process, action);
+        }
+        self.acknowledge(process);
+    }
+
+    fn act(&mut self, process: usize, action: Action) {
+        let name = self.processes[process].driver.name().to_owned();
+        let payload = match action {
+            Action::CallMember { member, call } => Payload::ToMember { name, member, call },
+            Action::UpdateLead { call, expected_version, record } => {
+                Payload::Update { call, expected_version, record }
+            }
+            Action::ReadLead { call } => Payload::Read { call },
+            Action::SetTimer { at_us } => {
+                self.processes[process].timer_us = Some(at_us);
+                return;
+            }
+            _ => return,
+        };
+        self.send(process, payload);
+    }
+
+    fn send(&mut self, process: usize, payload: Payload) {
+        let run = self.processes[process].run;
+        self.wires.push(Wire { process, run, sent_us: self.now_us, payload });
+    }
+
+    fn acknowledge(&mut self, process: usize) {
+        let confirmed = self.processes[process].driver.acknowledgement().confirmed();
+        let pending = std::mem::take(&mut self.processes[process].pending);
+        for position in pending {
+            if position.term == confirmed.term && position <= confirmed {
+                self.note_acked(position);
+            } else if position.term >= confirmed.term {
+                self.processes[process].pending.push(position);
+            }
+        }
+    }
+
+    fn note_acked(&mut self, position: LogPosition) {
+        self.acked.push(position);
+        let lost = self.reigns.iter().filter(|reign| reign.term > position.term);
+        for reign in lost.filter(|reign| !holds(&reign.log, position)) {
+            self.faults.push(format!(
+                "{position} was acknowledged after target{} began term {} without it",
+                reign.member, reign.term
+            ));
+        }
+    }
+
+    fn note_reign(&mut self, member: usize) {
+        let term = self.members[member].raised_term;
+        if self.reigns.iter().any(|reign| reign.term == term && reign.member != member) {
+            self.faults.push(format!("two members led term {term}"));
+        }
+        let log = self.members[member].log.clone();
+        let lost: Vec<LogPosition> = self
+            .acked
+            .iter()
+            .copied()
+            .filter(|position| position.term < term && !holds(&log, *position))
+            .collect();
+        for position in lost {
+            self.faults.push(format!("target{member} began term {term} without {position}"));
+        }
+        self.reigns.push(Reign { term, member, log });
+    }
+
+    /// A caller writes through a process, at the primary that the process last announced.
+    pub fn write(&mut self, process: usize) -> Option<LogPosition> {
+        let leader = self.processes[process].driver.announced()?;
+        let writes = self.linked(process, leader.member) && !self.processes[process].paused;
+        let position = writes.then(|| self.members[leader.member].write()).flatten()?;
+        self.processes[process].pending.push(position);
+        self.notify(leader.member);
+        Some(position)
+    }
+
+    /// A replica takes up to two records from the primary that it follows.
+    pub fn replicate(&mut self, member: usize) {
+        let Some((term, primary)) = self.members[member].follows else { return };
+        if !self.linked(member, primary) || self.members[primary].down {
+            return;
+        }
+        let source = self.members[primary].clone();
+        if source.leads(term) && self.members[member].take_from(&source.log) {
+            self.notify(member);
+        }
+    }
+
+    /// Sends a member's status to every process.
+    fn notify(&mut self, member: usize) {
+        let status = self.members[member].status();
+        for process in 0..COUNT {
+            let event = Event::Report { member, status: status.clone() };
+            self.send(process, Payload::ToProcess(event));
+        }
+    }
+
+    pub fn advance(&mut self, by_us: u64) {
+        self.now_us += by_us;
+        for process in 0..COUNT {
+            let due = self.processes[process].timer_us.is_some_and(|at_us| at_us <= self.now_us);
+            if due && !self.processes[process].paused {
+                self.processes[process].timer_us = None;
+                self.tell(process, Event::Timer);
+            }
+        }
+    }
+
+    pub fn lose(&mut self, pick: usize) {
+        if !self.wires.is_empty() {
+            self.wires.swap_remove(pick % self.wires.len());
+        }
+    }
+
+    pub fn repeat(&mut self, pick: usize) {
+        if !self.wires.is_empty() {
+            self.wires.push(self.wires[pick % self.wires.len()].clone());
+        }
+    }
+
+    pub fn deliver(&mut self, pick: usize) {
+        if !self.wires.is_empty() {
+            let wire = self.wires.remove(pick % self.wires.len());
+            self.arrive(wire);
+        }
+    }
+
+    fn arrive(&mut self, wire: Wire) {
+        let process = wire.process;
+        if let Payload::ToMember { name, member, call } = &wire.payload {
+            self.call_member(&wire, name, *member, *call);
+            return;
+        }
+        if self.processes[process].run != wire.run {
+            return;
+        }
+        match wire.payload {
+            Payload::ToProcess(event) => {
+                let reached = match &event {
+                    Event::Report { member, .. } | Event::MemberAnswer { member, .. } => {
+                        self.linked(process, *member)
+                    }
+                    _ => !self.cut[process],
+                };
+                if reached {
+                    self.tell(process, event);
+                }
+            }
+            Payload::Update { call, expected_version, record } => {
+                self.update_lead(process, call, expected_version, record);
+            }
+            Payload::Read { call } => {
+                let answer = PlatformAnswer::Read {
+                    version: self.record_version,
+                    record: self.record.clone(),
+                };
+                self.answer_platform(process, call, answer);
+            }
+            Payload::ToMember { .. } => {}
+        }
+    }
+
+    fn call_member(&mut self, wire: &Wire, name: &str, member: usize, call: MemberCall) {
+        if !self.linked(wire.process, member) || self.members[member].down {
+            return;
+        }
+        let led_before = self.members[member].leads(self.members[member].raised_term);
+        let before = self.members[member].status();
+        self.members[member].call(name, call);
+        let status = self.members[member].status();
+        if !led_before && self.members[member].leads(status.raised_term) {
+            self.note_reign(member);
+        }
+        if status != before {
+            self.notify(member);
+        }
+        if self.processes[wire.process].run == wire.run {
+            let event = Event::MemberAnswer { member, call, status };
+            self.send(wire.process, Payload::ToProcess(event));
+        }
+    }
+
+    fn update_lead(
+        &mut self,
+        process: usize,
+        call: PlatformCall,
+        expected_version: u64,
+        record: LeadRecord,
+    ) {
+        if !self.platform_up || self.cut[process] {
+            return;
+        }
+        if expected_version != self.record_version {
+            self.answer_platform(process, call, PlatformAnswer::Conflict);
+            return;
+        }
+        self.set_record(record);
+        let version = self.record_version;
+        self.answer_platform(process, call, PlatformAnswer::Took { version });
+    }
+
+    /// Changes the lead record; every process watches it.
+    pub fn set_record(&mut self, record: LeadRecord) {
+        self.record_version += 1;
+        self.record = Some(record);
+        for process in 0..COUNT {
+            let event =
+                Event::LeadSeen { version: self.record_version, record: self.record.clone() };
+            self.send(process, Payload::ToProcess(event));
+        }
+    }
+
+    /// An operator asks for a primary.
+    pub fn want(&mut self, member: usize) {
+        if let Some(record) = self.record.clone() {
+            self.set_record(LeadRecord { wanted: format!("target{member}"), ..record });
+        }
+    }
+
+    fn answer_platform(&mut self, process: usize, call: PlatformCall, answer: PlatformAnswer) {
+        if self.platform_up && !self.cut[process] {
+            self.send(process, Payload::ToProcess(Event::Platform { call, answer }));
+        }
+    }
+
+    /// Runs without new faults, with messages of one or two milliseconds, for `steps` milliseconds.
+    /// A process suspects a primary that is down.
+    pub fn run(&mut self, steps: u64) {
+        for step in 0..steps {
+            self.advance(STEP_US);
+            if step % PROBE_STEPS == 0 {
+                self.probe();
+            }
+            let due_us = self.now_us.saturating_sub(STEP_US);
+            let wires = std::mem::take(&mut self.wires);
+            let (due, later): (Vec<Wire>, Vec<Wire>) =
+                wires.into_iter().partition(|wire| wire.sent_us <= due_us);
+            self.wires = later;
+            for wire in due {
+                self.arrive(wire);
+            }
+            for member in 0..COUNT {
+                self.replicate(member);
+            }
+        }
+    }
+
+    fn probe(&mut self) {
+        for member in 0..COUNT {
+            if !self.members[member].down {
+                self.notify(member);
+            }
+        }
+        for process in 0..COUNT {
+            let leader = self.processes[process].driver.leader();
+            let Some(leader) = leader.filter(|leader| {
+                self.members[leader.member].down || !self.linked(process, leader.member)
+            }) else {
+                continue;
+            };
+            self.tell(process, Event::Suspected { term: leader.term });
+        }
+    }
+
+    /// Whether every process in these zones announced one primary, holds nothing back, and gets a
+    /// write acknowledged.
+    pub fn works_in(&mut self, zones: &[usize]) -> Result<(), String> {
+        let first = self.processes[zones[0]].driver.announced();
+        for &process in zones {
+            let driver = &self.processes[process].driver;
+            if driver.announced() != first || first.is_none() {
+                return Err(format!("announced {:?} and {first:?}", driver.announced()));
+            }
+            if driver.holding() {
+                return Err(format!("process {process} holds writes back"));
+            }
+            let Some(position) = self.write(process) else {
+                return Err(format!("process {process} can't write"));
+            };
+            self.run(20);
+            if !self.acked.contains(&position) {
+                return Err(format!("{position} is not acknowledged at process {process}"));
+            }
+        }
+        Ok(())
+    }
+}
+
+fn holds(log: &[Term], position: LogPosition) -> bool {
+    position
+        .index
+        .checked_sub(1)
+        .is_some_and(|place| log.get(place as usize) == Some(&position.term))
+}
