--- /dev/null
+++ b/crates/proxy/src/connection/admission.rs
@@ -0,0 +1,234 @@
+//! Waiting for a turn at a target: the decisions of `skylark_core::process::sharing::queue` with
+//! waiting tasks attached to its tickets.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use parking_lot::Mutex;
+use skylark_core::FastMap;
+use skylark_core::ids::ClassId;
+use skylark_core::process::sharing::ClassShare;
+use skylark_core::process::sharing::class_queue::CallerId;
+use skylark_core::process::sharing::class_queue::Ticket;
+use skylark_core::process::sharing::queue::Admission;
+use skylark_core::process::sharing::queue::QueueLimits;
+use skylark_core::process::sharing::queue::TargetQueue;
+use skylark_core::process::sharing::queue::Turn;
+use skylark_core::request::error_kind::ErrorKind;
+use tokio::sync::oneshot;
+use tokio::time;
+
+use crate::process::clock::MonotonicClock;
+use crate::request::refusal::Refusal;
+
+/// The strategy that the measurements chose, see `docs/decisions/sharing-in-a-surge.md`.
+pub type Strategy = skylark_core::process::sharing::weighted::WeightedMaxMin;
+
+/// Who asks for a turn.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub struct TurnRequest {
+    /// The class.
+    pub class: ClassId,
+    /// The caller, by a hash of its user name.
+    pub caller: CallerId,
+    /// When the request is given up.
+    pub deadline_us: u64,
+}
+
+/// The queue in front of one target.
+#[derive(Debug)]
+pub struct AdmissionQueue {
+    inner: Mutex<Inner>,
+    clock: MonotonicClock,
+}
+
+#[derive(Debug)]
+struct Inner {
+    classes: Vec<ClassShare>,
+    queue: TargetQueue<Strategy>,
+    limits: QueueLimits,
+    waiting: FastMap<Ticket, oneshot::Sender<Result<Turnstile, ErrorKind>>>,
+}
+
+impl Inner {
+    /// A class of another version than the queue's is taken as the default one.
+    fn known_class(&self, class: ClassId) -> ClassId {
+        if class.index() < self.classes.len() { class } else { ClassId(0) }
+    }
+}
+
+/// What a decision does to waiting tasks. Carried out after the lock is given back, since a turn
+/// whose task has gone gives itself back.
+type Wakeup = (oneshot::Sender<Result<Turnstile, ErrorKind>>, Result<Turnstile, ErrorKind>);
+
+impl AdmissionQueue {
+    /// An empty queue.
+    pub fn new(
+        limits: QueueLimits,
+        classes: &[ClassShare],
+        clock: MonotonicClock,
+    ) -> AdmissionQueue {
+        let queue = TargetQueue::new(limits, classes);
+        let classes = classes.to_vec();
+        let inner = Inner { classes, queue, limits, waiting: FastMap::default() };
+        AdmissionQueue { inner: Mutex::new(inner), clock }
+    }
+
+    /// Changes the bounds and the classes.
+    pub fn configure(self: &Arc<Self>, limits: QueueLimits, classes: &[ClassShare]) {
+        let mut inner = self.inner.lock();
+        if inner.limits == limits && inner.classes == classes {
+            return;
+        }
+        if inner.limits != limits {
+            inner.limits = limits;
+            inner.queue.set_limits(limits);
+        }
+        if inner.classes != classes {
+            inner.classes = classes.to_vec();
+            inner.queue.set_classes(classes);
+        }
+        let wakeups = self.take_turns(&mut inner);
+        drop(inner);
+        wake(wakeups);
+    }
+
+    /// How long a request is expected to wait.
+    pub fn predicted_wait_us(&self, request: &TurnRequest) -> u64 {
+        let inner = self.inner.lock();
+        let class = inner.known_class(request.class);
+        inner.queue.predicted_wait_us(class, request.caller, self.clock.now_us())
+    }
+
+    /// Waits for a turn, or is refused.
+    pub async fn admit(self: &Arc<Self>, request: &TurnRequest) -> Result<Turnstile, Refusal> {
+        let (class, ticket, granted) = {
+            let now_us = self.clock.now_us();
+            let mut inner = self.inner.lock();
+            let class = inner.known_class(request.class);
+            match inner.queue.arrive(class, request.caller, request.deadline_us, now_us) {
+                Admission::Granted => return Ok(self.turnstile(class)),
+                Admission::Refused { kind, retry_after_us } => {
+                    return Err(Refusal::after(kind, retry_after_us.div_ceil(1_000)));
+                }
+                Admission::Queued { ticket, .. } => {
+                    let (sender, granted) = oneshot::channel();
+                    inner.waiting.insert(ticket, sender);
+                    (class, ticket, granted)
+                }
+            }
+        };
+        let _abandon = AbandonOnDrop { queue: self, class, ticket };
+        let left_us = request.deadline_us.saturating_sub(self.clock.now_us());
+        match time::timeout(Duration::from_micros(left_us), granted).await {
+            Ok(Ok(granted)) => granted.map_err(Refusal::from),
+            _ => Err(ErrorKind::WaitTimedOut.into()),
+        }
+    }
+
+    fn turnstile(self: &Arc<Self>, class: ClassId) -> Turnstile {
+        let now_us = self.clock.now_us();
+        Turnstile {
+            queue: Arc::clone(self),
+            class,
+            granted_us: now_us,
+            ran_us: 0,
+            started_us: Some(now_us),
+        }
+    }
+
+    fn take_turns(self: &Arc<Self>, inner: &mut Inner) -> Vec<Wakeup> {
+        let mut wakeups = Vec::new();
+        while let Some(turn) = inner.queue.next_turn(self.clock.now_us()) {
+            let (ticket, result) = match turn {
+                Turn::Granted(grant) => (grant.ticket, Ok(self.turnstile(grant.class))),
+                Turn::TimedOut(ticket) => (ticket, Err(ErrorKind::WaitTimedOut)),
+            };
+            let sender = inner.waiting.remove(&ticket);
+            let sender = sender.expect("each waiting ticket has its sender");
+            wakeups.push((sender, result));
+        }
+        wakeups
+    }
+
+    fn change<F>(self: &Arc<Self>, change: F)
+    where
+        F: FnOnce(&mut TargetQueue<Strategy>),
+    {
+        let mut inner = self.inner.lock();
+        change(&mut inner.queue);
+        let wakeups = self.take_turns(&mut inner);
+        drop(inner);
+        wake(wakeups);
+    }
+}
+
+fn wake(wakeups: Vec<Wakeup>) {
+    for (sender, result) in wakeups {
+        // A task that has gone leaves its turn unread, and the turn gives itself back.
+        let _ = sender.send(result);
+    }
+}
+
+/// Takes a request out of the queue when its task stops waiting.
+struct AbandonOnDrop<'a> {
+    queue: &'a Arc<AdmissionQueue>,
+    class: ClassId,
+    ticket: Ticket,
+}
+
+impl Drop for AbandonOnDrop<'_> {
+    fn drop(&mut self) {
+        let mut inner = self.queue.inner.lock();
+        if inner.waiting.remove(&self.ticket).is_some() {
+            inner.queue.abandon(self.class, self.ticket);
+        }
+    }
+}
+
+/// A turn at the target: one statement may run, and one connection be held until this is dropped.
+#[derive(Debug)]
+pub struct Turnstile {
+    queue: Arc<AdmissionQueue>,
+    class: ClassId,
+    granted_us: u64,
+    ran_us: u64,
+    started_us: Option<u64>,
+}
+
+impl Turnstile {
+    /// The statement ended and its transaction goes on.
+    pub fn statement_ended(&mut self) {
+        if self.stop_running() {
+            self.queue.change(TargetQueue::statement_ended);
+        }
+    }
+
+    /// The transaction's next statement runs.
+    pub fn statement_started(&mut self) {
+        if self.started_us.is_none() {
+            self.started_us = Some(self.queue.clock.now_us());
+            self.queue.inner.lock().queue.statement_started();
+        }
+    }
+
+    fn stop_running(&mut self) -> bool {
+        let Some(started_us) = self.started_us.take() else { return false };
+        self.ran_us += self.queue.clock.now_us().saturating_sub(started_us);
+        true
+    }
+}
+
+impl Drop for Turnstile {
+    fn drop(&mut self) {
+        let was_running = self.stop_running();
+        let held_us = self.queue.clock.now_us().saturating_sub(self.granted_us);
+        let (class, ran_us) = (self.class, self.ran_us);
+        self.queue.change(|queue| {
+            if was_running {
+                queue.statement_ended();
+            }
+            queue.released(class, ran_us, held_us);
+        });
+    }
+}
--- /dev/null
+++ b/crates/proxy/src/connection/caller.rs
@@ -0,0 +1,333 @@
+//! One caller's connection: its messages are taken one by one, and each request is answered before
+//! the next is begun.
+//!
+//! While nothing is under way the task waits for the socket to become readable and holds no buffer.
+//! What a request needs lives in a future that is boxed for the time of the request, so an idle
+//! caller costs its socket and its session only.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::BytesMut;
+use postgres_protocol::message::backend;
+use skylark_core::request::error_kind::ErrorKind;
+use skylark_core::request::retry::RetryBudget;
+use tokio::net::TcpStream;
+use tokio::sync::watch;
+use tokio::time;
+
+use crate::connection::caller_input::CallerInput;
+use crate::connection::caller_input::CallerMessage;
+use crate::connection::caller_input::InputError;
+use crate::connection::cancel::CancelSlot;
+use crate::connection::frames;
+use crate::connection::pinned::Pinned;
+use crate::connection::session::Session;
+use crate::connection::target_connection::CancelKey;
+use crate::process::counters::Event;
+use crate::process::traffic::Traffic;
+use crate::request::answer;
+use crate::request::batch;
+use crate::request::batch::Batch;
+use crate::request::batch::BatchEnd;
+use crate::request::batch::PlanContext;
+use crate::request::execute;
+use crate::request::execute::Flow;
+use crate::request::parameters::LocalStatement;
+use crate::request::refusal::Refusal;
+use crate::request::statement::StatementTraits;
+use crate::request::unit::Unit;
+
+/// How long the other end may take to read a farewell before the socket is closed.
+const LINGER: Duration = Duration::from_millis(500);
+
+/// A caller after its start-up.
+#[derive(Debug)]
+pub struct Caller {
+    /// The process.
+    pub traffic: Arc<Traffic>,
+    /// The connection.
+    pub stream: TcpStream,
+    /// What it said about itself.
+    pub session: Session,
+    /// The connection of its open transaction.
+    pub pinned: Option<Box<Pinned>>,
+    /// What a cancel request of it would hit.
+    pub cancel: Arc<CancelSlot>,
+    /// The key for its cancel requests.
+    pub cancel_key: CancelKey,
+    /// The retry budget of its group.
+    pub budget: Arc<RetryBudget>,
+    /// Messages up to the next Sync are dropped, after an error.
+    pub skip_to_sync: bool,
+    /// The messages since the last Sync or Flush.
+    pub batch: Option<Box<Batch>>,
+    /// What was read and not yet used.
+    pub input: CallerInput,
+    /// Whether the process is stopping.
+    pub stopping: watch::Receiver<bool>,
+}
+
+/// Why an idle caller's task goes on.
+enum Wake {
+    Input,
+    Stopping,
+    IdleInTransaction,
+    Gone,
+}
+
+impl Caller {
+    /// Serves the caller until it ends.
+    pub async fn serve(mut self) {
+        loop {
+            match self.wait().await {
+                Wake::Gone => break,
+                Wake::Input => {
+                    if Box::pin(self.take_messages()).await == Flow::End {
+                        break;
+                    }
+                }
+                Wake::Stopping => {
+                    Box::pin(self.say_goodbye(ErrorKind::ShuttingDown)).await;
+                    break;
+                }
+                Wake::IdleInTransaction => {
+                    Box::pin(self.say_goodbye(ErrorKind::IdleInTransaction)).await;
+                    break;
+                }
+            }
+        }
+        self.end_transaction();
+    }
+
+    /// The transaction's status in a ReadyForQuery.
+    pub fn status(&mut self) -> u8 {
+        match &mut self.pinned {
+            Some(held) => held.lease.connection().status,
+            None => frames::STATUS_IDLE,
+        }
+    }
+
+    /// Ends an open transaction by rolling it back.
+    pub fn end_transaction(&mut self) {
+        if let Some(held) = self.pinned.take() {
+            held.end(&self.cancel);
+        }
+    }
+
+    async fn wait(&mut self) -> Wake {
+        self.input.shrink();
+        if self.pinned.is_none() {
+            self.session.shrink();
+            tokio::select! {
+                biased;
+                ready = self.stream.readable() => wake_of(ready.is_ok()),
+                _ = self.stopping.wait_for(|stopping| *stopping) => Wake::Stopping,
+            }
+        } else {
+            let limit = Duration::from_millis(self.traffic.limits.idle_in_transaction_ms);
+            match time::timeout(limit, self.stream.readable()).await {
+                Ok(ready) => wake_of(ready.is_ok()),
+                Err(_) => Wake::IdleInTransaction,
+            }
+        }
+    }
+
+    /// Takes the messages that are there.
+    async fn take_messages(&mut self) -> Flow {
+        let limit_bytes = self.traffic.limits.message_bytes;
+        let stall = self.traffic.limits.slow_sender();
+        loop {
+            match self.input.next(&self.stream, limit_bytes, stall).await {
+                Ok(Some(message)) => {
+                    if self.take(message).await == Flow::End {
+                        self.linger().await;
+                        return Flow::End;
+                    }
+                }
+                Ok(None) => return Flow::GoOn,
+                Err(error) => {
+                    self.refuse_input(&error).await;
+                    return Flow::End;
+                }
+            }
+        }
+    }
+
+    async fn refuse_input(&mut self, error: &InputError) {
+        let kind = match error {
+            InputError::Closed | InputError::Broken(_) => return,
+            InputError::TooLarge => ErrorKind::MessageTooLarge,
+            InputError::Stalled => ErrorKind::CallerTooSlow,
+            InputError::BadFrame => ErrorKind::ProtocolViolation,
+        };
+        self.say_goodbye(kind).await;
+    }
+
+    async fn take(&mut self, message: CallerMessage) -> Flow {
+        match message.tag {
+            b'X' => return Flow::End,
+            // After an error the protocol has the rest of the batch dropped.
+            b'S' if self.skip_to_sync => return self.sync_after_error().await,
+            _ if self.skip_to_sync => return Flow::GoOn,
+            _ => (),
+        }
+        match message.tag {
+            b'Q' => self.simple(message).await,
+            b'P' | b'B' | b'D' | b'E' | b'C' => self.add_to_batch(message).await,
+            b'S' => self.end_batch(BatchEnd::Sync).await,
+            b'H' => self.end_batch(BatchEnd::Flush).await,
+            b'F' => {
+                let note = "function call".to_owned();
+                self.refuse(Refusal::with_note(ErrorKind::Unsupported, note), true).await
+            }
+            // Left over from a COPY that was refused.
+            b'd' | b'c' | b'f' => Flow::GoOn,
+            _ => self.refuse(ErrorKind::ProtocolViolation.into(), true).await,
+        }
+    }
+
+    async fn refuse(&mut self, refusal: Refusal, awaits_ready: bool) -> Flow {
+        answer::refuse_message(self, &refusal, awaits_ready).await
+    }
+
+    async fn simple(&mut self, message: CallerMessage) -> Flow {
+        let text = frames::split_cstr(message.body()).map(|(text, _)| text);
+        let Some(text) = text.and_then(|text| std::str::from_utf8(text).ok()) else {
+            return self.refuse(ErrorKind::ProtocolViolation.into(), true).await;
+        };
+        match LocalStatement::parse(text) {
+            Ok(Some(local)) => return self.answer_locally(&local).await,
+            Ok(None) => (),
+            Err(refusal) => return self.refuse(refusal, true).await,
+        }
+        let traits = StatementTraits::of(text);
+        if traits.copies {
+            return self.refuse(batch::copy_refused(), true).await;
+        }
+        let session_set = traits.sets.then(|| text.to_owned());
+        let unit = Unit::Simple { frame: message.frame, traits, session_set };
+        execute::run(self, &unit).await
+    }
+
+    async fn answer_locally(&mut self, local: &LocalStatement) -> Flow {
+        self.traffic.counters.event(Event::AnsweredLocally);
+        let published = self.traffic.slot.load_full();
+        let shown = match self.session.apply(local, &published, &self.traffic.vm) {
+            Ok(shown) => shown,
+            Err(refusal) => return self.refuse(refusal, true).await,
+        };
+        let mut out = BytesMut::new();
+        if let (Some(shown), LocalStatement::Show(parameter)) = (shown, local) {
+            frames::text_column(&mut out, parameter.name());
+            frames::text_row(&mut out, &shown);
+        }
+        frames::command_complete(&mut out, local.command_tag());
+        let status = self.status();
+        frames::ready_for_query(&mut out, status);
+        answer::write(self, &out, &[]).await
+    }
+
+    async fn add_to_batch(&mut self, message: CallerMessage) -> Flow {
+        let batch = self.batch.get_or_insert_default();
+        batch.push(message);
+        if batch.bytes() <= self.traffic.limits.message_bytes {
+            return Flow::GoOn;
+        }
+        self.refuse(ErrorKind::MessageTooLarge.into(), false).await
+    }
+
+    async fn end_batch(&mut self, end: BatchEnd) -> Flow {
+        let batch = self.batch.take().unwrap_or_default();
+        let published = self.traffic.slot.load_full();
+        let traffic = Arc::clone(&self.traffic);
+        let context = PlanContext {
+            statements: &traffic.statements,
+            published: &published,
+            vm: &traffic.vm,
+            prepared_limit: traffic.limits.prepared_per_caller,
+        };
+        let plan = match batch.plan(&mut self.session, context) {
+            Ok(plan) => plan,
+            Err(refusal) => return self.refuse(refusal, end == BatchEnd::Sync).await,
+        };
+        let awaits_sync = self.pinned.as_ref().is_some_and(|held| held.awaits_sync);
+        if plan.is_local() && !awaits_sync {
+            let mut out = BytesMut::new();
+            plan.write_local(&mut out);
+            if end == BatchEnd::Sync {
+                let status = self.status();
+                frames::ready_for_query(&mut out, status);
+            }
+            return answer::write(self, &out, &[]).await;
+        }
+        execute::run(self, &Unit::Batch { plan, end }).await
+    }
+
+    async fn sync_after_error(&mut self) -> Flow {
+        self.skip_to_sync = false;
+        self.batch = None;
+        self.end_batch(BatchEnd::Sync).await
+    }
+
+    /// Ends the connection with an answer that the caller gets to read.
+    async fn say_goodbye(&mut self, kind: ErrorKind) {
+        self.traffic.counters.refusal(kind);
+        self.end_transaction();
+        let mut out = BytesMut::new();
+        Refusal::from(kind).write(&mut out);
+        answer::write(self, &out, &[]).await;
+        self.linger().await;
+    }
+
+    /// Closing a socket with unread input resets the connection, and the reset overtakes the last
+    /// answer. So the write side is closed first, and the caller has a moment to close its own.
+    async fn linger(&mut self) {
+        use tokio::io::AsyncWriteExt;
+        let _ = self.stream.shutdown().await;
+        let mut dropped = BytesMut::new();
+        let drained = async {
+            while let Ok(1..) =
+                crate::connection::socket::read_some(&self.stream, &mut dropped).await
+            {
+                dropped.clear();
+            }
+        };
+        let _ = time::timeout(LINGER, drained).await;
+    }
+}
+
+fn wake_of(is_ready: bool) -> Wake {
+    match is_ready {
+        true => Wake::Input,
+        false => Wake::Gone,
+    }
+}
+
+impl Drop for Caller {
+    fn drop(&mut self) {
+        self.traffic.cancels.unregister(self.cancel_key);
+    }
+}
+
+/// The messages of a start-up that succeeded.
+pub fn write_greeting(out: &mut BytesMut, key: CancelKey) {
+    frames::authentication_ok(out);
+    for (name, value) in GREETING_PARAMETERS {
+        frames::parameter_status(out, name, value);
+    }
+    frames::backend_key_data(out, key.process_id, key.secret);
+    frames::ready_for_query(out, frames::STATUS_IDLE);
+    debug_assert_eq!(out[0], backend::AUTHENTICATION_TAG);
+}
+
+/// What drivers expect to be told of a server. A caller is greeted before any target is asked.
+const GREETING_PARAMETERS: [(&str, &str); 7] = [
+    ("server_version", "16.0"),
+    ("server_encoding", "UTF8"),
+    ("client_encoding", "UTF8"),
+    ("DateStyle", "ISO, MDY"),
+    ("TimeZone", "UTC"),
+    ("integer_datetimes", "on"),
+    ("standard_conforming_strings", "on"),
+];
--- /dev/null
+++ b/crates/proxy/src/connection/callers.rs
@@ -0,0 +1,104 @@
+//! How many connections there are: of all callers, of each user, and in their start-up.
+
+use std::sync::Arc;
+
+use parking_lot::Mutex;
+use skylark_core::FastMap;
+use skylark_core::request::error_kind::ErrorKind;
+
+use crate::connection::limits::TrafficLimits;
+use crate::request::refusal::Refusal;
+
+/// The connections of one process.
+#[derive(Debug)]
+pub struct Callers {
+    connections_limit: usize,
+    per_user_limit: usize,
+    half_open_limit: usize,
+    counts: Mutex<Counts>,
+}
+
+#[derive(Debug, Default)]
+struct Counts {
+    callers: usize,
+    half_open: usize,
+    by_user: FastMap<Box<str>, usize>,
+}
+
+impl Callers {
+    /// No connections yet.
+    pub fn new(limits: &TrafficLimits) -> Arc<Callers> {
+        Arc::new(Callers {
+            connections_limit: limits.connections,
+            per_user_limit: limits.connections_per_user,
+            half_open_limit: limits.half_open,
+            counts: Mutex::default(),
+        })
+    }
+
+    /// How many callers there are.
+    pub fn count(&self) -> usize {
+        self.counts.lock().callers
+    }
+
+    /// A place for a start-up.
+    pub fn begin(self: &Arc<Self>) -> Option<HalfOpenPermit> {
+        let mut counts = self.counts.lock();
+        if counts.half_open >= self.half_open_limit {
+            return None;
+        }
+        counts.half_open += 1;
+        Some(HalfOpenPermit { callers: Arc::clone(self) })
+    }
+
+    /// A place among the callers; `user` is none for another proxy.
+    pub fn admit(self: &Arc<Self>, user: Option<&str>) -> Result<CallerPermit, Refusal> {
+        let mut counts = self.counts.lock();
+        if counts.callers >= self.connections_limit {
+            return Err(ErrorKind::TooManyConnections.into());
+        }
+        if let Some(user) = user {
+            let of_user = counts.by_user.entry(user.into()).or_default();
+            if *of_user >= self.per_user_limit {
+                let note = format!("of user `{user}`");
+                return Err(Refusal::with_note(ErrorKind::TooManyConnections, note));
+            }
+            *of_user += 1;
+        }
+        counts.callers += 1;
+        Ok(CallerPermit { callers: Arc::clone(self), user: user.map(Box::from) })
+    }
+}
+
+/// A place for a start-up, given back when dropped.
+#[derive(Debug)]
+pub struct HalfOpenPermit {
+    callers: Arc<Callers>,
+}
+
+impl Drop for HalfOpenPermit {
+    fn drop(&mut self) {
+        self.callers.counts.lock().half_open -= 1;
+    }
+}
+
+/// A place among the callers, given back when dropped.
+#[derive(Debug)]
+pub struct CallerPermit {
+    callers: Arc<Callers>,
+    user: Option<Box<str>>,
+}
+
+impl Drop for CallerPermit {
+    fn drop(&mut self) {
+        let mut counts = self.callers.counts.lock();
+        counts.callers -= 1;
+        let Some(user) = &self.user else { return };
+        if let Some(of_user) = counts.by_user.get_mut(user) {
+            *of_user -= 1;
+            if *of_user == 0 {
+                counts.by_user.remove(user);
+            }
+        }
+    }
+}
--- a/crates/proxy/src/connection/mod.rs
+++ b/crates/proxy/src/connection/mod.rs
@@ -1,1 +1,19 @@
 //! What lives as long as one connection.
+
+pub mod admission;
+pub mod caller;
+pub mod caller_input;
+pub mod callers;
+pub mod cancel;
+pub mod frames;
+pub mod limits;
+pub mod pinned;
+pub mod pool;
+pub mod pools;
+pub mod prepared;
+pub mod relay;
+pub mod reply;
+pub mod session;
+pub mod socket;
+pub mod startup;
+pub mod target_connection;
--- /dev/null
+++ b/crates/proxy/src/connection/socket.rs
@@ -0,0 +1,64 @@
+//! Reading and writing a whole TCP stream with bounds on how long the other end may stall.
+
+use std::io;
+use std::io::IoSlice;
+use std::time::Duration;
+
+use bytes::BytesMut;
+use tokio::net::TcpStream;
+use tokio::time;
+
+/// How much a read asks for.
+pub const READ_BYTES: usize = 16 << 10;
+
+/// Writes all of `first`, then all of `second`; the other end may take no byte for `stall` at most.
+pub async fn write_both(
+    stream: &TcpStream,
+    mut first: &[u8],
+    mut second: &[u8],
+    stall: Duration,
+) -> io::Result<()> {
+    while !first.is_empty() || !second.is_empty() {
+        match stream.try_write_vectored(&[IoSlice::new(first), IoSlice::new(second)]) {
+            Ok(0) => return Err(io::ErrorKind::WriteZero.into()),
+            Ok(written) => {
+                let of_first = written.min(first.len());
+                first = &first[of_first..];
+                second = &second[written - of_first..];
+            }
+            Err(error) if error.kind() == io::ErrorKind::WouldBlock => {
+                match time::timeout(stall, stream.writable()).await {
+                    Ok(ready) => ready?,
+                    Err(_) => return Err(io::ErrorKind::TimedOut.into()),
+                }
+            }
+            Err(error) => return Err(error),
+        }
+    }
+    Ok(())
+}
+
+/// Writes all of `bytes`.
+pub async fn write_all(stream: &TcpStream, bytes: &[u8], stall: Duration) -> io::Result<()> {
+    write_both(stream, bytes, &[], stall).await
+}
+
+/// Appends what can be read without waiting. `None` when there is nothing now; zero at the end.
+pub fn read_now(stream: &TcpStream, buffer: &mut BytesMut) -> io::Result<Option<usize>> {
+    buffer.reserve(READ_BYTES);
+    match stream.try_read_buf(buffer) {
+        Ok(count) => Ok(Some(count)),
+        Err(error) if error.kind() == io::ErrorKind::WouldBlock => Ok(None),
+        Err(error) => Err(error),
+    }
+}
+
+/// Waits for input and appends it; zero at the end.
+pub async fn read_some(stream: &TcpStream, buffer: &mut BytesMut) -> io::Result<usize> {
+    loop {
+        stream.readable().await?;
+        if let Some(count) = read_now(stream, buffer)? {
+            return Ok(count);
+        }
+    }
+}
--- /dev/null
+++ b/crates/proxy/src/connection/target_connection.rs
@@ -0,0 +1,273 @@
+//! One connection to a target, or to another proxy that stands in for it.
+
+use std::fmt;
+use std::io;
+use std::time::Duration;
+
+use bytes::BytesMut;
+use postgres_protocol::message::backend;
+use postgres_protocol::message::frontend;
+use tokio::net::TcpStream;
+use tokio::time;
+
+use crate::connection::frames;
+use crate::connection::frames::FrameHeader;
+use crate::connection::prepared::PreparedOnConnection;
+use crate::connection::socket;
+
+/// The largest message that a target may send during start-up, drain or reset.
+const MAX_CONTROL_FRAME_BYTES: usize = 1 << 20;
+
+/// How a connection introduces itself.
+#[derive(Clone, PartialEq, Eq, Debug)]
+pub struct Login {
+    /// The group.
+    pub database: String,
+    /// `ZONE/VM` of this proxy.
+    pub application_name: String,
+    /// This proxy's VM where the other end is a proxy.
+    pub forwarded_by: Option<String>,
+}
+
+/// The user name that the proxy gives to targets.
+const TARGET_USER: &str = "skylark";
+
+/// Why a connection did not come about.
+#[derive(Debug)]
+pub enum OpenError {
+    /// No connection, or it broke.
+    Io(io::Error),
+    /// Nothing came in time.
+    TimedOut,
+    /// The other end refused with this SQLSTATE.
+    Refused(String),
+    /// The other end asks for an authentication that is not supported, or breaks the protocol.
+    Unsupported,
+}
+
+impl fmt::Display for OpenError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            OpenError::Io(error) => write!(f, "no connection: {error}"),
+            OpenError::TimedOut => f.write_str("no answer in time"),
+            OpenError::Refused(sqlstate) => write!(f, "refused with {sqlstate}"),
+            OpenError::Unsupported => f.write_str("the start-up is not understood"),
+        }
+    }
+}
+
+/// The key with which a running request is cancelled.
+#[derive(Clone, Copy, PartialEq, Eq, Debug, Default)]
+pub struct CancelKey {
+    /// The process number.
+    pub process_id: i32,
+    /// The secret.
+    pub secret: i32,
+}
+
+/// A connection that passed its start-up.
+#[derive(Debug)]
+pub struct TargetConnection {
+    /// The stream.
+    pub stream: TcpStream,
+    /// What was read and not yet used.
+    pub input: BytesMut,
+    /// The transaction's status in the last ReadyForQuery.
+    pub status: u8,
+    /// How many ReadyForQuery are still to come.
+    pub awaited_ready: u32,
+    /// Whether messages were sent that no Sync has ended.
+    pub needs_sync: bool,
+    /// Whether the session may differ from a new one's.
+    pub session_changed: bool,
+    /// The statements prepared under shared names.
+    pub prepared: PreparedOnConnection,
+    /// The key for cancel requests.
+    pub cancel_key: CancelKey,
+}
+
+impl TargetConnection {
+    /// Connects and passes the start-up within `timeout`.
+    pub async fn open(
+        address: &str,
+        login: &Login,
+        timeout: Duration,
+    ) -> Result<TargetConnection, OpenError> {
+        match time::timeout(timeout, start(address, login)).await {
+            Ok(opened) => opened,
+            Err(_) => Err(OpenError::TimedOut),
+        }
+    }
+
+    /// Whether an idle connection can be used: still open, and nothing came unasked.
+    ///
+    /// A connection that the other end closed while it was idle would swallow a request whose
+    /// outcome then can't be known, though it never ran.
+    pub fn is_quiet(&mut self) -> bool {
+        matches!(socket::read_now(&self.stream, &mut self.input), Ok(None))
+    }
+
+    /// Whether the connection is between requests, outside a transaction, with nothing unread.
+    pub fn is_idle(&self) -> bool {
+        self.status == frames::STATUS_IDLE
+            && self.awaited_ready == 0
+            && !self.needs_sync
+            && self.input.is_empty()
+    }
+
+    /// Brings a connection whose answer was abandoned back to idle with a new session: the answer
+    /// is read to its end, an open transaction rolled back, the session reset.
+    ///
+    /// An answer left on the connection would reach the next caller as its own.
+    pub async fn recover(&mut self, timeout: Duration) -> io::Result<()> {
+        match time::timeout(timeout, self.drain_and_reset()).await {
+            Ok(done) => done,
+            Err(_) => Err(io::ErrorKind::TimedOut.into()),
+        }
+    }
+
+    async fn drain_and_reset(&mut self) -> io::Result<()> {
+        let mut request = BytesMut::new();
+        if self.needs_sync {
+            frontend::sync(&mut request);
+            self.needs_sync = false;
+            self.awaited_ready += 1;
+            self.send(&request).await?;
+        }
+        self.drain().await?;
+        request.clear();
+        if self.status != frames::STATUS_IDLE {
+            frontend::query("ROLLBACK", &mut request)?;
+            self.awaited_ready += 1;
+        }
+        frontend::query("DISCARD ALL", &mut request)?;
+        self.awaited_ready += 1;
+        self.send(&request).await?;
+        self.prepared.clear();
+        self.drain().await?;
+        if !self.is_idle() {
+            return Err(io::ErrorKind::InvalidData.into());
+        }
+        self.session_changed = false;
+        Ok(())
+    }
+
+    async fn send(&self, bytes: &[u8]) -> io::Result<()> {
+        // The caller's own time limit on the whole recovery ends a stall sooner.
+        socket::write_all(&self.stream, bytes, Duration::from_secs(60)).await
+    }
+
+    /// Reads and drops messages until no ReadyForQuery is awaited.
+    async fn drain(&mut self) -> io::Result<()> {
+        while self.awaited_ready > 0 {
+            let skipped = self.skip_frame().await?;
+            if skipped.tag == backend::READY_FOR_QUERY_TAG {
+                self.awaited_ready -= 1;
+            }
+        }
+        Ok(())
+    }
+
+    /// Reads one message and drops it, however large it is; notes the status of a ReadyForQuery.
+    async fn skip_frame(&mut self) -> io::Result<FrameHeader> {
+        let header = loop {
+            let parsed = FrameHeader::parse(&self.input);
+            if let Some(header) = parsed.map_err(|_| io::ErrorKind::InvalidData)? {
+                break header;
+            }
+            self.read_more().await?;
+        };
+        let mut left = header.frame_bytes;
+        while self.input.len() < left {
+            if header.tag != backend::READY_FOR_QUERY_TAG {
+                left -= self.input.len();
+                self.input.clear();
+            }
+            self.read_more().await?;
+        }
+        let end = self.input.split_to(left);
+        if header.tag == backend::READY_FOR_QUERY_TAG {
+            self.status = end.last().copied().unwrap_or(0);
+        }
+        Ok(header)
+    }
+
+    async fn read_more(&mut self) -> io::Result<()> {
+        match socket::read_some(&self.stream, &mut self.input).await? {
+            0 => Err(io::ErrorKind::UnexpectedEof.into()),
+            _ => Ok(()),
+        }
+    }
+}
+
+async fn start(address: &str, login: &Login) -> Result<TargetConnection, OpenError> {
+    let stream = TcpStream::connect(address).await.map_err(OpenError::Io)?;
+    stream.set_nodelay(true).map_err(OpenError::Io)?;
+    let mut connection = TargetConnection {
+        stream,
+        input: BytesMut::new(),
+        status: 0,
+        awaited_ready: 1,
+        needs_sync: false,
+        session_changed: false,
+        prepared: PreparedOnConnection::default(),
+        cancel_key: CancelKey::default(),
+    };
+    let mut parameters = vec![
+        ("user", TARGET_USER),
+        ("database", login.database.as_str()),
+        ("application_name", login.application_name.as_str()),
+    ];
+    if let Some(vm) = &login.forwarded_by {
+        parameters.push(("skylark.forwarded", vm));
+    }
+    let mut request = BytesMut::new();
+    frontend::startup_message(parameters, &mut request).map_err(OpenError::Io)?;
+    connection.send(&request).await.map_err(OpenError::Io)?;
+    while connection.awaited_ready > 0 {
+        let frame = next_frame(&mut connection).await?;
+        take_startup_frame(&mut connection, &frame)?;
+    }
+    Ok(connection)
+}
+
+async fn next_frame(connection: &mut TargetConnection) -> Result<BytesMut, OpenError> {
+    loop {
+        let header = FrameHeader::parse(&connection.input).map_err(|_| OpenError::Unsupported)?;
+        match header {
+            Some(header) if header.frame_bytes > MAX_CONTROL_FRAME_BYTES => {
+                return Err(OpenError::Unsupported);
+            }
+            Some(header) if header.frame_bytes <= connection.input.len() => {
+                return Ok(connection.input.split_to(header.frame_bytes));
+            }
+            _ => connection.read_more().await.map_err(OpenError::Io)?,
+        }
+    }
+}
+
+fn take_startup_frame(connection: &mut TargetConnection, frame: &[u8]) -> Result<(), OpenError> {
+    let body = &frame[frames::HEADER_BYTES..];
+    match frame[0] {
+        backend::AUTHENTICATION_TAG if body == [0, 0, 0, 0] => Ok(()),
+        backend::PARAMETER_STATUS_TAG | backend::NOTICE_RESPONSE_TAG => Ok(()),
+        backend::BACKEND_KEY_DATA_TAG => {
+            let [a, b, c, d, e, f, g, h] = body else { return Err(OpenError::Unsupported) };
+            connection.cancel_key = CancelKey {
+                process_id: i32::from_be_bytes([*a, *b, *c, *d]),
+                secret: i32::from_be_bytes([*e, *f, *g, *h]),
+            };
+            Ok(())
+        }
+        backend::READY_FOR_QUERY_TAG => {
+            connection.status = body.first().copied().unwrap_or(0);
+            connection.awaited_ready = 0;
+            Ok(())
+        }
+        backend::ERROR_RESPONSE_TAG => {
+            let sqlstate = frames::error_field(frame, b'C').unwrap_or("").to_owned();
+            Err(OpenError::Refused(sqlstate))
+        }
+        _ => Err(OpenError::Unsupported),
+    }
+}
--- /dev/null
+++ b/crates/proxy/src/request/answer.rs
@@ -0,0 +1,220 @@
+//! The end of a request: its commit confirmed, its connection given back or kept, its answer
+//! written.
+
+use std::sync::Arc;
+use std::time::Instant;
+
+use bytes::BytesMut;
+use skylark_core::log_position::LogPosition;
+use skylark_core::request::error_kind::ErrorKind;
+use tokio::sync::oneshot;
+use tokio::time;
+
+use crate::connection::caller::Caller;
+use crate::connection::frames;
+use crate::connection::pinned;
+use crate::connection::pinned::Pinned;
+use crate::connection::pool::Lease;
+use crate::connection::relay::COMMIT_PARAMETER;
+use crate::connection::relay::SERVED_PARAMETER;
+use crate::connection::socket;
+use crate::process::control_handle::ControlEvent;
+use crate::process::counters::Event;
+use crate::request::acknowledge;
+use crate::request::acknowledge::Verdict;
+use crate::request::exchange::Answer;
+use crate::request::exchange::Ending;
+use crate::request::execute::Flow;
+use crate::request::refusal::Refusal;
+use crate::request::unit::Unit;
+
+/// The circumstances of an answer.
+#[derive(Clone, Copy, Debug)]
+pub struct Written {
+    /// When the request is given up.
+    pub deadline: Instant,
+    /// Whether it belonged to an open transaction.
+    pub was_in_transaction: bool,
+}
+
+/// A commit whose success must not be seen before it is confirmed and recorded.
+struct Commit {
+    position: LogPosition,
+    identity: Option<Box<str>>,
+    confirmed: bool,
+    is_peer: bool,
+}
+
+/// Ends a request whose answer came whole.
+pub async fn complete(
+    caller: &mut Caller,
+    unit: &Unit,
+    mut held: Pinned,
+    answer: Answer,
+    written: Written,
+) -> Flow {
+    let scene = held.scene.clone();
+    let commit = answer.commit.map(|position| Commit {
+        position,
+        identity: held.identity.clone(),
+        confirmed: answer.confirmed,
+        is_peer: held.is_peer,
+    });
+    held.lease.connection().status = answer.status.unwrap_or(held.lease.connection().status);
+    let is_over = answer.status.is_some_and(|status| status == frames::STATUS_IDLE);
+    if is_over {
+        // The connection serves others while this answer waits for its confirmation.
+        pinned::give_back(held.lease, &caller.cancel);
+        remember_set(caller, unit, &answer, written);
+    } else {
+        held.lease.statement_ended();
+        let begins_implicit = held.is_implicit || !written.was_in_transaction;
+        held.is_implicit = answer.status.is_none() && begins_implicit;
+        held.awaits_sync = answer.status.is_none();
+        caller.skip_to_sync = held.awaits_sync && answer.has_error;
+        caller.pinned = Some(Box::new(held));
+    }
+    let mut out = BytesMut::new();
+    if let Some(commit) = commit {
+        match settle(caller, &scene, &commit, written.deadline).await {
+            true => report_commit(caller, &commit, &mut out),
+            false => return lose(caller, ErrorKind::NotConfirmed).await,
+        }
+    }
+    report_served(caller, &mut out);
+    let mut end = answer.rest;
+    if let Some(status) = answer.status {
+        frames::ready_for_query(&mut end, status);
+    }
+    write(caller, &out, &end).await
+}
+
+/// Waits until the commit may be seen: confirmed by a majority, and recorded for its session.
+async fn settle(
+    caller: &Caller,
+    scene: &crate::request::context::Scene,
+    commit: &Commit,
+    deadline: Instant,
+) -> bool {
+    let traffic = &caller.traffic;
+    if !commit.confirmed {
+        let live = &scene.published.group(scene.group).live;
+        let confirm_by = traffic.confirm_deadline(deadline);
+        if acknowledge::wait(live, commit.position, confirm_by).await == Verdict::Unknown {
+            return false;
+        }
+    }
+    if commit.is_peer {
+        return true;
+    }
+    traffic.counters.event(Event::WritesAcknowledged);
+    let Some(identity) = &commit.identity else { return true };
+    let (sender, recorded) = oneshot::channel();
+    let event = ControlEvent::WriteAcknowledged {
+        group: scene.group,
+        session: identity.to_string(),
+        position: commit.position,
+        recorded: sender,
+    };
+    traffic.control.send(Arc::clone(&scene.published), event);
+    // The write itself is safe by now. A record that takes longer than the caller waits, or can't
+    // be made, is the control thread's to make good: it answers for the session's floor.
+    let _ = time::timeout_at(deadline.into(), recorded).await;
+    true
+}
+
+/// Tells the caller its new floor, or another proxy the commit's position.
+fn report_commit(caller: &mut Caller, commit: &Commit, out: &mut BytesMut) {
+    let session = &mut caller.session;
+    if session.forwarded_by.is_some() {
+        frames::parameter_status(out, COMMIT_PARAMETER, &commit.position.to_string());
+        return;
+    }
+    session.floor = session.floor.max(commit.position);
+    frames::parameter_status(out, "skylark.token", &session.token());
+}
+
+fn report_served(caller: &mut Caller, out: &mut BytesMut) {
+    if caller.session.forwarded_by.is_some() {
+        frames::parameter_status(out, SERVED_PARAMETER, &caller.session.last_served);
+    }
+}
+
+/// Remembers a session's `SET` that took effect outside a transaction.
+fn remember_set(caller: &mut Caller, unit: &Unit, answer: &Answer, written: Written) {
+    let is_forwarded = caller.session.forwarded_by.is_some();
+    if written.was_in_transaction || answer.has_error || is_forwarded {
+        return;
+    }
+    if let Some(set) = unit.session_set() {
+        // One setting too many stays without effect, as if it had been reset; the caller can't be
+        // refused any more, since it ran.
+        let _ = caller.session.remember_setting(set);
+    }
+}
+
+/// Ends a request that has no answer of its own.
+pub async fn end(caller: &mut Caller, lease: Lease, ending: Ending) -> Flow {
+    pinned::close_or_recover(lease, &caller.cancel, &ending);
+    match ending {
+        Ending::NotConfirmed => lose(caller, ErrorKind::NotConfirmed).await,
+        Ending::Farewell(frame) => {
+            write(caller, &frame, &[]).await;
+            Flow::End
+        }
+        Ending::CallerTooSlow => {
+            caller.traffic.counters.refusal(ErrorKind::CallerTooSlow);
+            Flow::End
+        }
+        Ending::Torn | Ending::CallerGone => Flow::End,
+        Ending::Complete(_) | Ending::Failed(_) => {
+            unreachable!("complete answers and failed tries are ended elsewhere")
+        }
+    }
+}
+
+/// Answers with a kind that ends the caller's connection.
+async fn lose(caller: &mut Caller, kind: ErrorKind) -> Flow {
+    caller.end_transaction();
+    let mut out = BytesMut::new();
+    caller.traffic.counters.refusal(kind);
+    Refusal::from(kind).write(&mut out);
+    write(caller, &out, &[]).await;
+    Flow::End
+}
+
+/// Answers a request with a refusal.
+pub async fn refuse(caller: &mut Caller, unit: &Unit, refusal: &Refusal) -> Flow {
+    refuse_message(caller, refusal, unit.awaits_ready()).await
+}
+
+/// Answers with a refusal, and a ReadyForQuery where the request awaits one.
+pub async fn refuse_message(caller: &mut Caller, refusal: &Refusal, awaits_ready: bool) -> Flow {
+    caller.traffic.counters.refusal(refusal.kind);
+    let mut out = BytesMut::new();
+    refusal.write(&mut out);
+    if refusal.closes() {
+        caller.end_transaction();
+        write(caller, &out, &[]).await;
+        return Flow::End;
+    }
+    match awaits_ready {
+        true => frames::ready_for_query(&mut out, caller.status()),
+        false => caller.skip_to_sync = true,
+    }
+    write(caller, &out, &[]).await
+}
+
+/// Writes to the caller.
+pub async fn write(caller: &Caller, first: &[u8], second: &[u8]) -> Flow {
+    let stall = caller.traffic.limits.slow_reader();
+    match socket::write_both(&caller.stream, first, second, stall).await {
+        Ok(()) => Flow::GoOn,
+        Err(error) => {
+            if error.kind() == std::io::ErrorKind::TimedOut {
+                caller.traffic.counters.refusal(ErrorKind::CallerTooSlow);
+            }
+            Flow::End
+        }
+    }
+}
--- a/crates/proxy/src/request/mod.rs
+++ b/crates/proxy/src/request/mod.rs
@@ -1,1 +1,14 @@
 //! What lives as long as one request.
+
+pub mod acknowledge;
+pub mod answer;
+pub mod batch;
+pub mod context;
+pub mod exchange;
+pub mod execute;
+pub mod forward;
+pub mod parameters;
+pub mod refusal;
+pub mod route;
+pub mod statement;
+pub mod unit;
--- /dev/null
+++ b/crates/proxy/src/request/statement.rs
@@ -0,0 +1,310 @@
+//! What the text of a statement shows without an SQL parser: its parts, and the first word of each.
+//!
+//! Every answer errs to the safe side. A text that only might write is no read, one that only might
+//! commit may have committed, and one that only might change its session has it reset.
+
+/// What the proxy needs to know of a query text.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub struct StatementTraits {
+    /// Every part only reads, so it may go to a replica if the caller declared a read.
+    pub only_reads: bool,
+    /// Some part may end a transaction with a commit, apart from the implicit one.
+    pub may_commit: bool,
+    /// Some part may change the state of the target's session beyond the transaction.
+    pub changes_session: bool,
+    /// Some part is a COPY.
+    pub copies: bool,
+    /// Some part opens a transaction that may write.
+    pub opens_writable: bool,
+    /// The text is one statement that opens a transaction.
+    pub begins: Option<Access>,
+    /// The text is one SET or RESET of a parameter for the session.
+    pub sets: bool,
+    /// There is no statement in the text.
+    pub is_empty: bool,
+}
+
+/// The access that a statement opening a transaction asks for.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub enum Access {
+    /// `READ ONLY`.
+    ReadOnly,
+    /// `READ WRITE`.
+    ReadWrite,
+    /// Neither is said.
+    Unsaid,
+}
+
+impl StatementTraits {
+    /// Reads the text.
+    pub fn of(text: &str) -> StatementTraits {
+        let mut all = StatementTraits {
+            only_reads: true,
+            may_commit: false,
+            changes_session: false,
+            copies: false,
+            opens_writable: false,
+            begins: None,
+            sets: false,
+            is_empty: true,
+        };
+        let mut parts = 0;
+        for part in Parts::of(text) {
+            parts += 1;
+            all.add(part);
+        }
+        all.is_empty = parts == 0;
+        if is_opaque(text) {
+            all.only_reads = false;
+            all.may_commit = true;
+            all.changes_session = true;
+        }
+        if parts > 1 {
+            all.begins = None;
+            all.sets = false;
+        }
+        all
+    }
+
+    /// What both texts together show.
+    pub fn join(self, other: StatementTraits) -> StatementTraits {
+        if self.is_empty {
+            return other;
+        }
+        if other.is_empty {
+            return self;
+        }
+        StatementTraits {
+            only_reads: self.only_reads && other.only_reads,
+            may_commit: self.may_commit || other.may_commit,
+            changes_session: self.changes_session || other.changes_session,
+            copies: self.copies || other.copies,
+            opens_writable: self.opens_writable || other.opens_writable,
+            begins: self.begins.or(other.begins),
+            sets: false,
+            is_empty: false,
+        }
+    }
+
+    fn add(&mut self, part: &str) {
+        let keyword = first_word(part).to_ascii_uppercase();
+        let keyword = keyword.as_str();
+        self.only_reads &= only_reads(keyword, part);
+        self.may_commit |= !COMMITS_NOTHING.contains(&keyword);
+        self.changes_session |= changes_session(keyword, part);
+        self.copies |= keyword == "COPY";
+        self.sets = matches!(keyword, "SET" | "RESET") && changes_session(keyword, part);
+        if matches!(keyword, "BEGIN" | "START") {
+            let access = access(part);
+            self.begins = Some(access);
+            self.opens_writable |= access != Access::ReadOnly;
+        }
+    }
+}
+
+/// Statements that can't contain a commit. A procedure (`CALL`, `DO`) can.
+const COMMITS_NOTHING: &[&str] = &[
+    "SELECT",
+    "INSERT",
+    "UPDATE",
+    "DELETE",
+    "MERGE",
+    "WITH",
+    "VALUES",
+    "TABLE",
+    "SHOW",
+    "EXPLAIN",
+    "BEGIN",
+    "START",
+    "SAVEPOINT",
+    "RELEASE",
+    "ROLLBACK",
+    "ABORT",
+    "SET",
+    "RESET",
+    "FETCH",
+    "MOVE",
+    "CLOSE",
+    "DECLARE",
+    "LOCK",
+    "CREATE",
+    "ALTER",
+    "DROP",
+    "TRUNCATE",
+];
+
+/// Statements that leave the session as it was once their transaction has ended.
+const LEAVES_SESSION: &[&str] = &[
+    "SELECT",
+    "INSERT",
+    "UPDATE",
+    "DELETE",
+    "MERGE",
+    "WITH",
+    "VALUES",
+    "TABLE",
+    "SHOW",
+    "EXPLAIN",
+    "BEGIN",
+    "START",
+    "COMMIT",
+    "END",
+    "ROLLBACK",
+    "ABORT",
+    "SAVEPOINT",
+    "RELEASE",
+    "FETCH",
+    "MOVE",
+    "CLOSE",
+    "LOCK",
+    "CREATE",
+    "ALTER",
+    "DROP",
+    "TRUNCATE",
+];
+
+/// Words within a statement that show a change of the session: a parameter set by a function, an
+/// advisory lock, a temporary table.
+const SESSION_WORDS: &[&str] = &["set_config", "advisory", "temp"];
+
+fn only_reads(keyword: &str, part: &str) -> bool {
+    match keyword {
+        "SELECT" | "VALUES" | "TABLE" => !contains_any(part, &["into", "for update", "for share"]),
+        "SHOW" => true,
+        "EXPLAIN" => !contains_any(part, &["analy"]),
+        "WITH" => !contains_any(part, &["insert", "update", "delete", "merge", "into"]),
+        "BEGIN" | "START" => access(part) != Access::ReadWrite,
+        "COMMIT" | "END" | "ROLLBACK" | "ABORT" => true,
+        _ => false,
+    }
+}
+
+fn changes_session(keyword: &str, part: &str) -> bool {
+    if keyword == "SET" {
+        let second = first_word(after_word(part)).to_ascii_uppercase();
+        return !matches!(second.as_str(), "LOCAL" | "TRANSACTION" | "CONSTRAINTS");
+    }
+    !LEAVES_SESSION.contains(&keyword) || contains_any(part, SESSION_WORDS)
+}
+
+fn access(part: &str) -> Access {
+    if contains_any(part, &["read only"]) {
+        return Access::ReadOnly;
+    }
+    if contains_any(part, &["read write"]) {
+        return Access::ReadWrite;
+    }
+    Access::Unsaid
+}
+
+/// Whether the text contains one of the lower-case words in any case, also within a literal or as
+/// part of a longer word. A run of white space counts as one blank.
+fn contains_any(text: &str, words: &[&str]) -> bool {
+    words.iter().any(|word| find_ignoring_case(text.as_bytes(), word.as_bytes()))
+}
+
+fn find_ignoring_case(text: &[u8], word: &[u8]) -> bool {
+    (0..text.len()).any(|start| starts_ignoring_case(&text[start..], word))
+}
+
+fn starts_ignoring_case(mut text: &[u8], word: &[u8]) -> bool {
+    for wanted in word {
+        let Some((found, rest)) = text.split_first() else { return false };
+        let found = if found.is_ascii_whitespace() { b' ' } else { found.to_ascii_lowercase() };
+        if found != *wanted {
+            return false;
+        }
+        text = if found == b' ' { rest.trim_ascii_start() } else { rest };
+    }
+    true
+}
+
+/// The first word: letters, digits and underscores.
+pub fn first_word(text: &str) -> &str {
+    let end = text.find(|c: char| !c.is_ascii_alphanumeric() && c != '_').unwrap_or(text.len());
+    &text[..end]
+}
+
+/// What follows the first word, without leading white space.
+pub fn after_word(text: &str) -> &str {
+    text[first_word(text).len()..].trim_start()
+}
+
+/// The statements of a text: cut at semicolons outside literals, quoted names and comments, without
+/// leading white space and comments.
+#[derive(Debug)]
+pub struct Parts<'a> {
+    rest: &'a str,
+}
+
+impl<'a> Parts<'a> {
+    /// The statements of `text`.
+    pub fn of(text: &'a str) -> Parts<'a> {
+        Parts { rest: text }
+    }
+}
+
+impl<'a> Iterator for Parts<'a> {
+    type Item = &'a str;
+
+    fn next(&mut self) -> Option<&'a str> {
+        loop {
+            let text = skip_blank(self.rest);
+            if text.is_empty() {
+                return None;
+            }
+            let end = statement_end(text);
+            self.rest = text.get(end + 1..).unwrap_or("");
+            if end > 0 {
+                return Some(text[..end].trim_end());
+            }
+        }
+    }
+}
+
+/// Whether the text has quoting that [`Parts`] does not follow, so that a statement could hide
+/// in what looks like a literal: backslash escapes, dollar quotes, nested comments.
+fn is_opaque(text: &str) -> bool {
+    let bytes = text.as_bytes();
+    let dollar_quote = bytes.windows(2).any(|pair| pair[0] == b'$' && !pair[1].is_ascii_digit());
+    dollar_quote || bytes.contains(&b'\\') || text.matches("/*").count() > 1
+}
+
+/// Skips white space and comments.
+fn skip_blank(mut text: &str) -> &str {
+    loop {
+        text = text.trim_start();
+        text = if text.starts_with("--") {
+            text.find('\n').map_or("", |end| &text[end..])
+        } else if text.starts_with("/*") {
+            text.find("*/").map_or("", |end| &text[end + 2..])
+        } else {
+            return text;
+        };
+    }
+}
+
+/// The place of the semicolon that ends the first statement, or the length of the text.
+fn statement_end(text: &str) -> usize {
+    let bytes = text.as_bytes();
+    let mut at = 0;
+    while at < bytes.len() {
+        match bytes[at] {
+            b';' => return at,
+            quote @ (b'\'' | b'"') => at = after_quoted(bytes, at, quote),
+            b'-' if bytes[at + 1..].first() == Some(&b'-') => {
+                at += text[at..].find('\n').unwrap_or(text.len() - at);
+            }
+            b'/' if bytes[at + 1..].first() == Some(&b'*') => {
+                at += text[at..].find("*/").map_or(text.len() - at, |end| end + 2);
+            }
+            _ => at += 1,
+        }
+    }
+    text.len()
+}
+
+fn after_quoted(bytes: &[u8], start: usize, quote: u8) -> usize {
+    let close = bytes[start + 1..].iter().position(|byte| *byte == quote);
+    close.map_or(bytes.len(), |end| start + 1 + end + 1)
+}
--- /dev/null
+++ b/crates/proxy/src/request/unit.rs
@@ -0,0 +1,105 @@
+//! What is routed as one: a simple query, or a batch of extended-protocol messages.
+
+use bytes::Bytes;
+use bytes::BytesMut;
+use postgres_protocol::message::frontend;
+use skylark_core::request::retry::Effect;
+
+use crate::connection::reply::Replies;
+use crate::connection::target_connection::TargetConnection;
+use crate::request::batch::BatchEnd;
+use crate::request::batch::Plan;
+use crate::request::exchange::Encoded;
+use crate::request::statement::StatementTraits;
+
+/// A request of a caller.
+#[derive(Clone, Debug)]
+pub enum Unit {
+    /// A simple query.
+    Simple {
+        /// The frame.
+        frame: Bytes,
+        /// What its text shows.
+        traits: StatementTraits,
+        /// The text, if it is one `SET` or `RESET` for the session.
+        session_set: Option<String>,
+    },
+    /// A batch.
+    Batch {
+        /// The planned batch.
+        plan: Plan,
+        /// What ends it.
+        end: BatchEnd,
+    },
+}
+
+impl Unit {
+    /// What its texts show.
+    pub fn traits(&self) -> &StatementTraits {
+        match self {
+            Unit::Simple { traits, .. } => traits,
+            Unit::Batch { plan, .. } => &plan.traits,
+        }
+    }
+
+    /// The text of the session's parameter that it sets, if that is all it does.
+    pub fn session_set(&self) -> Option<&str> {
+        match self {
+            Unit::Simple { session_set, .. } => session_set.as_deref(),
+            Unit::Batch { plan, .. } => plan.session_set.as_deref(),
+        }
+    }
+
+    /// Whether its answer ends with a ReadyForQuery.
+    pub fn awaits_ready(&self) -> bool {
+        match self {
+            Unit::Simple { .. } => true,
+            Unit::Batch { end, .. } => *end == BatchEnd::Sync,
+        }
+    }
+
+    /// What it would do, for a decision on a retry.
+    pub fn effect(&self, is_read: bool, ends_implicit: bool) -> Effect {
+        match () {
+            _ if is_read => Effect::Read,
+            _ if self.traits().may_commit || ends_implicit => Effect::Commit,
+            _ => Effect::Write,
+        }
+    }
+
+    /// Writes it for a connection, behind `prelude`, the proxy's own requests.
+    pub fn encode(
+        &self,
+        connection: &mut TargetConnection,
+        prelude: BytesMut,
+        prelude_ready: u32,
+        prepared_limit: usize,
+    ) -> std::io::Result<Encoded> {
+        let mut encoded = Encoded {
+            prelude_bytes: prelude.len(),
+            prelude_ready,
+            awaits_ready: self.awaits_ready(),
+            changes_session: self.traits().changes_session,
+            ..Encoded::default()
+        };
+        let mut out = prelude;
+        match self {
+            Unit::Simple { frame, .. } if out.is_empty() => encoded.bytes = frame.clone(),
+            Unit::Simple { frame, .. } => {
+                out.extend_from_slice(frame);
+                encoded.bytes = out.freeze();
+            }
+            Unit::Batch { plan, end } => {
+                let mut replies = Replies::default();
+                plan.encode(&mut connection.prepared, prepared_limit, &mut out, &mut replies)?;
+                match end {
+                    BatchEnd::Sync => frontend::sync(&mut out),
+                    BatchEnd::Flush => frontend::flush(&mut out),
+                }
+                encoded.bytes = out.freeze();
+                encoded.replies = Some(replies);
+            }
+        }
+        Ok(encoded)
+    }
+}
--- /dev/null
+++ b/crates/proxy/tests/traffic_support/client.rs
@@ -0,0 +1,201 @@
+//! A client that sends and shows single messages.
+
+use std::net::SocketAddr;
+
+use bytes::BytesMut;
+use fallible_iterator::FallibleIterator;
+use postgres_protocol::message::backend::Message;
+use postgres_protocol::message::frontend;
+use tokio::io::AsyncReadExt;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
+
+use super::GROUP;
+use super::LONG;
+
+/// An error answer.
+#[derive(Clone, PartialEq, Eq, Debug, Default)]
+pub struct ErrorAnswer {
+    pub severity: String,
+    pub sqlstate: String,
+    pub message: String,
+    pub detail: String,
+    pub hint: String,
+}
+
+/// What was answered up to a ReadyForQuery or the end of the connection.
+#[derive(Clone, PartialEq, Eq, Debug, Default)]
+pub struct Answer {
+    pub rows: Vec<Vec<Option<String>>>,
+    pub tags: Vec<String>,
+    pub errors: Vec<ErrorAnswer>,
+    pub parameters: Vec<(String, String)>,
+    /// The types of all messages in order.
+    pub types: String,
+    /// The status of the ReadyForQuery, or `None` at the end of the connection.
+    pub status: Option<char>,
+}
+
+impl Answer {
+    /// The only value.
+    pub fn value(&self) -> &str {
+        assert_eq!(self.errors, [], "the request is answered");
+        self.rows[0][0].as_deref().expect("the value is not null")
+    }
+
+    /// The only error.
+    pub fn error(&self) -> &ErrorAnswer {
+        assert_eq!(self.errors.len(), 1, "one error in {self:?}");
+        &self.errors[0]
+    }
+
+    /// Asserts success.
+    pub fn ok(&self) -> &Answer {
+        assert_eq!(self.errors, [], "the request is answered");
+        assert!(self.status.is_some(), "the connection goes on");
+        self
+    }
+}
+
+/// A connection of a caller.
+pub struct Client {
+    pub stream: TcpStream,
+    input: BytesMut,
+    pub output: BytesMut,
+    pub key: (i32, i32),
+    pub token: Option<String>,
+}
+
+impl Client {
+    /// Connects as user `desk` with these further parameters, and passes the start-up.
+    pub async fn connect(address: SocketAddr, parameters: &[(&str, &str)]) -> Client {
+        let (client, greeting) = Client::try_connect(address, parameters).await;
+        assert_eq!(greeting.errors, [], "the start-up succeeds");
+        client
+    }
+
+    /// Connects and returns the answer to the start-up too.
+    pub async fn try_connect(address: SocketAddr, parameters: &[(&str, &str)]) -> (Client, Answer) {
+        let mut client = Client::bare(address).await;
+        let mut all = vec![("user", "desk"), ("database", GROUP)];
+        all.extend_from_slice(parameters);
+        // A later value for the same name stands in for the usual one.
+        let last = |name: &str| all.iter().rposition(|(known, _)| *known == name);
+        let unique: Vec<_> = all
+            .iter()
+            .enumerate()
+            .filter(|(place, (name, _))| last(name) == Some(*place))
+            .map(|(_, pair)| *pair)
+            .collect();
+        frontend::startup_message(unique, &mut client.output).expect("no zero bytes");
+        client.flush().await;
+        let answer = client.answer().await;
+        (client, answer)
+    }
+
+    /// A connection on which nothing was sent.
+    pub async fn bare(address: SocketAddr) -> Client {
+        let stream = TcpStream::connect(address).await.expect("the proxy listens");
+        stream.set_nodelay(true).expect("a socket option");
+        Client { stream, input: BytesMut::new(), output: BytesMut::new(), key: (0, 0), token: None }
+    }
+
+    /// Sends what was written.
+    pub async fn flush(&mut self) {
+        let output = self.output.split();
+        self.stream.write_all(&output).await.expect("the proxy reads");
+    }
+
+    /// Sends a simple query.
+    pub async fn send(&mut self, sql: &str) {
+        frontend::query(sql, &mut self.output).expect("no zero bytes");
+        self.flush().await;
+    }
+
+    /// Sends a simple query and reads its answer.
+    pub async fn query(&mut self, sql: &str) -> Answer {
+        self.send(sql).await;
+        self.answer().await
+    }
+
+    /// Reads up to the next ReadyForQuery or the end.
+    pub async fn answer(&mut self) -> Answer {
+        self.answer_until('Z').await
+    }
+
+    /// Reads up to a message of this type, a ReadyForQuery or the end.
+    pub async fn answer_until(&mut self, last: char) -> Answer {
+        let mut answer = Answer::default();
+        loop {
+            let tag = self.input.first().map(|tag| *tag as char);
+            let parsed = Message::parse(&mut self.input).expect("a message of the protocol");
+            let Some(message) = parsed else {
+                if !self.read().await {
+                    return answer;
+                }
+                continue;
+            };
+            let tag = tag.expect("a message begins with its type");
+            answer.types.push(tag);
+            self.note(&mut answer, message);
+            if tag == last || answer.status.is_some() {
+                return answer;
+            }
+        }
+    }
+
+    fn note(&mut self, answer: &mut Answer, message: Message) {
+        match message {
+            Message::DataRow(row) => {
+                let ranges: Vec<_> = row.ranges().collect().expect("ranges");
+                let text = |range: Option<std::ops::Range<usize>>| {
+                    let bytes = range.map(|range| row.buffer()[range].to_vec());
+                    bytes.map(|bytes| String::from_utf8(bytes).expect("text"))
+                };
+                answer.rows.push(ranges.into_iter().map(text).collect());
+            }
+            Message::CommandComplete(body) => answer.tags.push(body.tag().expect("tag").to_owned()),
+            Message::ErrorResponse(body) => {
+                let mut error = ErrorAnswer::default();
+                let fields: Vec<_> = body
+                    .fields()
+                    .map(|field| {
+                        Ok((
+                            field.type_(),
+                            String::from_utf8_lossy(field.value_bytes()).into_owned(),
+                        ))
+                    })
+                    .collect()
+                    .expect("fields");
+                for (code, value) in fields {
+                    match code {
+                        b'S' => error.severity = value,
+                        b'C' => error.sqlstate = value,
+                        b'M' => error.message = value,
+                        b'D' => error.detail = value,
+                        b'H' => error.hint = value,
+                        _ => (),
+                    }
+                }
+                answer.errors.push(error);
+            }
+            Message::ParameterStatus(body) => {
+                let (name, value) = (body.name().expect("name"), body.value().expect("value"));
+                if name == "skylark.token" {
+                    self.token = Some(value.to_owned());
+                }
+                answer.parameters.push((name.to_owned(), value.to_owned()));
+            }
+            Message::BackendKeyData(body) => self.key = (body.process_id(), body.secret_key()),
+            Message::ReadyForQuery(body) => answer.status = Some(body.status() as char),
+            _ => (),
+        }
+    }
+
+    async fn read(&mut self) -> bool {
+        let read = self.stream.read_buf(&mut self.input);
+        let read = tokio::time::timeout(LONG, read).await.expect("an answer comes in time");
+        // A reset ends the connection like a close.
+        !matches!(read, Ok(0) | Err(_))
+    }
+}
--- /dev/null
+++ b/crates/proxy/tests/traffic_support/gate.rs
@@ -0,0 +1,99 @@
+//! A gate in front of a target: it holds answers back and cuts connections when told to.
+
+use std::net::SocketAddr;
+
+use tokio::io::AsyncReadExt;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+use tokio::net::tcp::OwnedReadHalf;
+use tokio::net::tcp::OwnedWriteHalf;
+use tokio::sync::watch;
+
+/// What a gate does now.
+#[derive(Clone, Copy, PartialEq, Eq, Debug, Default)]
+pub struct Mode {
+    /// Answers of the target are held back.
+    pub hold_answers: bool,
+    /// Each change cuts all connections.
+    pub cuts: u32,
+    /// New connections are closed at once.
+    pub refuse: bool,
+}
+
+/// A gate.
+pub struct Gate {
+    address: SocketAddr,
+    mode: watch::Sender<Mode>,
+}
+
+impl Gate {
+    pub async fn start(target: SocketAddr) -> Gate {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port is free");
+        let address = listener.local_addr().expect("bound");
+        let mode = watch::Sender::new(Mode::default());
+        let modes = mode.clone();
+        tokio::spawn(async move {
+            while let Ok((near, _)) = listener.accept().await {
+                if modes.borrow().refuse {
+                    continue;
+                }
+                let Ok(far) = TcpStream::connect(target).await else { continue };
+                tokio::spawn(pass(near, far, modes.clone()));
+            }
+        });
+        Gate { address, mode }
+    }
+
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Holds the target's answers back, or lets them go.
+    pub fn hold_answers(&self, hold: bool) {
+        self.mode.send_modify(|mode| mode.hold_answers = hold);
+    }
+
+    /// Cuts all connections.
+    pub fn cut(&self) {
+        self.mode.send_modify(|mode| mode.cuts += 1);
+    }
+
+    /// Cuts all connections and lets no new ones through.
+    pub fn refuse(&self, refuse: bool) {
+        self.mode.send_modify(|mode| {
+            mode.refuse = refuse;
+            mode.cuts += 1;
+        });
+    }
+}
+
+async fn pass(near: TcpStream, far: TcpStream, modes: watch::Sender<Mode>) {
+    near.set_nodelay(true).expect("a socket option");
+    far.set_nodelay(true).expect("a socket option");
+    let (near_read, near_write) = near.into_split();
+    let (far_read, far_write) = far.into_split();
+    let mut cuts = modes.subscribe();
+    let before = cuts.borrow().cuts;
+    tokio::select! {
+        () = copy(near_read, far_write, None) => (),
+        () = copy(far_read, near_write, Some(modes.subscribe())) => (),
+        _ = cuts.wait_for(|mode| mode.cuts != before) => (),
+    }
+}
+
+async fn copy(
+    mut from: OwnedReadHalf,
+    mut to: OwnedWriteHalf,
+    held: Option<watch::Receiver<Mode>>,
+) {
+    let mut bytes = vec![0; 64 << 10];
+    while let Ok(count @ 1..) = from.read(&mut bytes).await {
+        if let Some(mut held) = held.clone() {
+            let _ = held.wait_for(|mode| !mode.hold_answers).await;
+        }
+        if to.write_all(&bytes[..count]).await.is_err() {
+            return;
+        }
+    }
+}
