Forget confirmations when a member set is settled

A tracker kept what members confirmed through changes of the member set. A member that ran a write, was left out of the next term's fence and rewound it became a quorum alone after two removals, and the write was taken for acknowledged although it was gone.

--- a/crates/core/src/process/acknowledgement.rs
+++ b/crates/core/src/process/acknowledgement.rs
@@ -135,10 +135,18 @@
         self.advance_all()
     }
 
-    /// Ends the joint phase of the member set.
-    pub fn settle_members(&mut self) -> Option<LogPosition> {
+    /// Ends the joint phase of the member set, and forgets what members confirmed before.
+    ///
+    /// A confirmation is a fact about the past, and quorums that share a member make it safe to keep.
+    /// Quorums of sets two changes apart need not share one: a member that confirmed a write, was
+    /// left out of the next term's fence and rewound the write could be a quorum of what is left of
+    /// the set, and the caller would be told of a write that is gone. Members report again soon, and
+    /// report a write's term only while they still hold it.
+    pub fn settle_members(&mut self) {
         self.members.settle();
-        self.advance_all()
+        for track in &mut self.tracks {
+            track.confirmed = None;
+        }
     }
 
     /// Every broken invariant.
