Give operators skylarkctl: plan, confirm, status, explain, check

A superseded plan, an unknown object, a bad value, a platform or proxy that is down, a lost outcome and an unfinished plan each have a message and an exit code of their own, also as JSON.

Tests run the commands in-process against the stand-in of the platform: racing operators, every answer of a confirmation lost, a platform that goes silent after the change, a drain of a primary that is interrupted and resumed. With the unanswered update forgotten, the plan's id not compared, or the primary not moved first, they fail.

--- /dev/null
+++ b/crates/ctl/src/arguments.rs
@@ -0,0 +1,280 @@
+//! The command line.
+
+use std::net::SocketAddr;
+use std::path::Path;
+use std::path::PathBuf;
+use std::time::Duration;
+
+use clap::Arg;
+use clap::ArgAction;
+use clap::ArgMatches;
+use clap::value_parser;
+use skylark_core::version::plan::intent::Intent;
+use skylark_settings::LoadError;
+use skylark_settings::Settings;
+use skylark_settings::deployment::Group;
+
+use crate::failure::Failure;
+
+/// How long a command may take where the operator does not say.
+const DEFAULT_TIMEOUT_MS: &str = "30000";
+
+/// The options that all commands share.
+#[derive(Clone, PartialEq, Eq, Debug)]
+pub struct Options {
+    /// The platform's object API.
+    pub platform: Option<SocketAddr>,
+    /// Control addresses of proxies.
+    pub proxies: Vec<SocketAddr>,
+    /// The availability zone that calls to the platform come from.
+    pub zone: String,
+    /// How long a confirmation may go on.
+    pub timeout: Duration,
+    /// Whether the output is JSON.
+    pub json: bool,
+}
+
+/// A settings file's kind.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub enum FileKind {
+    /// Settings of a proxy.
+    Proxy,
+    /// A deployment.
+    Deployment,
+    /// A group that is to be added.
+    Group,
+}
+
+impl FileKind {
+    const NAMES: [&'static str; 3] = ["proxy", "deployment", "group"];
+
+    fn from_name(name: &str) -> Option<FileKind> {
+        match name {
+            "proxy" => Some(FileKind::Proxy),
+            "deployment" => Some(FileKind::Deployment),
+            "group" => Some(FileKind::Group),
+            _ => None,
+        }
+    }
+}
+
+/// What the operator asks for.
+#[derive(Clone, PartialEq, Eq, Debug)]
+pub enum Command {
+    /// Plan an intent.
+    Plan(Intent),
+    /// Confirm the plan with this id.
+    Confirm(String),
+    /// Show what proxies do.
+    Status,
+    /// Show why: a group's name or a plan's id.
+    Explain(String),
+    /// Check a settings file.
+    Check {
+        /// Its kind, where the operator says so.
+        kind: Option<FileKind>,
+        /// The file.
+        file: PathBuf,
+    },
+}
+
+fn name(id: &'static str) -> Arg {
+    Arg::new(id).required(true)
+}
+
+fn target_or_vm(command: &'static str, about: &'static str) -> clap::Command {
+    clap::Command::new(command)
+        .about(about)
+        .subcommand_required(true)
+        .subcommand(clap::Command::new("target").about("A target").arg(name("name")))
+        .subcommand(clap::Command::new("vm").about("An entry VM").arg(name("name")))
+}
+
+fn plan_command() -> clap::Command {
+    let max_age = name("max_age_ms").value_parser(value_parser!(u64));
+    let weight = name("weight").value_parser(value_parser!(u32));
+    let to = Arg::new("to").long("to").value_name("TARGET").help("The member that is to lead");
+    clap::Command::new("plan")
+        .about("Says what an intent would change, step by step; changes nothing")
+        .subcommand_required(true)
+        .subcommand(target_or_vm("drain", "Takes a target or an entry VM out of service"))
+        .subcommand(target_or_vm("undrain", "Takes it into service again"))
+        .subcommand(
+            clap::Command::new("move-primary")
+                .about("Lets another member lead a group")
+                .arg(name("group"))
+                .arg(to),
+        )
+        .subcommand(
+            clap::Command::new("set-staleness")
+                .about("Changes how old the data of a read kind may be")
+                .args([name("service"), name("read_kind"), max_age]),
+        )
+        .subcommand(
+            clap::Command::new("set-weight")
+                .about("Changes a class's share of connections")
+                .args([name("service"), name("class"), weight]),
+        )
+        .subcommand(
+            clap::Command::new("add-group")
+                .about("Serves a group, described by a settings file")
+                .arg(name("file").value_parser(value_parser!(PathBuf))),
+        )
+        .subcommand(
+            clap::Command::new("remove-group")
+                .about("Stops serving a group; its databases are left as they are")
+                .arg(name("group")),
+        )
+}
+
+/// The command line's definition.
+pub fn command() -> clap::Command {
+    let kind = Arg::new("kind").long("kind").value_parser(FileKind::NAMES);
+    clap::Command::new("skylarkctl")
+        .about("Plans and confirms changes, and shows what the proxies do and why")
+        .version(clap::crate_version!())
+        .subcommand_required(true)
+        .args([
+            Arg::new("platform")
+                .long("platform")
+                .value_name("ADDRESS")
+                .global(true)
+                .value_parser(value_parser!(SocketAddr))
+                .help("The platform's object API"),
+            Arg::new("proxy")
+                .long("proxy")
+                .value_name("ADDRESS")
+                .global(true)
+                .action(ArgAction::Append)
+                .value_parser(value_parser!(SocketAddr))
+                .help("A proxy's control address; may be repeated"),
+            Arg::new("zone")
+                .long("zone")
+                .value_name("ZONE")
+                .global(true)
+                .default_value("operators")
+                .help("The zone that calls to the platform come from"),
+            Arg::new("timeout_ms")
+                .long("timeout-ms")
+                .value_name("MS")
+                .global(true)
+                .default_value(DEFAULT_TIMEOUT_MS)
+                .value_parser(value_parser!(u64))
+                .help("How long a confirmation may wait for answers and steps"),
+            Arg::new("json")
+                .long("json")
+                .global(true)
+                .action(ArgAction::SetTrue)
+                .help("Writes JSON documents, also for failures"),
+        ])
+        .subcommand(plan_command())
+        .subcommand(
+            clap::Command::new("confirm")
+                .about("Puts a plan in force; safe to repeat")
+                .arg(name("id")),
+        )
+        .subcommand(clap::Command::new("status").about("Shows what proxies do"))
+        .subcommand(
+            clap::Command::new("explain")
+                .about("Shows the latest decisions about a group, or how far a plan has come")
+                .arg(name("subject").value_name("GROUP|PLAN")),
+        )
+        .subcommand(
+            clap::Command::new("check")
+                .about("Lists every mistake of a settings file")
+                .arg(kind.help("What the file describes; found out from its keys by default"))
+                .arg(name("file").value_parser(value_parser!(PathBuf))),
+        )
+}
+
+impl Options {
+    pub(crate) fn read(matches: &ArgMatches) -> Options {
+        let timeout_ms: Option<&u64> = matches.get_one("timeout_ms");
+        Options {
+            platform: matches.get_one("platform").copied(),
+            proxies: matches.get_many("proxy").unwrap_or_default().copied().collect(),
+            zone: text(matches, "zone"),
+            timeout: Duration::from_millis(timeout_ms.copied().unwrap_or_default()),
+            json: matches.get_flag("json"),
+        }
+    }
+}
+
+/// A text argument; the definition sees to it that required ones are there.
+fn text(matches: &ArgMatches, id: &str) -> String {
+    matches.get_one::<String>(id).cloned().unwrap_or_default()
+}
+
+fn file(matches: &ArgMatches) -> PathBuf {
+    matches.get_one::<PathBuf>("file").cloned().unwrap_or_default()
+}
+
+/// The command that the arguments name, with the files that it needs.
+pub(crate) fn read(matches: &ArgMatches) -> Result<Command, Failure> {
+    let (command, matches) = matches.subcommand().expect("a subcommand is required");
+    Ok(match command {
+        "plan" => Command::Plan(read_intent(matches)?),
+        "confirm" => Command::Confirm(text(matches, "id")),
+        "status" => Command::Status,
+        "explain" => Command::Explain(text(matches, "subject")),
+        "check" => Command::Check {
+            kind: FileKind::from_name(&text(matches, "kind")),
+            file: file(matches),
+        },
+        other => unreachable!("the command line defines no command {other}"),
+    })
+}
+
+fn read_intent(matches: &ArgMatches) -> Result<Intent, Failure> {
+    let (intent, matches) = matches.subcommand().expect("a subcommand is required");
+    Ok(match intent {
+        "drain" => read_drain(matches, true),
+        "undrain" => read_drain(matches, false),
+        "move-primary" => {
+            let to = matches.get_one::<String>("to").cloned();
+            Intent::MovePrimary { group: text(matches, "group"), to }
+        }
+        "set-staleness" => Intent::SetStaleness {
+            service: text(matches, "service"),
+            read_kind: text(matches, "read_kind"),
+            max_age_ms: matches.get_one("max_age_ms").copied().unwrap_or_default(),
+        },
+        "set-weight" => Intent::SetWeight {
+            service: text(matches, "service"),
+            class: text(matches, "class"),
+            weight: matches.get_one("weight").copied().unwrap_or_default(),
+        },
+        "add-group" => {
+            let group: Group = load(&file(matches))?;
+            Intent::AddGroup { spec: group.spec(), group: group.name }
+        }
+        "remove-group" => Intent::RemoveGroup { group: text(matches, "group") },
+        other => unreachable!("the command line defines no intent {other}"),
+    })
+}
+
+fn read_drain(matches: &ArgMatches, drain: bool) -> Intent {
+    let (what, matches) = matches.subcommand().expect("a subcommand is required");
+    let name = text(matches, "name");
+    match (what, drain) {
+        ("target", true) => Intent::DrainTarget { target: name },
+        ("target", false) => Intent::UndrainTarget { target: name },
+        (_, true) => Intent::DrainVm { vm: name },
+        (_, false) => Intent::UndrainVm { vm: name },
+    }
+}
+
+/// Reads a settings file.
+pub(crate) fn load<S>(file: &Path) -> Result<S, Failure>
+where
+    S: Settings,
+{
+    skylark_settings::load(file).map_err(|error| match error {
+        LoadError::Unreadable(error) => {
+            Failure::UnreadableFile { file: file.display().to_string(), reason: error.to_string() }
+        }
+        LoadError::Mistakes(mistakes) => {
+            Failure::Mistakes { file: file.display().to_string(), mistakes }
+        }
+    })
+}
--- /dev/null
+++ b/crates/ctl/src/check.rs
@@ -0,0 +1,39 @@
+//! `check`: every mistake of a settings file.
+
+use std::fs;
+use std::path::Path;
+
+use serde_json::json;
+use skylark_settings::deployment::DeploymentSettings;
+use skylark_settings::deployment::Group;
+use skylark_settings::proxy::ProxySettings;
+
+use crate::arguments;
+use crate::arguments::FileKind;
+use crate::failure::Failure;
+use crate::report::Report;
+
+pub(crate) fn run(kind: Option<FileKind>, file: &Path) -> Result<Report, Failure> {
+    let kind = kind.unwrap_or_else(|| guess(file));
+    let name = match kind {
+        FileKind::Proxy => arguments::load::<ProxySettings>(file).map(|_| "a proxy"),
+        FileKind::Deployment => arguments::load::<DeploymentSettings>(file).map(|_| "a deployment"),
+        FileKind::Group => arguments::load::<Group>(file).map(|_| "a group"),
+    }?;
+    let text = format!("{}: accepted as settings of {name}\n", file.display());
+    Ok(Report::success(text, json!({ "file": file, "accepted": true })))
+}
+
+/// The kind that a file's keys speak for. A file that can't be read is taken for a proxy's, whose
+/// check then says what is wrong with it.
+fn guess(file: &Path) -> FileKind {
+    let text = fs::read_to_string(file).unwrap_or_default();
+    let has = |key: &str| text.contains(&format!("\"{key}\""));
+    if has("groups") || has("zones") {
+        FileKind::Deployment
+    } else if has("members") {
+        FileKind::Group
+    } else {
+        FileKind::Proxy
+    }
+}
--- /dev/null
+++ b/crates/ctl/src/confirm.rs
@@ -0,0 +1,144 @@
+//! `confirm`: makes the calls that [`Confirmation`] asks for.
+
+use std::time::Duration;
+
+use serde_json::json;
+use skylark_core::version::plan::call::Answer;
+use skylark_core::version::plan::call::Call;
+use skylark_core::version::plan::call::End;
+use skylark_core::version::plan::call::Next;
+use skylark_core::version::plan::call::Standing;
+use skylark_core::version::plan::call::Verb;
+use skylark_core::version::plan::confirmation::Confirmation;
+use skylark_core::version::plan::record::PlanRecord;
+use skylark_platform::ObjectStore;
+use skylark_platform::StoreError;
+use tokio::time;
+use tokio::time::Instant;
+
+use crate::failure::Failure;
+use crate::report::Report;
+
+/// The pause before a call is made again.
+const PAUSE: Duration = Duration::from_millis(200);
+
+/// How many calls in a row may stay without an answer before a confirmation that has changed
+/// nothing gives up.
+const MAX_LOST_CALLS: u32 = 3;
+
+/// Confirms the plan with this id; gives up after `timeout`, or earlier where the platform does not
+/// answer and nothing has changed.
+pub async fn run<S>(store: &S, id: &str, timeout: Duration) -> Result<Report, Failure>
+where
+    S: ObjectStore,
+{
+    let mut confirmation = Confirmation::new(id);
+    let give_up_at = Instant::now() + timeout;
+    let mut lost_calls = 0;
+    let mut lost_reason = String::new();
+    loop {
+        match confirmation.next_action() {
+            Next::End(end) => return report(id, end, &confirmation),
+            Next::Pause => time::sleep(PAUSE).await,
+            Next::Call(call) => {
+                let answer = match make(store, call).await {
+                    Ok(answer) => answer,
+                    Err(StoreError::NoAnswer(reason)) => {
+                        lost_reason = reason;
+                        Answer::Lost
+                    }
+                    Err(error) => {
+                        let reason = error.to_string();
+                        return Err(stopped(id, &confirmation, Stop::Refused(reason)));
+                    }
+                };
+                lost_calls = if answer == Answer::Lost { lost_calls + 1 } else { 0 };
+                confirmation.answer(answer);
+            }
+        }
+        let untouched = confirmation.standing() == Standing::Untouched;
+        if Instant::now() >= give_up_at || (untouched && lost_calls >= MAX_LOST_CALLS) {
+            let stop = if lost_calls > 0 { Stop::Lost(lost_reason) } else { Stop::TimedOut };
+            return Err(stopped(id, &confirmation, stop));
+        }
+    }
+}
+
+/// Makes one call. What the state machine has no answer for is an error.
+async fn make<S>(store: &S, call: Call) -> Result<Answer, StoreError>
+where
+    S: ObjectStore,
+{
+    let (kind, name) = (call.kind, &*call.name);
+    let answer = match call.verb {
+        Verb::Get => store.get(kind, name).await.map(Answer::Found),
+        Verb::Put { expected_version, body } => {
+            let put = store.put(kind, name, expected_version, body).await;
+            put.map(|put| Answer::Took { version: put.version })
+        }
+        Verb::Delete { expected_version } => {
+            let deleted = store.delete(kind, name, expected_version).await;
+            deleted.map(|deleted| Answer::Took { version: deleted.version })
+        }
+    };
+    match answer {
+        Err(StoreError::Conflict { .. }) => Ok(Answer::Conflict),
+        Err(StoreError::NotFound) => Ok(Answer::Missing),
+        answer => answer,
+    }
+}
+
+fn report(id: &str, end: End, confirmation: &Confirmation) -> Result<Report, Failure> {
+    let steps = confirmation.record().map_or(0, |record| record.plan.steps.len());
+    match end {
+        End::Applied { already } => {
+            let when = if already { "was in force already" } else { "is in force" };
+            let text = format!("plan {id} {when}: {steps} of {steps} steps are done\n");
+            let json = json!({ "id": id, "in_force": true, "already": already, "steps": steps });
+            Ok(Report::success(text, json))
+        }
+        End::Superseded { steps_done, cause } => {
+            Err(Failure::Superseded { id: id.to_owned(), steps_done, steps, cause })
+        }
+        End::Unknown { cause } => Err(Failure::OutcomeUnknown { id: id.to_owned(), cause }),
+        End::NoPlan => Err(Failure::UnknownPlan { id: id.to_owned() }),
+        End::BadRecord { reason } => Err(Failure::PlatformRefused { reason }),
+    }
+}
+
+/// Why a confirmation is stopped before its end.
+enum Stop {
+    /// The platform does not answer.
+    Lost(String),
+    /// The platform refused a call.
+    Refused(String),
+    /// The time is up while a step waits.
+    TimedOut,
+}
+
+fn stopped(id: &str, confirmation: &Confirmation, stop: Stop) -> Failure {
+    let id = id.to_owned();
+    let reason = match &stop {
+        Stop::Lost(reason) => format!("the platform does not answer: {reason}"),
+        Stop::Refused(reason) => reason.clone(),
+        Stop::TimedOut => "the time is up".to_owned(),
+    };
+    match (confirmation.standing(), stop) {
+        (Standing::Unanswered, _) => Failure::OutcomeUnknown { id, cause: reason },
+        (Standing::Unfinished, stop) => unfinished(id, confirmation.record(), stop, reason),
+        (Standing::Untouched, Stop::Refused(reason)) => Failure::PlatformRefused { reason },
+        (Standing::Untouched, Stop::Lost(reason)) => Failure::PlatformDown { reason },
+        (Standing::Untouched, Stop::TimedOut) => Failure::PlatformDown { reason },
+    }
+}
+
+fn unfinished(id: String, record: Option<&PlanRecord>, stop: Stop, reason: String) -> Failure {
+    let steps_done = record.map_or(0, |record| record.steps_done);
+    let steps = record.map_or(0, |record| record.plan.steps.len());
+    let next = record.and_then(|record| record.plan.steps.get(steps_done));
+    let waits_for = match (stop, next) {
+        (Stop::TimedOut, Some(step)) => step.to_string(),
+        _ => reason,
+    };
+    Failure::Unfinished { id, steps_done, steps, waits_for }
+}
--- a/crates/ctl/src/lib.rs
+++ b/crates/ctl/src/lib.rs
@@ -1,1 +1,79 @@
 //! The operators' command line.
+//!
+//! An operator states an intent (`plan`), reads the plan, and confirms it by its id (`confirm`).
+//! `status` and `explain` ask proxies what they do and why; `check` reads settings files. The plans
+//! themselves, and what a confirmation's answers mean, are decided in
+//! [`skylark_core::version::plan`]; here are the calls, the words and the exit codes.
+//!
+//! [`run`] is the whole program but for its arguments and streams, so tests call it in-process.
+
+use std::ffi::OsString;
+use std::io;
+use std::io::Write;
+
+use crate::arguments::Command;
+use crate::arguments::Options;
+use crate::exit::Exit;
+use crate::failure::Failure;
+use crate::report::Report;
+
+pub mod arguments;
+mod check;
+pub mod confirm;
+pub mod exit;
+mod explain;
+pub mod failure;
+mod plan;
+mod proxy;
+pub mod report;
+mod status;
+mod store;
+
+/// Runs one command and writes its results to `out` and its failures to `err`.
+pub async fn run<I, T, O, E>(arguments: I, out: &mut O, err: &mut E) -> Exit
+where
+    I: IntoIterator<Item = T>,
+    T: Into<OsString> + Clone,
+    O: Write,
+    E: Write,
+{
+    let matches = match arguments::command().try_get_matches_from(arguments) {
+        Ok(matches) => matches,
+        Err(usage) => {
+            let asked = !usage.use_stderr();
+            let text = usage.render();
+            let written = if asked { write!(out, "{text}") } else { write!(err, "{text}") };
+            return if asked { written_exit(written, Exit::Success) } else { Exit::Usage };
+        }
+    };
+    let options = Options::read(&matches);
+    let outcome = match arguments::read(&matches) {
+        Ok(command) => execute(&command, &options).await,
+        Err(failure) => Err(failure),
+    };
+    match outcome {
+        Ok(report) => {
+            let written = report.write(options.json, out);
+            written_exit(written, report.exit)
+        }
+        Err(failure) => {
+            let written = failure.write(options.json, err);
+            written_exit(written, failure.exit())
+        }
+    }
+}
+
+async fn execute(command: &Command, options: &Options) -> Result<Report, Failure> {
+    match command {
+        Command::Plan(intent) => plan::run(&store::open(options)?, intent).await,
+        Command::Confirm(id) => confirm::run(&store::open(options)?, id, options.timeout).await,
+        Command::Status => status::run(options).await,
+        Command::Explain(subject) => explain::run(subject, options).await,
+        Command::Check { kind, file } => check::run(*kind, file),
+    }
+}
+
+/// A result that could not be written is not a success.
+fn written_exit(written: io::Result<()>, exit: Exit) -> Exit {
+    if written.is_ok() { exit } else { Exit::Output }
+}
--- /dev/null
+++ b/crates/ctl/src/plan.rs
@@ -0,0 +1,98 @@
+//! `plan`: from an intent to a plan that is kept, unconfirmed, in the platform.
+
+use serde::Deserialize;
+use serde_json::json;
+use skylark_core::version::objects::ObjectKind;
+use skylark_core::version::objects::Snapshot;
+use skylark_core::version::objects::StoredObject;
+use skylark_core::version::plan::Plan;
+use skylark_core::version::plan::intent::Intent;
+use skylark_core::version::plan::planner;
+use skylark_core::version::plan::record::PlanRecord;
+use skylark_core::version::plan::record::PlanState;
+use skylark_platform::ObjectStore;
+use skylark_platform::StoreError;
+
+use crate::failure::Failure;
+use crate::report::Report;
+use crate::store;
+
+/// How many plans are kept. Every snapshot carries them, so their number must have a bound.
+const KEPT_PLANS: usize = 256;
+
+/// How many old plans one command removes at most.
+const REMOVED_AT_ONCE: usize = 8;
+
+/// How often storing a plan is tried where the answer is lost.
+const STORE_TRIES: usize = 3;
+
+pub(crate) async fn run<S>(store: &S, intent: &Intent) -> Result<Report, Failure>
+where
+    S: ObjectStore,
+{
+    let snapshot = store.snapshot().await.map_err(Failure::of_store)?;
+    let plan = planner::plan(intent, &snapshot).map_err(Failure::NoPlan)?;
+    propose(store, &plan).await?;
+    remove_old_plans(store, &snapshot).await;
+    let text = format!(
+        "{plan}Nothing has changed yet. To put the plan in force: skylarkctl confirm {}\n",
+        plan.id
+    );
+    Ok(Report::success(text, json!({ "plan": plan })))
+}
+
+/// Stores the plan's record, unless it is stored already.
+async fn propose<S>(store: &S, plan: &Plan) -> Result<(), Failure>
+where
+    S: ObjectStore,
+{
+    let record = PlanRecord::proposed(plan.clone());
+    let mut lost = String::new();
+    for _ in 0..STORE_TRIES {
+        match store.put(ObjectKind::Plan, &plan.id, 0, record.to_body()).await {
+            Ok(_) => return Ok(()),
+            Err(StoreError::Conflict { .. }) => return check_stored(store, plan).await,
+            // The record may be stored: the next try then conflicts, and the record is compared.
+            Err(StoreError::NoAnswer(reason)) => lost = reason,
+            Err(error) => return Err(Failure::of_store(error)),
+        }
+    }
+    Err(Failure::PlatformDown { reason: lost })
+}
+
+/// The id is a hash of the plan, so what is stored under it is the same plan, but for a collision.
+async fn check_stored<S>(store: &S, plan: &Plan) -> Result<(), Failure>
+where
+    S: ObjectStore,
+{
+    let stored = store::get(store, ObjectKind::Plan, &plan.id).await?;
+    let stored = stored.and_then(|object| PlanRecord::deserialize(&object.body).ok());
+    match stored {
+        Some(record) if record.plan == *plan => Ok(()),
+        _ => Err(Failure::PlatformRefused {
+            reason: format!("another object is stored as plan {}", plan.id),
+        }),
+    }
+}
+
+/// Removes the oldest plans beyond the bound, but none that is being confirmed. A failure here is
+/// no failure of the command: the next command tries again.
+async fn remove_old_plans<S>(store: &S, snapshot: &Snapshot)
+where
+    S: ObjectStore,
+{
+    let stored = snapshot.objects.iter().filter(|object| !object.deleted);
+    let mut plans: Vec<&StoredObject> =
+        stored.filter(|object| object.kind == ObjectKind::Plan).collect();
+    plans.sort_by_key(|object| object.version);
+    let surplus = plans.len().saturating_sub(KEPT_PLANS).min(REMOVED_AT_ONCE);
+    let old = plans.into_iter().filter(|object| !is_being_confirmed(object));
+    for object in old.take(surplus) {
+        let _ = store.delete(ObjectKind::Plan, &object.name, object.version).await;
+    }
+}
+
+fn is_being_confirmed(object: &StoredObject) -> bool {
+    let record = PlanRecord::deserialize(&object.body);
+    record.is_ok_and(|record| record.state == PlanState::Confirmed)
+}
--- /dev/null
+++ b/crates/ctl/src/store.rs
@@ -0,0 +1,36 @@
+//! The platform, as the commands call it.
+
+use skylark_core::version::objects::ObjectKind;
+use skylark_core::version::objects::StoredObject;
+use skylark_platform::ObjectStore;
+use skylark_platform::StoreError;
+use skylark_platform::http::HttpStore;
+
+use crate::arguments::Options;
+use crate::failure::Failure;
+
+/// A client of the platform that the options name.
+pub(crate) fn open(options: &Options) -> Result<HttpStore, Failure> {
+    let address = options.platform.ok_or(Failure::MissingOption {
+        option: "--platform",
+        purpose: "plans are kept in the platform's object API",
+    })?;
+    Ok(HttpStore::new(&address.to_string(), &options.zone))
+}
+
+/// An object, or nothing where there is none.
+pub(crate) async fn get<S>(
+    store: &S,
+    kind: ObjectKind,
+    name: &str,
+) -> Result<Option<StoredObject>, Failure>
+where
+    S: ObjectStore,
+{
+    match store.get(kind, name).await {
+        Ok(object) if object.deleted => Ok(None),
+        Ok(object) => Ok(Some(object)),
+        Err(StoreError::NotFound) => Ok(None),
+        Err(error) => Err(Failure::of_store(error)),
+    }
+}
--- a/crates/settings/src/deployment.rs
+++ b/crates/settings/src/deployment.rs
@@ -303,3 +303,20 @@
         self.check_addresses(relations);
     }
 }
+
+/// A group in a file of its own, which operators add to a running deployment.
+impl Settings for Group {
+    const KEYS: &'static [Key] = Group::KEYS;
+
+    fn check_relations(&self, relations: &mut Relations) {
+        let targets = self.members.iter().enumerate();
+        relations
+            .refuse_repeated(targets.map(|(i, it)| (format!("members[{i}].target"), &*it.target)));
+        let addresses = self.members.iter().map(|it| it.address.to_string());
+        let addresses: Vec<String> = addresses.collect();
+        let addresses = addresses.iter().enumerate();
+        relations.refuse_repeated(
+            addresses.map(|(i, address)| (format!("members[{i}].address"), &**address)),
+        );
+    }
+}
