Test single faults in a change of primary, and mend what they showed

Tests of single faults and text cases of one driver showed four defects. - A planned move to a member that had just died held writes back for the whole bound: the last report still looked level. The wanted member must now answer the canvass of the move. - While one driver held writes back for a move, the next candidate took its claim for dead and claimed as well. It now gives a move the hold's time, but not when the primary is gone. - Winning back a member that was raised too far moved the primary to whichever member voted first.

--- a/crates/core/src/process/failover/campaign.rs
+++ b/crates/core/src/process/failover/campaign.rs
@@ -52,14 +52,19 @@
             Cause::RaisedBeyond => self.settings.driver_us,
         };
         let turn_us = since_us.saturating_add(delay_us).saturating_add(self.stagger_us());
-        turn_us.max(self.not_before_us).max(self.after_rivals_us())
+        turn_us.max(self.not_before_us).max(self.after_rivals_us(cause))
     }
 
-    /// When a rival that was seen at work has had its time.
-    fn after_rivals_us(&self) -> u64 {
+    /// When a rival that was seen at work has had its time. One that moves the primary as an
+    /// operator asked also has the time of the hold, unless the primary is gone meanwhile.
+    fn after_rivals_us(&self, cause: Cause) -> u64 {
         let claim_us = self.lead.rival_claim_us(&self.name, self.led_term());
         let Some(seen_us) = self.rival_us.max(claim_us) else { return 0 };
-        seen_us.saturating_add(self.settings.driver_us).saturating_add(self.stagger_us())
+        let hold_us = if cause == Cause::Wanted { self.settings.hold_us } else { 0 };
+        seen_us
+            .saturating_add(hold_us)
+            .saturating_add(self.settings.driver_us)
+            .saturating_add(self.stagger_us())
     }
 
     pub(super) fn stagger_us(&self) -> u64 {
@@ -76,7 +81,7 @@
         since_us: u64,
         actions: &mut Vec<Action>,
     ) -> Option<Phase> {
-        if self.present_cause() != Some(cause) || self.after_rivals_us() > now_us {
+        if self.present_cause() != Some(cause) || self.after_rivals_us(cause) > now_us {
             return Some(Phase::Idle);
         }
         if self.members().is_quorum(self.answering(since_us))
@@ -96,6 +101,9 @@
     /// that sees a stray member, may hear the replicas before the primary that leads them; a
     /// suspected primary has had its time already.
     fn awaits_answers(&mut self, now_us: u64, cause: Cause, since_us: u64) -> bool {
+        if cause == Cause::Wanted && !self.wanted_answered(since_us) {
+            return true;
+        }
         let all = self.answering(since_us).count() == self.members().count();
         let until_us = since_us.saturating_add(CANVASS_ROUNDS * self.settings.resend_us);
         let waits = cause != Cause::Suspected && !all && now_us < until_us;
@@ -105,6 +113,13 @@
         waits
     }
 
+    /// Whether the wanted member answered this very canvass. Holding writes back for one that has
+    /// just died would cost the whole bound of the hold.
+    fn wanted_answered(&self, since_us: u64) -> bool {
+        let answer = self.wanted_member().and_then(|wanted| self.reports.latest(wanted));
+        answer.is_some_and(|(at_us, _)| at_us > since_us)
+    }
+
     /// The members that reported since shortly before the canvass.
     fn answering(&self, since_us: u64) -> MemberMask {
         let earliest_us = since_us.saturating_sub(self.settings.fresh_us);
--- a/crates/core/src/process/failover/fence.rs
+++ b/crates/core/src/process/failover/fence.rs
@@ -37,7 +37,8 @@
             return Some(self.lose(now_us, term, actions));
         }
         let voters = self.voters(term);
-        if self.members().is_quorum(voters) && !self.awaits_wanted(now_us, cause, voters, since_us)
+        if self.members().is_quorum(voters)
+            && !self.awaits_preferred(now_us, cause, voters, since_us)
         {
             Self::trace(Step::Fenced, term, actions);
             return self.choose(term, voters).map(|member| {
@@ -83,8 +84,9 @@
         !self.members().is_quorum(open)
     }
 
-    /// A planned move waits a moment longer for the vote of the wanted member.
-    fn awaits_wanted(
+    /// Waits a moment longer for the vote of the member that is to lead: the wanted one, or the
+    /// present primary where it works and only a stray member has to be won back.
+    fn awaits_preferred(
         &mut self,
         now_us: u64,
         cause: Cause,
@@ -92,8 +94,13 @@
         since_us: u64,
     ) -> bool {
         let until_us = since_us.saturating_add(self.settings.resend_us);
-        let missing = self.wanted_member().is_some_and(|wanted| !voters.contains(wanted));
-        let waits = cause == Cause::Wanted && missing && now_us < until_us;
+        let preferred = match cause {
+            Cause::Wanted => self.wanted_member(),
+            Cause::RaisedBeyond => self.announced.map(|leader| leader.member),
+            Cause::Suspected | Cause::Unled => None,
+        };
+        let missing = preferred.is_some_and(|member| !voters.contains(member));
+        let waits = missing && now_us < until_us;
         if waits {
             self.wake_at(until_us);
         }
--- a/crates/core/src/process/failover/planned_move.rs
+++ b/crates/core/src/process/failover/planned_move.rs
@@ -108,7 +108,8 @@
 
     /// Gives up a wish whose member has not come near in time.
     pub(super) fn watch_wish(&mut self, now_us: u64, actions: &mut Vec<Action>) {
-        if self.phase != Phase::Idle || self.wanted_member().is_none() {
+        let begun = !matches!(self.phase, Phase::Idle | Phase::Canvassing { .. });
+        if begun || self.wanted_member().is_none() {
             return;
         }
         let until_us = self
--- a/crates/core/tests/group/mod.rs
+++ b/crates/core/tests/failover/group.rs
@@ -14,9 +14,7 @@
 use skylark_core::process::member_set::MemberSet;
 use skylark_core::version::objects::LeadRecord;
 
-use member::FakeMember;
-
-pub mod member;
+use crate::member::FakeMember;
 
 /// Members and processes; process `i` and member `i` are in zone `i`.
 pub const COUNT: usize = 3;
--- a/crates/core/tests/group/member.rs
+++ b/crates/core/tests/failover/member.rs
@@ -66,7 +66,7 @@
         }
     }
 
-    fn raise(&mut self, term: Term, name: &str) {
+    pub fn raise(&mut self, term: Term, name: &str) {
         if term > self.raised_term {
             self.raised_term = term;
             self.raised_by = name.to_owned();
--- a/crates/core/tests/failover_group.rs
+++ b/crates/core/tests/failover/random.rs
@@ -1,17 +1,15 @@
 //! Random faults around a small group of members and several drivers: no acknowledged write is
 //! lost, a term has one primary, and writes work again once faults stop.
 
-mod group;
-
 use quickcheck::Arbitrary;
 use quickcheck::Gen;
 use quickcheck::QuickCheck;
 use quickcheck::TestResult;
-
-use group::COUNT;
-use group::Group;
 use skylark_core::process::failover::Event;
 
+use crate::group::COUNT;
+use crate::group::Group;
+
 const TESTS: u64 = 400;
 const OPS: usize = 800;
 
