Measure four ways of sharing a target on one recorded surge

The product's queue runs in virtual time in front of two slots and 16 connections; each strategy meets the same seeded arrivals, with ten times the lookups, ten times everything, and ten times the lookups of which half come from one caller.

--- /dev/null
+++ b/crates/bench/examples/surge.rs
@@ -0,0 +1,71 @@
+//! Runs the recorded surge through every strategy of sharing and prints the results as JSON lines.
+
+use std::io;
+use std::io::Write;
+
+use skylark_bench::surge::outcome::RunName;
+use skylark_bench::surge::outcome::RunOutcome;
+use skylark_bench::surge::simulation;
+use skylark_bench::surge::simulation::Setup;
+use skylark_bench::surge::trace;
+use skylark_bench::surge::trace::Arrival;
+use skylark_bench::surge::trace::Scenario;
+use skylark_bench::surge::trace::Weights;
+use skylark_core::process::sharing::arrival_order::ArrivalOrder;
+use skylark_core::process::sharing::relative_performance::LowestRelativePerformance;
+use skylark_core::process::sharing::strict_priority::StrictPriority;
+use skylark_core::process::sharing::weighted::WeightedMaxMin;
+
+/// The seeds of the recorded arrivals.
+const SEEDS: [u64; 3] = [1, 2, 3];
+
+/// How many statements the queue lets run at once, in turn.
+const RUNNING: [u32; 4] = [2, 3, 4, 16];
+
+/// Weights that double from class to class.
+const DOUBLING: Weights = [8, 4, 2, 1];
+
+/// Weights that leave reservations more than they ask for when everything surges.
+const STEEP: Weights = [64, 16, 4, 1];
+
+fn main() -> io::Result<()> {
+    for scenario in Scenario::ALL {
+        for seed in SEEDS {
+            let arrivals = trace::record(scenario, seed);
+            for running in RUNNING {
+                for weights in [DOUBLING, STEEP] {
+                    let setup = Setup::new(weights, running);
+                    run_strategies(scenario, seed, setup, &arrivals)?;
+                    run_strategies(scenario, seed, setup.without_standing_rule(), &arrivals)?;
+                }
+            }
+        }
+    }
+    Ok(())
+}
+
+fn run_strategies(
+    scenario: Scenario,
+    seed: u64,
+    setup: Setup,
+    arrivals: &[Arrival],
+) -> io::Result<()> {
+    let name = |strategy| RunName { scenario: scenario.name(), strategy, setup, seed };
+    let arrival = simulation::run::<ArrivalOrder>(arrivals, &setup);
+    print(&name("arrival_order"), &arrival)?;
+    let strict = simulation::run::<StrictPriority>(arrivals, &setup);
+    print(&name("strict_priority"), &strict)?;
+    let weighted = simulation::run::<WeightedMaxMin>(arrivals, &setup);
+    print(&name("weighted_max_min"), &weighted)?;
+    let relative = simulation::run::<LowestRelativePerformance>(arrivals, &setup);
+    print(&name("lowest_relative_performance"), &relative)
+}
+
+fn print(name: &RunName<'_>, outcome: &RunOutcome) -> io::Result<()> {
+    let mut stdout = io::stdout().lock();
+    for line in outcome.lines(name) {
+        serde_json::to_writer(&mut stdout, &line)?;
+        writeln!(stdout)?;
+    }
+    Ok(())
+}
--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -5,8 +5,10 @@
 //! - [`history`] holds what each caller did and saw, and checks it against what the groups hold in
 //!   the end.
 //! - [`slopes`] measures how costs grow with the size that they depend on.
+//! - [`surge`] compares ways of sharing a target's slots on one recorded surge.
 
 pub mod commands;
 pub mod history;
 pub mod load;
 pub mod slopes;
+pub mod surge;
--- /dev/null
+++ b/crates/bench/src/surge/outcome.rs
@@ -0,0 +1,201 @@
+//! What became of the requests of a run.
+
+use hdrhistogram::Histogram;
+use serde::Serialize;
+
+use crate::surge::simulation::Setup;
+use crate::surge::trace::Arrival;
+use crate::surge::trace::CLASSES;
+use crate::surge::trace::ClassLoad;
+use crate::surge::trace::HEAVY_CALLER;
+use crate::surge::trace::Phase;
+use crate::surge::trace::Weights;
+
+/// Microseconds in a millisecond.
+const MS_US: f64 = 1_000.0;
+
+/// The longest time that the histograms hold.
+const LONGEST_US: u64 = 600_000_000;
+
+/// The counts of one class in one phase.
+#[derive(Clone, Debug)]
+pub struct ClassOutcome {
+    /// Requests that arrived.
+    pub offered: u64,
+    /// Requests that were served.
+    pub served: u64,
+    /// Requests that were served within the goal of the class.
+    pub within_goal: u64,
+    /// Requests that were served after their deadline.
+    pub late: u64,
+    /// Requests refused because the predicted wait passed their deadline.
+    pub refused_deadline: u64,
+    /// Requests refused because a bound of the queue was reached.
+    pub refused_full: u64,
+    /// Requests whose deadline passed while they waited.
+    pub timed_out: u64,
+    /// Requests of [`HEAVY_CALLER`] that arrived.
+    pub heavy_offered: u64,
+    /// Requests of [`HEAVY_CALLER`] that were served.
+    pub heavy_served: u64,
+    responses_us: Histogram<u64>,
+    prediction_errors_us: Histogram<u64>,
+}
+
+impl ClassOutcome {
+    fn new() -> ClassOutcome {
+        let histogram = || {
+            let bounded = Histogram::new_with_bounds(1, LONGEST_US, 3);
+            bounded.expect("the bounds and three digits are what the library takes")
+        };
+        ClassOutcome {
+            offered: 0,
+            served: 0,
+            within_goal: 0,
+            late: 0,
+            refused_deadline: 0,
+            refused_full: 0,
+            timed_out: 0,
+            heavy_offered: 0,
+            heavy_served: 0,
+            responses_us: histogram(),
+            prediction_errors_us: histogram(),
+        }
+    }
+
+    /// Counts a request that arrives.
+    pub fn offered(&mut self, arrival: &Arrival) {
+        self.offered += 1;
+        self.heavy_offered += u64::from(arrival.caller == HEAVY_CALLER);
+    }
+
+    /// Counts a request that was served.
+    pub fn served(&mut self, load: &ClassLoad, arrival: &Arrival, response_us: u64) {
+        self.served += 1;
+        self.heavy_served += u64::from(arrival.caller == HEAVY_CALLER);
+        self.within_goal += u64::from(response_us <= load.goal_us);
+        self.late += u64::from(response_us > load.deadline_us);
+        self.responses_us.saturating_record(response_us);
+    }
+
+    /// Records how far a predicted wait was from the actual one.
+    pub fn predicted(&mut self, predicted_us: u64, waited_us: u64) {
+        self.prediction_errors_us.saturating_record(predicted_us.abs_diff(waited_us));
+    }
+
+    fn response_ms(&self, quantile: f64) -> f64 {
+        self.responses_us.value_at_quantile(quantile) as f64 / MS_US
+    }
+}
+
+/// The counts of all classes and phases of a run.
+#[derive(Clone, Debug)]
+pub struct RunOutcome {
+    classes: Vec<Vec<ClassOutcome>>,
+}
+
+impl Default for RunOutcome {
+    fn default() -> RunOutcome {
+        let phases = vec![ClassOutcome::new(); Phase::ALL.len()];
+        RunOutcome { classes: vec![phases; CLASSES.len()] }
+    }
+}
+
+impl RunOutcome {
+    /// The counts of one class in one phase.
+    pub fn of(&mut self, class: usize, phase: Phase) -> &mut ClassOutcome {
+        &mut self.classes[class][phase as usize]
+    }
+
+    /// One line for each class and phase.
+    pub fn lines(&self, run: &RunName<'_>) -> Vec<Line> {
+        let mut lines = Vec::new();
+        for (class, phases) in self.classes.iter().enumerate() {
+            let idle_p99_ms = phases[Phase::Before as usize].response_ms(0.99);
+            for phase in Phase::ALL {
+                let outcome = &phases[phase as usize];
+                lines.push(Line::new(run, CLASSES[class].name, phase, outcome, idle_p99_ms));
+            }
+        }
+        lines
+    }
+}
+
+/// Which run a line belongs to.
+#[derive(Clone, Copy, Debug)]
+pub struct RunName<'a> {
+    /// What surged.
+    pub scenario: &'a str,
+    /// The strategy.
+    pub strategy: &'a str,
+    /// The bounds of the queue and the weights.
+    pub setup: Setup,
+    /// The seed of the arrivals.
+    pub seed: u64,
+}
+
+/// One line of the results.
+#[derive(Clone, Debug, Serialize)]
+pub struct Line {
+    scenario: String,
+    strategy: String,
+    running: u32,
+    weights: Weights,
+    standing_ms: u64,
+    seed: u64,
+    class: &'static str,
+    phase: &'static str,
+    offered: u64,
+    served: u64,
+    within_goal: u64,
+    late: u64,
+    refused_deadline: u64,
+    refused_full: u64,
+    timed_out: u64,
+    heavy_offered: u64,
+    heavy_served: u64,
+    p50_ms: f64,
+    p99_ms: f64,
+    max_ms: f64,
+    p99_to_idle: f64,
+    prediction_error_p50_ms: f64,
+    prediction_error_p99_ms: f64,
+}
+
+impl Line {
+    fn new(
+        run: &RunName<'_>,
+        class: &'static str,
+        phase: Phase,
+        outcome: &ClassOutcome,
+        idle_p99_ms: f64,
+    ) -> Line {
+        let error_ms =
+            |quantile| outcome.prediction_errors_us.value_at_quantile(quantile) as f64 / MS_US;
+        Line {
+            scenario: run.scenario.to_owned(),
+            strategy: run.strategy.to_owned(),
+            running: run.setup.limits.running,
+            weights: run.setup.weights,
+            standing_ms: run.setup.limits.standing_us / 1_000,
+            seed: run.seed,
+            class,
+            phase: phase.name(),
+            offered: outcome.offered,
+            served: outcome.served,
+            within_goal: outcome.within_goal,
+            late: outcome.late,
+            refused_deadline: outcome.refused_deadline,
+            refused_full: outcome.refused_full,
+            timed_out: outcome.timed_out,
+            heavy_offered: outcome.heavy_offered,
+            heavy_served: outcome.heavy_served,
+            p50_ms: outcome.response_ms(0.5),
+            p99_ms: outcome.response_ms(0.99),
+            max_ms: outcome.response_ms(1.0),
+            p99_to_idle: outcome.response_ms(0.99) / idle_p99_ms,
+            prediction_error_p50_ms: error_ms(0.5),
+            prediction_error_p99_ms: error_ms(0.99),
+        }
+    }
+}
--- /dev/null
+++ b/crates/bench/src/surge/trace.rs
@@ -0,0 +1,216 @@
+//! The recorded surge: seeded arrivals of four classes.
+
+use rand::RngExt;
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+use skylark_core::process::sharing::ClassShare;
+
+/// Microseconds in a second.
+const SECOND_US: f64 = 1_000_000.0;
+
+/// How many callers the requests of a class are spread over.
+const CALLERS: u64 = 200;
+
+/// The caller that sends a part of the lookups alone in [`Scenario::OneCaller`].
+pub const HEAVY_CALLER: u64 = 1_000_000;
+
+/// A class of the recorded load.
+#[derive(Clone, Copy, Debug)]
+pub struct ClassLoad {
+    /// The name in the results.
+    pub name: &'static str,
+    /// The response time aimed at.
+    pub goal_us: u64,
+    /// The time limit of each request.
+    pub deadline_us: u64,
+    /// Requests a second outside the surge.
+    pub rate: f64,
+    /// Statements in a request.
+    pub statements: u32,
+    /// The mean run time of a statement.
+    pub run_us: f64,
+}
+
+/// The classes of the recorded load. With these rates the two slots are used to three tenths.
+pub const CLASSES: [ClassLoad; 4] = [
+    ClassLoad {
+        name: "reservation",
+        goal_us: 50_000,
+        deadline_us: 2_000_000,
+        rate: 20.0,
+        statements: 3,
+        run_us: 2_000.0,
+    },
+    ClassLoad {
+        name: "return",
+        goal_us: 100_000,
+        deadline_us: 2_000_000,
+        rate: 20.0,
+        statements: 1,
+        run_us: 5_000.0,
+    },
+    ClassLoad {
+        name: "lookup",
+        goal_us: 200_000,
+        deadline_us: 1_000_000,
+        rate: 60.0,
+        statements: 1,
+        run_us: 5_000.0,
+    },
+    ClassLoad {
+        name: "report",
+        goal_us: 1_000_000,
+        deadline_us: 5_000_000,
+        rate: 4.0,
+        statements: 1,
+        run_us: 20_000.0,
+    },
+];
+
+/// The weights of the classes in a run, in the order of [`CLASSES`].
+pub type Weights = [u32; CLASSES.len()];
+
+/// The settings of the classes with these weights.
+pub fn shares(weights: Weights) -> Vec<ClassShare> {
+    let share = |(class, weight): (&ClassLoad, u32)| ClassShare { weight, goal_us: class.goal_us };
+    CLASSES.iter().zip(weights).map(share).collect()
+}
+
+/// The place of the lookups in [`CLASSES`].
+pub const LOOKUP: usize = 2;
+
+/// What surges.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub enum Scenario {
+    /// Ten times the lookups.
+    Lookups,
+    /// Ten times everything.
+    Everything,
+    /// Ten times the lookups, half of them from one caller.
+    OneCaller,
+}
+
+impl Scenario {
+    /// Every scenario.
+    pub const ALL: [Scenario; 3] = [Scenario::Lookups, Scenario::Everything, Scenario::OneCaller];
+
+    /// The name in the results.
+    pub fn name(self) -> &'static str {
+        match self {
+            Scenario::Lookups => "lookups",
+            Scenario::Everything => "everything",
+            Scenario::OneCaller => "one_caller",
+        }
+    }
+
+    fn factor(self, class: usize) -> f64 {
+        match self {
+            Scenario::Everything => 10.0,
+            _ if class == LOOKUP => 10.0,
+            _ => 1.0,
+        }
+    }
+}
+
+/// A part of the run, by the time of arrival.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub enum Phase {
+    /// Before the surge.
+    Before,
+    /// During the surge.
+    Surge,
+    /// After the surge.
+    After,
+}
+
+impl Phase {
+    /// Every phase in order.
+    pub const ALL: [Phase; 3] = [Phase::Before, Phase::Surge, Phase::After];
+
+    /// The name in the results.
+    pub fn name(self) -> &'static str {
+        match self {
+            Phase::Before => "before",
+            Phase::Surge => "surge",
+            Phase::After => "after",
+        }
+    }
+}
+
+/// The time from the start to the surge.
+pub const SURGE_START_US: u64 = 60_000_000;
+
+/// The end of the surge.
+pub const SURGE_END_US: u64 = 120_000_000;
+
+/// The end of the arrivals.
+pub const END_US: u64 = 150_000_000;
+
+/// One request.
+#[derive(Clone, PartialEq, Debug)]
+pub struct Arrival {
+    /// When it arrives at the home.
+    pub at_us: u64,
+    /// Its place in [`CLASSES`].
+    pub class: usize,
+    /// Whom it comes from.
+    pub caller: u64,
+    /// The run time of each of its statements.
+    pub runs_us: Vec<u64>,
+}
+
+impl Arrival {
+    /// The phase that the request belongs to.
+    pub fn phase(&self) -> Phase {
+        match self.at_us {
+            SURGE_START_US..SURGE_END_US => Phase::Surge,
+            ..SURGE_START_US => Phase::Before,
+            _ => Phase::After,
+        }
+    }
+}
+
+/// Records the arrivals of a scenario, in the order of their times. Equal seeds give equal records.
+pub fn record(scenario: Scenario, seed: u64) -> Vec<Arrival> {
+    let mut arrivals = Vec::new();
+    for class in 0..CLASSES.len() {
+        let mut rng = StdRng::seed_from_u64(seed * CLASSES.len() as u64 + class as u64);
+        record_class(scenario, class, &mut rng, &mut arrivals);
+    }
+    arrivals.sort_by_key(|arrival| arrival.at_us);
+    arrivals
+}
+
+fn record_class(scenario: Scenario, class: usize, rng: &mut StdRng, arrivals: &mut Vec<Arrival>) {
+    let load = &CLASSES[class];
+    let mut at_us = 0.0;
+    loop {
+        let surges = (SURGE_START_US..SURGE_END_US).contains(&(at_us as u64));
+        let factor = if surges { scenario.factor(class) } else { 1.0 };
+        at_us += exponential(rng, SECOND_US / (load.rate * factor));
+        if at_us as u64 >= END_US {
+            return;
+        }
+        let caller = caller(scenario, class, surges, rng);
+        let runs_us = (0..load.statements).map(|_| run_us(rng, load.run_us)).collect();
+        arrivals.push(Arrival { at_us: at_us as u64, class, caller, runs_us });
+    }
+}
+
+fn caller(scenario: Scenario, class: usize, surges: bool, rng: &mut StdRng) -> u64 {
+    let heavy = scenario == Scenario::OneCaller && class == LOOKUP && surges;
+    if heavy && rng.random_bool(0.5) {
+        return HEAVY_CALLER;
+    }
+    class as u64 * CALLERS + rng.random_range(0..CALLERS)
+}
+
+/// Half of the mean is fixed, and the other half varies.
+fn run_us(rng: &mut StdRng, mean_us: f64) -> u64 {
+    (mean_us / 2.0 + exponential(rng, mean_us / 2.0)) as u64
+}
+
+fn exponential(rng: &mut StdRng, mean: f64) -> f64 {
+    let uniform: f64 = rng.random();
+    -(1.0 - uniform).ln() * mean
+}
--- a/crates/core/src/process/sharing/class_queue.rs
+++ b/crates/core/src/process/sharing/class_queue.rs
@@ -1,10 +1,8 @@
-//! The waiting requests of one class, in an order that is fair between callers.
+//! The waiting requests of one class, in arrival order, with a count for each caller.
 //!
-//! In arrival order a caller that sends a thousand requests at once would put everybody else of its
-//! class behind them. Here each request takes a turn: one more than the caller's previous turn, or
-//! the class's present turn if that is later (start-time fair queueing with a cost of one for each
-//! request). So a caller's second request goes behind the first of every other caller, and with one
-//! request each the order is that of arrival.
+//! A bound on what one caller may have waiting keeps it from filling the queue of its class. An order
+//! that takes turns between callers was measured too (`docs/decisions/sharing-in-a-surge.md`): later
+//! requests of other callers then pass a waiting one without end, so that no wait can be predicted.
 
 use std::collections;
 
@@ -29,22 +27,13 @@
     pub queued_us: u64,
     /// When the caller gives up.
     pub deadline_us: u64,
-    turn: u64,
-}
-
-/// What the class knows of a caller with waiting requests.
-#[derive(Clone, Copy, PartialEq, Eq, Debug, Default)]
-struct CallerTurns {
-    queued: usize,
-    last_turn: u64,
 }
 
 /// The queue of one class.
 #[derive(Clone, Debug, Default)]
 pub struct ClassQueue {
     waiting: collections::VecDeque<Waiting>,
-    callers: FastMap<CallerId, CallerTurns>,
-    turn: u64,
+    callers: FastMap<CallerId, usize>,
 }
 
 impl ClassQueue {
@@ -65,44 +54,30 @@
 
     /// How many requests of the caller wait.
     pub fn queued_of(&self, caller: CallerId) -> usize {
-        self.callers.get(&caller).map_or(0, |turns| turns.queued)
+        self.callers.get(&caller).copied().unwrap_or(0)
     }
 
-    /// How many waiting requests would go before a new one of the caller.
-    pub fn ahead_of(&self, caller: CallerId) -> usize {
-        let turn = self.next_turn(caller);
-        self.waiting.partition_point(|waiting| waiting.turn <= turn)
-    }
-
-    /// Adds a request.
-    pub fn push(&mut self, ticket: Ticket, caller: CallerId, queued_us: u64, deadline_us: u64) {
-        let turn = self.next_turn(caller);
-        let turns = self.callers.entry(caller).or_default();
-        turns.queued += 1;
-        turns.last_turn = turn;
-        let place = self.waiting.partition_point(|waiting| waiting.turn <= turn);
-        let request = Waiting { ticket, caller, queued_us, deadline_us, turn };
-        self.waiting.insert(place, request);
+    /// Adds a request. Tickets increase.
+    pub fn push(&mut self, request: Waiting) {
+        *self.callers.entry(request.caller).or_default() += 1;
+        self.waiting.push_back(request);
     }
 
     /// Takes the request that goes next.
     pub fn pop(&mut self) -> Option<Waiting> {
         let request = self.waiting.pop_front()?;
-        self.turn = self.turn.max(request.turn);
         self.leave(request.caller);
         Some(request)
     }
 
     /// Takes a request out that no longer waits. Returns whether it was there.
     pub fn remove(&mut self, ticket: Ticket) -> bool {
-        let place = self.waiting.iter().position(|waiting| waiting.ticket == ticket);
-        match place.and_then(|place| self.waiting.remove(place)) {
-            Some(request) => {
-                self.leave(request.caller);
-                true
-            }
-            None => false,
+        let place = self.waiting.binary_search_by_key(&ticket, |waiting| waiting.ticket);
+        let removed = place.ok().and_then(|place| self.waiting.remove(place));
+        if let Some(request) = removed {
+            self.leave(request.caller);
         }
+        removed.is_some()
     }
 
     /// Takes out every request whose deadline has come, and adds them to `expired`.
@@ -119,36 +94,28 @@
     pub fn verify(&self) -> Vec<String> {
         let mut problems = Vec::new();
         for (earlier, later) in self.waiting.iter().zip(self.waiting.iter().skip(1)) {
-            if earlier.turn > later.turn {
+            if earlier.ticket >= later.ticket {
                 problems.push(format!("{later:?} stands behind {earlier:?}"));
             }
         }
-        for (caller, turns) in &self.callers {
+        for (caller, counted) in &self.callers {
             let queued = self.waiting.iter().filter(|waiting| waiting.caller == *caller).count();
-            if queued != turns.queued || queued == 0 {
-                problems.push(format!("{caller:?} has {queued} requests, not {}", turns.queued));
+            if queued != *counted || queued == 0 {
+                problems.push(format!("{caller:?} has {queued} requests, not {counted}"));
             }
         }
-        let counted: usize = self.callers.values().map(|turns| turns.queued).sum();
+        let counted: usize = self.callers.values().sum();
         if counted != self.waiting.len() {
             problems.push(format!("{counted} requests are counted of {}", self.waiting.len()));
         }
         problems
     }
 
-    fn next_turn(&self, caller: CallerId) -> u64 {
-        match self.callers.get(&caller) {
-            Some(turns) => self.turn.max(turns.last_turn + 1),
-            None => self.turn,
-        }
-    }
-
     fn leave(&mut self, caller: CallerId) {
-        if let Some(turns) = self.callers.get_mut(&caller) {
-            turns.queued -= 1;
-            if turns.queued == 0 {
-                self.callers.remove(&caller);
-            }
+        let Some(queued) = self.callers.get_mut(&caller) else { return };
+        *queued -= 1;
+        if *queued == 0 {
+            self.callers.remove(&caller);
         }
     }
 }
--- a/crates/core/src/process/sharing/queue.rs
+++ b/crates/core/src/process/sharing/queue.rs
@@ -8,6 +8,13 @@
 //!
 //! A request that can't be served before its deadline is refused when it arrives, while "not run" is
 //! plainly true and the caller still has time for something else.
+//!
+//! A queue that is allowed to fill up to the deadlines stays full throughout an overload, and every
+//! request that is served has waited for almost its whole time limit, though no more are served than
+//! from a short queue. So when the predicted wait of a class has stood above half of its goal for a
+//! while, its requests beyond that are refused until the queue has been short again. A burst passes
+//! before that and is queued. (The idea of telling a standing queue from a burst is that of Nichols
+//! and Jacobson, "Controlling queue delay".)
 
 use crate::ids::ClassId;
 use crate::process::sharing::ClassShare;
@@ -16,6 +23,7 @@
 use crate::process::sharing::class_queue::CallerId;
 use crate::process::sharing::class_queue::ClassQueue;
 use crate::process::sharing::class_queue::Ticket;
+use crate::process::sharing::class_queue::Waiting;
 use crate::request::error_kind::ErrorKind;
 
 /// The weight of the newest observation in an average, as one part in this many.
@@ -24,6 +32,9 @@
 /// The shortest time after which a refused caller is asked to come back.
 const MIN_RETRY_AFTER_US: u64 = 20_000;
 
+/// The shortest wait that counts as standing.
+const MIN_STANDING_BOUND_US: u64 = 100_000;
+
 /// The bounds of a queue.
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
 pub struct QueueLimits {
@@ -38,6 +49,9 @@
     pub queued_per_class: usize,
     /// How many requests of one caller wait in one class.
     pub queued_per_caller: usize,
+    /// How long the predicted wait of a class may stand above half of its goal before requests
+    /// beyond that are refused.
+    pub standing_us: u64,
     /// The run time reckoned with before any was seen.
     pub initial_run_us: u64,
 }
@@ -50,6 +64,7 @@
             queued: 512,
             queued_per_class: 256,
             queued_per_caller: 32,
+            standing_us: 1_000_000,
             initial_run_us: 5_000,
         }
     }
@@ -92,7 +107,8 @@
 pub enum Turn {
     /// It may take a connection and run now.
     Granted(Grant),
-    /// Its deadline passed while it waited: it is answered [`ErrorKind::WaitTimedOut`].
+    /// It waited for so long that its answer would come after its deadline, so it was not run: it
+    /// is answered [`ErrorKind::WaitTimedOut`].
     TimedOut(Ticket),
 }
 
@@ -111,6 +127,8 @@
     queues: Vec<ClassQueue>,
     averages: Vec<Averages>,
     views: Vec<ClassView>,
+    /// Since when the predicted wait of each class stands above half of its goal.
+    standing_since_us: Vec<Option<u64>>,
     running: u32,
     connections: u32,
     next_ticket: u64,
@@ -129,6 +147,7 @@
             queues: vec![ClassQueue::default(); classes.len()],
             averages: vec![initial; classes.len()],
             views: classes.iter().map(|share| ClassView::idle(*share)).collect(),
+            standing_since_us: vec![None; classes.len()],
             running: 0,
             connections: 0,
             next_ticket: 0,
@@ -157,6 +176,7 @@
                 self.queues.push(ClassQueue::default());
                 self.averages.push(Averages { run_us: initial_us, held_us: initial_us });
                 self.views.push(ClassView::idle(*share));
+                self.standing_since_us.push(None);
             }
             self.views[class].share = *share;
             self.refresh(class);
@@ -175,11 +195,13 @@
     ) -> Admission {
         let index = class.index();
         if self.has_room() && self.queued() == 0 {
+            self.standing_since_us[index] = None;
             self.strategy.became_busy(index);
             self.grant(index);
             return Admission::Granted;
         }
-        let predicted_wait_us = self.predicted_wait_us(class, caller, now_us);
+        let predicted_wait_us = self.predicted_wait_us(class, now_us);
+        self.watch_wait(index, predicted_wait_us, now_us);
         if let Some(kind) = self.refusal(index, caller, predicted_wait_us, deadline_us, now_us) {
             let retry_after_us = predicted_wait_us.max(MIN_RETRY_AFTER_US);
             return Admission::Refused { kind, retry_after_us };
@@ -189,7 +211,8 @@
         if self.queues[index].is_empty() {
             self.strategy.became_busy(index);
         }
-        self.queues[index].push(ticket, caller, now_us, deadline_us);
+        let request = Waiting { ticket, caller, queued_us: now_us, deadline_us };
+        self.queues[index].push(request);
         self.refresh(index);
         Admission::Queued { ticket, predicted_wait_us }
     }
@@ -203,7 +226,8 @@
         let class = self.strategy.choose(&self.views, now_us)?;
         let request = self.queues[class].pop()?;
         self.refresh(class);
-        if request.deadline_us <= now_us {
+        // What would be answered after the deadline takes a slot from what would not.
+        if request.deadline_us <= now_us + self.views[class].run_us {
             return Some(Turn::TimedOut(request.ticket));
         }
         self.grant(class);
@@ -251,17 +275,12 @@
     }
 
     /// How long a new request would wait.
-    pub fn predicted_wait_us(&self, class: ClassId, caller: CallerId, now_us: u64) -> u64 {
+    pub fn predicted_wait_us(&self, class: ClassId, now_us: u64) -> u64 {
         if self.has_room() && self.queued() == 0 {
             return 0;
         }
-        let index = class.index();
-        let view = &self.views[index];
-        // A caller with few waiting requests goes before the later turns of one with many.
-        let skipped = view.queued - self.queues[index].ahead_of(caller);
-        let skipped_us = skipped as u64 * view.busy_us;
-        let ahead_us = self.strategy.busy_ahead_us(index, &self.views, now_us);
-        ahead_us.saturating_sub(skipped_us) + view.busy_us
+        let class = class.index();
+        self.strategy.busy_ahead_us(class, &self.views, now_us) + self.views[class].busy_us
     }
 
     /// How many requests wait.
@@ -328,10 +347,44 @@
         let queue = &self.queues[class];
         let full = queue.len() >= self.limits.queued_per_class
             || queue.queued_of(caller) >= self.limits.queued_per_caller
+            || self.stands_too_long(class, caller, predicted_wait_us, now_us)
             || !self.has_place(class);
         full.then_some(ErrorKind::QueueFull)
     }
 
+    /// Notes since when the wait stands. It counts as short again only well below the bounds: while
+    /// requests are refused the wait stays close to them, and must not end that.
+    fn watch_wait(&mut self, class: usize, predicted_wait_us: u64, now_us: u64) {
+        let bound_us = self.standing_bound_us(class);
+        let since = &mut self.standing_since_us[class];
+        if predicted_wait_us > bound_us / 2 {
+            since.get_or_insert(now_us);
+        } else if predicted_wait_us <= bound_us / 4 {
+            *since = None;
+        }
+    }
+
+    fn stands_too_long(
+        &self,
+        class: usize,
+        caller: CallerId,
+        predicted_wait_us: u64,
+        now_us: u64,
+    ) -> bool {
+        let bound_us = match self.queues[class].queued_of(caller) {
+            0 => self.standing_bound_us(class),
+            _ => self.standing_bound_us(class) / 2,
+        };
+        let since = self.standing_since_us[class];
+        let stands = since.is_some_and(|since_us| now_us - since_us >= self.limits.standing_us);
+        stands && predicted_wait_us > bound_us
+    }
+
+    /// A class with a tight goal keeps room for the random ups and downs of its arrivals.
+    fn standing_bound_us(&self, class: usize) -> u64 {
+        (self.views[class].share.goal_us / 2).max(MIN_STANDING_BOUND_US)
+    }
+
     /// Whether the bound in all leaves a place for the class.
     ///
     /// Half of the places are divided evenly among the classes, and the rest is for whoever comes.
