Let a caller that has a queue to itself use it, and count only real waits of reads

The bound for each caller now holds while others wait too. A wait no longer depends on the caller, so the prediction loses that argument. Routing was told the age of the request as its wait, so every read would have counted as one that waited for a replica.

--- a/crates/core/src/process/sharing/class_queue.rs
+++ b/crates/core/src/process/sharing/class_queue.rs
@@ -57,6 +57,11 @@
         self.callers.get(&caller).copied().unwrap_or(0)
     }
 
+    /// Whether a request of another caller waits.
+    pub fn has_others(&self, caller: CallerId) -> bool {
+        self.queued_of(caller) < self.len()
+    }
+
     /// Adds a request. Tickets increase.
     pub fn push(&mut self, request: Waiting) {
         *self.callers.entry(request.caller).or_default() += 1;
--- a/crates/core/src/process/sharing/queue.rs
+++ b/crates/core/src/process/sharing/queue.rs
@@ -47,7 +47,7 @@
     pub queued: usize,
     /// How many requests of one class wait.
     pub queued_per_class: usize,
-    /// How many requests of one caller wait in one class.
+    /// How many requests of one caller wait in one class while others wait there too.
     pub queued_per_caller: usize,
     /// How long the predicted wait of a class may stand above half of its goal before requests
     /// beyond that are refused.
@@ -346,12 +346,25 @@
         }
         let queue = &self.queues[class];
         let full = queue.len() >= self.limits.queued_per_class
-            || queue.queued_of(caller) >= self.limits.queued_per_caller
+            || self.crowds_out(class, caller)
             || self.stands_too_long(class, caller, predicted_wait_us, now_us)
             || !self.has_place(class);
         full.then_some(ErrorKind::QueueFull)
     }
 
+    /// Whether the caller has as many requests waiting as the others of its class can bear.
+    ///
+    /// A caller that has the queue to itself harms nobody, and may be a whole application that
+    /// connects under one name. It still leaves places for others that come.
+    fn crowds_out(&self, class: usize, caller: CallerId) -> bool {
+        let queue = &self.queues[class];
+        let bound = match queue.has_others(caller) {
+            true => self.limits.queued_per_caller,
+            false => self.limits.queued_per_class.saturating_sub(self.limits.queued_per_caller),
+        };
+        queue.queued_of(caller) >= bound
+    }
+
     /// Notes since when the wait stands. It counts as short again only well below the bounds: while
     /// requests are refused the wait stays close to them, and must not end that.
     fn watch_wait(&mut self, class: usize, predicted_wait_us: u64, now_us: u64) {
@@ -371,10 +384,9 @@
         predicted_wait_us: u64,
         now_us: u64,
     ) -> bool {
-        let bound_us = match self.queues[class].queued_of(caller) {
-            0 => self.standing_bound_us(class),
-            _ => self.standing_bound_us(class) / 2,
-        };
+        let queue = &self.queues[class];
+        let shares_queue = queue.queued_of(caller) > 0 && queue.has_others(caller);
+        let bound_us = self.standing_bound_us(class) / if shares_queue { 2 } else { 1 };
         let since = self.standing_since_us[class];
         let stands = since.is_some_and(|since_us| now_us - since_us >= self.limits.standing_us);
         stands && predicted_wait_us > bound_us
--- a/crates/core/src/request/routing.rs
+++ b/crates/core/src/request/routing.rs
@@ -72,7 +72,7 @@
     pub max_age_us: u64,
     /// When the caller gives up, on the clock of `now_us`.
     pub deadline_us: u64,
-    /// How long this read has waited for a replica already.
+    /// How long this read has waited for a replica already; zero before the first verdict.
     pub waited_us: u64,
     /// Spreads reads over members that are equally good, for instance a count of requests.
     pub spread: u32,
@@ -184,6 +184,11 @@
 }
 
 impl ReadReason {
+    /// Whether the read is decided with this reason. The two waits are steps on the way.
+    pub fn is_final(self) -> bool {
+        !matches!(self, ReadReason::WaitForFloor | ReadReason::WaitForAge)
+    }
+
     /// The place of this reason in a dense table of counters.
     pub fn index(self) -> usize {
         self as usize
--- a/crates/proxy/src/connection/admission.rs
+++ b/crates/proxy/src/connection/admission.rs
@@ -97,7 +97,7 @@
     pub fn predicted_wait_us(&self, request: &TurnRequest) -> u64 {
         let inner = self.inner.lock();
         let class = inner.known_class(request.class);
-        inner.queue.predicted_wait_us(class, request.caller, self.clock.now_us())
+        inner.queue.predicted_wait_us(class, self.clock.now_us())
     }
 
     /// Waits for a turn, or is refused.
--- a/crates/proxy/src/request/route.rs
+++ b/crates/proxy/src/request/route.rs
@@ -193,7 +193,11 @@
             floor: self.context.floor,
             max_age_us: self.context.max_age_us.unwrap_or(routing::NO_AGE_BOUND),
             deadline_us: self.context.deadline_us,
-            waited_us: self.started.elapsed().as_micros() as u64,
+            waited_us: if self.counted_wait {
+                self.started.elapsed().as_micros() as u64
+            } else {
+                0
+            },
             spread: self.spread,
         }
     }
