Keep callers of another zone at the deployment's distance

A deployment states the delay one way between its zones, and failover and confirmation times depend on it. Connections whose application_name names another zone go through a delay line each way; each chunk waits by itself, so pipelined statements and notices don't add up their waits.

--- a/crates/standin/src/deployment/mod.rs
+++ b/crates/standin/src/deployment/mod.rs
@@ -4,6 +4,7 @@
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use skylark_core::log_position::Term;
 use skylark_core::version::objects::LeadRecord;
@@ -64,7 +65,8 @@
     /// When an address can't be listened on.
     pub async fn start(settings: &DeploymentSettings) -> Result<Deployment, StartError> {
         let mut settings = settings.clone();
-        let network = Network::new();
+        let one_way = Duration::from_micros(settings.zone_one_way_us);
+        let network = Network::with_zone_delay(one_way);
         let platform = PlatformServer::start(settings.platform_address).await;
         let platform =
             platform.map_err(|error| StartError::Listen(settings.platform_address, error))?;
--- a/crates/standin/src/network.rs
+++ b/crates/standin/src/network.rs
@@ -7,6 +7,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Weak;
+use std::time::Duration;
 
 use parking_lot::Mutex;
 use skylark_core::FastMap;
@@ -68,6 +69,7 @@
 pub struct Network {
     faults: watch::Sender<Faults>,
     targets: Mutex<FastMap<SocketAddr, Weak<Target>>>,
+    zone_one_way: Duration,
 }
 
 impl Network {
@@ -76,6 +78,16 @@
         Arc::new(Network::default())
     }
 
+    /// A network whose zones are some way apart from each other.
+    pub fn with_zone_delay(zone_one_way: Duration) -> Arc<Network> {
+        Arc::new(Network { zone_one_way, ..Network::default() })
+    }
+
+    /// How long bytes take from a caller's zone to a target's. A caller without a zone is near.
+    pub fn one_way(&self, zone: &str, target_zone: &str) -> Duration {
+        if zone.is_empty() || zone == target_zone { Duration::ZERO } else { self.zone_one_way }
+    }
+
     /// Changes the faults.
     pub fn change<F>(&self, change: F)
     where
--- a/crates/standin/src/target/connection/mod.rs
+++ b/crates/standin/src/target/connection/mod.rs
@@ -21,6 +21,7 @@
 pub mod backend;
 pub mod cancel;
 pub mod control;
+pub mod delay_line;
 pub mod extended;
 pub mod frontend;
 pub mod rows;
@@ -101,25 +102,48 @@
         return;
     }
     let mut wire = Wire::new(stream, &target);
-    if let Err(WireError::Malformed(malformed)) = start(&target, &mut wire).await {
-        let error = TargetError::Protocol(malformed.to_string());
-        // The peer may be gone; there is nobody else to tell.
-        let _ = refuse(&mut wire, &error).await;
+    let startup = match opening(&target, &mut wire).await {
+        Ok(Some(startup)) => startup,
+        Ok(None) => return,
+        Err(error) => return refuse_malformed(&mut wire, error).await,
+    };
+    wire.set_zone(&startup.zone);
+    let one_way = target.network.one_way(&startup.zone, &target.options.zone);
+    if one_way.is_zero() {
+        return serve_started(&target, wire, startup).await;
     }
+    let (near, far) = tokio::io::duplex(delay_line::BUFFER_BYTES);
+    let Some(socket) = wire.delay(near) else { return };
+    timer::sleep(one_way).await;
+    let session = serve_started(&target, wire, startup);
+    tokio::join!(session, delay_line::run(socket, far, one_way));
 }
 
-async fn start(target: &Arc<Target>, wire: &mut Wire<'_>) -> Result<(), WireError> {
-    let startup = loop {
+/// The start-up; `None` where the connection was for a cancel.
+async fn opening(target: &Target, wire: &mut Wire<'_>) -> Result<Option<Startup>, WireError> {
+    loop {
         match wire.opening().await? {
             Opening::Encryption => wire.send_byte(b'N').await?,
             Opening::Cancel { session, secret } => {
                 target.cancels.cancel(CancelKey { session, secret });
-                return Ok(());
+                return Ok(None);
             }
-            Opening::Startup(parameters) => break Startup::read(parameters),
+            Opening::Startup(parameters) => return Ok(Some(Startup::read(parameters))),
         }
-    };
-    wire.set_zone(&startup.zone);
+    }
+}
+
+async fn serve_started(target: &Arc<Target>, mut wire: Wire<'_>, startup: Startup) {
+    if let Err(error) = start(target, &mut wire, startup).await {
+        refuse_malformed(&mut wire, error).await;
+    }
+}
+
+async fn start(
+    target: &Arc<Target>,
+    wire: &mut Wire<'_>,
+    startup: Startup,
+) -> Result<(), WireError> {
     wire.gate.pass().await;
     if startup.database == CONTROL_DATABASE {
         target.counters.control_connections.add();
@@ -139,6 +163,14 @@
     session::Session::new(target, &admission.cancel).serve(wire).await
 }
 
+async fn refuse_malformed(wire: &mut Wire<'_>, error: WireError) {
+    if let WireError::Malformed(malformed) = error {
+        let error = TargetError::Protocol(malformed.to_string());
+        // The peer may be gone; there is nobody else to tell.
+        let _ = refuse(wire, &error).await;
+    }
+}
+
 async fn refuse(wire: &mut Wire<'_>, error: &TargetError) -> Result<(), WireError> {
     backend::error(&mut wire.output, "FATAL", error);
     wire.flush().await
--- a/crates/standin/src/target/connection/wire.rs
+++ b/crates/standin/src/target/connection/wire.rs
@@ -6,6 +6,7 @@
 use bytes::BytesMut;
 use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
+use tokio::io::DuplexStream;
 use tokio::net::TcpStream;
 use tokio::sync::watch;
 
@@ -72,10 +73,35 @@
     }
 }
 
-/// The socket with its buffers.
+/// What a connection's bytes go through.
+#[derive(Debug)]
+enum Transport<'a> {
+    /// Straight through the socket.
+    Socket(&'a mut TcpStream),
+    /// Through a delay line.
+    Delayed(DuplexStream),
+}
+
+impl Transport<'_> {
+    async fn read(&mut self, input: &mut BytesMut) -> Result<usize, io::Error> {
+        match self {
+            Transport::Socket(stream) => stream.read_buf(input).await,
+            Transport::Delayed(stream) => stream.read_buf(input).await,
+        }
+    }
+
+    async fn write(&mut self, output: &[u8]) -> Result<(), io::Error> {
+        match self {
+            Transport::Socket(stream) => stream.write_all(output).await,
+            Transport::Delayed(stream) => stream.write_all(output).await,
+        }
+    }
+}
+
+/// A connection with its buffers.
 #[derive(Debug)]
 pub struct Wire<'a> {
-    stream: &'a mut TcpStream,
+    transport: Transport<'a>,
     input: BytesMut,
     /// Where answers are written.
     pub output: BytesMut,
@@ -87,7 +113,17 @@
     /// Empty buffers around a socket.
     pub fn new(stream: &'a mut TcpStream, target: &Arc<Target>) -> Wire<'a> {
         let input = BytesMut::with_capacity(READ_BYTES);
-        Wire { stream, input, output: BytesMut::new(), gate: Gate::new(target) }
+        let transport = Transport::Socket(stream);
+        Wire { transport, input, output: BytesMut::new(), gate: Gate::new(target) }
+    }
+
+    /// Goes on through a delay line. Returns the socket for its other end, or `None` where there
+    /// is a delay line already.
+    pub fn delay(&mut self, line: DuplexStream) -> Option<&'a mut TcpStream> {
+        match std::mem::replace(&mut self.transport, Transport::Delayed(line)) {
+            Transport::Socket(stream) => Some(stream),
+            Transport::Delayed(_) => None,
+        }
     }
 
     /// Tells the gate in which zone the peer is.
@@ -144,7 +180,7 @@
 
     async fn read(&mut self) -> Result<(), WireError> {
         self.input.reserve(READ_BYTES);
-        if self.stream.read_buf(&mut self.input).await? == 0 {
+        if self.transport.read(&mut self.input).await? == 0 {
             return Err(WireError::Closed);
         }
         Ok(())
@@ -160,7 +196,7 @@
             return Ok(());
         }
         self.gate.pass().await;
-        self.stream.write_all(&self.output).await?;
+        self.transport.write(&self.output).await?;
         self.output.clear();
         Ok(())
     }
@@ -183,7 +219,7 @@
     ///
     /// When the peer is gone.
     pub async fn send_byte(&mut self, byte: u8) -> Result<(), WireError> {
-        self.stream.write_all(&[byte]).await?;
+        self.transport.write(&[byte]).await?;
         Ok(())
     }
 }
--- a/crates/standin/tests/limits.rs
+++ b/crates/standin/tests/limits.rs
@@ -1,5 +1,8 @@
 //! Connections: start-up, limits, slots, cancelling, leaving, and what breaks the protocol.
 
+use std::time::Duration;
+use std::time::Instant;
+
 use bytes::BufMut;
 use bytes::BytesMut;
 use postgres_protocol::message::frontend;
@@ -132,4 +135,28 @@
         assert_eq!(oversized.next().await, Some(Reply::Error("08P01".to_owned())));
         assert_eq!(support::rows(&bystander.query("SELECT 'alive'").await), ["alive"]);
     }
+
+    /// Bytes between two zones take the set time, each way; within a zone they don't.
+    ///
+    /// The times are lower bounds only, which a slow machine can't break.
+    zones_are_apart {
+        let one_way = Duration::from_millis(40);
+        let mut settings = support::settings();
+        settings.zone_one_way_us = one_way.as_micros() as u64;
+        let deployment = Deployment::start(&settings).await.expect("starts");
+        let server = support::server(&deployment, 1);
+        let far = format!("{}/vm-1", support::ZONES[1]);
+        let mut far = RawClient::connect(server.address(), support::GROUP, &far).await.expect("accepted");
+        let start = Instant::now();
+        far.send_query("SELECT 1").await;
+        far.send_query("SELECT 2").await;
+        for wanted in ["1", "2"] {
+            assert_eq!(support::rows(&far.until_ready().await), [wanted]);
+            assert!(start.elapsed() >= one_way * 2);
+        }
+        let mut control = RawClient::connect(server.address(), "group_control", &format!("{}/vm-1", support::ZONES[2])).await.expect("accepted");
+        let start = Instant::now();
+        control.command("SHOW group.status").await;
+        assert!(start.elapsed() >= one_way * 2);
+    }
 }
