Run the control thread: versions, members, failover, floors, status

Cause: the proxy had decisions and traffic and nothing that fed them. Change: one thread owns all control state. It takes the configuration from the platform or from peers, ranks homes, keeps a control connection to each member of the groups that it is home to, publishes confirmations before anything else, runs the failure detector and the failover driver of each group, answers floors with barriers, and tells peers of versions and leaders. daemon::start embeds a proxy; skylark-proxy runs one and stops gracefully on SIGTERM and SIGINT. Conclusion: tests kill and isolate the primary under three proxies, also with the platform down.

--- /dev/null
+++ b/crates/proxy/src/process/control/floors.rs
@@ -0,0 +1,171 @@
+//! Answers for sessions that roam without a token: who asked, and the barriers under way.
+//!
+//! The decision is `skylark_core::process::session_floors`. A lookup that can't be answered in its
+//! time is dropped, and the reader then goes by what it can show itself or is refused.
+
+use skylark_core::FastMap;
+use skylark_core::log_position::LogPosition;
+use skylark_core::member_status::MemberStatus;
+use skylark_core::process::member_set::MemberSet;
+use skylark_core::process::session_floors;
+use skylark_core::process::session_floors::SessionFloors;
+use tokio::sync::oneshot;
+
+use crate::process::peer::api;
+use crate::process::peer::server;
+use crate::process::peer::server::Refusal;
+
+/// How long a lookup may take.
+const LOOKUP_US: u64 = 1_000_000;
+
+/// How long a barrier may take before it is begun again: a member may have gone meanwhile.
+const BARRIER_US: u64 = 200_000;
+
+/// Who wants to know a session's floor.
+#[derive(Debug)]
+pub enum Asker {
+    /// A traffic thread of this process.
+    Traffic(oneshot::Sender<LogPosition>),
+    /// Another proxy.
+    Peer(server::Answer<api::FloorAnswer>),
+}
+
+#[derive(Debug)]
+struct Open {
+    asker: Asker,
+    until_us: u64,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct OpenBarrier {
+    id: session_floors::BarrierId,
+    began_us: u64,
+}
+
+/// The lookups and barriers of one group.
+#[derive(Debug)]
+pub struct FloorDesk {
+    floors: SessionFloors,
+    barrier: Option<OpenBarrier>,
+    open: FastMap<session_floors::LookupId, Open>,
+    next_lookup: u64,
+    asks_members: bool,
+    revision: u64,
+}
+
+impl FloorDesk {
+    /// A holder that begins now.
+    pub fn new(members: MemberSet) -> FloorDesk {
+        let settings = session_floors::SessionFloorsSettings::default();
+        FloorDesk {
+            floors: SessionFloors::new(settings, members),
+            barrier: None,
+            open: FastMap::default(),
+            next_lookup: 0,
+            asks_members: false,
+            revision: 0,
+        }
+    }
+
+    /// Sets the revision that answers to other proxies carry.
+    pub fn set_revision(&mut self, revision: u64) {
+        self.revision = revision;
+    }
+
+    /// Replaces the member set.
+    pub fn change_members(&mut self, members: MemberSet) {
+        self.barrier = None;
+        self.floors.change_members(members);
+    }
+
+    /// Ends the joint phase of the member set.
+    pub fn settle_members(&mut self) {
+        self.floors.settle_members();
+    }
+
+    /// Records a write that was executed here or that a co-home reported.
+    pub fn record(&mut self, session: &str, position: LogPosition) {
+        self.floors.record(session_floors::SessionWrite { session: Some(session), position });
+    }
+
+    /// Looks a session's floor up for the asker.
+    pub fn look_up(&mut self, now_us: u64, session: &str, asker: Asker) {
+        self.next_lookup += 1;
+        let id = session_floors::LookupId(self.next_lookup);
+        self.open.insert(id, Open { asker, until_us: now_us + LOOKUP_US });
+        self.floors.look_up(id, session);
+        self.begin_barrier(now_us);
+    }
+
+    /// Takes a member's report. One that was asked for after a barrier began counts for it; one of
+    /// the same microsecond may have been asked for before.
+    pub fn note_report(
+        &mut self,
+        now_us: u64,
+        place: usize,
+        status: &MemberStatus,
+        sent_us: Option<u64>,
+    ) {
+        let asked_since = |barrier: &OpenBarrier| sent_us.is_some_and(|at| at > barrier.began_us);
+        let Some(barrier) = self.barrier.filter(asked_since) else {
+            self.floors.note_status(place, status);
+            return;
+        };
+        let answers = self.floors.barrier_status(barrier.id, place, status);
+        if answers.is_empty() {
+            return;
+        }
+        for answer in answers {
+            self.answer(answer);
+        }
+        self.barrier = None;
+        self.begin_barrier(now_us);
+    }
+
+    /// Gives up what took too long.
+    pub fn expire(&mut self, now_us: u64) {
+        let late = |(id, open): (&session_floors::LookupId, &Open)| {
+            (open.until_us <= now_us).then_some(*id)
+        };
+        let late: Vec<session_floors::LookupId> = self.open.iter().filter_map(late).collect();
+        for id in late {
+            self.floors.cancel_lookup(id);
+            if let Some(Open { asker: Asker::Peer(answer), .. }) = self.open.remove(&id) {
+                let _ = answer.send(Err(Refusal::Unavailable));
+            }
+        }
+        if let Some(barrier) = self.barrier.take_if(|it| it.began_us + BARRIER_US <= now_us) {
+            self.floors.abandon_barrier(barrier.id);
+            self.begin_barrier(now_us);
+        }
+    }
+
+    /// Whether every member is to be asked for its status now; says so once for each barrier.
+    pub fn take_asks_members(&mut self) -> bool {
+        std::mem::take(&mut self.asks_members)
+    }
+
+    fn begin_barrier(&mut self, now_us: u64) {
+        if self.barrier.is_some() {
+            return;
+        }
+        if let Some(id) = self.floors.begin_barrier() {
+            self.barrier = Some(OpenBarrier { id, began_us: now_us });
+            self.asks_members = true;
+        }
+    }
+
+    fn answer(&mut self, answer: session_floors::FloorAnswer) {
+        let Some(open) = self.open.remove(&answer.lookup) else { return };
+        let position = answer.floor;
+        match open.asker {
+            Asker::Traffic(answer) => {
+                let _ = answer.send(position);
+            }
+            Asker::Peer(answer) => {
+                let revision = self.revision;
+                let _ = answer.send(Ok(api::FloorAnswer { position, revision }));
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/proxy/src/process/control/group.rs
@@ -0,0 +1,402 @@
+//! One group at the control thread: what its members report, and the decisions that follow.
+
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+
+use skylark_core::log_position::LogPosition;
+use skylark_core::log_position::Term;
+use skylark_core::member_status::MemberStatus;
+use skylark_core::member_status::Role;
+use skylark_core::process::detection;
+use skylark_core::process::detection::PrimaryDetector;
+use skylark_core::process::failover;
+use skylark_core::process::failover::FailoverDriver;
+use skylark_core::process::member_set::MemberSet;
+use skylark_core::process::read_age::ReadAge;
+use tokio::sync::watch;
+
+use crate::process::control::floors::FloorDesk;
+use crate::process::decisions::Decision;
+use crate::process::decisions::DecisionLog;
+use crate::process::member::task::MemberHandle;
+use crate::process::member::task::MemberKey;
+use crate::process::peer::api;
+use crate::version::published::GroupLive;
+use crate::version::published::MemberLive;
+
+/// A member under track.
+#[derive(Debug)]
+pub struct TrackedMember {
+    /// The member's key in events.
+    pub key: MemberKey,
+    /// The target's name.
+    pub target: String,
+    /// Its IP address and port.
+    pub address: String,
+    /// Its control connection.
+    pub handle: MemberHandle,
+    /// Whether its last report says that it is leaving.
+    says_leaving: bool,
+    /// Whether an operator drains it, or traffic was told by it that it is leaving.
+    kept_out: bool,
+    seen: Option<(Role, Term)>,
+}
+
+impl TrackedMember {
+    /// A member of which nothing was heard yet.
+    pub fn new(key: MemberKey, target: &str, address: &str, handle: MemberHandle) -> TrackedMember {
+        TrackedMember {
+            key,
+            target: target.to_owned(),
+            address: address.to_owned(),
+            handle,
+            says_leaving: false,
+            kept_out: false,
+            seen: None,
+        }
+    }
+}
+
+/// A member's report, as its control connection delivered it.
+#[derive(Debug)]
+pub struct Report {
+    /// The member's place in the group.
+    pub place: usize,
+    /// The status.
+    pub status: MemberStatus,
+    /// When the command was sent whose answer this is.
+    pub sent_us: Option<u64>,
+    /// The failover driver's call that this answers.
+    pub call: Option<failover::MemberCall>,
+}
+
+/// The decisions about a group whose members this process tracks.
+#[derive(Debug)]
+pub struct Tracking {
+    /// Changes of primary, and what the reports prove.
+    pub driver: FailoverDriver,
+    /// The members, in the order of the group's member list.
+    pub members: Vec<TrackedMember>,
+    /// How old each member's data can be.
+    pub ages: ReadAge,
+    /// The floors of sessions without a token.
+    pub floors: FloorDesk,
+    /// Whether a majority is known to be unable to confirm writes.
+    pub stalled: bool,
+    /// What the driver wants done; taken by the control thread after each event.
+    pub actions: Vec<failover::Action>,
+    detection: detection::DetectionSettings,
+    detector: Option<PrimaryDetector>,
+    verdict: detection::Verdict,
+    /// Whether the detector's timer is set.
+    pub detector_armed: bool,
+}
+
+impl Tracking {
+    /// Tracking that has no reports yet.
+    pub fn new(
+        driver: FailoverDriver,
+        members: Vec<TrackedMember>,
+        floors: FloorDesk,
+        detection: detection::DetectionSettings,
+    ) -> Tracking {
+        Tracking {
+            ages: ReadAge::new(members.len()),
+            driver,
+            members,
+            floors,
+            stalled: false,
+            actions: Vec::new(),
+            detection,
+            detector: None,
+            verdict: detection::Verdict::Trusted,
+            detector_armed: false,
+        }
+    }
+
+    /// Replaces the members by those of another set. What was known of ages and barriers belongs to
+    /// the old places.
+    pub fn replace_members(&mut self, members: Vec<TrackedMember>, set: &MemberSet) {
+        self.ages = ReadAge::new(members.len());
+        self.members = members;
+        self.floors.change_members(set.clone());
+        self.detector = None;
+    }
+
+    /// When the failure detector's verdict can change without new evidence.
+    pub fn detector_due_us(&self) -> Option<u64> {
+        self.detector.as_ref().map(PrimaryDetector::due_us)
+    }
+}
+
+/// One group.
+#[derive(Debug)]
+pub struct Group {
+    /// The group's name.
+    pub name: String,
+    /// The store's version of the group's object.
+    pub version: u64,
+    /// The state that traffic sees change.
+    pub live: Arc<GroupLive>,
+    /// The latest decisions.
+    pub decisions: DecisionLog,
+    /// The decisions' state where the members are tracked.
+    pub tracking: Option<Tracking>,
+    /// The primary of the highest term that a lead record or a peer named.
+    hinted_leader: Option<(String, Term)>,
+    /// Acknowledged writes that the primary's homes are still to be told about.
+    pub unsent_writes: Vec<api::SessionWrite>,
+    /// Whether what traffic sees through a new version has changed.
+    pub changed: bool,
+}
+
+impl Group {
+    /// A group of this many members that is not tracked.
+    pub fn new(name: &str, version: u64, members: usize) -> Group {
+        let (confirmed, _) = watch::channel(LogPosition::default());
+        Group {
+            name: name.to_owned(),
+            version,
+            live: Arc::new(new_live(confirmed, members)),
+            decisions: DecisionLog::default(),
+            tracking: None,
+            hinted_leader: None,
+            unsent_writes: Vec::new(),
+            changed: true,
+        }
+    }
+
+    /// Makes room for another number of members. Writes that wait for a confirmation go on
+    /// waiting at the same channel.
+    pub fn resize(&mut self, members: usize) {
+        self.live = Arc::new(new_live(self.live.confirmed.clone(), members));
+        self.changed = true;
+    }
+
+    /// The primary by name, with its term.
+    pub fn leader(&self) -> Option<(&str, Term)> {
+        match &self.tracking {
+            Some(tracking) => {
+                let leader = tracking.driver.announced()?;
+                let member = tracking.members.get(leader.member)?;
+                Some((member.target.as_str(), leader.term))
+            }
+            None => {
+                let (target, term) = self.hinted_leader.as_ref()?;
+                Some((target.as_str(), *term))
+            }
+        }
+    }
+
+    /// Takes the word of a lead record or a peer for who leads. The highest term wins, since each
+    /// term has one primary; an old record or a peer that is behind changes nothing.
+    pub fn hint_leader(&mut self, target: &str, term: Term) {
+        if self.hinted_leader.as_ref().is_some_and(|(_, known)| *known >= term) {
+            return;
+        }
+        self.hinted_leader = Some((target.to_owned(), term));
+        self.changed |= self.tracking.is_none();
+    }
+
+    /// Gives an event to the failover driver.
+    pub fn drive(&mut self, now_us: u64, event: &failover::Event) {
+        let Some(tracking) = &mut self.tracking else { return };
+        tracking.driver.on_event(now_us, event, &mut tracking.actions);
+        publish_confirmed(&self.live, tracking.driver.acknowledgement().confirmed());
+        self.follow_leader(now_us);
+    }
+
+    /// Takes a member's report. A write may be waiting for the confirmation in it, so that is
+    /// published before anything else is looked at.
+    pub fn report(&mut self, now_us: u64, report: Report) {
+        let Report { place, status, sent_us, call } = report;
+        let Some(tracking) = &mut self.tracking else { return };
+        let event = match call {
+            Some(call) => failover::Event::MemberAnswer { member: place, call, status },
+            None => failover::Event::Report { member: place, status },
+        };
+        tracking.driver.on_event(now_us, &event, &mut tracking.actions);
+        publish_confirmed(&self.live, tracking.driver.acknowledgement().confirmed());
+        let (failover::Event::MemberAnswer { status, .. } | failover::Event::Report { status, .. }) =
+            &event
+        else {
+            return;
+        };
+        let moved = self.note_member(place, status);
+        self.note_age(now_us, place, status, sent_us);
+        self.note_detection(now_us, place, status, sent_us);
+        if let Some(tracking) = &mut self.tracking {
+            tracking.floors.note_report(now_us, place, status, sent_us);
+        }
+        self.follow_leader(now_us);
+        self.judge(now_us);
+        if moved {
+            self.refresh_stall(now_us);
+        }
+    }
+
+    /// Takes the loss of a member's control connection.
+    pub fn lost(&mut self, now_us: u64, place: usize, evidence: detection::Evidence) {
+        self.live.members[place].reachable.store(false, Ordering::Relaxed);
+        self.primary_evidence(now_us, place, evidence);
+    }
+
+    /// Takes evidence about a member, which counts where it is the primary.
+    pub fn primary_evidence(&mut self, now_us: u64, place: usize, evidence: detection::Evidence) {
+        let Some(tracking) = &mut self.tracking else { return };
+        if let Some(detector) = tracking.detector.as_mut().filter(|it| it.primary() == place) {
+            detector.evidence(now_us, evidence);
+            self.judge(now_us);
+        }
+    }
+
+    /// The failure detector's timer, which was due at `due_us`.
+    pub fn detector_timer(&mut self, now_us: u64, due_us: u64) {
+        let Some(tracking) = &mut self.tracking else { return };
+        tracking.detector_armed = false;
+        if let Some(detector) = &mut tracking.detector {
+            detector.timer(now_us, due_us);
+            self.judge(now_us);
+        }
+    }
+
+    /// Judges again whether a majority can confirm writes.
+    pub fn refresh_stall(&mut self, now_us: u64) {
+        let Some(tracking) = &mut self.tracking else { return };
+        let reports = tracking.driver.acknowledgement();
+        let leader = tracking.driver.announced();
+        let stalled =
+            leader.is_some_and(|leader| reports.stalled(now_us, leader.member, leader.term));
+        if stalled != tracking.stalled {
+            tracking.stalled = stalled;
+            self.decide(now_us, Decision::StallChanged { stalled });
+            self.changed = true;
+        }
+    }
+
+    /// Records a decision.
+    pub fn decide(&mut self, now_us: u64, decision: Decision) {
+        self.decisions.add(now_us, decision);
+    }
+
+    /// Keeps a member from new work, or ends that. The member's own word is kept apart.
+    pub fn keep_out(&mut self, now_us: u64, place: usize, target: &str, kept_out: bool) {
+        let live = &self.live.members[place];
+        let before = live.leaving.load(Ordering::Relaxed);
+        let mut leaving = kept_out;
+        if let Some(tracking) = &mut self.tracking {
+            tracking.members[place].kept_out = kept_out;
+            leaving |= tracking.members[place].says_leaving;
+        }
+        live.leaving.store(leaving, Ordering::Relaxed);
+        if leaving != before {
+            let target = target.to_owned();
+            self.decide(now_us, Decision::TargetStanding { target, leaving });
+        }
+    }
+
+    /// Returns whether the member's role or term changed.
+    fn note_member(&mut self, place: usize, status: &MemberStatus) -> bool {
+        let live = &self.live.members[place];
+        live.reachable.store(true, Ordering::Relaxed);
+        *live.applied.lock() = status.applied;
+        let Some(tracking) = &mut self.tracking else { return false };
+        let member = &mut tracking.members[place];
+        member.says_leaving = status.leaving;
+        live.leaving.store(member.says_leaving || member.kept_out, Ordering::Relaxed);
+        member.seen.replace((status.role, status.raised_term))
+            != Some((status.role, status.raised_term))
+    }
+
+    fn note_age(&mut self, now_us: u64, place: usize, status: &MemberStatus, sent_us: Option<u64>) {
+        let Some(tracking) = &mut self.tracking else { return };
+        let ages = &mut tracking.ages;
+        match sent_us {
+            Some(sent_us) => {
+                ages.probe_answered(place, sent_us, now_us, status);
+                for member in 0..self.live.members.len() {
+                    publish_age(&self.live.members[member], ages, member);
+                }
+            }
+            None => {
+                ages.notified(place, now_us, status.applied);
+                publish_age(&self.live.members[place], ages, place);
+            }
+        }
+    }
+
+    fn note_detection(
+        &mut self,
+        now_us: u64,
+        place: usize,
+        status: &MemberStatus,
+        sent_us: Option<u64>,
+    ) {
+        let Some(tracking) = &mut self.tracking else { return };
+        let Some(detector) = &mut tracking.detector else { return };
+        detector.report(now_us, place, status);
+        if let Some(sent_us) = sent_us.filter(|_| detector.primary() == place) {
+            let round_trip_us = now_us.saturating_sub(sent_us);
+            detector.evidence(now_us, detection::Evidence::Answered { round_trip_us });
+        }
+    }
+
+    /// Watches the primary that the reports show.
+    fn follow_leader(&mut self, now_us: u64) {
+        let Some(tracking) = &mut self.tracking else { return };
+        let watched = tracking
+            .detector
+            .as_ref()
+            .map(|detector| failover::Leader { term: detector.term(), member: detector.primary() });
+        let leader = tracking.driver.leader();
+        if leader == watched {
+            return;
+        }
+        let members = tracking.members.len();
+        let detection = tracking.detection;
+        tracking.detector = leader.map(|leader| {
+            PrimaryDetector::new(detection, now_us, leader.member, leader.term, members)
+        });
+        tracking.verdict = detection::Verdict::Trusted;
+    }
+
+    fn judge(&mut self, now_us: u64) {
+        let Some(tracking) = &mut self.tracking else { return };
+        let Some(detector) = &tracking.detector else { return };
+        let verdict = detector.verdict(now_us, tracking.driver.members());
+        if verdict == tracking.verdict {
+            return;
+        }
+        tracking.verdict = verdict;
+        let term = detector.term();
+        let target = tracking.members[detector.primary()].target.clone();
+        let event = match verdict {
+            detection::Verdict::Suspected(_) => failover::Event::Suspected { term },
+            detection::Verdict::Trusted | detection::Verdict::Withheld(_) => {
+                failover::Event::Trusted
+            }
+        };
+        self.decide(now_us, Decision::Judged { target, term, verdict });
+        self.drive(now_us, &event);
+    }
+}
+
+fn new_live(confirmed: watch::Sender<LogPosition>, members: usize) -> GroupLive {
+    GroupLive { confirmed, members: (0..members).map(|_| MemberLive::default()).collect() }
+}
+
+fn publish_confirmed(live: &GroupLive, confirmed: LogPosition) {
+    live.confirmed.send_if_modified(|published| {
+        let grew = confirmed > *published;
+        if grew {
+            *published = confirmed;
+        }
+        grew
+    });
+}
+
+fn publish_age(live: &MemberLive, ages: &ReadAge, member: usize) {
+    let fresh_us = ages.fresh_as_of_us(member).unwrap_or(0);
+    live.fresh_as_of_us.store(fresh_us, Ordering::Relaxed);
+    live.lag_us.store(ages.lag_us(member).unwrap_or(0), Ordering::Relaxed);
+}
--- /dev/null
+++ b/crates/proxy/src/process/control/leaders.rs
@@ -0,0 +1,84 @@
+//! Who leads the groups whose members are not tracked here.
+//!
+//! Lead records say it, and reach every proxy with the configuration. While the platform is down no
+//! record is written, so proxies compare digests of the terms that they know whenever they
+//! exchange versions, and ask each other where these differ. The driver of a change starts the
+//! spreading by an exchange with every VM.
+
+use skylark_core::ids::VmId;
+use skylark_core::process::jitter;
+use skylark_platform::ObjectStore;
+
+use crate::process::control::Control;
+use crate::process::control::group::Group;
+use crate::process::control::input::Input;
+use crate::process::member::client::MemberClient;
+use crate::process::peer::api;
+use crate::process::peer::api::PeerApiClient;
+
+impl<S, C> Control<S, C>
+where
+    S: ObjectStore,
+    C: MemberClient,
+{
+    /// A digest of the terms of all groups, the same in whatever order they are taken.
+    pub(super) fn leaders_digest(&self) -> u64 {
+        let part = |group: &Group| {
+            let (_, term) = group.leader()?;
+            Some(jitter::seed_of(&group.name).wrapping_mul(term.0))
+        };
+        self.groups.values().filter_map(part).fold(0, u64::wrapping_add)
+    }
+
+    /// The primaries known here.
+    pub(super) fn leader_hints(&self) -> Vec<api::LeaderHint> {
+        let hint = |group: &Group| {
+            let (target, term) = group.leader()?;
+            let (group, target) = (group.name.clone(), target.to_owned());
+            Some(api::LeaderHint { group, target, term })
+        };
+        self.groups.values().filter_map(hint).collect()
+    }
+
+    /// Asks a peer that knows other leaders.
+    pub(super) fn leaders_digest_seen(&mut self, vm: &str, leaders_digest: u64) {
+        if leaders_digest == self.leaders_digest() {
+            return;
+        }
+        let client = match self.configuration.topology().vm_id(vm) {
+            Some(vm) => self.client_of(vm),
+            None => None,
+        };
+        let Some(client) = client else { return };
+        let inputs = self.senders.inputs.clone();
+        tokio::spawn(async move {
+            if let Ok(hints) = client.peer_leaders().await {
+                let _ = inputs.send(Input::Leaders(hints));
+            }
+        });
+    }
+
+    /// Takes what a peer knows.
+    pub(super) fn take_leader_hints(&mut self, hints: &[api::LeaderHint]) {
+        for hint in hints {
+            if let Some(group) = self.groups.get_mut(hint.group.as_str()) {
+                group.hint_leader(&hint.target, hint.term);
+                self.changed |= std::mem::take(&mut group.changed);
+            }
+        }
+    }
+
+    /// Lets every VM know at once that there is a new leader, unless the platform's lead record
+    /// will.
+    pub(super) fn tell_leaders(&mut self) {
+        if self.platform_answers {
+            return;
+        }
+        let own_vm = self.own_vm();
+        for vm in (0..self.configuration.topology().vms.len() as u32).map(VmId) {
+            if Some(vm) != own_vm {
+                self.exchange_with(vm);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/proxy/src/process/control/sessions.rs
@@ -0,0 +1,220 @@
+//! What traffic says, and the floors of sessions that roam without a token.
+//!
+//! Records of writes need not be synchronous (see `skylark_core::process::session_floors`): a
+//! holder answers for what it can't account for with the position of a barrier. So a write's
+//! caller is never kept waiting for them.
+
+use std::sync::Arc;
+
+use skylark_core::ids::GroupId;
+use skylark_core::ids::TargetId;
+use skylark_core::ids::VmId;
+use skylark_core::log_position::LogPosition;
+use skylark_core::process::detection;
+use skylark_core::process::membership;
+use skylark_platform::ObjectStore;
+use tokio::sync::oneshot;
+
+use crate::process::control::Control;
+use crate::process::control::floors::Asker;
+use crate::process::control_handle::ControlEvent;
+use crate::process::control_handle::TargetEvidence;
+use crate::process::control_handle::VersionedEvent;
+use crate::process::member::client::MemberClient;
+use crate::process::member::client::MemberCommand;
+use crate::process::peer::api;
+use crate::process::peer::api::PeerApiClient;
+use crate::process::peer::server;
+use crate::process::peer::server::Refusal;
+use crate::process::schedule::Purpose;
+use crate::version::published::Published;
+
+/// How long writes are collected before they are told to other homes.
+const COLLECT_US: u64 = 20_000;
+
+/// The most writes that wait to be told. What passes it stays unaccounted for at the other homes,
+/// whose answers then ask for more than they need to.
+const MAX_WAITING: usize = 2_000;
+
+impl<S, C> Control<S, C>
+where
+    S: ObjectStore,
+    C: MemberClient,
+{
+    pub(super) fn take_traffic_event(&mut self, versioned: VersionedEvent) {
+        let VersionedEvent { version, event } = versioned;
+        match event {
+            ControlEvent::WriteAcknowledged { group, session, position, recorded } => {
+                self.write_acknowledged(group_name(&version, group), session, position);
+                let _ = recorded.send(());
+            }
+            ControlEvent::FloorWanted { group, session, answer } => {
+                self.floor_wanted(group_name(&version, group), session, answer);
+            }
+            ControlEvent::TargetFailed { target, evidence } => {
+                self.target_failed(&version, target, evidence);
+            }
+            ControlEvent::VmSeen { vm, evidence } => {
+                let name = version.topology.vm(vm).name.clone();
+                self.vm_seen(&name, evidence);
+            }
+        }
+    }
+
+    fn write_acknowledged(&mut self, name: Arc<str>, session: String, position: LogPosition) {
+        let now_us = self.clock.now_us();
+        let Some(group) = self.groups.get_mut(&name) else { return };
+        if let Some(tracking) = &mut group.tracking {
+            tracking.floors.record(&session, position);
+        }
+        if group.unsent_writes.len() < MAX_WAITING {
+            group.unsent_writes.push(api::SessionWrite { session, position });
+        }
+        self.schedule.set_once(Purpose::SendWrites(name.to_string()), now_us + COLLECT_US);
+    }
+
+    fn floor_wanted(
+        &mut self,
+        name: Arc<str>,
+        session: String,
+        answer: oneshot::Sender<LogPosition>,
+    ) {
+        let now_us = self.clock.now_us();
+        let Some(group) = self.groups.get_mut(&name) else { return };
+        match &mut group.tracking {
+            Some(tracking) => {
+                tracking.floors.look_up(now_us, &session, Asker::Traffic(answer));
+                self.settle_group(now_us, &name);
+            }
+            None => self.ask_homes(&name, session, answer),
+        }
+    }
+
+    /// Asks the primary's homes in order of rank. Without an answer the reader gets none and goes
+    /// by what it can show itself.
+    fn ask_homes(&mut self, name: &str, session: String, answer: oneshot::Sender<LogPosition>) {
+        let homes = self.primary_homes(name);
+        let clients: Vec<_> = homes.iter().filter_map(|&vm| self.client_of(vm)).collect();
+        let question = api::FloorQuestion {
+            vm: self.settings.vm.clone(),
+            revision: self.configuration.revision(),
+            group: name.to_owned(),
+            session,
+        };
+        tokio::spawn(async move {
+            for client in clients {
+                if let Ok(found) = client.peer_floor(question.clone()).await {
+                    let _ = answer.send(found.position);
+                    return;
+                }
+            }
+        });
+    }
+
+    pub(super) fn peer_asks_floor(
+        &mut self,
+        question: api::FloorQuestion,
+        answer: server::Answer<api::FloorAnswer>,
+    ) {
+        self.revision_seen(&question.vm, question.revision);
+        let now_us = self.clock.now_us();
+        let revision = self.configuration.revision();
+        let Some(group) = self.groups.get_mut(question.group.as_str()) else {
+            let _ = answer.send(Err(Refusal::UnknownGroup));
+            return;
+        };
+        let Some(tracking) = &mut group.tracking else {
+            let _ = answer.send(Err(Refusal::Unavailable));
+            return;
+        };
+        tracking.floors.set_revision(revision);
+        tracking.floors.look_up(now_us, &question.session, Asker::Peer(answer));
+        self.settle_group(now_us, &Arc::from(question.group));
+    }
+
+    pub(super) fn peer_tells_writes(&mut self, notice: &api::WritesNotice) {
+        self.revision_seen(&notice.vm, notice.revision);
+        let Some(group) = self.groups.get_mut(notice.group.as_str()) else { return };
+        let Some(tracking) = &mut group.tracking else { return };
+        for write in &notice.writes {
+            tracking.floors.record(&write.session, write.position);
+        }
+    }
+
+    /// Tells the primary's other homes about writes.
+    pub(super) fn send_writes(&mut self, name: &str) {
+        for call in self.writes_calls(name) {
+            tokio::spawn(call);
+        }
+    }
+
+    /// Tells all writes that wait, before this process ends.
+    pub(super) async fn send_all_writes(&mut self) {
+        let names: Vec<Arc<str>> = self.groups.keys().cloned().collect();
+        for name in names {
+            for call in self.writes_calls(&name) {
+                call.await;
+            }
+        }
+    }
+
+    fn writes_calls(&mut self, name: &str) -> Vec<impl Future<Output = ()> + Send + use<S, C>> {
+        let Some(group) = self.groups.get_mut(name) else { return Vec::new() };
+        let writes = std::mem::take(&mut group.unsent_writes);
+        if writes.is_empty() {
+            return Vec::new();
+        }
+        let notice = api::WritesNotice {
+            vm: self.settings.vm.clone(),
+            revision: self.configuration.revision(),
+            group: name.to_owned(),
+            writes,
+        };
+        let own_vm = self.own_vm();
+        let mut others = self.primary_homes(name);
+        others.retain(|&vm| Some(vm) != own_vm);
+        let clients: Vec<_> = others.iter().filter_map(|&vm| self.client_of(vm)).collect();
+        let call = |client: jsonrpsee::http_client::HttpClient| {
+            let notice = notice.clone();
+            async move {
+                // A lost notice makes the other home's answers ask for more, never for less.
+                let _ = client.peer_writes(notice).await;
+            }
+        };
+        clients.into_iter().map(call).collect()
+    }
+
+    fn primary_homes(&self, name: &str) -> Vec<VmId> {
+        let topology = self.configuration.topology();
+        let leader = self.groups.get(name).and_then(|group| group.leader());
+        let target = leader.and_then(|(target, _)| topology.target_id(target));
+        let homes = self.homes.as_ref();
+        target.zip(homes).map(|(target, homes)| homes.of(target).to_vec()).unwrap_or_default()
+    }
+
+    /// Takes evidence of traffic's about a target, and asks the target itself at once.
+    fn target_failed(&mut self, version: &Published, id: TargetId, evidence: TargetEvidence) {
+        let now_us = self.clock.now_us();
+        let target = version.topology.target(id);
+        let name = group_name(version, target.group);
+        if evidence == TargetEvidence::Leaving
+            && self.membership.target_seen(&target.name, membership::Evidence::Leaving, now_us)
+        {
+            self.refresh_standing(now_us);
+        }
+        let Some(group) = self.groups.get_mut(&name) else { return };
+        let Some(tracking) = &group.tracking else { return };
+        let Some(place) = tracking.members.iter().position(|it| it.target == target.name) else {
+            return;
+        };
+        tracking.members[place].handle.send(MemberCommand::Probe);
+        if evidence == TargetEvidence::Broken {
+            group.primary_evidence(now_us, place, detection::Evidence::Broken);
+        }
+        self.settle_group(now_us, &name);
+    }
+}
+
+fn group_name(version: &Published, group: GroupId) -> Arc<str> {
+    Arc::from(version.topology.group(group).name.as_str())
+}
--- a/crates/proxy/src/process/member/client.rs
+++ b/crates/proxy/src/process/member/client.rs
@@ -11,7 +11,9 @@
 /// after the command's effect.
 #[derive(Clone, PartialEq, Eq, Debug)]
 pub enum MemberCommand {
-    /// Report the status.
+    /// Report the status. Left out while another such probe is unanswered.
+    Probe,
+    /// Report the status as it is after this command was sent.
     Status,
     /// Send notices from now on, and report the status.
     Listen,
--- a/crates/proxy/src/process/member/frames.rs
+++ b/crates/proxy/src/process/member/frames.rs
@@ -35,7 +35,7 @@
 
 fn query_text(command: &MemberCommand) -> String {
     match command {
-        MemberCommand::Status => "SHOW group.status".to_owned(),
+        MemberCommand::Probe | MemberCommand::Status => "SHOW group.status".to_owned(),
         MemberCommand::Listen => format!("LISTEN {STATUS_CHANNEL}"),
         MemberCommand::RaiseTerm { term, driver } => {
             format!("SELECT group_raise_term({term}, {})", quoted(driver))
--- a/crates/proxy/src/process/member/task.rs
+++ b/crates/proxy/src/process/member/task.rs
@@ -163,8 +163,8 @@
         command: MemberCommand,
     ) -> Result<(), MemberError> {
         // A probe while another one is unanswered would only lengthen the queue at a slow member.
-        let probe_waits = pending.iter().any(|earlier| earlier.command == MemberCommand::Status);
-        if command == MemberCommand::Status && probe_waits {
+        let probe_waits = pending.iter().any(|earlier| earlier.command == MemberCommand::Probe);
+        if command == MemberCommand::Probe && probe_waits {
             return Ok(());
         }
         let sent_us = self.clock.now_us();
--- /dev/null
+++ b/crates/proxy/src/process/metrics.rs
@@ -0,0 +1,61 @@
+//! Metrics by UDP to a statsd server: what changed in the counters since the last time.
+
+use std::net::UdpSocket;
+
+use cadence::Counted;
+use cadence::StatsdClient;
+use cadence::UdpMetricSink;
+use skylark_core::FastMap;
+use skylark_settings::proxy::ProxySettings;
+
+use crate::process::counters::Counters;
+
+/// The client, and what was sent already.
+#[derive(Debug)]
+pub struct Metrics {
+    client: StatsdClient,
+    sent: FastMap<String, u64>,
+}
+
+impl Metrics {
+    /// A client of the server that the settings name; nothing where they name none, or where no
+    /// socket can be had: a proxy serves without metrics rather than not at all.
+    pub fn open(settings: &ProxySettings, log: &slog::Logger) -> Option<Metrics> {
+        let address = settings.metrics.statsd_address?;
+        let any = if address.is_ipv4() { "0.0.0.0:0" } else { "[::]:0" };
+        let opened = UdpSocket::bind(any).and_then(|socket| {
+            socket.set_nonblocking(true)?;
+            Ok(socket)
+        });
+        let sink = opened.map_err(|error| error.to_string()).and_then(|socket| {
+            UdpMetricSink::from(address, socket).map_err(|error| error.to_string())
+        });
+        match sink {
+            Ok(sink) => {
+                let prefix = &settings.metrics.prefix;
+                let client = StatsdClient::builder(prefix, sink)
+                    .with_tag("vm", &settings.vm)
+                    .with_tag("zone", &settings.zone)
+                    .build();
+                Some(Metrics { client, sent: FastMap::default() })
+            }
+            Err(reason) => {
+                slog::error!(log, "no metrics are sent"; "reason" => reason);
+                None
+            }
+        }
+    }
+
+    /// Sends how much each counter grew.
+    pub fn send_counters(&mut self, counters: &Counters) {
+        for (name, value) in counters.snapshot() {
+            let sent = self.sent.get(&name).copied().unwrap_or(0);
+            let grown = value.saturating_sub(sent);
+            if grown > 0 {
+                // A datagram that can't be sent is lost, as any datagram may be.
+                let _ = self.client.count_with_tags(&name, grown as i64).try_send();
+                self.sent.insert(name, value);
+            }
+        }
+    }
+}
--- a/crates/proxy/src/process/peer/api.rs
+++ b/crates/proxy/src/process/peer/api.rs
@@ -25,8 +25,8 @@
 /// The JSON-RPC code of a call that names a group that this proxy does not know.
 pub const UNKNOWN_GROUP_CODE: i32 = -32_002;
 
-/// A proxy's revision.
-#[derive(Clone, PartialEq, Eq, Debug, Serialize, Deserialize)]
+/// A proxy's revision. The default is that of a process that has no version and names no VM.
+#[derive(Clone, PartialEq, Eq, Debug, Default, Serialize, Deserialize)]
 pub struct PeerVersion {
     /// The revision in force at the sender; zero before the first.
     pub revision: u64,
@@ -35,6 +35,21 @@
     /// Whether the sender is stopping, so that it gets no new work.
     #[serde(default)]
     pub stopping: bool,
+    /// A digest of the groups' terms as the sender knows them: where two differ, one side knows a
+    /// leader that the other does not.
+    #[serde(default)]
+    pub leaders_digest: u64,
+}
+
+/// A group's primary as the sender knows it.
+#[derive(Clone, PartialEq, Eq, Debug, Serialize, Deserialize)]
+pub struct LeaderHint {
+    /// The group.
+    pub group: String,
+    /// The primary.
+    pub target: String,
+    /// Its term.
+    pub term: Term,
 }
 
 /// The changes that lead from one revision to a later one.
@@ -208,6 +223,11 @@
     #[method(name = "peer_offer")]
     async fn peer_offer(&self, offer: Offer) -> RpcResult<PeerVersion>;
 
+    /// Asks for the primaries that the receiver knows. They reach a proxy that tracks none of a
+    /// group's members while the platform, whose lead records say the same, is down.
+    #[method(name = "peer_leaders")]
+    async fn peer_leaders(&self) -> RpcResult<Vec<LeaderHint>>;
+
     /// Asks a home for the position that a session's reads must cover.
     #[method(name = "peer_floor")]
     async fn peer_floor(&self, question: FloorQuestion) -> RpcResult<FloorAnswer>;
--- a/crates/proxy/src/process/peer/server.rs
+++ b/crates/proxy/src/process/peer/server.rs
@@ -39,6 +39,8 @@
     Snapshot(Answer<Snapshot>),
     /// `peer_offer`
     Offer(api::Offer, Answer<api::PeerVersion>),
+    /// `peer_leaders`
+    Leaders(Answer<Vec<api::LeaderHint>>),
     /// `peer_floor`
     Floor(api::FloorQuestion, Answer<api::FloorAnswer>),
     /// `peer_writes`
@@ -111,6 +113,10 @@
         self.ask(|answer| PeerRequest::Offer(offer, answer)).await
     }
 
+    async fn peer_leaders(&self) -> RpcResult<Vec<api::LeaderHint>> {
+        self.ask(PeerRequest::Leaders).await
+    }
+
     async fn peer_floor(&self, question: api::FloorQuestion) -> RpcResult<api::FloorAnswer> {
         self.ask(|answer| PeerRequest::Floor(question, answer)).await
     }
--- a/crates/proxy/src/process/schedule.rs
+++ b/crates/proxy/src/process/schedule.rs
@@ -24,11 +24,26 @@
     Detector(String),
     /// Every process knows the member set of this group by now.
     SettleMembers(String),
+    /// The members of this group need not be tracked any longer.
+    EndTracking(String),
+    /// Writes of this group wait to be told to its homes.
+    SendWrites(String),
 }
 
 impl Purpose {
     fn is_single(&self) -> bool {
-        matches!(self, Purpose::Driver(_) | Purpose::Detector(_) | Purpose::SettleMembers(_))
+        match self {
+            Purpose::ProbeMembers
+            | Purpose::ExchangeVersions
+            | Purpose::ReadVmList
+            | Purpose::SendMetrics
+            | Purpose::ExpireEvidence => false,
+            Purpose::Driver(_)
+            | Purpose::Detector(_)
+            | Purpose::SettleMembers(_)
+            | Purpose::EndTracking(_)
+            | Purpose::SendWrites(_) => true,
+        }
     }
 }
 
@@ -85,6 +100,13 @@
         }
     }
 
+    /// Sets the single tick of this purpose unless one is set.
+    pub fn set_once(&mut self, purpose: Purpose, due_us: u64) {
+        if !self.by_purpose.contains_key(&purpose) {
+            self.set(purpose, due_us);
+        }
+    }
+
     /// Ends the subscription of this purpose.
     pub fn cancel(&mut self, purpose: &Purpose) {
         if let Some(timer) = self.by_purpose.remove(purpose) {
--- /dev/null
+++ b/crates/proxy/tests/control_support/mod.rs
@@ -0,0 +1,306 @@
+//! A small deployment of stand-ins with proxies around it, all in one process.
+
+#![allow(dead_code, reason = "each test file uses a part of the support")]
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use skylark_core::log_position::Term;
+use skylark_core::member_status::MemberStatus;
+use skylark_core::member_status::Role;
+use skylark_core::version::objects::LeadRecord;
+use skylark_core::version::objects::ObjectKind;
+use skylark_core::version::objects::VmRecord;
+use skylark_core::version::objects::VmState;
+use skylark_proxy::process::daemon;
+use skylark_proxy::process::daemon::ProxyHandle;
+use skylark_proxy::process::peer::api::ExplainReport;
+use skylark_proxy::process::peer::api::GroupReport;
+use skylark_proxy::process::peer::api::PeerApiClient;
+use skylark_proxy::process::peer::api::StatusReport;
+use skylark_proxy::process::peer::client;
+use skylark_settings::deployment::DeploymentSettings;
+use skylark_settings::proxy::ProxySettings;
+use skylark_standin::deployment::Deployment;
+use skylark_standin::deployment::fault::Fault;
+use tokio::time;
+
+/// The group of the deployment.
+pub const GROUP: &str = "loans-1";
+
+/// How long anything may take before a test fails. It bounds a hang and measures nothing.
+pub const PATIENCE: Duration = Duration::from_secs(20);
+
+const DEPLOYMENT: &str = r#"{
+  "zones": [{ "zone": "medina" }, { "zone": "depot" }, { "zone": "sakiet" }],
+  "platform_address": "127.0.0.1:0",
+  "vms": [
+    { "vm": "unused", "zone": "medina", "listen_address": "127.0.0.1:0", "control_address": "127.0.0.1:0" },
+  ],
+  "services": [
+    {
+      "name": "loans-db",
+      "read_kinds": [{ "name": "history", "max_age_ms": 5000 }],
+      "classes": [{ "name": "reservations", "weight": 4, "goal_ms": 50 }],
+    },
+  ],
+  "groups": [
+    {
+      "name": "loans-1",
+      "service": "loans-db",
+      "members": [
+        { "target": "loans-1-medina", "zone": "medina", "address": "127.0.0.1:0", "slots": 2, "connections": 16 },
+        { "target": "loans-1-depot", "zone": "depot", "address": "127.0.0.1:0", "slots": 2, "connections": 16 },
+        { "target": "loans-1-sakiet", "zone": "sakiet", "address": "127.0.0.1:0", "slots": 2, "connections": 16 },
+      ],
+    },
+  ],
+}"#;
+
+/// The target that leads at the start.
+pub const FIRST_PRIMARY: &str = "loans-1-medina";
+
+/// The stand-ins.
+pub async fn deployment() -> Deployment {
+    let settings: DeploymentSettings =
+        skylark_settings::parse(DEPLOYMENT).expect("the deployment's settings are right");
+    let deployment = Deployment::start(&settings).await.expect("the stand-ins start");
+    deployment.platform().platform().store.set_vms(Vec::new());
+    deployment
+}
+
+/// Settings of a proxy on loopback with free ports.
+pub fn settings(vm: &str, zone: &str, platform: SocketAddr, peers: &[SocketAddr]) -> ProxySettings {
+    let peers: Vec<String> = peers.iter().map(|peer| format!("\"{peer}\"")).collect();
+    let text = format!(
+        r#"{{
+          "vm": "{vm}",
+          "zone": "{zone}",
+          "listen_address": "127.0.0.1:0",
+          "control_address": "127.0.0.1:0",
+          "platform_address": "{platform}",
+          "peers": [{}],
+          "traffic_threads": 1,
+          "timing": {{ "peer_interval_ms": 200, "platform_retry_ms": 100, "vm_list_interval_ms": 200 }},
+          "limits": {{ "stop_notice_ms": 10, "stop_grace_ms": 2000 }},
+        }}"#,
+        peers.join(", "),
+    );
+    skylark_settings::parse(&text).expect("the proxy's settings are right")
+}
+
+/// A running proxy and its place.
+pub struct Proxy {
+    pub vm: String,
+    pub zone: String,
+    pub handle: ProxyHandle,
+}
+
+impl Proxy {
+    /// Starts a proxy.
+    pub async fn start(settings: ProxySettings) -> Proxy {
+        let (vm, zone) = (settings.vm.clone(), settings.zone.clone());
+        let log = slog::Logger::root(slog::Discard, slog::o!());
+        let handle = daemon::start(settings, log).await.expect("the proxy starts");
+        Proxy { vm, zone, handle }
+    }
+
+    /// Its line in the platform's list.
+    pub fn record(&self) -> VmRecord {
+        VmRecord {
+            vm: self.vm.clone(),
+            zone: self.zone.clone(),
+            address: self.handle.listen_address().to_string(),
+            control_address: self.handle.control_address().to_string(),
+            state: VmState::Live,
+        }
+    }
+
+    /// What it answers to `skylarkctl status`.
+    pub async fn status(&self) -> StatusReport {
+        let address = self.handle.control_address().to_string();
+        let client = client::open(&address, PATIENCE).expect("the address is right");
+        client.status().await.expect("a running proxy answers")
+    }
+
+    /// What it decided about the group.
+    pub async fn explain(&self) -> ExplainReport {
+        let address = self.handle.control_address().to_string();
+        let client = client::open(&address, PATIENCE).expect("the address is right");
+        client.explain(GROUP.to_owned()).await.expect("a running proxy answers")
+    }
+
+    /// The test's group in the status.
+    pub async fn group(&self) -> Option<GroupReport> {
+        self.status().await.groups.into_iter().find(|group| group.group == GROUP)
+    }
+
+    /// The primary as this proxy knows it.
+    pub async fn leader(&self) -> Option<(String, Term)> {
+        let group = self.group().await?;
+        Some((group.leader?, group.term))
+    }
+}
+
+/// The stand-ins with one proxy in each zone.
+pub struct Cluster {
+    pub deployment: Deployment,
+    pub proxies: Vec<Proxy>,
+}
+
+impl Cluster {
+    /// Starts everything and waits until every proxy knows the first primary.
+    pub async fn start() -> Cluster {
+        let cluster =
+            Cluster::start_with(&[("vm-1", "medina"), ("vm-2", "depot"), ("vm-3", "sakiet")]).await;
+        cluster.until_led_by_all(FIRST_PRIMARY).await;
+        for proxy in &cluster.proxies {
+            until("the proxy tracks the group", async || {
+                proxy.group().await.filter(|group| group.tracked)
+            })
+            .await;
+        }
+        cluster
+    }
+
+    /// Starts proxies at these places.
+    pub async fn start_with(places: &[(&str, &str)]) -> Cluster {
+        let deployment = deployment().await;
+        let mut cluster = Cluster { deployment, proxies: Vec::new() };
+        for (vm, zone) in places {
+            cluster.add(vm, zone).await;
+        }
+        cluster.list_vms();
+        cluster
+    }
+
+    /// Starts one more proxy, which the platform's list does not name yet.
+    pub async fn add(&mut self, vm: &str, zone: &str) -> &Proxy {
+        let peers: Vec<SocketAddr> =
+            self.proxies.iter().map(|proxy| proxy.handle.control_address()).collect();
+        let settings = settings(vm, zone, self.deployment.platform().address(), &peers);
+        self.proxies.push(Proxy::start(settings).await);
+        &self.proxies[self.proxies.len() - 1]
+    }
+
+    /// Has the platform list all proxies.
+    pub fn list_vms(&self) {
+        let records = self.proxies.iter().map(Proxy::record).collect();
+        self.deployment.platform().platform().store.set_vms(records);
+    }
+
+    /// Brings a fault about or ends it.
+    pub async fn inject(&self, fault: Fault) {
+        self.deployment.inject(&fault).await.expect("the fault names what is there");
+    }
+
+    /// A member's own status.
+    pub fn member(&self, target: &str) -> MemberStatus {
+        self.deployment.target(target).expect("the target is there").target().status()
+    }
+
+    /// The group's lead record in the platform.
+    pub fn lead_record(&self) -> Option<LeadRecord> {
+        let object = self.deployment.platform().platform().store.get(ObjectKind::Lead, GROUP)?;
+        serde_json::from_value(object.body).ok()
+    }
+
+    /// The members that believe to lead, with their terms.
+    pub fn primaries(&self) -> Vec<(String, Term)> {
+        let targets = self.deployment.targets().iter().map(|server| server.target());
+        targets
+            .filter(|target| target.status().role == Role::Primary)
+            .map(|target| (target.options().name.clone(), target.status().raised_term))
+            .collect()
+    }
+
+    /// Waits until every proxy knows this primary.
+    pub async fn until_led_by_all(&self, target: &str) {
+        for proxy in &self.proxies {
+            until(&format!("{} knows that {target} leads", proxy.vm), async || {
+                proxy.leader().await.filter(|(leader, _)| leader == target)
+            })
+            .await;
+        }
+    }
+
+    /// Everything that the proxies decided, for a failing test's message.
+    pub async fn explain(&self) -> String {
+        let mut text = String::new();
+        for proxy in &self.proxies {
+            let report = proxy.explain().await;
+            let lines = report.decisions.iter().map(|decision| {
+                format!("{} ms ago: {} ({})", decision.ago_ms, decision.decision, decision.reason)
+            });
+            let lines: Vec<String> = lines.collect();
+            text += &format!("{}:\n  {}\n", proxy.vm, lines.join("\n  "));
+        }
+        text
+    }
+
+    /// Waits until every proxy knows one primary of a term above `term`, and returns it.
+    pub async fn until_led_above(&self, term: Term) -> (String, Term) {
+        let agreed = async || {
+            let mut leaders = Vec::new();
+            for proxy in &self.proxies {
+                leaders.push(proxy.leader().await?);
+            }
+            let first = leaders[0].clone();
+            let agreed = leaders.iter().all(|leader| *leader == first);
+            (agreed && first.1 > term).then_some(first)
+        };
+        match poll(agreed).await {
+            Some(leader) => leader,
+            None => panic!("no new primary in time; decisions:\n{}", self.explain().await),
+        }
+    }
+
+    /// Waits until a member follows in a term.
+    pub async fn until_follows(&self, target: &str, term: Term) {
+        until(&format!("{target} follows in term {term}"), async || {
+            let status = self.member(target);
+            (status.role == Role::Replica && status.raised_term == term).then_some(())
+        })
+        .await;
+    }
+
+    /// Writes a row straight at a target and returns whether it took.
+    pub async fn write_at(&self, target: &str, sql: &str) -> bool {
+        let address = self.deployment.target(target).expect("the target is there").address();
+        let config = format!(
+            "host=127.0.0.1 port={} user=test dbname={GROUP} application_name=medina/test",
+            address.port(),
+        );
+        let connected = tokio_postgres::connect(&config, tokio_postgres::NoTls).await;
+        let Ok((client, connection)) = connected else { return false };
+        let driven = tokio::spawn(connection);
+        let done = client.simple_query(sql).await.is_ok();
+        driven.abort();
+        done
+    }
+}
+
+/// Waits until the probe gives an answer.
+pub async fn until<T, P>(what: &str, probe: P) -> T
+where
+    P: AsyncFnMut() -> Option<T>,
+{
+    match poll(probe).await {
+        Some(found) => found,
+        None => panic!("not in time: {what}"),
+    }
+}
+
+async fn poll<T, P>(mut probe: P) -> Option<T>
+where
+    P: AsyncFnMut() -> Option<T>,
+{
+    let deadline = time::Instant::now() + PATIENCE;
+    while time::Instant::now() < deadline {
+        if let Some(found) = probe().await {
+            return Some(found);
+        }
+        time::sleep(Duration::from_millis(20)).await;
+    }
+    None
+}
