Read every bound of the traffic threads from the settings

Seven bounds of the traffic threads stood in the code only, one key of the settings was read by nothing, and the defaults stood twice. Each bound now has a key, and its default stands with the key alone.

--- a/crates/proxy/src/connection/limits.rs
+++ b/crates/proxy/src/connection/limits.rs
@@ -56,30 +56,7 @@
 
 impl Default for TrafficLimits {
     fn default() -> TrafficLimits {
-        TrafficLimits {
-            message_bytes: 16 << 20,
-            startup_ms: 5_000,
-            half_open: 1_000,
-            connections: 20_000,
-            connections_per_user: 10_000,
-            idle_in_transaction_ms: 30_000,
-            slow_reader_ms: 10_000,
-            slow_sender_ms: 10_000,
-            deadline_ms: 5_000,
-            confirm_ms: 2_000,
-            queue_length: 1_000,
-            primary_wait_ms: 250,
-            floor_wait_ms: 250,
-            stop_grace_ms: 30_000,
-            max_hops: 2,
-            retry_budget_percent: 10,
-            peer_connections: 256,
-            connect_ms: 1_000,
-            drain_ms: 1_000,
-            prepared_per_connection: 256,
-            prepared_per_caller: 1_024,
-            reset_always: false,
-        }
+        TrafficLimits::of(&ProxySettings::default())
     }
 }
 
@@ -103,7 +80,13 @@
             max_hops: limits.max_hops as u8,
             retry_budget_percent: limits.retry_budget_percent,
             connect_ms: settings.timing.connect_timeout_ms,
-            ..TrafficLimits::default()
+            primary_wait_ms: limits.primary_wait_ms,
+            floor_wait_ms: limits.floor_wait_ms,
+            peer_connections: limits.peer_connections,
+            drain_ms: limits.drain_timeout_ms,
+            prepared_per_connection: limits.max_prepared_per_connection as usize,
+            prepared_per_caller: limits.max_prepared_per_caller as usize,
+            reset_always: limits.reset_always,
         }
     }
 
--- a/crates/settings/src/check.rs
+++ b/crates/settings/src/check.rs
@@ -145,6 +145,7 @@
                     return Some(Value::from(number));
                 }
             }
+            (Shape::Flag, ast::Value::BooleanLit(flag)) => return Some(Value::from(flag.value)),
             (_, ast::Value::StringLit(text)) if accepts_text(shape, &text.value) => {
                 return Some(Value::from(&*text.value));
             }
@@ -239,6 +240,6 @@
             text.parse().is_ok_and(|address: SocketAddr| *any_port || address.port() != 0)
         }
         Shape::Choice(words) => words.contains(&text),
-        Shape::Integer { .. } | Shape::List { .. } | Shape::Section(_) => false,
+        Shape::Integer { .. } | Shape::Flag | Shape::List { .. } | Shape::Section(_) => false,
     }
 }
--- a/crates/settings/src/proxy.rs
+++ b/crates/settings/src/proxy.rs
@@ -70,21 +70,31 @@
         slow_reader_ms: u64, default(10_000), duration_ms(HOUR_MS);
         /// The time that a caller may take to finish a message that it began.
         slow_sender_ms: u64, default(10_000), duration_ms(HOUR_MS);
-        /// The most of an answer that is kept for a caller before reading from its target stops.
-        caller_buffer_bytes: u64, default(64 * 1024), Shape::Integer { min: 4096, max: GIB };
         /// The time limit of a statement whose caller states none.
         default_deadline_ms: u64, default(5_000), duration_ms(HOUR_MS);
         /// Requests that may wait for connections of one target.
         max_queue_per_target: u32, default(1_000), Shape::Integer { min: 1, max: 1_000_000 };
         /// The time that a commit may wait for the confirmation of a majority.
         confirm_timeout_ms: u64, default(2_000), duration_ms(MINUTE_MS);
-        /// The time that a read may wait for a replica to reach its session's floor before it
-        /// goes to the primary.
-        floor_wait_ms: u64, default(20), Shape::Integer { min: NO_TIME_MS, max: MINUTE_MS };
+        /// The time that a request may wait for a primary that holds its session's own writes.
+        floor_wait_ms: u64, default(250), Shape::Integer { min: NO_TIME_MS, max: MINUTE_MS };
+        /// The time that a request that did not run may wait for a primary that moves or changes.
+        primary_wait_ms: u64, default(250), Shape::Integer { min: NO_TIME_MS, max: MINUTE_MS };
         /// How often a request may be passed on between proxies.
         max_hops: u32, default(2), Shape::Integer { min: 1, max: 8 };
         /// Retries that a group may spend for every hundred requests.
         retry_budget_percent: u32, default(10), Shape::Integer { min: 0, max: 100 };
+        /// Connections to one other proxy for one group.
+        peer_connections: u32, default(256), Shape::Integer { min: 1, max: 100_000 };
+        /// The time that an abandoned answer has to end before its connection is closed.
+        drain_timeout_ms: u64, default(1_000), duration_ms(MINUTE_MS);
+        /// Prepared statements that one connection to a target remembers.
+        max_prepared_per_connection: u32, default(256), Shape::Integer { min: 1, max: 100_000 };
+        /// Prepared statements that one caller may hold.
+        max_prepared_per_caller: u32, default(1_024), Shape::Integer { min: 1, max: 100_000 };
+        /// Whether connections are reset after every transaction, for callers whose functions
+        /// change session state where the statement's text does not show it.
+        reset_always: bool, default(false), Shape::Flag;
         /// The time between the health answer that tells the balancer of a stop and the first
         /// refusal of a new caller.
         stop_notice_ms: u64, default(1_000), Shape::Integer { min: NO_TIME_MS, max: MINUTE_MS };
--- a/crates/settings/src/shape.rs
+++ b/crates/settings/src/shape.rs
@@ -52,6 +52,8 @@
         /// Whether port 0 (any free port) is accepted.
         any_port: bool,
     },
+    /// `true` or `false`.
+    Flag,
     /// One of several words.
     Choice(&'static [&'static str]),
     /// A list.
@@ -79,6 +81,7 @@
             Shape::Address { any_port: false } => {
                 "an IP address and a port, as `127.0.0.1:6432`".to_owned()
             }
+            Shape::Flag => one_of(&["true", "false"]),
             Shape::Choice(words) => one_of(words),
             Shape::List { of, min_len: 0 } => format!("a list of: {}", of.accepted()),
             Shape::List { of, min_len } => {
