--- a/crates/core/src/process/sharing/mod.rs
+++ b/crates/core/src/process/sharing/mod.rs
@@ -1,15 +1,12 @@
 //! How the requests of several classes share a target's few slots and connections.
 //!
 //! A home keeps one [`queue::TargetQueue`] for each of its targets. The queue bounds what waits and
-//! what runs; a [`SharingStrategy`] chooses which class goes next. Strategies are compared on the
-//! same recorded surge by `crates/bench/examples/surge.rs`; the figures and the choice are in
-//! `docs/decisions/sharing-in-a-surge.md`.
+//! what runs; a [`SharingStrategy`] chooses which class goes next. The product has one strategy,
+//! [`weighted`], which was the best of four on a recorded surge: see
+//! `docs/decisions/sharing-in-a-surge.md`, and `crates/bench/examples/surge.rs` for trying another.
 
-pub mod arrival_order;
 pub mod class_queue;
 pub mod queue;
-pub mod relative_performance;
-pub mod strict_priority;
 pub mod weighted;
 
 /// What the settings say of a class.
