--- a/crates/ctl/src/exit.rs
+++ b/crates/ctl/src/exit.rs
@@ -57,7 +57,7 @@
     /// Another change came between plan and confirmation. The message says which steps, if any,
     /// had taken effect; the others will not.
     Superseded = 7, "superseded";
-    /// The platform does not answer. Nothing has changed.
+    /// The platform does not answer. This command has changed nothing.
     PlatformDown = 8, "platform_down";
     /// A proxy does not answer.
     ProxyDown = 9, "proxy_down";
--- a/crates/ctl/src/failure.rs
+++ b/crates/ctl/src/failure.rs
@@ -187,7 +187,10 @@
                 f.write_str("; plan again")
             }
             Failure::PlatformDown { reason } => {
-                write!(f, "the platform does not answer, nothing was changed: {reason}")
+                write!(
+                    f,
+                    "the platform does not answer, and this command changed nothing: {reason}"
+                )
             }
             Failure::PlatformRefused { reason } => {
                 write!(f, "the platform's answer can't be used: {reason}")
--- a/crates/ctl/src/status.rs
+++ b/crates/ctl/src/status.rs
@@ -83,7 +83,7 @@
     for problem in &status.problems {
         let _ = writeln!(out, "  problem: {problem}");
     }
-    for (name, count) in status.counters.iter().filter(|(_, count)| **count > 0) {
+    for (name, count) in &status.counters {
         let _ = writeln!(out, "  counter {name}: {count}");
     }
 }
--- a/crates/ctl/tests/operators.rs
+++ b/crates/ctl/tests/operators.rs
@@ -211,7 +211,7 @@
 #[tokio::test]
 async fn platform_down() {
     // Nothing listens at the platform's address, or it answers that it is unavailable. Planning and
-    // confirming say so at once, and that nothing was changed.
+    // confirming say so at once, and that they changed nothing.
     let gone = TcpListener::bind(LOOPBACK).await.expect("a free port");
     let address = gone.local_addr().expect("an address").to_string();
     drop(gone);
@@ -223,7 +223,7 @@
         for command in [["confirm", &id].as_slice(), &["plan", "drain", "vm", "sfax-1"]] {
             let said = skylarkctl(&[&["--platform", &*platform], command].concat()).await;
             assert_eq!(said.exit, Exit::PlatformDown, "{}", said.err);
-            assert!(said.err.contains("nothing was changed"), "{}", said.err);
+            assert!(said.err.contains("this command changed nothing"), "{}", said.err);
         }
     }
     deployment.server.platform().faults.change(|faults| faults.down = false);
@@ -301,7 +301,7 @@
 #[tokio::test]
 async fn platform_down_after_the_change() {
     // The change takes effect, its answer is lost, and the platform stays silent. The tool must
-    // claim neither success nor "nothing was changed": the outcome is unknown. Once the platform
+    // claim neither success nor "changed nothing": the outcome is unknown. Once the platform
     // answers again, the same id tells that the plan is in force.
     let deployment = Deployment::start().await;
     let id = deployment.plan(&WEIGHT_2).await;
--- a/crates/settings/src/reference.rs
+++ b/crates/settings/src/reference.rs
@@ -2,10 +2,19 @@
 
 use std::fmt::Write;
 
+use crate::deployment::DeploymentSettings;
+use crate::proxy::ProxySettings;
 use crate::shape::Key;
 use crate::shape::Presence;
 use crate::shape::Shape;
 
+/// The reference of every file as Markdown, as it stands in the operators' pages.
+pub fn all() -> String {
+    let proxy = markdown("Proxy", ProxySettings::KEYS);
+    let deployment = markdown("Deployment", DeploymentSettings::KEYS);
+    format!("{proxy}{deployment}").trim_end().to_owned() + "\n"
+}
+
 /// The reference of a file as Markdown. `title` heads the keys at the top of the file.
 pub fn markdown(title: &str, keys: &[Key]) -> String {
     let mut page = String::new();
--- a/crates/settings/tests/examples.rs
+++ b/crates/settings/tests/examples.rs
@@ -55,15 +55,25 @@
     mittelland: "mittelland.jsonc", 8 VMs, 32 connections, 30 ms;
 }
 
-#[test]
-fn proxy_belongs_to_sfax() {
-    let proxy: ProxySettings = load("proxy.jsonc");
+/// The settings of a proxy are those of one VM of Sfax.
+fn check_proxy(file: &str, vm: &str) {
+    let proxy: ProxySettings = load(file);
     let sfax: DeploymentSettings = load("sfax.jsonc");
+    assert_eq!(proxy.vm, vm);
     let vm = sfax.vms.iter().find(|vm| vm.vm == proxy.vm).expect("the VM is one of Sfax");
     assert_eq!(vm.zone, proxy.zone);
     assert_eq!(vm.listen_address, proxy.listen_address);
     assert_eq!(vm.control_address, proxy.control_address);
     assert_eq!(sfax.platform_address, proxy.platform_address);
-    let peers: Vec<_> = sfax.vms.iter().map(|vm| vm.control_address).collect();
-    assert!(proxy.peers.iter().all(|peer| peers.contains(peer)));
+    let others = sfax.vms.iter().filter(|other| other.vm != vm.vm);
+    let others: Vec<_> = others.map(|other| other.control_address).collect();
+    assert!(proxy.peers.iter().all(|peer| others.contains(peer)));
+}
+
+#[test]
+fn proxies_belong_to_sfax() {
+    check_proxy("proxy.jsonc", "sfax-1");
+    for number in 1..=6 {
+        check_proxy(&format!("sfax/sfax-{number}.jsonc"), &format!("sfax-{number}"));
+    }
 }
