Tell proxies that track nothing who leads and which VMs there are

Cause: lead records and lists of VMs come from the platform; while it was down, a proxy that was home to no member kept the old primary, and one that had started just before never learned of the other VMs. Change: an exchange of versions carries digests of the leaders and of the list of VMs, and the side that knows less asks. The rank among the candidates follows the primary.

--- a/crates/proxy/src/process/control/align.rs
+++ b/crates/proxy/src/process/control/align.rs
@@ -53,6 +53,9 @@
             self.align_group(now_us, &topology, &homes, id);
         }
         self.homes = Some(homes);
+        for id in topology.group_ids() {
+            self.feed_rank(now_us, id);
+        }
         self.place_members();
         self.refresh_targets(now_us);
         self.order_watch();
@@ -122,7 +125,6 @@
             (false, false) => {}
         }
         self.feed_lead(now_us, spec, &name);
-        self.feed_rank(now_us, topology, homes, spec, &name);
     }
 
     /// Tells a tracked group's decisions about a new version of its members.
@@ -258,18 +260,14 @@
         group.drive(now_us, &failover::Event::LeadSeen { version, record });
     }
 
-    fn feed_rank(
-        &mut self,
-        now_us: u64,
-        topology: &Topology,
-        homes: &Homes,
-        spec: &topology::Group,
-        name: &Arc<str>,
-    ) {
-        let Some(own_vm) = self.own_vm() else { return };
-        let Some(group) = self.groups.get_mut(name) else { return };
+    /// Tells a group's driver its place among the candidates, which depends on who leads.
+    pub(super) fn feed_rank(&mut self, now_us: u64, id: GroupId) {
+        let (Some(own_vm), Some(homes)) = (self.own_vm(), &self.homes) else { return };
+        let topology = Arc::clone(self.configuration.topology());
+        let spec = topology.group(id);
+        let Some(group) = self.groups.get_mut(spec.name.as_str()) else { return };
         let primary = group.leader().and_then(|(target, _)| topology.target_id(target));
-        let candidates = candidates(topology, homes, spec, primary);
+        let candidates = candidates(&topology, homes, spec, primary);
         let rank = candidates.iter().position(|&vm| vm == own_vm).unwrap_or(candidates.len());
         group.drive(now_us, &failover::Event::Rank { rank: rank as u32 });
     }
--- a/crates/proxy/src/process/control/drive.rs
+++ b/crates/proxy/src/process/control/drive.rs
@@ -100,14 +100,17 @@
     }
 
     fn carry_out(&mut self, now_us: u64, name: &Arc<str>) {
-        let Some(group) = self.groups.get_mut(name) else { return };
-        let Some(tracking) = &mut group.tracking else { return };
-        if tracking.actions.is_empty() {
-            return;
-        }
-        let actions = std::mem::take(&mut tracking.actions);
-        for action in actions {
-            self.carry_out_one(now_us, name, action);
+        // An action may tell the driver something, which then asks for more.
+        loop {
+            let Some(group) = self.groups.get_mut(name) else { return };
+            let Some(tracking) = &mut group.tracking else { return };
+            if tracking.actions.is_empty() {
+                return;
+            }
+            let actions = std::mem::take(&mut tracking.actions);
+            for action in actions {
+                self.carry_out_one(now_us, name, action);
+            }
         }
     }
 
@@ -149,6 +152,9 @@
         let Some(tracking) = &group.tracking else { return };
         let target = tracking.members[leader.member].target.clone();
         self.note(now_us, name, Decision::Announced { target, term: leader.term });
+        if let Some(id) = self.configuration.topology().group_id(name) {
+            self.feed_rank(now_us, id);
+        }
     }
 
     fn call_member(&mut self, name: &Arc<str>, member: usize, call: failover::MemberCall) {
--- a/crates/proxy/src/process/control/leaders.rs
+++ b/crates/proxy/src/process/control/leaders.rs
@@ -45,11 +45,7 @@
         if leaders_digest == self.leaders_digest() {
             return;
         }
-        let client = match self.configuration.topology().vm_id(vm) {
-            Some(vm) => self.client_of(vm),
-            None => None,
-        };
-        let Some(client) = client else { return };
+        let Some(client) = self.client_by_name(vm) else { return };
         let inputs = self.senders.inputs.clone();
         tokio::spawn(async move {
             if let Ok(hints) = client.peer_leaders().await {
--- a/crates/proxy/src/process/control/mod.rs
+++ b/crates/proxy/src/process/control/mod.rs
@@ -143,6 +143,7 @@
     peers: PeerClients,
     watch_orders: watch::Sender<WatchOrder>,
     platform_answers: bool,
+    exchanges: u64,
     /// Whether the balancer and the other proxies are told that this one is about to stop.
     stopping: bool,
     /// Whether no new callers are taken.
@@ -205,6 +206,7 @@
         peers: PeerClients::new(Duration::from_millis(settings.timing.peer_timeout_ms)),
         watch_orders,
         platform_answers: false,
+        exchanges: 0,
         stopping: false,
         refusing: false,
         changed: true,
--- a/crates/proxy/src/process/control/spread.rs
+++ b/crates/proxy/src/process/control/spread.rs
@@ -22,6 +22,9 @@
 use crate::version::configuration::Changes;
 use crate::version::configuration::Taken;
 
+/// Every so many exchanges within the zone go to one of its watchers, whose list of VMs is fresh.
+const WATCHER_EVERY: u64 = 4;
+
 impl<S, C> Control<S, C>
 where
     S: ObjectStore,
@@ -70,6 +73,8 @@
             vm: self.settings.vm.clone(),
             stopping: self.stopping,
             leaders_digest: self.leaders_digest(),
+            vms_digest: self.configuration.vms_digest(),
+            vms_fresh: self.vms_fresh(),
         }
     }
 
@@ -82,6 +87,22 @@
         self.vm_seen(&version.vm, evidence);
         self.revision_seen(&version.vm, version.revision);
         self.leaders_digest_seen(&version.vm, version.leaders_digest);
+        self.vms_seen(version);
+    }
+
+    /// Takes over a list of VMs from a peer that reads it from the platform, where this process
+    /// does not; and from any peer while this process has none.
+    fn vms_seen(&mut self, version: &api::PeerVersion) {
+        let own_empty = self.configuration.topology().vms.is_empty();
+        let better = version.vms_fresh && !self.vms_fresh() || own_empty;
+        let same_revision = version.revision == self.configuration.revision();
+        if better && same_revision && version.vms_digest != self.configuration.vms_digest() {
+            self.pull_from(&version.vm, Source::Watcher);
+        }
+    }
+
+    fn vms_fresh(&self) -> bool {
+        self.platform_answers && self.watch_orders.borrow().watching
     }
 
     /// Pulls from a peer that showed a higher revision. A lower one learns ours from the same
@@ -89,7 +110,7 @@
     pub(super) fn revision_seen(&mut self, vm: &str, revision: u64) {
         let now_us = self.clock.now_us();
         if self.configuration.spreading().peer_seen(revision, now_us) == PeerAction::Pull {
-            self.pull_from(vm);
+            self.pull_from(vm, Source::Peer);
         }
     }
 
@@ -108,15 +129,38 @@
     /// the watchers' offers missed; the second reaches a zone that the platform can't be reached
     /// from.
     pub(super) fn exchange_versions(&mut self) {
-        let Some(own_vm) = self.own_vm() else { return };
+        let Some(own_vm) = self.own_vm() else {
+            self.exchange_with_named_peer();
+            return;
+        };
+        self.exchanges += 1;
         let own_zone = self.configuration.topology().vm(own_vm).zone;
-        let near = self.some_vm(|vm, zone| zone == own_zone && vm != own_vm);
+        let watchers = match &self.homes {
+            Some(homes) if self.exchanges.is_multiple_of(WATCHER_EVERY) => homes.watchers(own_zone),
+            Some(_) | None => Vec::new(),
+        };
+        let asks_watcher = !watchers.is_empty();
+        let near = self.some_vm(|vm, zone| {
+            zone == own_zone && vm != own_vm && (!asks_watcher || watchers.contains(&vm))
+        });
         let far = self.some_vm(|_, zone| zone != own_zone);
         for vm in [near, far].into_iter().flatten() {
             self.exchange_with(vm);
         }
     }
 
+    /// A process that no list of VMs names yet knows only the peers of its settings.
+    fn exchange_with_named_peer(&mut self) {
+        let Some(peer) = self.settings.peers.choose(&mut rand::rng()) else { return };
+        let Some(client) = self.peers.get(&peer.to_string()) else { return };
+        let (own, inputs) = (self.own_version(), self.senders.inputs.clone());
+        tokio::spawn(async move {
+            if let Ok(version) = client.peer_version(own).await {
+                let _ = inputs.send(Input::PeerAnswered(version));
+            }
+        });
+    }
+
     /// Tells the proxies of this zone at once that this one is stopping.
     pub(super) fn tell_stopping(&mut self) {
         for vm in self.zone_peers() {
@@ -124,6 +168,18 @@
         }
     }
 
+    /// The client of a VM's control address by the VM's name. While the list of VMs is not known,
+    /// any peer of the settings serves as well.
+    pub(super) fn client_by_name(&mut self, vm: &str) -> Option<HttpClient> {
+        match self.configuration.topology().vm_id(vm) {
+            Some(vm) => self.client_of(vm),
+            None => {
+                let peer = self.settings.peers.choose(&mut rand::rng())?;
+                self.peers.get(&peer.to_string())
+            }
+        }
+    }
+
     /// The client of a VM's control address.
     pub(super) fn client_of(&mut self, vm: VmId) -> Option<HttpClient> {
         let topology = self.configuration.topology();
@@ -229,19 +285,15 @@
         });
     }
 
-    fn pull_from(&mut self, vm: &str) {
-        let client = match self.configuration.topology().vm_id(vm) {
-            Some(vm) => self.client_of(vm),
-            None => None,
-        };
-        let Some(client) = client else {
+    fn pull_from(&mut self, vm: &str, source: Source) {
+        let Some(client) = self.client_by_name(vm) else {
             self.configuration.spreading().pull_failed();
             return;
         };
         let inputs = self.senders.inputs.clone();
         tokio::spawn(async move {
             let _ = inputs.send(match client.peer_snapshot().await {
-                Ok(snapshot) => Input::Snapshot { snapshot, source: Source::Peer },
+                Ok(snapshot) => Input::Snapshot { snapshot, source },
                 Err(_) => Input::PullFailed,
             });
         });
--- a/crates/proxy/src/process/peer/api.rs
+++ b/crates/proxy/src/process/peer/api.rs
@@ -39,6 +39,12 @@
     /// leader that the other does not.
     #[serde(default)]
     pub leaders_digest: u64,
+    /// A digest of the sender's list of VMs, which carries no revision.
+    #[serde(default)]
+    pub vms_digest: u64,
+    /// Whether the sender reads that list from the platform now, so that it is as fresh as can be.
+    #[serde(default)]
+    pub vms_fresh: bool,
 }
 
 /// A group's primary as the sender knows it.
--- a/crates/proxy/src/version/configuration.rs
+++ b/crates/proxy/src/version/configuration.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 
+use skylark_core::process::jitter;
 use skylark_core::version::objects::Snapshot;
 use skylark_core::version::objects::StoredObject;
 use skylark_core::version::objects::VmRecord;
@@ -9,6 +10,7 @@
 use skylark_core::version::spreading::Source;
 use skylark_core::version::spreading::Spreading;
 use skylark_core::version::topology::Topology;
+use skylark_core::version::topology::Vm;
 
 /// What became of a version that was offered.
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
@@ -42,6 +44,7 @@
     spreading: Spreading,
     snapshot: Snapshot,
     topology: Arc<Topology>,
+    vms_digest: u64,
 }
 
 impl Configuration {
@@ -70,6 +73,11 @@
         &self.topology
     }
 
+    /// A digest of the list of VMs, which has no revision to compare.
+    pub fn vms_digest(&self) -> u64 {
+        self.vms_digest
+    }
+
     /// Takes a whole snapshot if it is newer.
     pub fn take_snapshot(&mut self, snapshot: Snapshot, source: Source) -> Taken {
         match self.spreading.offered(snapshot.revision, source) {
@@ -101,6 +109,10 @@
                 Taken::Version
             }
             OfferVerdict::TakeVmsOnly => vms.map_or(Taken::Nothing, |vms| self.replace_vms(vms)),
+            // The objects are older; the list carries no revision, and a watcher's is fresh.
+            OfferVerdict::IgnoreOlder if source != Source::Peer => {
+                vms.map_or(Taken::Nothing, |vms| self.replace_vms(vms))
+            }
             OfferVerdict::IgnoreOlder => Taken::Nothing,
         }
     }
@@ -133,5 +145,8 @@
 
     fn resolve(&mut self) {
         self.topology = Arc::new(Topology::build(&self.snapshot));
+        let vms = self.topology.vms.iter();
+        let part = |vm: &Vm| jitter::seed_of(&format!("{vm:?}"));
+        self.vms_digest = vms.map(part).fold(0, u64::wrapping_add);
     }
 }
--- a/crates/proxy/tests/control_support/mod.rs
+++ b/crates/proxy/tests/control_support/mod.rs
@@ -205,6 +205,15 @@
         serde_json::from_value(object.body).ok()
     }
 
+    /// Writes an operator's wish for another primary into the lead record.
+    pub fn want_leader(&self, target: &str) {
+        let store = &self.deployment.platform().platform().store;
+        let known = store.get(ObjectKind::Lead, GROUP).expect("the record is there");
+        let mut body = known.body.clone();
+        body["wanted"] = target.into();
+        store.put(ObjectKind::Lead, GROUP, known.version, body).expect("nobody else writes it");
+    }
+
     /// The members that believe to lead, with their terms.
     pub fn primaries(&self) -> Vec<(String, Term)> {
         let targets = self.deployment.targets().iter().map(|server| server.target());
