Run whole deployments in one process: quick start, experiments, failover gap, overhead

The measures of the users need a deployment with proxies, faults and callers together. `quickstart` serves Sfax on loopback and tells what to try. `failover-gap` gives each run a deployment of its own, a probe writer and other callers that roam, and the checker over all of them. `experiment` reads a file with a load and faults on a timeline; `compare` puts two results side by side. `overhead` lets the same clients work through the proxy and straight on the stand-in in turns; `idle-memory` reads the size of a proxy that the operator started. Eight experiments describe Sfax and Mittelland on an ordinary morning, in a surge, with lagging replicas, and in a failover in the surge.

--- a/crates/bench/src/commands/slopes.rs
+++ b/crates/bench/src/commands/slopes.rs
@@ -8,6 +8,7 @@
 use clap::ArgMatches;
 use clap::Command;
 
+use crate::commands::CommandError;
 use crate::slopes::measure;
 use crate::slopes::report;
 
@@ -34,7 +35,7 @@
 }
 
 /// Runs the subcommand.
-pub fn run(matches: &ArgMatches) -> io::Result<()> {
+pub fn run(matches: &ArgMatches) -> Result<(), CommandError> {
     let filter = matches.get_one::<String>("only").map_or("", String::as_str);
     let json = matches.get_flag("json");
     let mut out = io::stdout().lock();
@@ -45,7 +46,9 @@
     for case in report::cases(filter) {
         let slope = case.measure();
         match json {
-            true => writeln!(out, "{}", serde_json::to_string(&slope)?)?,
+            true => {
+                writeln!(out, "{}", serde_json::to_string(&slope).map_err(CommandError::other)?)?
+            }
             false => writeln!(out, "{}", report::table_row(&slope))?,
         }
         out.flush()?;
--- /dev/null
+++ b/crates/bench/src/gap/phases.rs
@@ -0,0 +1,59 @@
+//! Splits a gap into phases by the decisions that the proxies logged.
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::embedded::decisions::Decision;
+
+/// How a step begins in the log.
+const STEP_PREFIX: &str = "change of primary to term ";
+
+/// Where the time of one change of primary went, in microseconds. Phases follow each other.
+#[derive(Clone, Copy, PartialEq, Eq, Debug, Default, Serialize, Deserialize)]
+pub struct Phases {
+    /// From the fault until the winning driver began.
+    pub detect_us: u64,
+    /// Until the platform named the driver, or it went on without the platform.
+    pub agree_us: u64,
+    /// Until a majority had raised its term.
+    pub fence_us: u64,
+    /// Until a majority confirmed the record that opens the term.
+    pub promote_us: u64,
+    /// Until the first write was acknowledged in the new term.
+    pub route_us: u64,
+}
+
+/// The step of a decision, with the term that it is about.
+pub fn step_of(decision: &Decision) -> Option<(u64, &str)> {
+    let rest = decision.decision.strip_prefix(STEP_PREFIX)?;
+    let (term, step) = rest.split_once(": ")?;
+    Some((term.parse().ok()?, step))
+}
+
+/// Splits the time from the fault to the first acknowledged write. `None` if the decisions show no
+/// change of primary that reached its end.
+pub fn split(decisions: &[Decision], fault_us: u64, first_ack_us: u64) -> Option<Phases> {
+    let opened = decisions
+        .iter()
+        .filter(|it| it.at_us <= first_ack_us)
+        .rfind(|it| step_of(it).is_some_and(|(_, step)| step == "opened"))?;
+    let winner: Vec<&Decision> = decisions.iter().filter(|it| it.vm == opened.vm).collect();
+    let last_before = |until_us: u64, steps: &[&str]| {
+        winner
+            .iter()
+            .filter(|it| it.at_us <= until_us)
+            .rfind(|it| step_of(it).is_some_and(|(_, step)| steps.contains(&step)))
+            .map(|it| it.at_us)
+    };
+    let fenced_us = last_before(opened.at_us, &["fenced"])?;
+    let agreed_us =
+        last_before(fenced_us, &["claimed", "going on without the platform"]).unwrap_or(fenced_us);
+    let started_us = last_before(agreed_us, &["started"])?.max(fault_us);
+    Some(Phases {
+        detect_us: started_us - fault_us,
+        agree_us: agreed_us.saturating_sub(started_us),
+        fence_us: fenced_us.saturating_sub(agreed_us.max(started_us)),
+        promote_us: opened.at_us - fenced_us,
+        route_us: first_ack_us.saturating_sub(opened.at_us),
+    })
+}
--- /dev/null
+++ b/crates/bench/src/gap/trial.rs
@@ -0,0 +1,391 @@
+//! One run: a deployment of its own, a probe writer, other callers, a fault, and the checker.
+
+use std::fmt;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use serde::Deserialize;
+use serde::Serialize;
+use skylark_core::log_position::Term;
+use skylark_core::member_status::Role;
+use skylark_platform::http::HttpStore;
+use skylark_settings::deployment::DeploymentSettings;
+use skylark_standin::deployment::fault::Fault;
+use tokio::time;
+
+use crate::embedded::decisions::Decision;
+use crate::embedded::deployment::Embedded;
+use crate::embedded::deployment::Ports;
+use crate::embedded::deployment::ProxyOptions;
+use crate::embedded::operator;
+use crate::gap::phases;
+use crate::gap::phases::Phases;
+use crate::gap::scenario::Scenario;
+use crate::history::checker;
+use crate::history::checker::Verdict;
+use crate::history::record::Ending;
+use crate::history::record::Record;
+use crate::load::arrivals::Phase;
+use crate::load::clock::Clock;
+use crate::load::mix::Action;
+use crate::load::mix::OperationSpec;
+use crate::load::run;
+use crate::load::run::RunPlan;
+use crate::load::session::Roaming;
+
+/// When the fault comes, after the load began.
+const FAULT_AT_MS: u64 = 700;
+
+/// How long the load goes on after the fault.
+const AFTER_FAULT_MS: u64 = 3_300;
+
+/// The probe's writes a second: one each five milliseconds.
+const PROBES_PER_S: f64 = 200.0;
+
+/// The other callers' operations a second.
+const OTHERS_PER_S: f64 = 200.0;
+
+/// Sessions of the probe: enough that those that wait in a gap don't keep the next ones back.
+const PROBE_SESSIONS: u32 = 400;
+
+/// Sessions of the other callers.
+const OTHER_SESSIONS: u32 = 60;
+
+/// When a caller gives up waiting.
+const CALLER_LIMIT_MS: u64 = 10_000;
+
+/// How long the deployment may take to start, and to settle after the fault has ended.
+const SETTLE_LIMIT: Duration = Duration::from_secs(20);
+
+const POLL: Duration = Duration::from_millis(10);
+
+/// What one run gave.
+#[derive(Clone, Debug)]
+pub struct Trial {
+    /// The time between the last write that the old primary acknowledged to the probe and the first
+    /// one of the new primary, in microseconds.
+    pub gap_us: u64,
+    /// The longest time from the fault on in which no probe was acknowledged, in microseconds.
+    pub longest_us: u64,
+    /// Where the time went, where the decisions show it.
+    pub phases: Option<Phases>,
+    /// The checker's verdict on all callers.
+    pub verdict: Verdict,
+    /// The step that the driver had reached when it was killed.
+    pub killed_at: Option<String>,
+}
+
+/// A run's figures, as they are written.
+#[derive(Clone, PartialEq, Debug, Serialize, Deserialize)]
+pub struct TrialLine {
+    /// The scenario's name.
+    pub scenario: String,
+    /// The run's seed.
+    pub seed: u64,
+    /// The time between the last write of the old primary and the first one of the new.
+    pub gap_us: u64,
+    /// The longest time from the fault on in which no probe was acknowledged.
+    pub longest_us: u64,
+    /// The phases.
+    pub phases: Option<Phases>,
+    /// Operations checked.
+    pub checked: usize,
+    /// Violations found, in words.
+    pub violations: Vec<String>,
+    /// The step that the driver had reached when it was killed.
+    pub killed_at: Option<String>,
+}
+
+/// Why a run gave no figures.
+#[derive(Debug)]
+pub struct TrialError(String);
+
+impl fmt::Display for TrialError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(&self.0)
+    }
+}
+
+fn failed<E>(error: E) -> TrialError
+where
+    E: fmt::Display,
+{
+    TrialError(error.to_string())
+}
+
+/// Runs one scenario on a fresh deployment; the first group loses its primary.
+pub async fn run(
+    settings: &DeploymentSettings,
+    options: &ProxyOptions,
+    scenario: Scenario,
+    seed: u64,
+) -> Result<Trial, TrialError> {
+    let clock = Clock::start();
+    let mut embedded =
+        Embedded::start(settings, options, Ports::Free, clock).await.map_err(failed)?;
+    wait_until(|| embedded.ready(), "the proxies are not ready").await?;
+    let site = Site::of(settings, &embedded, scenario);
+    let (probe, others) = plans(&site, seed);
+    run::prepare(&others).await.map_err(failed)?;
+
+    let load = async { tokio::join!(run::offer(&probe, clock), run::offer(&others, clock)) };
+    let fault = cause(&mut embedded, &site, scenario, seed, clock);
+    let ((probe_records, other_records), caused) = tokio::join!(load, fault);
+    let caused = caused?;
+
+    end_faults(&mut embedded, settings).await?;
+    settle(&embedded, &site.group).await?;
+    let rows = run::final_rows(&others).await.map_err(failed)?;
+    let longest = longest_gap(&probe_records, caused.at_us);
+    let change = change_gap(&probe_records, caused.at_us);
+    let decisions = embedded.decisions().about(&site.group, caused.at_us);
+    let records: Vec<Record> = probe_records.into_iter().chain(other_records).collect();
+    Ok(Trial {
+        gap_us: change.unwrap_or(longest).lasts_us(),
+        longest_us: longest.lasts_us(),
+        phases: change.and_then(|gap| phases::split(&decisions, caused.at_us, gap.to_us)),
+        verdict: checker::check(&records, &rows),
+        killed_at: caused.killed_at,
+    })
+}
+
+/// Where a run takes place.
+struct Site {
+    group: String,
+    primary: String,
+    primary_zone: String,
+    successor: String,
+    /// The proxies of zones that stay connected: those that the balancer sends callers to.
+    probe_entries: Vec<SocketAddr>,
+    all_entries: Vec<SocketAddr>,
+    read_kind: String,
+}
+
+impl Site {
+    fn of(settings: &DeploymentSettings, embedded: &Embedded, scenario: Scenario) -> Site {
+        let group = &settings.groups[0];
+        let primary = &group.members[0];
+        let all_entries = embedded.addresses();
+        let probe_entries = settings
+            .vms
+            .iter()
+            .zip(&all_entries)
+            .filter(|(vm, _)| scenario != Scenario::Isolated || vm.zone != primary.zone)
+            .map(|(_, address)| *address)
+            .collect();
+        let kinds = settings.services.iter().find(|service| service.name == group.service);
+        let read_kind = kinds.and_then(|service| service.read_kinds.first());
+        Site {
+            group: group.name.clone(),
+            primary: primary.target.clone(),
+            primary_zone: primary.zone.clone(),
+            successor: group.members[1].target.clone(),
+            probe_entries,
+            all_entries,
+            read_kind: read_kind.map(|kind| kind.name.clone()).unwrap_or_default(),
+        }
+    }
+}
+
+fn operation(name: &str, action: Action, read_kind: &str, weight: u32) -> OperationSpec {
+    OperationSpec {
+        name: name.to_owned(),
+        action,
+        class: String::new(),
+        read_kind: read_kind.to_owned(),
+        weight,
+        surge_weight: None,
+    }
+}
+
+fn plans(site: &Site, seed: u64) -> (RunPlan, RunPlan) {
+    let for_ms = FAULT_AT_MS + AFTER_FAULT_MS;
+    let probe = RunPlan {
+        seed,
+        phases: vec![Phase { for_ms, per_s: PROBES_PER_S, surge: false, even: true }],
+        mix: vec![operation("probe", Action::Write, "", 1)],
+        groups: vec![site.group.clone()],
+        entries: site.probe_entries.clone(),
+        first_session: 0,
+        sessions_per_group: PROBE_SESSIONS,
+        roaming: vec![Roaming::Stay],
+        roam_every: 1,
+        limit_ms: CALLER_LIMIT_MS,
+    };
+    let others = RunPlan {
+        phases: vec![Phase { for_ms, per_s: OTHERS_PER_S, surge: false, even: false }],
+        mix: vec![
+            operation("write", Action::Write, "", 2),
+            operation("transaction", Action::Transaction, "", 1),
+            operation("read", Action::Read, "", 1),
+            operation("aged read", Action::Read, &site.read_kind, 4),
+        ],
+        entries: site.all_entries.clone(),
+        first_session: PROBE_SESSIONS,
+        sessions_per_group: OTHER_SESSIONS,
+        roaming: vec![Roaming::Token, Roaming::Identity, Roaming::Stay],
+        roam_every: 2,
+        ..probe.clone()
+    };
+    (probe, others)
+}
+
+/// What was brought about.
+struct Caused {
+    at_us: u64,
+    killed_at: Option<String>,
+}
+
+async fn cause(
+    embedded: &mut Embedded,
+    site: &Site,
+    scenario: Scenario,
+    seed: u64,
+    clock: Clock,
+) -> Result<Caused, TrialError> {
+    // Not in step with probes and timers.
+    let late_ms = seed.wrapping_mul(37) % 100;
+    time::sleep(Duration::from_millis(FAULT_AT_MS + late_ms)).await;
+    let at_us = clock.now_us();
+    let kill = Fault::KillTarget { target: site.primary.clone(), on: true };
+    let mut killed_at = None;
+    match scenario {
+        Scenario::Killed => inject(embedded, &kill).await?,
+        Scenario::Isolated => {
+            let zone = site.primary_zone.clone();
+            inject(embedded, &Fault::IsolateZone { zone, on: true }).await?;
+        }
+        Scenario::Paused => {
+            let target = site.primary.clone();
+            inject(embedded, &Fault::PauseTarget { target, on: true }).await?;
+        }
+        Scenario::PlatformDown => {
+            inject(embedded, &Fault::PlatformDown { on: true }).await?;
+            inject(embedded, &kill).await?;
+        }
+        Scenario::DriverKilled => {
+            inject(embedded, &kill).await?;
+            killed_at = Some(kill_driver(embedded, &site.group, at_us, seed).await?);
+        }
+        Scenario::PlannedMove => {
+            let platform = embedded.deployment().settings().platform_address.to_string();
+            let store = HttpStore::new(&platform, &site.primary_zone);
+            operator::want_primary(&store, &site.group, &site.successor).await.map_err(failed)?;
+        }
+    }
+    Ok(Caused { at_us, killed_at })
+}
+
+/// Kills the proxy that drives the change when it reaches a step, which changes from run to run.
+async fn kill_driver(
+    embedded: &mut Embedded,
+    group: &str,
+    from_us: u64,
+    seed: u64,
+) -> Result<String, TrialError> {
+    const STEPS: [&str; 4] = ["started", "claimed", "fenced", "promoted"];
+    let step = STEPS[seed as usize % STEPS.len()];
+    let reached = |it: &Decision| phases::step_of(it).is_some_and(|(_, of)| of == step);
+    let decisions = embedded.decisions().clone();
+    let waited = time::timeout(SETTLE_LIMIT, decisions.wait_for(group, from_us, reached)).await;
+    let decision = waited.map_err(|_| TrialError(format!("no driver reached `{step}`")))?;
+    embedded.kill_vm(&decision.vm).map_err(failed)?;
+    Ok(step.to_owned())
+}
+
+async fn inject(embedded: &Embedded, fault: &Fault) -> Result<(), TrialError> {
+    embedded.deployment().inject(fault).await.map_err(failed)
+}
+
+async fn end_faults(
+    embedded: &mut Embedded,
+    settings: &DeploymentSettings,
+) -> Result<(), TrialError> {
+    embedded.heal(settings).await.map_err(failed)
+}
+
+/// Waits until one member leads and all hold the same log.
+async fn settle(embedded: &Embedded, group: &str) -> Result<(), TrialError> {
+    let settled = || {
+        let statuses: Vec<_> = embedded
+            .deployment()
+            .group(group)
+            .iter()
+            .map(|server| server.target().status())
+            .collect();
+        let leaders = statuses.iter().filter(|status| status.role == Role::Primary).count();
+        leaders == 1 && statuses.windows(2).all(|pair| pair[0].applied == pair[1].applied)
+    };
+    wait_until(settled, "the members do not agree after the faults ended").await
+}
+
+async fn wait_until<F>(holds: F, otherwise: &str) -> Result<(), TrialError>
+where
+    F: Fn() -> bool,
+{
+    let waiting = async {
+        while !holds() {
+            time::sleep(POLL).await;
+        }
+    };
+    time::timeout(SETTLE_LIMIT, waiting).await.map_err(|_| TrialError(otherwise.to_owned()))
+}
+
+/// A time between two acknowledgements of probes that follow each other.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+struct Gap {
+    from_us: u64,
+    to_us: u64,
+}
+
+impl Gap {
+    fn lasts_us(self) -> u64 {
+        self.to_us.saturating_sub(self.from_us)
+    }
+}
+
+/// The time between the last acknowledgement of the old primary and the first one of a newer term,
+/// in the order of acknowledgements. `None` if no newer term acknowledged a probe.
+fn change_gap(probes: &[Record], fault_us: u64) -> Option<Gap> {
+    let acknowledged = |record: &Record| match record.ending {
+        Ending::Acknowledged { position: Some(position) } => Some((record.ended_us, position.term)),
+        _ => None,
+    };
+    let mut ends: Vec<(u64, Term)> = probes.iter().filter_map(acknowledged).collect();
+    ends.sort_unstable();
+    let old = ends.iter().filter(|(at_us, _)| *at_us < fault_us).map(|(_, term)| *term).max()?;
+    let first_new = ends.iter().position(|(_, term)| *term > old)?;
+    let from_us = ends[..first_new].last().map_or(fault_us, |(at_us, _)| *at_us);
+    Some(Gap { from_us, to_us: ends[first_new].0 })
+}
+
+/// The longest time between two acknowledgements that ends after the fault. One that lasts until
+/// the last probe was sent counts until then.
+fn longest_gap(probes: &[Record], fault_us: u64) -> Gap {
+    let acknowledged = |record: &&Record| matches!(record.ending, Ending::Acknowledged { .. });
+    let last_us = probes.iter().map(|it| it.intended_us).max().unwrap_or(fault_us);
+    let mut ends: Vec<u64> = probes.iter().filter(acknowledged).map(|it| it.ended_us).collect();
+    ends.retain(|at_us| *at_us < last_us);
+    ends.push(last_us);
+    ends.sort_unstable();
+    let gaps = ends.windows(2).map(|pair| Gap { from_us: pair[0], to_us: pair[1] });
+    gaps.filter(|gap| gap.to_us >= fault_us)
+        .max_by_key(|gap| gap.lasts_us())
+        .unwrap_or(Gap { from_us: fault_us, to_us: fault_us })
+}
+
+impl Trial {
+    /// The run's figures, as they are written.
+    pub fn line(&self, scenario: Scenario, seed: u64) -> TrialLine {
+        TrialLine {
+            scenario: scenario.name().to_owned(),
+            seed,
+            gap_us: self.gap_us,
+            longest_us: self.longest_us,
+            phases: self.phases,
+            checked: self.verdict.operations,
+            violations: self.verdict.violations.iter().map(ToString::to_string).collect(),
+            killed_at: self.killed_at.clone(),
+        }
+    }
+}
--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -4,11 +4,17 @@
 //!   that are stock PostgreSQL clients and that roam between proxies.
 //! - [`history`] holds what each caller did and saw, and checks it against what the groups hold in
 //!   the end.
+//! - [`embedded`] runs a whole deployment in this process; [`gap`] measures how long no primary
+//!   accepts writes in it.
 //! - [`slopes`] measures how costs grow with the size that they depend on.
 //! - [`surge`] compares ways of sharing a target's slots on one recorded surge.
 
 pub mod commands;
+pub mod embedded;
+pub mod experiment;
+pub mod gap;
 pub mod history;
 pub mod load;
+pub mod overhead;
 pub mod slopes;
 pub mod surge;
--- a/crates/bench/src/load/run.rs
+++ b/crates/bench/src/load/run.rs
@@ -42,6 +42,8 @@
     pub groups: Vec<String>,
     /// The proxies, or a target where it is measured alone.
     pub entries: Vec<SocketAddr>,
+    /// The number of the first session; runs at the same time need numbers of their own.
+    pub first_session: u32,
     /// How many sessions work in each group.
     pub sessions_per_group: u32,
     /// How sessions roam; they take turns over this list.
@@ -145,7 +147,7 @@
     for (group, name) in plan.groups.iter().enumerate() {
         for _ in 0..plan.sessions_per_group {
             let (queue, jobs) = mpsc::unbounded_channel();
-            let number = queues.len() as u32;
+            let number = plan.first_session + queues.len() as u32;
             let roaming = plan.roaming[queues.len() % plan.roaming.len()];
             queues.push(queue);
             let session = Session::new(Arc::clone(&session_plan), number, group, name, roaming);
--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -13,8 +13,22 @@
         .about("Load and experiments over stand-ins of targets and of the platform")
         .subcommand_required(true)
         .arg_required_else_help(true)
+        .subcommand(commands::experiment::command())
+        .subcommand(commands::experiment::compare_command())
+        .subcommand(commands::failover_gap::command())
+        .subcommand(commands::idle_memory::command())
+        .subcommand(commands::overhead::command())
+        .subcommand(commands::quickstart::command())
         .subcommand(commands::slopes::command());
     let result = match command.get_matches().subcommand() {
+        Some((commands::experiment::NAME, matches)) => commands::experiment::run(matches),
+        Some((commands::experiment::COMPARE_NAME, matches)) => {
+            commands::experiment::run_compare(matches)
+        }
+        Some((commands::failover_gap::NAME, matches)) => commands::failover_gap::run(matches),
+        Some((commands::idle_memory::NAME, matches)) => commands::idle_memory::run(matches),
+        Some((commands::overhead::NAME, matches)) => commands::overhead::run(matches),
+        Some((commands::quickstart::NAME, matches)) => commands::quickstart::run(matches),
         Some((commands::slopes::NAME, matches)) => commands::slopes::run(matches),
         _ => unreachable!("a subcommand is required"),
     };
--- a/crates/bench/src/slopes/case.rs
+++ b/crates/bench/src/slopes/case.rs
@@ -14,6 +14,8 @@
     Ns,
     /// Bytes.
     Bytes,
+    /// A number of things.
+    Count,
 }
 
 /// One cost.
--- a/crates/bench/src/slopes/mod.rs
+++ b/crates/bench/src/slopes/mod.rs
@@ -9,4 +9,5 @@
 pub mod line;
 pub mod measure;
 pub mod report;
+pub mod spread;
 pub mod versions;
--- a/crates/bench/src/slopes/report.rs
+++ b/crates/bench/src/slopes/report.rs
@@ -7,11 +7,12 @@
 use crate::slopes::case::Unit;
 use crate::slopes::control;
 use crate::slopes::measure::Spread;
+use crate::slopes::spread;
 use crate::slopes::versions;
 
 /// Every case, or those whose names contain `filter`.
 pub fn cases(filter: &str) -> Vec<Case> {
-    let all = [versions::CASES, control::CASES];
+    let all = [versions::CASES, spread::CASES, control::CASES];
     all.into_iter().flatten().copied().filter(|case| case.name.contains(filter)).collect()
 }
 
@@ -23,7 +24,7 @@
 pub fn table_row(slope: &Slope) -> String {
     let mut values = String::new();
     for point in &slope.points {
-        let _ = write!(values, "{}: {}; ", point.size, spread(point.value, slope.unit));
+        let _ = write!(values, "{}: {}; ", point.size, range(point.value, slope.unit));
     }
     let line = slope.line;
     format!(
@@ -37,7 +38,7 @@
     )
 }
 
-fn spread(value: Spread, unit: Unit) -> String {
+fn range(value: Spread, unit: Unit) -> String {
     let median = quantity(value.median, unit);
     if value.min == value.max {
         return median;
@@ -50,8 +51,9 @@
     let steps: &[(f64, &str)] = match unit {
         Unit::Ns => &[(1e9, "s"), (1e6, "ms"), (1e3, "µs"), (1.0, "ns")],
         Unit::Bytes => &[(1e9, "GB"), (1e6, "MB"), (1e3, "KB"), (1.0, "B")],
+        Unit::Count => &[(1.0, "")],
     };
     let suits = |step: &&(f64, &str)| value.abs() >= step.0;
     let (scale, name) = steps.iter().find(suits).unwrap_or(&steps[steps.len() - 1]);
-    format!("{:.3} {name}", value / scale)
+    format!("{:.3} {name}", value / scale).trim_end().to_owned()
 }
