Explore read-your-writes of roaming sessions exhaustively

Nothing showed that the floors of sessions without a token survive holders that restart, home sets that differ, reports that come late or never, an isolated old primary and a change of primary together. The model floors lets the core's SessionFloors answer a read over the acknowledgement model's group.

--- a/crates/spec/src/acknowledgement/cases.rs
+++ b/crates/spec/src/acknowledgement/cases.rs
@@ -18,7 +18,7 @@
             },
             bounds: concat!($members, " members, ", $attempts, " attempts, ", $terms, " terms, ", $writes, " writes, sets ", stringify!($sets)),
             run: || {
-                let bounds = Bounds { attempts: $attempts, terms: $terms, writes: $writes, sets: &$sets };
+                let bounds = Bounds { attempts: $attempts, terms: $terms, writes: $writes, sets: &$sets, lost_answers: true };
                 let model = AcknowledgementModel::<$members>::new(bounds, $without);
                 explore::explore(&model, case::STATE_LIMIT)
             },
--- a/crates/spec/src/acknowledgement/model.rs
+++ b/crates/spec/src/acknowledgement/model.rs
@@ -28,6 +28,8 @@
     pub writes: usize,
     /// The versions of the member set, one bit for each member. Member 0 leads at first.
     pub sets: &'static [u8],
+    /// Whether the answer to a raise that took may be lost.
+    pub lost_answers: bool,
 }
 
 /// The model with `N` members.
@@ -201,7 +203,9 @@
                 raised.raised = term;
                 raised.set_role(Role::Fenced);
             }
-            self.push(next, Step::Raise { attempt, term, member, answer: None }, after);
+            if self.bounds.lost_answers {
+                self.push(next, Step::Raise { attempt, term, member, answer: None }, after);
+            }
             if self.has_chosen(state, attempt) && self.has(Safeguard::OneCandidate) {
                 continue;
             }
--- a/crates/spec/src/acknowledgement/state.rs
+++ b/crates/spec/src/acknowledgement/state.rs
@@ -256,7 +256,9 @@
             }
             f.write_str("; ")?;
         }
-        write!(f, "member set {} {:?}; ", self.version, self.phase)?;
+        if (self.version, self.phase) != (0, Phase::Settled) {
+            write!(f, "member set {} {:?}; ", self.version, self.phase)?;
+        }
         f.write_str("confirmed by:")?;
         for (number, write) in self.writes.iter().enumerate().filter(|(_, w)| w.term > 0) {
             write!(f, " write{number} at {}: {}", write.position(), self.confirmations(number))?;
--- a/crates/spec/src/case.rs
+++ b/crates/spec/src/case.rs
@@ -5,10 +5,11 @@
 use crate::acknowledgement;
 use crate::answers;
 use crate::explore::Exploration;
+use crate::floors;
 use crate::repetition;
 
 /// How many states a case may have, which bounds its memory to a few hundred megabytes.
-pub const STATE_LIMIT: usize = 3_000_000;
+pub const STATE_LIMIT: usize = 2_600_000;
 
 /// One exploration with fixed bounds.
 #[derive(Clone, Copy, Debug)]
@@ -34,5 +35,11 @@
 
 /// Every case of every model.
 pub fn all() -> Vec<Case> {
-    [acknowledgement::cases::CASES, repetition::cases::CASES, answers::cases::CASES].concat()
+    [
+        acknowledgement::cases::CASES,
+        floors::cases::CASES,
+        repetition::cases::CASES,
+        answers::cases::CASES,
+    ]
+    .concat()
 }
--- /dev/null
+++ b/crates/spec/src/floors/model.rs
@@ -0,0 +1,366 @@
+//! The transitions and invariants of the floors model.
+
+use std::fmt;
+
+use skylark_core::log_position::LogPosition;
+use skylark_core::member_status::MemberStatus;
+use skylark_core::member_status::Role;
+
+use super::Safeguard;
+use super::holder::HolderEvent;
+use super::holder::Holders;
+use crate::acknowledgement::AcknowledgementModel;
+use crate::acknowledgement::Bounds;
+use crate::acknowledgement::state;
+use crate::acknowledgement::state::State as GroupState;
+use crate::acknowledgement::step::Step as GroupStep;
+use crate::explore::Model;
+
+/// The members of the group.
+pub const MEMBERS: usize = 3;
+
+/// How far the session's read has come. `needed` has a bit for each of its writes that was
+/// acknowledged before it asked.
+#[derive(Clone, Copy, PartialEq, Eq, Hash, Debug)]
+pub enum Read {
+    /// The session has not asked.
+    NotAsked,
+    /// A barrier is under way.
+    Asked {
+        /// The writes that the read must show.
+        needed: u8,
+    },
+    /// The floor is known.
+    Answered {
+        /// The writes that the read must show.
+        needed: u8,
+        /// The floor that the holder answered, packed.
+        floor: u8,
+    },
+    /// A member answered.
+    Done {
+        /// Whether it lacked a write that the read must show.
+        missed: bool,
+    },
+}
+
+/// A state.
+#[derive(Clone, Copy, PartialEq, Eq, Hash, Debug)]
+pub struct State {
+    /// The members and the writes.
+    group: GroupState<MEMBERS>,
+    /// The writes of the observed session, one bit each.
+    own: u8,
+    /// The number of the holder's state.
+    holder: u16,
+    /// The highest term that the holder heard of; only kept if it wrongly decides by it.
+    entered: u8,
+    read: Read,
+}
+
+/// What happens between two states.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub enum Step {
+    /// A step of the group.
+    Group(GroupStep),
+    /// A write runs for the observed session.
+    OwnWrite(GroupStep),
+    /// The holder hears that a write ran.
+    Hear(usize),
+    /// The holder hears that a term was opened.
+    HearOpening(u8),
+    /// The holder gets a member's status.
+    Report(usize),
+    /// The holder restarts, or another one takes over.
+    Restart,
+    /// The session asks to read; the holder begins a barrier.
+    Ask,
+    /// The holder reads a member's status for the barrier.
+    BarrierStatus(usize),
+    /// A member answers the read.
+    Answer(usize),
+}
+
+impl fmt::Display for Step {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Step::Group(step) => write!(f, "{step}"),
+            Step::OwnWrite(step) => write!(f, "{step} for the session"),
+            Step::Hear(write) => write!(f, "the holder hears of write{write}"),
+            Step::HearOpening(term) => write!(f, "the holder hears that term {term} was opened"),
+            Step::Report(member) => write!(f, "the holder gets the status of member{member}"),
+            Step::Restart => f.write_str("the holder restarts"),
+            Step::Ask => f.write_str("the session asks to read; a barrier begins"),
+            Step::BarrierStatus(member) => {
+                write!(f, "the barrier reads the status of member{member}")
+            }
+            Step::Answer(member) => write!(f, "member{member} answers the read"),
+        }
+    }
+}
+
+/// How far the model is explored.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub struct FloorsBounds {
+    /// Writes of all sessions.
+    pub writes: usize,
+    /// The writes that the observed session may have written, one bit each.
+    pub own: u8,
+    /// Changes of primary.
+    pub changes: usize,
+    /// Whether the holder may get any member's status at any time, or in barriers only.
+    pub reports: bool,
+}
+
+/// The model.
+#[derive(Clone, Debug)]
+pub struct FloorsModel {
+    group: AcknowledgementModel<MEMBERS>,
+    bounds: FloorsBounds,
+    holders: Holders,
+    without: Option<Safeguard>,
+}
+
+type Next = Vec<(Step, State)>;
+
+impl FloorsModel {
+    /// The model within `floors`, with one safeguard switched off or none.
+    pub fn new(floors: FloorsBounds, without: Option<Safeguard>) -> FloorsModel {
+        let bounds = Bounds {
+            attempts: floors.changes,
+            terms: floors.changes as u8 + 1,
+            writes: floors.writes,
+            sets: &[0b111],
+            // Whether the driver knows that a member is raised makes no difference to a read.
+            lost_answers: false,
+        };
+        FloorsModel {
+            group: AcknowledgementModel::new(bounds, None),
+            bounds: floors,
+            holders: Holders::new(MEMBERS),
+            without,
+        }
+    }
+
+    fn has(&self, safeguard: Safeguard) -> bool {
+        self.without != Some(safeguard)
+    }
+
+    fn group_steps(&self, state: &State, next: &mut Next) {
+        let mut steps = Vec::new();
+        self.group.steps(&state.group, &mut steps);
+        for (step, group) in steps {
+            if let GroupStep::Choose { member, .. } = step {
+                // Members 1 and 2 begin alike, so the promotion of 2 is that of 1 under another name.
+                if member < 2 {
+                    self.promote(state, step, &group, next);
+                }
+                continue;
+            }
+            next.push((Step::Group(step), State { group, ..*state }));
+            if let GroupStep::Write { write, .. } = step
+                && self.bounds.own >> write & 1 == 1
+            {
+                let own = state.own | 1 << write;
+                next.push((Step::OwnWrite(step), State { group, own, ..*state }));
+            }
+        }
+    }
+
+    /// Promotes a candidate as soon as it is chosen. The model of the group explores late orders;
+    /// here they would only be late choices.
+    fn promote(
+        &self,
+        state: &State,
+        choice: GroupStep,
+        chosen: &GroupState<MEMBERS>,
+        next: &mut Next,
+    ) {
+        let mut steps = Vec::new();
+        self.group.steps(chosen, &mut steps);
+        let promoted = |step: &GroupStep| matches!(step, GroupStep::Promote { .. });
+        if let Some((_, group)) = steps.into_iter().find(|(step, _)| promoted(step)) {
+            next.push((Step::Group(choice), State { group, ..*state }));
+        }
+    }
+
+    /// The session's writes that are acknowledged now.
+    fn acknowledged(&self, state: &State) -> u8 {
+        let acknowledged = |write: &usize| state.group.writes[*write].acknowledged > 0;
+        let bits =
+            (0..self.bounds.writes).filter(acknowledged).fold(0, |bits, write| bits | 1 << write);
+        bits & state.own
+    }
+
+    fn hearsay(&self, state: &State, next: &mut Next) {
+        for write in 0..self.bounds.writes {
+            let ran = state.group.writes[write];
+            if ran.term > 0 {
+                let own = state.own >> write & 1 == 1;
+                let event = HolderEvent::Wrote { position: ran.position(), own };
+                let after = self.tell(state, ran.term, event).0;
+                next.push((Step::Hear(write), after));
+            }
+        }
+        for member in &state.group.members {
+            for term in (1..=state::MAX_TERMS).filter(|term| member.reigns >> term & 1 == 1) {
+                if let Some(position) = opening(member.log, term) {
+                    let (after, _) = self.tell(state, term, HolderEvent::Opened(position));
+                    next.push((Step::HearOpening(term), after));
+                }
+            }
+        }
+        for member in (0..MEMBERS).filter(|_| self.bounds.reports) {
+            let status = state.group.report(member);
+            let event = HolderEvent::Report(member, status.clone());
+            let ready = self.begin(state, member, &status);
+            next.push((Step::Report(member), self.tell(&ready, 0, event).0));
+        }
+        if state.read == Read::NotAsked && state.holder != Holders::FRESH {
+            let after = State { holder: Holders::FRESH, entered: 0, ..*state };
+            next.push((Step::Restart, after));
+        }
+    }
+
+    fn tell(&self, state: &State, term: u8, event: HolderEvent) -> (State, Option<LogPosition>) {
+        let step = self.holders.step(state.holder, event);
+        let entered = match self.has(Safeguard::Beginning) {
+            true => 0,
+            false => state.entered.max(term),
+        };
+        (State { holder: step.holder, entered, ..*state }, step.floor)
+    }
+
+    /// What a holder does on the first status of a term's primary: nothing, unless it wrongly counts
+    /// all that it finds as accounted for.
+    fn begin(&self, state: &State, member: usize, status: &MemberStatus) -> State {
+        let term = status.raised_term.0 as u8;
+        let leads = status.role == Role::Primary && status.log.term == status.raised_term;
+        if self.has(Safeguard::Beginning) || !leads || state.entered >= term {
+            return *state;
+        }
+        let begun = State { entered: term, ..*state };
+        let log = state.group.members[member].log;
+        let Some(first) = opening(log, term) else { return begun };
+        let (mut begun, _) = self.tell(&begun, term, HolderEvent::Opened(first));
+        for index in first.index + 1..=status.log.index {
+            let position = LogPosition { index, ..first };
+            begun = self.tell(&begun, term, HolderEvent::Account(position)).0;
+        }
+        begun
+    }
+
+    fn read_steps(&self, state: &State, next: &mut Next) {
+        match state.read {
+            Read::NotAsked => {
+                let (after, _) = self.tell(state, 0, HolderEvent::LookUp);
+                let needed = self.acknowledged(state);
+                if needed == 0 && self.has(Safeguard::Barrier) {
+                    // A read that need not show anything can't miss it.
+                    return;
+                }
+                next.push((Step::Ask, State { read: Read::Asked { needed }, ..after }));
+            }
+            Read::Asked { needed } => {
+                let needed = match self.has(Safeguard::Barrier) {
+                    true => needed,
+                    false => self.acknowledged(state),
+                };
+                for member in 0..MEMBERS {
+                    self.barrier_status(state, needed, member, next);
+                }
+            }
+            Read::Answered { needed, floor } => {
+                self.answers(state, needed, state::unpack(floor), next);
+            }
+            Read::Done { .. } => {}
+        }
+    }
+
+    fn barrier_status(&self, state: &State, needed: u8, member: usize, next: &mut Next) {
+        let status = state.group.report(member);
+        let mut statuses = vec![(member, status.clone())];
+        if !self.has(Safeguard::BarrierMajority) && status.role == Role::Primary {
+            // Nobody else is asked: the others are taken to be in the primary's term.
+            let follower = MemberStatus { role: Role::Replica, ..status.clone() };
+            let others = (0..MEMBERS).filter(|other| *other != member);
+            statuses.splice(0..0, others.map(|other| (other, follower.clone())));
+        }
+        let mut after = self.begin(state, member, &status);
+        let mut answer = None;
+        for (member, status) in statuses {
+            let told = self.tell(&after, 0, HolderEvent::BarrierStatus(member, status));
+            after = told.0;
+            answer = answer.or(told.1);
+        }
+        if let Some(floor) = answer {
+            after.read = Read::Answered { needed, floor: state::pack(floor) };
+            // What the holder knows makes no difference from here on.
+            after.holder = Holders::FRESH;
+            after.entered = 0;
+        }
+        next.push((Step::BarrierStatus(member), after));
+    }
+
+    fn answers(&self, state: &State, needed: u8, floor: LogPosition, next: &mut Next) {
+        for member in 0..MEMBERS {
+            let present = &state.group.members[member];
+            let exempt = present.role() == Role::Primary && !self.has(Safeguard::PrimaryFloor)
+                || !self.has(Safeguard::Floor);
+            if !state.group.last(present.log).covers(floor) && !exempt {
+                continue;
+            }
+            let shows = |write: &usize| present.log.holds(state::write_record(*write));
+            let shown =
+                (0..self.bounds.writes).filter(shows).fold(0, |bits, write| bits | 1 << write);
+            let read = Read::Done { missed: needed & !shown != 0 };
+            next.push((Step::Answer(member), State { read, ..*state }));
+        }
+    }
+}
+
+/// The position of the record that opens a term.
+fn opening(log: state::Log, term: u8) -> Option<LogPosition> {
+    let index = (1..=log.len()).find(|index| log.record(*index) == term)?;
+    Some(LogPosition::new(u64::from(term), u64::from(index)))
+}
+
+impl Model for FloorsModel {
+    type State = State;
+    type Step = Step;
+
+    fn initial(&self) -> State {
+        State {
+            group: self.group.initial(),
+            own: 0,
+            holder: Holders::FRESH,
+            entered: 0,
+            read: Read::NotAsked,
+        }
+    }
+
+    fn steps(&self, state: &State, next: &mut Next) {
+        if matches!(state.read, Read::Done { .. }) {
+            return;
+        }
+        self.group_steps(state, next);
+        if !matches!(state.read, Read::Answered { .. }) {
+            // What the holder hears after its answer makes no difference to the read.
+            self.hearsay(state, next);
+        }
+        self.read_steps(state, next);
+    }
+
+    fn violation(&self, state: &State) -> Option<&'static str> {
+        match state.read {
+            Read::Done { missed: true } => {
+                Some("a read missed an acknowledged write of its session")
+            }
+            _ => None,
+        }
+    }
+
+    fn describe(&self, state: &State) -> String {
+        format!("{}; writes of the session {:#b}; {:?}", state.group, state.own, state.read)
+    }
+}
--- a/crates/spec/src/lib.rs
+++ b/crates/spec/src/lib.rs
@@ -10,6 +10,7 @@
 //! it calls the function of `skylark-core`.
 //!
 //! - [`acknowledgement`]: who may acknowledge a write, the fence, and the choice of a new primary.
+//! - [`floors`]: what a session that roams gets to read after its own writes.
 //! - [`repetition`]: what is sent again, and what a caller is told about it.
 //! - [`answers`]: when a connection may serve the next caller.
 
@@ -17,4 +18,6 @@
 pub mod answers;
 pub mod case;
 pub mod explore;
+pub mod floors;
+pub mod intern;
 pub mod repetition;
