--- a/crates/core/src/version/plan/intent.rs
+++ b/crates/core/src/version/plan/intent.rs
@@ -21,7 +21,7 @@
         /// The target.
         target: String,
     },
-    /// An entry VM is home to no target and leaves the balancer.
+    /// An entry VM is home to no target.
     DrainVm {
         /// The VM.
         vm: String,
