Test spreading, floors and stops over whole proxies

Two watchers per zone, a zone without the platform, a start without it, a lower revision, a leaving target, a dead proxy under a lagging list; a roaming session, a restarted and an isolated home; a stop in the middle of a transaction.

--- /dev/null
+++ b/crates/proxy/tests/control_sessions.rs
@@ -0,0 +1,191 @@
+//! Sessions that roam between proxies without a token, and proxies that stop.
+
+mod control_support;
+
+use control_support::Cluster;
+use control_support::FIRST_PRIMARY;
+use control_support::GROUP;
+use control_support::PATIENCE;
+use control_support::Proxy;
+use control_support::until;
+use skylark_core::log_position::LogPosition;
+use skylark_proxy::process::peer::api;
+use skylark_proxy::process::peer::api::PeerApiClient;
+use skylark_proxy::process::peer::client;
+use skylark_standin::deployment::fault::Fault;
+use tokio_postgres::Client;
+use tokio_postgres::NoTls;
+use tokio_postgres::SimpleQueryMessage;
+
+/// Makes one asynchronous test of each function.
+macro_rules! session_tests {
+    ($($name:ident)*) => {
+        $(
+            #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+            async fn $name() {
+                cases::$name().await;
+            }
+        )*
+    };
+}
+
+session_tests! {
+    roaming_session_reads_its_own_writes
+    home_that_restarted_answers_for_sessions_it_never_saw
+    isolated_home_answers_for_nobody
+    stop_cuts_no_transaction
+    stopping_proxy_is_home_to_nothing
+}
+
+mod cases {
+    use super::*;
+
+    /// A session writes at one proxy and reads at another, again and again, while replicas apply
+    /// records late. Each read may be served by a replica and must show the write before it.
+    pub async fn roaming_session_reads_its_own_writes() {
+        let cluster = Cluster::start().await;
+        create_table(&cluster).await;
+        for target in ["loans-1-depot", "loans-1-sakiet"] {
+            cluster.inject(lag(target)).await;
+        }
+        let mut clients = Vec::new();
+        for proxy in &cluster.proxies {
+            clients.push(connect(proxy, "desk-7").await);
+        }
+        for round in 0..30 {
+            let writer = &clients[round % 3];
+            writer.simple_query(&format!("INSERT INTO chairs VALUES ({round})")).await.unwrap();
+            let reader = &clients[(round + 1) % 3];
+            reader.simple_query("SET skylark.read_kind = 'history'").await.unwrap();
+            let rows = reader.simple_query("SELECT id FROM chairs").await.unwrap();
+            assert_eq!(row_count(&rows), round + 1);
+            reader.simple_query("SET skylark.read_kind = ''").await.unwrap();
+        }
+    }
+
+    /// A session wrote through a home that then died. Its successor never saw the session. It must
+    /// not answer that there is nothing to see: it answers with what a barrier shows.
+    pub async fn home_that_restarted_answers_for_sessions_it_never_saw() {
+        let mut cluster = Cluster::start().await;
+        create_table(&cluster).await;
+        cluster.inject(lag("loans-1-depot")).await;
+        let writer = connect(&cluster.proxies[0], "desk-7").await;
+        writer.simple_query("INSERT INTO chairs VALUES (1)").await.unwrap();
+        let written = cluster.member(FIRST_PRIMARY).log;
+        drop(cluster.proxies.remove(0));
+        let successor = cluster.add("vm-4", "medina").await;
+        let (address, name) = (successor.handle.control_address(), successor.vm.clone());
+        cluster.list_vms();
+        let client = client::open(&address.to_string(), PATIENCE).expect("the address is right");
+        let answer =
+            until("the successor answers", async || client.peer_floor(question(&name)).await.ok())
+                .await;
+        let covered = answer.position >= written || all_applied(&cluster, written);
+        assert!(covered, "{} does not cover {written}", answer.position);
+    }
+
+    /// A home is cut off from the majority while others may go on in a new term. It can't know
+    /// what the session wrote there, so it gives no answer at all.
+    pub async fn isolated_home_answers_for_nobody() {
+        let cluster = Cluster::start().await;
+        cluster.inject(Fault::IsolateZone { zone: "medina".to_owned(), on: true }).await;
+        until("the cut-off proxy sees that no majority answers", async || {
+            cluster.proxies[0].group().await.filter(|group| group.stalled)
+        })
+        .await;
+        let address = cluster.proxies[0].handle.control_address().to_string();
+        let client = client::open(&address, PATIENCE).expect("the address is right");
+        client.peer_floor(question("vm-2")).await.expect_err("there is no barrier");
+    }
+
+    /// A proxy is told to stop while a caller is in the middle of a transaction. The balancer sees
+    /// that it leaves, new callers are refused, and the transaction still commits.
+    pub async fn stop_cuts_no_transaction() {
+        let mut cluster = Cluster::start().await;
+        create_table(&cluster).await;
+        let caller = connect(&cluster.proxies[1], "desk-7").await;
+        caller.simple_query("BEGIN").await.unwrap();
+        caller.simple_query("INSERT INTO chairs VALUES (1)").await.unwrap();
+        let stopping = cluster.proxies.remove(1);
+        let config = config(&stopping, "desk-8");
+        let published = std::sync::Arc::clone(stopping.handle.published());
+        let stopped = tokio::spawn(stopping.handle.stop());
+        until("no new callers are taken", async || published.load().stopping.then_some(())).await;
+        let refused = tokio_postgres::connect(&config, NoTls).await;
+        let refusal = refused.err().expect("a stopping proxy takes no callers");
+        assert_eq!(refusal.code().map(|code| code.code()), Some("57P01"), "{refusal}");
+        caller.simple_query("COMMIT").await.unwrap();
+        drop(caller);
+        stopped.await.expect("the proxy ends");
+        let reader = connect(&cluster.proxies[0], "desk-9").await;
+        let rows = reader.simple_query("SELECT id FROM chairs").await.unwrap();
+        assert_eq!(row_count(&rows), 1);
+    }
+
+    /// A proxy says that it stops, long before the platform's list does. The others rank the homes
+    /// without it at once.
+    pub async fn stopping_proxy_is_home_to_nothing() {
+        let mut cluster = Cluster::start().await;
+        let stopping = cluster.proxies.remove(2);
+        let caller = connect(&stopping, "desk-7").await;
+        create_table(&cluster).await;
+        caller.simple_query("BEGIN").await.unwrap();
+        caller.simple_query("INSERT INTO chairs VALUES (1)").await.unwrap();
+        let stopped = tokio::spawn(stopping.handle.stop());
+        for proxy in &cluster.proxies {
+            until("the stopping proxy is home to nothing", async || {
+                let group = proxy.group().await?;
+                let mut homes = group.members.iter().flat_map(|member| &member.homes);
+                (!homes.any(|home| home == "vm-3")).then_some(())
+            })
+            .await;
+        }
+        caller.simple_query("COMMIT").await.unwrap();
+        drop(caller);
+        stopped.await.expect("the proxy ends");
+    }
+
+    async fn create_table(cluster: &Cluster) {
+        let client = connect(&cluster.proxies[0], "setup").await;
+        client.simple_query("CREATE TABLE chairs (id INTEGER)").await.unwrap();
+    }
+
+    fn lag(target: &str) -> Fault {
+        Fault::LagTarget { target: target.to_owned(), hold_us: 0, apply_us: 30_000 }
+    }
+
+    fn question(vm: &str) -> api::FloorQuestion {
+        api::FloorQuestion {
+            vm: vm.to_owned(),
+            revision: 0,
+            group: GROUP.to_owned(),
+            session: "desk-7".to_owned(),
+        }
+    }
+
+    /// A floor that every member has applied need not be named.
+    fn all_applied(cluster: &Cluster, position: LogPosition) -> bool {
+        cluster.deployment.targets().iter().all(|it| it.target().status().applied >= position)
+    }
+
+    fn config(proxy: &Proxy, session: &str) -> String {
+        format!(
+            "host=127.0.0.1 port={} user=clerk dbname={GROUP} options='-c skylark.session={session}'",
+            proxy.handle.listen_address().port(),
+        )
+    }
+
+    async fn connect(proxy: &Proxy, session: &str) -> Client {
+        let connected = tokio_postgres::connect(&config(proxy, session), NoTls).await;
+        let (client, connection) = connected.expect("the proxy takes callers");
+        tokio::spawn(async move {
+            let _ = connection.await;
+        });
+        client
+    }
+
+    fn row_count(messages: &[SimpleQueryMessage]) -> usize {
+        let is_row = |message: &&SimpleQueryMessage| matches!(message, SimpleQueryMessage::Row(_));
+        messages.iter().filter(is_row).count()
+    }
+}
--- /dev/null
+++ b/crates/proxy/tests/control_spreading.rs
@@ -0,0 +1,207 @@
+//! Versions of the configuration and lists of VMs, as they spread between whole proxies.
+
+mod control_support;
+
+use control_support::Cluster;
+use control_support::FIRST_PRIMARY;
+use control_support::GROUP;
+use control_support::PATIENCE;
+use control_support::PEER_INTERVAL_MS;
+use control_support::Proxy;
+use control_support::settings;
+use control_support::until;
+use jsonrpsee::core::client::ClientT;
+use skylark_proxy::process::peer::api;
+use skylark_proxy::process::peer::api::PeerApiClient;
+use skylark_proxy::process::peer::client;
+use skylark_standin::deployment::fault::Fault;
+
+/// Makes one asynchronous test of each function.
+macro_rules! spreading_tests {
+    ($($name:ident)*) => {
+        $(
+            #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+            async fn $name() {
+                cases::$name().await;
+            }
+        )*
+    };
+}
+
+spreading_tests! {
+    two_proxies_of_a_zone_watch_for_all
+    zone_without_the_platform_gets_versions_from_other_zones
+    proxy_starts_from_peers_while_the_platform_is_down
+    proxy_without_a_version_is_not_ready
+    lower_revision_is_refused
+    unknown_group_and_bad_calls_are_refused
+    leaving_target_is_kept_from_new_work
+    dead_proxy_loses_its_homes_while_the_list_lags
+}
+
+mod cases {
+    use super::*;
+
+    /// Four proxies of one zone share two watches of the platform. An operator's change reaches
+    /// the other two by the watchers' offers.
+    pub async fn two_proxies_of_a_zone_watch_for_all() {
+        let places = ["vm-1", "vm-2", "vm-3", "vm-4"].map(|vm| (vm, "medina"));
+        // Without exchanges nothing but the offers can spread the change.
+        let cluster = Cluster::start_exchanging(&places, 60_000).await;
+        until("two of four watch", async || {
+            let mut watching = 0;
+            for proxy in &cluster.proxies {
+                watching += usize::from(proxy.status().await.watching);
+            }
+            (watching == 2).then_some(())
+        })
+        .await;
+        for max_age_ms in [100, 200, 300] {
+            let revision = cluster.set_max_age(max_age_ms);
+            for proxy in &cluster.proxies {
+                until("the change is in force", async || {
+                    let published = proxy.handle.published().load_full();
+                    let service = published.topology.services.first()?;
+                    let in_force = service.read_kinds[0].max_age_ms == max_age_ms;
+                    (in_force && published.topology.revision >= revision).then_some(())
+                })
+                .await;
+            }
+        }
+    }
+
+    /// One zone's calls don't reach the platform, so its watchers hear nothing. An exchange with a
+    /// proxy of another zone shows the higher revision, and the lower side pulls.
+    pub async fn zone_without_the_platform_gets_versions_from_other_zones() {
+        let cluster = Cluster::start().await;
+        cluster.inject(Fault::PlatformRefusesZone { zone: "depot".to_owned(), on: true }).await;
+        let revision = cluster.set_max_age(100);
+        for proxy in &cluster.proxies {
+            until("the change is in force", async || {
+                (proxy.status().await.revision >= revision).then_some(())
+            })
+            .await;
+        }
+    }
+
+    /// A VM is replaced while the platform is down. Its proxy knows peers by its settings, takes
+    /// the highest version among them, and serves; it knows the primary and the other VMs too.
+    pub async fn proxy_starts_from_peers_while_the_platform_is_down() {
+        let mut cluster = Cluster::start().await;
+        let revision = cluster.proxies[0].status().await.revision;
+        cluster.inject(Fault::PlatformDown { on: true }).await;
+        let started = cluster.add("vm-4", "depot").await;
+        until("the new proxy is ready and knows the primary", async || {
+            let status = started.status().await;
+            let leader = started.leader().await?;
+            (status.ready && status.revision == revision && leader.0 == FIRST_PRIMARY).then_some(())
+        })
+        .await;
+    }
+
+    /// A proxy that finds neither the platform nor a peer has no configuration. The balancer is told
+    /// that it is not ready, and it becomes ready by itself once the platform is back.
+    pub async fn proxy_without_a_version_is_not_ready() {
+        let deployment = control_support::deployment().await;
+        let down = |on| Fault::PlatformDown { on };
+        deployment.inject(&down(true)).await.expect("the fault names what is there");
+        let platform = deployment.platform().address();
+        let proxy = Proxy::start(settings("vm-1", "medina", platform, &[], PEER_INTERVAL_MS)).await;
+        let client = control_client(&proxy);
+        let health = client.health().await.expect("a running proxy answers");
+        assert_eq!(health, api::Health { ready: false, stopping: false });
+        client.peer_snapshot().await.expect_err("there is no version to give away");
+        deployment.inject(&down(false)).await.expect("the fault names what is there");
+        until("the proxy is ready", async || client.health().await.ok().filter(|it| it.ready))
+            .await;
+    }
+
+    /// A proxy that was cut off offers what it has, which is older than what is in force, with a
+    /// longer staleness bound in it. Nothing goes back.
+    pub async fn lower_revision_is_refused() {
+        let cluster = Cluster::start().await;
+        let old = cluster.deployment.platform().platform().store.snapshot();
+        let revision = cluster.set_max_age(100);
+        let proxy = &cluster.proxies[0];
+        until("the change is in force", async || {
+            (proxy.status().await.revision >= revision).then_some(())
+        })
+        .await;
+        let in_force = proxy.status().await.revision;
+        let offer = api::Offer {
+            vm: "vm-2".to_owned(),
+            base_revision: 0,
+            revision: old.revision,
+            objects: old.objects,
+            vms: None,
+        };
+        let answer = control_client(proxy).peer_offer(offer).await.expect("offers are answered");
+        assert!(answer.revision >= in_force);
+        let published = proxy.handle.published().load_full();
+        assert_eq!(published.topology.services[0].read_kinds[0].max_age_ms, 100);
+    }
+
+    /// Calls that make no sense are answered with an error, and the proxy goes on.
+    pub async fn unknown_group_and_bad_calls_are_refused() {
+        let cluster = Cluster::start().await;
+        let client = control_client(&cluster.proxies[0]);
+        let refusal = client.explain("none".to_owned()).await.expect_err("no such group");
+        assert!(refusal.to_string().contains("no group has this name"), "{refusal}");
+        let unknown: Result<String, _> = client.request("nothing", [1]).await;
+        unknown.expect_err("no such method");
+        let wrong: Result<api::PeerVersion, _> = client.request("peer_version", ["text"]).await;
+        wrong.expect_err("a text is no version");
+        assert!(client.explain(GROUP.to_owned()).await.is_ok());
+    }
+
+    /// A target says in its reports that it is leaving, while its group's object says nothing.
+    /// Every proxy that tracks the group keeps it from new work, and uses it again when it stays.
+    pub async fn leaving_target_is_kept_from_new_work() {
+        let cluster = Cluster::start().await;
+        for on in [true, false] {
+            cluster.inject(Fault::LeaveTarget { target: "loans-1-depot".to_owned(), on }).await;
+            for proxy in &cluster.proxies {
+                until("the member's standing is known", async || {
+                    let group = proxy.group().await?;
+                    let mut members = group.members.iter();
+                    members
+                        .find(|member| member.target == "loans-1-depot" && member.leaving == on)?;
+                    Some(())
+                })
+                .await;
+            }
+        }
+    }
+
+    /// A VM dies and the platform's list goes on naming it. Calls to it fail, and the proxies rank
+    /// the homes without it, so that no request is sent to it for as long as the list lags.
+    pub async fn dead_proxy_loses_its_homes_while_the_list_lags() {
+        let places =
+            [("vm-1", "medina"), ("vm-2", "depot"), ("vm-3", "sakiet"), ("vm-4", "sakiet")];
+        let mut cluster = Cluster::start_with(&places).await;
+        cluster.until_led_by_all(FIRST_PRIMARY).await;
+        let homes_name_it = async |proxy: &Proxy| {
+            let group = proxy.group().await?;
+            let mut homes = group.members.iter().flat_map(|member| &member.homes);
+            Some(homes.any(|home| home == "vm-3"))
+        };
+        for proxy in &cluster.proxies {
+            until("all homes are known", async || {
+                homes_name_it(proxy).await.filter(|named| *named)
+            })
+            .await;
+        }
+        drop(cluster.proxies.remove(2));
+        for proxy in &cluster.proxies {
+            until("the dead proxy is home to nothing", async || {
+                homes_name_it(proxy).await.filter(|named| !named)
+            })
+            .await;
+        }
+    }
+
+    fn control_client(proxy: &Proxy) -> jsonrpsee::http_client::HttpClient {
+        let address = proxy.handle.control_address().to_string();
+        client::open(&address, PATIENCE).expect("the address is right")
+    }
+}
--- a/crates/proxy/tests/control_support/mod.rs
+++ b/crates/proxy/tests/control_support/mod.rs
@@ -28,6 +28,9 @@
 /// The group of the deployment.
 pub const GROUP: &str = "loans-1";
 
+/// How often the proxies of a test exchange versions.
+pub const PEER_INTERVAL_MS: u64 = 200;
+
 /// How long anything may take before a test fails. It bounds a hang and measures nothing.
 pub const PATIENCE: Duration = Duration::from_secs(20);
 
@@ -70,7 +73,13 @@
 }
 
 /// Settings of a proxy on loopback with free ports.
-pub fn settings(vm: &str, zone: &str, platform: SocketAddr, peers: &[SocketAddr]) -> ProxySettings {
+pub fn settings(
+    vm: &str,
+    zone: &str,
+    platform: SocketAddr,
+    peers: &[SocketAddr],
+    peer_interval_ms: u64,
+) -> ProxySettings {
     let peers: Vec<String> = peers.iter().map(|peer| format!("\"{peer}\"")).collect();
     let text = format!(
         r#"{{
@@ -81,7 +90,7 @@
           "platform_address": "{platform}",
           "peers": [{}],
           "traffic_threads": 1,
-          "timing": {{ "peer_interval_ms": 200, "platform_retry_ms": 100, "vm_list_interval_ms": 200 }},
+          "timing": {{ "peer_interval_ms": {peer_interval_ms}, "platform_retry_ms": 100, "vm_list_interval_ms": 200 }},
           "limits": {{ "stop_notice_ms": 10, "stop_grace_ms": 2000 }},
         }}"#,
         peers.join(", "),
@@ -146,6 +155,7 @@
 pub struct Cluster {
     pub deployment: Deployment,
     pub proxies: Vec<Proxy>,
+    peer_interval_ms: u64,
 }
 
 impl Cluster {
@@ -165,8 +175,13 @@
 
     /// Starts proxies at these places.
     pub async fn start_with(places: &[(&str, &str)]) -> Cluster {
+        Cluster::start_exchanging(places, PEER_INTERVAL_MS).await
+    }
+
+    /// Starts proxies at these places that exchange versions this often.
+    pub async fn start_exchanging(places: &[(&str, &str)], peer_interval_ms: u64) -> Cluster {
         let deployment = deployment().await;
-        let mut cluster = Cluster { deployment, proxies: Vec::new() };
+        let mut cluster = Cluster { deployment, proxies: Vec::new(), peer_interval_ms };
         for (vm, zone) in places {
             cluster.add(vm, zone).await;
         }
@@ -178,7 +193,8 @@
     pub async fn add(&mut self, vm: &str, zone: &str) -> &Proxy {
         let peers: Vec<SocketAddr> =
             self.proxies.iter().map(|proxy| proxy.handle.control_address()).collect();
-        let settings = settings(vm, zone, self.deployment.platform().address(), &peers);
+        let platform = self.deployment.platform().address();
+        let settings = settings(vm, zone, platform, &peers, self.peer_interval_ms);
         self.proxies.push(Proxy::start(settings).await);
         &self.proxies[self.proxies.len() - 1]
     }
@@ -214,6 +230,16 @@
         store.put(ObjectKind::Lead, GROUP, known.version, body).expect("nobody else writes it");
     }
 
+    /// Changes the read kind's staleness bound in the platform, and returns the store's revision.
+    pub fn set_max_age(&self, max_age_ms: u64) -> u64 {
+        let store = &self.deployment.platform().platform().store;
+        let known = store.get(ObjectKind::Service, "loans-db").expect("the service is there");
+        let mut body = known.body.clone();
+        body["read_kinds"][0]["max_age_ms"] = max_age_ms.into();
+        let put = store.put(ObjectKind::Service, "loans-db", known.version, body);
+        put.expect("nobody else writes it")
+    }
+
     /// The members that believe to lead, with their terms.
     pub fn primaries(&self) -> Vec<(String, Term)> {
         let targets = self.deployment.targets().iter().map(|server| server.target());
