--- a/crates/proxy/tests/control_sessions.rs
+++ b/crates/proxy/tests/control_sessions.rs
@@ -8,7 +8,6 @@
 use control_support::PATIENCE;
 use control_support::Proxy;
 use control_support::until;
-use skylark_core::log_position::LogPosition;
 use skylark_proxy::process::peer::api;
 use skylark_proxy::process::peer::api::PeerApiClient;
 use skylark_proxy::process::peer::client;
@@ -40,13 +39,15 @@
 mod cases {
     use super::*;
 
+    const HOUR_US: u64 = 3_600_000_000;
+
     /// A session writes at one proxy and reads at another, again and again, while replicas apply
     /// records late. Each read may be served by a replica and must show the write before it.
     pub async fn roaming_session_reads_its_own_writes() {
         let cluster = Cluster::start().await;
         create_table(&cluster).await;
         for target in ["loans-1-depot", "loans-1-sakiet"] {
-            cluster.inject(lag(target)).await;
+            cluster.inject(lag(target, 30_000)).await;
         }
         let mut clients = Vec::new();
         for proxy in &cluster.proxies {
@@ -68,7 +69,7 @@
     pub async fn home_that_restarted_answers_for_sessions_it_never_saw() {
         let mut cluster = Cluster::start().await;
         create_table(&cluster).await;
-        cluster.inject(lag("loans-1-depot")).await;
+        cluster.inject(lag("loans-1-depot", HOUR_US)).await;
         let writer = connect(&cluster.proxies[0], "desk-7").await;
         writer.simple_query("INSERT INTO chairs VALUES (1)").await.unwrap();
         let written = cluster.member(FIRST_PRIMARY).log;
@@ -80,8 +81,7 @@
         let answer =
             until("the successor answers", async || client.peer_floor(question(&name)).await.ok())
                 .await;
-        let covered = answer.position >= written || all_applied(&cluster, written);
-        assert!(covered, "{} does not cover {written}", answer.position);
+        assert!(answer.position >= written, "{} does not cover {written}", answer.position);
     }
 
     /// A home is cut off from the majority while others may go on in a new term. It can't know
@@ -150,8 +150,8 @@
         client.simple_query("CREATE TABLE chairs (id INTEGER)").await.unwrap();
     }
 
-    fn lag(target: &str) -> Fault {
-        Fault::LagTarget { target: target.to_owned(), hold_us: 0, apply_us: 30_000 }
+    fn lag(target: &str, apply_us: u64) -> Fault {
+        Fault::LagTarget { target: target.to_owned(), hold_us: 0, apply_us }
     }
 
     fn question(vm: &str) -> api::FloorQuestion {
@@ -163,11 +163,6 @@
         }
     }
 
-    /// A floor that every member has applied need not be named.
-    fn all_applied(cluster: &Cluster, position: LogPosition) -> bool {
-        cluster.deployment.targets().iter().all(|it| it.target().status().applied >= position)
-    }
-
     fn config(proxy: &Proxy, session: &str) -> String {
         format!(
             "host=127.0.0.1 port={} user=clerk dbname={GROUP} options='-c skylark.session={session}'",
--- a/crates/proxy/tests/control_spreading.rs
+++ b/crates/proxy/tests/control_spreading.rs
@@ -87,7 +87,10 @@
     /// A VM is replaced while the platform is down. Its proxy knows peers by its settings, takes
     /// the highest version among them, and serves; it knows the primary and the other VMs too.
     pub async fn proxy_starts_from_peers_while_the_platform_is_down() {
-        let mut cluster = Cluster::start().await;
+        // Without exchanges only the questions at the start can bring the version.
+        let places = [("vm-1", "medina"), ("vm-2", "depot"), ("vm-3", "sakiet")];
+        let mut cluster = Cluster::start_exchanging(&places, 60_000).await;
+        cluster.until_led_by_all(FIRST_PRIMARY).await;
         let revision = cluster.proxies[0].status().await.revision;
         cluster.inject(Fault::PlatformDown { on: true }).await;
         let started = cluster.add("vm-4", "depot").await;
