Do not call a confirmation untouched once a step took

Between the update of an object that took and the update of the plan's record, a confirmation counted as untouched: with the platform going down just then, an operator was told that nothing was touched while the change was in force. A step that took is now remembered, and a run that finds a confirmed record without a step counts an earlier run's update as unanswered.

--- a/crates/core/src/version/plan/confirmation.rs
+++ b/crates/core/src/version/plan/confirmation.rs
@@ -82,6 +82,9 @@
     in_flight: bool,
     /// Whether an update of an object got no answer and has not been accounted for since.
     unanswered: bool,
+    /// Whether a step is known to have taken effect. The record says so only once its own update
+    /// took, and the platform may go down in between.
+    step_took: bool,
 }
 
 impl Confirmation {
@@ -94,6 +97,7 @@
             pause: false,
             in_flight: false,
             unanswered: false,
+            step_took: false,
         }
     }
 
@@ -105,10 +109,10 @@
     /// What it means to stop here.
     pub fn standing(&self) -> Standing {
         let steps_done = self.record().map_or(0, |record| record.steps_done);
-        match (self.in_flight || self.unanswered, steps_done) {
+        match (self.in_flight || self.unanswered, self.step_took || steps_done > 0) {
             (true, _) => Standing::Unanswered,
-            (false, 0) => Standing::Untouched,
-            (false, _) => Standing::Unfinished,
+            (false, false) => Standing::Untouched,
+            (false, true) => Standing::Unfinished,
         }
     }
 
@@ -192,6 +196,8 @@
         let steps_done = record.steps_done;
         let cause = record.cause.clone();
         self.record = Some((version, record));
+        // An earlier run may have sent an update that the record does not know of.
+        self.unanswered |= first_reading && state == PlanState::Confirmed && steps_done == 0;
         match state {
             PlanState::Proposed => self.check_base(0),
             PlanState::Confirmed => Stage::ReadObject,
@@ -272,6 +278,7 @@
 
     fn step_done(&mut self) -> Stage {
         self.unanswered = false;
+        self.step_took = true;
         let own = self.own();
         Stage::WriteRecord { next: own.advanced(own.steps_done + 1) }
     }
--- a/crates/core/tests/plan_confirmation.rs
+++ b/crates/core/tests/plan_confirmation.rs
@@ -174,6 +174,27 @@
     assert_eq!(store.writes_of(&plan), 1);
 }
 
+#[test]
+fn platform_goes_down_after_a_step() {
+    // The operator is told that nothing was touched, and the change is in force. The update takes
+    // and is answered; then the platform goes down, so the record can't be given the step. Whoever
+    // stops there, or starts again and reads the record once, must not claim that nothing happened.
+    let mut store = Store::new();
+    let plan = store.propose(&weight(2));
+    let mut confirmation = Confirmation::new(&plan.id);
+    store.act_until_change(&mut confirmation);
+    assert_eq!(confirmation.standing(), Standing::Untouched);
+    store.act(&mut confirmation, Fault::None);
+    assert_eq!(confirmation.standing(), Standing::Unfinished);
+    store.act(&mut confirmation, Fault::LostBefore);
+    assert_eq!(confirmation.standing(), Standing::Unfinished);
+    let mut again = Confirmation::new(&plan.id);
+    store.act(&mut again, Fault::None);
+    assert_eq!(again.standing(), Standing::Unanswered);
+    assert_eq!(store.finish(&mut again), APPLIED);
+    assert_eq!(store.writes_of(&plan), 1);
+}
+
 #[test]
 fn lost_call_before_effect() {
     // As above, but the update never reached the store: the object still has the base version, so
