Explore operators' plans over a platform that loses answers exhaustively

Two operators plan with the core's planner and confirm with its Confirmation while calls are lost, answered late or take effect later, and confirmations are started again.

--- a/crates/spec/src/case.rs
+++ b/crates/spec/src/case.rs
@@ -6,6 +6,7 @@
 use crate::answers;
 use crate::explore::Exploration;
 use crate::floors;
+use crate::plans;
 use crate::repetition;
 
 /// How many states a case may have, which bounds its memory to a few hundred megabytes.
@@ -38,6 +39,7 @@
     [
         acknowledgement::cases::CASES,
         floors::cases::CASES,
+        plans::cases::CASES,
         repetition::cases::CASES,
         answers::cases::CASES,
     ]
--- a/crates/spec/src/explore.rs
+++ b/crates/spec/src/explore.rs
@@ -34,6 +34,11 @@
     /// The invariant that `state` breaks.
     fn violation(&self, state: &Self::State) -> Option<&'static str>;
 
+    /// What a trace says of a step.
+    fn describe_step(&self, step: &Self::Step) -> String {
+        step.to_string()
+    }
+
     /// One line that shows the state in a trace.
     fn describe(&self, state: &Self::State) -> String;
 }
@@ -144,7 +149,7 @@
             .into_iter()
             .find(|(_, after)| model.canonical(after) == *wanted)
             .expect("renaming commutes with steps");
-        steps.push((step.to_string(), model.describe(&after)));
+        steps.push((model.describe_step(&step), model.describe(&after)));
         state = after;
     }
     let violation = model.violation(&state).expect("renaming keeps violations");
--- a/crates/spec/src/lib.rs
+++ b/crates/spec/src/lib.rs
@@ -11,6 +11,7 @@
 //!
 //! - [`acknowledgement`]: who may acknowledge a write, the fence, and the choice of a new primary.
 //! - [`floors`]: what a session that roams gets to read after its own writes.
+//! - [`plans`]: operators who race each other over a platform that loses answers.
 //! - [`repetition`]: what is sent again, and what a caller is told about it.
 //! - [`answers`]: when a connection may serve the next caller.
 
@@ -20,4 +21,5 @@
 pub mod explore;
 pub mod floors;
 pub mod intern;
+pub mod plans;
 pub mod repetition;
--- /dev/null
+++ b/crates/spec/src/plans/model.rs
@@ -0,0 +1,456 @@
+//! The states, transitions and invariants of the plans model.
+
+use std::fmt;
+
+use serde_json::Value;
+use serde_json::json;
+use skylark_core::version::objects::ObjectKind;
+use skylark_core::version::objects::Snapshot;
+use skylark_core::version::objects::StoredObject;
+use skylark_core::version::plan::Plan;
+use skylark_core::version::plan::call::Call;
+use skylark_core::version::plan::call::End;
+use skylark_core::version::plan::call::Standing;
+use skylark_core::version::plan::call::Verb;
+use skylark_core::version::plan::intent::Intent;
+use skylark_core::version::plan::planner;
+use skylark_core::version::plan::record::PlanRecord;
+use skylark_core::version::plan::step;
+
+use super::Safeguard;
+use super::machines::Action;
+use super::machines::Effect;
+use super::machines::Machines;
+use super::machines::Reply;
+use crate::explore::Model;
+
+/// The operators; each makes one plan.
+const OPERATORS: usize = 2;
+/// The most updates that are on their way although their sender heard no answer.
+const MAX_LATE: usize = 2;
+const SERVICE: &str = "s";
+
+/// Where an operator stands.
+#[derive(Clone, Copy, PartialEq, Eq, Hash, Debug)]
+enum Operator {
+    /// It has made no plan.
+    Idle,
+    /// It confirms its plan.
+    Confirming(u16),
+    /// It sends an update again and again, on any version (only without the safeguard).
+    Repeating { confirmation: u16, call: u16 },
+    /// It was told how the confirmation ended.
+    Told(Told),
+}
+
+/// What an operator was told.
+#[derive(Clone, Copy, PartialEq, Eq, Hash, Debug)]
+enum Told {
+    /// The plan has taken effect.
+    Applied,
+    /// Another change came before any step.
+    Superseded,
+    /// It stopped, and nothing was touched.
+    Untouched,
+    /// Anything that claims less.
+    Other,
+}
+
+/// A plan and what became of it.
+#[derive(Clone, Copy, PartialEq, Eq, Hash, Debug, Default)]
+struct PlanState {
+    /// The record in the platform.
+    record: Option<u16>,
+    /// The version of the service that the plan was made for.
+    base: u8,
+    /// How often the plan changed the service.
+    effects: u8,
+}
+
+/// A state.
+#[derive(Clone, Copy, PartialEq, Eq, Hash, Debug)]
+pub struct State {
+    revision: u8,
+    service: Option<u16>,
+    plans: [PlanState; OPERATORS],
+    operators: [Operator; OPERATORS],
+    /// Updates that may still take effect, by the operator's number and the call's.
+    late: [Option<(u8, u16)>; MAX_LATE],
+    /// Whether a plan took effect on another version than its base.
+    on_other_version: bool,
+}
+
+/// What becomes of a call.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub enum Fate {
+    /// It takes effect and is answered.
+    Answered,
+    /// It is lost.
+    Lost,
+    /// It takes effect and its answer is lost.
+    AnswerLost,
+    /// No answer comes, and it may take effect later.
+    Late,
+}
+
+/// What happens between two states.
+#[derive(Clone, PartialEq, Debug)]
+pub enum Step {
+    /// An operator makes its plan and stores it.
+    Plan(usize),
+    /// An operator's call, and what becomes of it.
+    Call(usize, u16, Fate),
+    /// An operator waits and asks again.
+    Pause(usize),
+    /// An operator is told the end.
+    End(usize, End),
+    /// An operator stops.
+    Stop(usize),
+    /// An operator runs the confirmation again from its beginning.
+    Again(usize),
+    /// A late update arrives.
+    Arrive(usize, u16),
+}
+
+impl fmt::Display for Step {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Step::Plan(number) => write!(f, "operator{number} plans"),
+            Step::Call(number, call, fate) => write!(f, "operator{number}: call{call}: {fate:?}"),
+            Step::Pause(number) => write!(f, "operator{number} waits"),
+            Step::End(number, end) => write!(f, "operator{number} is told {end:?}"),
+            Step::Stop(number) => write!(f, "operator{number} stops"),
+            Step::Again(number) => write!(f, "operator{number} starts the confirmation again"),
+            Step::Arrive(number, call) => write!(f, "operator{number}'s late call{call} arrives"),
+        }
+    }
+}
+
+/// The model.
+#[derive(Clone, Debug)]
+pub struct PlansModel {
+    machines: Machines,
+    /// Whether operators may start a confirmation again.
+    again: bool,
+    without: Option<Safeguard>,
+}
+
+type Next = Vec<(Step, State)>;
+
+impl PlansModel {
+    /// The model, with one safeguard switched off or none.
+    pub fn new(again: bool, without: Option<Safeguard>) -> PlansModel {
+        PlansModel { machines: Machines::default(), again, without }
+    }
+
+    fn has(&self, safeguard: Safeguard) -> bool {
+        self.without != Some(safeguard)
+    }
+
+    fn snapshot(&self, state: &State) -> Snapshot {
+        let records = state.plans.iter().filter_map(|plan| plan.record);
+        let objects = state.service.into_iter().chain(records);
+        Snapshot {
+            revision: u64::from(state.revision),
+            objects: objects.map(|number| self.machines.object(number)).collect(),
+            vms: Vec::new(),
+        }
+    }
+
+    fn plan(&self, state: &State, number: usize, next: &mut Next) {
+        let weight = number as u32 + 2;
+        let intent =
+            Intent::SetWeight { service: SERVICE.to_owned(), class: "low".to_owned(), weight };
+        let Ok(plan) = planner::plan(&intent, &self.snapshot(state)) else { return };
+        let mut after = *state;
+        after.revision += 1;
+        let record = stored(
+            ObjectKind::Plan,
+            &plan.id,
+            after.revision,
+            PlanRecord::proposed(plan.clone()).to_body(),
+        );
+        let base = base_version(&plan);
+        let record = Some(self.machines.object_number(record));
+        after.plans[number] = PlanState { record, base, effects: 0 };
+        after.operators[number] = Operator::Confirming(self.machines.confirm(&plan.id));
+        next.push((Step::Plan(number), after));
+    }
+
+    fn plan_id(&self, state: &State, number: usize) -> Option<String> {
+        state.plans[number].record.map(|record| self.machines.object(record).name)
+    }
+
+    fn confirming(&self, state: &State, number: usize, confirmation: u16, next: &mut Next) {
+        let standing = match self.machines.standing(confirmation) {
+            Some(Standing::Untouched) => Told::Untouched,
+            _ => Told::Other,
+        };
+        self.tell(state, number, Step::Stop(number), standing, next);
+        if self.again
+            && let Some(id) = self.plan_id(state, number)
+        {
+            let fresh = Operator::Confirming(self.machines.confirm(&id));
+            if state.operators[number] != fresh {
+                next.push((Step::Again(number), with_operator(state, number, fresh)));
+            }
+        }
+        let (asked, action) = self.machines.next_action(confirmation);
+        match action {
+            Action::Pause => {
+                let after = with_operator(state, number, Operator::Confirming(asked));
+                next.push((Step::Pause(number), after));
+            }
+            Action::End(end) => {
+                let told = told(&end);
+                self.tell(state, number, Step::End(number, end), told, next);
+            }
+            Action::Call(call) => {
+                for fate in [Fate::Answered, Fate::Lost, Fate::AnswerLost, Fate::Late] {
+                    self.call(state, number, asked, call, fate, next);
+                }
+            }
+        }
+    }
+
+    fn tell(&self, state: &State, number: usize, step: Step, told: Told, next: &mut Next) {
+        next.push((step, with_operator(state, number, Operator::Told(told))));
+    }
+
+    fn call(
+        &self,
+        state: &State,
+        number: usize,
+        asked: u16,
+        call: u16,
+        fate: Fate,
+        next: &mut Next,
+    ) {
+        let traits = self.machines.traits(call);
+        let mut after = *state;
+        let reply = match fate {
+            Fate::Answered => self.take_effect(&mut after, number, call),
+            Fate::AnswerLost if !traits.reads => {
+                self.take_effect(&mut after, number, call);
+                Reply::Lost
+            }
+            Fate::Late if !traits.reads => {
+                let Some(free) = after.late.iter_mut().find(|late| late.is_none()) else { return };
+                *free = Some((number as u8, call));
+                after.late.sort_unstable();
+                Reply::Lost
+            }
+            Fate::Lost => Reply::Lost,
+            Fate::AnswerLost | Fate::Late => return,
+        };
+        let changes = !traits.reads && !traits.of_record;
+        let repeats = reply == Reply::Lost && changes && !self.has(Safeguard::ReadBack);
+        after.operators[number] = match repeats {
+            true => Operator::Repeating { confirmation: asked, call },
+            false => Operator::Confirming(self.machines.answer(asked, reply)),
+        };
+        next.push((Step::Call(number, call, fate), after));
+    }
+
+    /// The platform acts on a call of an operator.
+    fn take_effect(&self, state: &mut State, number: usize, call: u16) -> Reply {
+        let traits = self.machines.traits(call);
+        let place = self.place(state, call);
+        let object = match place {
+            Some(plan) => state.plans[plan].record,
+            None => state.service,
+        };
+        let notes = place.is_some_and(|plan| plan != number) && !traits.reads;
+        if notes && !self.has(Safeguard::Note) {
+            return Reply::Took(state.revision);
+        }
+        let changes = !traits.reads && !traits.of_record;
+        let any_version = changes && !self.has(Safeguard::BaseVersion);
+        let stored = match changes && !self.has(Safeguard::PlanId) {
+            true => self.machines.call_number(without_plan_id(self.machines.call(call))),
+            false => call,
+        };
+        let present = self.machines.version(object);
+        let Effect { reply, object, changed } =
+            self.machines.act(stored, object, state.revision, any_version);
+        if !changed {
+            return reply;
+        }
+        state.revision += 1;
+        match place {
+            Some(plan) => state.plans[plan].record = object,
+            None => {
+                state.service = object;
+                state.plans[number].effects += 1;
+                state.on_other_version |= present != u64::from(state.plans[number].base);
+            }
+        }
+        reply
+    }
+
+    /// The number of the plan whose record a call is about; none for the service.
+    fn place(&self, state: &State, call: u16) -> Option<usize> {
+        let is_record = |plan: &PlanState| {
+            plan.record.is_some_and(|record| self.machines.is_about(call, record))
+        };
+        state.plans.iter().position(is_record)
+    }
+
+    /// Sends an update again on the version that the object has now, until it is answered.
+    fn repeat(&self, state: &State, number: usize, confirmation: u16, call: u16, next: &mut Next) {
+        let call = self.machines.call(call);
+        let expected_version = self.machines.version(state.service);
+        let verb = match call.verb {
+            Verb::Put { body, .. } => Verb::Put { expected_version, body },
+            Verb::Delete { .. } => Verb::Delete { expected_version },
+            Verb::Get => Verb::Get,
+        };
+        let call = self.machines.call_number(Call { verb, ..call });
+        let mut after = *state;
+        let reply = self.take_effect(&mut after, number, call);
+        after.operators[number] = Operator::Confirming(self.machines.answer(confirmation, reply));
+        next.push((Step::Call(number, call, Fate::Answered), after));
+    }
+
+    fn arrivals(&self, state: &State, next: &mut Next) {
+        for place in 0..MAX_LATE {
+            let Some((number, call)) = state.late[place] else { continue };
+            let mut after = *state;
+            after.late[place] = None;
+            after.late.sort_unstable();
+            self.take_effect(&mut after, usize::from(number), call);
+            next.push((Step::Arrive(usize::from(number), call), after));
+        }
+    }
+}
+
+fn stored(kind: ObjectKind, name: &str, version: u8, body: Value) -> StoredObject {
+    let version = u64::from(version);
+    StoredObject { kind, name: name.to_owned(), version, deleted: false, body }
+}
+
+fn base_version(plan: &Plan) -> u8 {
+    plan.base_versions().next().expect("the plan changes the service").version as u8
+}
+
+fn with_operator(state: &State, number: usize, operator: Operator) -> State {
+    let mut after = *state;
+    after.operators[number] = operator;
+    after
+}
+
+fn without_plan_id(mut call: Call) -> Call {
+    if let Verb::Put { body: Value::Object(fields), .. } = &mut call.verb {
+        fields.remove("plan");
+    }
+    call
+}
+
+fn told(end: &End) -> Told {
+    match end {
+        End::Applied { .. } => Told::Applied,
+        End::Superseded { steps_done: 0, .. } => Told::Superseded,
+        _ => Told::Other,
+    }
+}
+
+fn describe_call(call: &Call) -> String {
+    let object = format!("{} `{}`", call.kind.name(), call.name);
+    match call.verb {
+        Verb::Get => format!("read {object}"),
+        Verb::Put { expected_version, .. } => {
+            format!("update version {expected_version} of {object}")
+        }
+        Verb::Delete { expected_version } => {
+            format!("remove version {expected_version} of {object}")
+        }
+    }
+}
+
+impl Model for PlansModel {
+    type State = State;
+    type Step = Step;
+
+    fn initial(&self) -> State {
+        let body = json!({
+            "read_kinds": [],
+            "classes": [
+                { "name": "high", "weight": 8, "goal_ms": 50 },
+                { "name": "low", "weight": 1, "goal_ms": 400 },
+            ],
+        });
+        let service = stored(ObjectKind::Service, SERVICE, 1, body);
+        State {
+            revision: 1,
+            service: Some(self.machines.object_number(service)),
+            plans: [PlanState::default(); OPERATORS],
+            operators: [Operator::Idle; OPERATORS],
+            late: [None; MAX_LATE],
+            on_other_version: false,
+        }
+    }
+
+    fn steps(&self, state: &State, next: &mut Next) {
+        for number in 0..OPERATORS {
+            match state.operators[number] {
+                Operator::Idle => self.plan(state, number, next),
+                Operator::Confirming(confirmation) => {
+                    self.confirming(state, number, confirmation, next);
+                }
+                Operator::Repeating { confirmation, call } => {
+                    self.repeat(state, number, confirmation, call, next);
+                }
+                Operator::Told(_) => {}
+            }
+        }
+        self.arrivals(state, next);
+    }
+
+    fn violation(&self, state: &State) -> Option<&'static str> {
+        if state.on_other_version {
+            return Some("a plan took effect on a version that it was not made for");
+        }
+        for (plan, operator) in state.plans.iter().zip(&state.operators) {
+            match (operator, plan.effects) {
+                (_, 2..) => return Some("a plan took effect twice"),
+                (Operator::Told(Told::Applied), 0) => {
+                    return Some("a plan is told to be applied that did not take effect");
+                }
+                (Operator::Told(Told::Superseded), 1) => {
+                    return Some("a plan is told to be superseded that took effect");
+                }
+                (Operator::Told(Told::Untouched), 1) => {
+                    return Some("an operator is told that nothing was touched, but it was");
+                }
+                _ => {}
+            }
+        }
+        None
+    }
+
+    fn describe_step(&self, step: &Step) -> String {
+        match step {
+            Step::Call(_, call, _) | Step::Arrive(_, call) => {
+                format!("{step}: {}", describe_call(&self.machines.call(*call)))
+            }
+            step => step.to_string(),
+        }
+    }
+
+    fn describe(&self, state: &State) -> String {
+        let service = state.service.map(|number| self.machines.object(number));
+        let shown = service.map_or("no service".to_owned(), |object| {
+            let by = step::last_plan(&object);
+            let weight = &object.body["classes"][1]["weight"];
+            format!("service version {}, weight {weight}, by `{by}`", object.version)
+        });
+        let effects: Vec<u8> = state.plans.iter().map(|plan| plan.effects).collect();
+        let late = state.late.iter().flatten().count();
+        let told = state.operators.map(|operator| match operator {
+            Operator::Told(told) => format!("{told:?}"),
+            Operator::Idle => "idle".to_owned(),
+            Operator::Confirming(_) | Operator::Repeating { .. } => "busy".to_owned(),
+        });
+        format!("{shown}; effects {effects:?}; late updates {late}; operators {told:?}")
+    }
+}
