Let the detector's timer and calls to silent members rest

While a primary stayed silent and nobody could replace it, as in a zone that is cut off, the detector's due time stood in the past: an embedder that arms its timer at it fires without a pause. It is now judged again every 50 ms. The order to follow was sent ten times a second to a member that answers nothing; it now goes out once a second until the member is heard again.

--- a/crates/core/src/process/detection.rs
+++ b/crates/core/src/process/detection.rs
@@ -19,6 +19,9 @@
 /// How a deviation of the round trip counts towards the timeout.
 const DEVIATION_FACTOR: u64 = 8;
 
+/// How often a silent primary is judged again, in microseconds.
+const RECHECK_US: u64 = 50_000;
+
 /// Bounds of the detector. The defaults are for zones about 1.5 ms apart.
 #[derive(Clone, Copy, PartialEq, Eq, Hash, Debug)]
 pub struct DetectionSettings {
@@ -93,6 +96,8 @@
     primary: usize,
     term: Term,
     heard_us: u64,
+    /// When the timer last fired.
+    checked_us: u64,
     failures: u32,
     connect_failed: bool,
     mean_round_trip_us: u64,
@@ -115,6 +120,7 @@
             primary,
             term,
             heard_us: now_us,
+            checked_us: now_us,
             failures: 0,
             connect_failed: false,
             mean_round_trip_us: 0,
@@ -167,6 +173,7 @@
     /// Tells that a timer due at `due_us` fires at `now_us`. Events that waited meanwhile should
     /// be taken in first.
     pub fn timer(&mut self, now_us: u64, due_us: u64) {
+        self.checked_us = now_us;
         let late_us = now_us.saturating_sub(due_us);
         if late_us > self.settings.late_timer_us {
             self.heard_us = self.heard_us.saturating_add(late_us).min(now_us);
@@ -189,9 +196,15 @@
         (self.settings.silence_us + measured_us).min(longest_us)
     }
 
-    /// When the verdict can change next without new evidence.
+    /// When the verdict can change next without new evidence. While the primary stays silent after
+    /// the timer has told so, the view of the members is looked at again from time to time: a due
+    /// time that stays in the past would have the embedder's timer fire without a pause.
     pub fn due_us(&self) -> u64 {
-        self.heard_us.saturating_add(self.timeout_us()).saturating_add(1)
+        let silent_us = self.heard_us.saturating_add(self.timeout_us()).saturating_add(1);
+        if silent_us > self.checked_us {
+            return silent_us;
+        }
+        self.checked_us.saturating_add(RECHECK_US)
     }
 
     /// Every broken invariant.
--- a/crates/core/src/process/failover/upkeep.rs
+++ b/crates/core/src/process/failover/upkeep.rs
@@ -10,6 +10,9 @@
 use crate::member_status::Role;
 use crate::version::objects::LeadRecord;
 
+/// How much more seldom a silent member is told to follow.
+const SILENT_FACTOR: u64 = 10;
+
 /// How many driver's times a claim may stand without an effect before its record is corrected.
 const DEAD_CLAIM_FACTOR: u64 = 4;
 
@@ -56,7 +59,19 @@
         }
         for member in astray {
             let call = MemberCall::Follow { term: leader.term, primary: leader.member };
-            self.call_member(now_us, member, call, self.settings.upkeep_us, actions);
+            let every_us = self.follow_every_us(member);
+            self.call_member(now_us, member, call, every_us, actions);
+        }
+    }
+
+    /// How often a member is told to follow: seldom while it does not answer, so that calls to a
+    /// member that is gone do not pile up at its connection.
+    fn follow_every_us(&self, member: usize) -> u64 {
+        let sent_us = self.sent[member].map(|sent| sent.sent_us);
+        let heard_us = self.reports.latest(member).map(|(at_us, _)| at_us);
+        match heard_us >= sent_us {
+            true => self.settings.upkeep_us,
+            false => self.settings.upkeep_us.saturating_mul(SILENT_FACTOR),
         }
     }
 
--- a/crates/core/tests/detection.rs
+++ b/crates/core/tests/detection.rs
@@ -64,6 +64,17 @@
     assert_eq!(detector.verdict(400 * MS + 1, &members()), suspected);
 }
 
+/// The primary stays silent and nobody can replace it, as in a zone that is cut off. The timer must
+/// not fire again and again at a time that has passed: the control thread would do nothing else.
+#[test]
+fn timer_rests_while_the_silence_lasts() {
+    let mut detector = detector();
+    let due_us = detector.due_us();
+    detector.timer(due_us, due_us);
+    assert_eq!(detector.verdict(due_us, &members()), Verdict::Suspected(Suspicion::Silent));
+    assert_eq!(detector.due_us(), due_us + 50 * MS);
+}
+
 /// Round trips of 100 ms with a spread of 80 ms stretch the timeout, up to its bound.
 #[test]
 fn slow_links_stretch_the_timeout() {
