Test the traffic threads' promises under failure, and mend what they showed

Cause: pooling, acknowledgement, retries, forwarding and limits were written without their failures brought about. Change: focused tests over the stand-in with a gate that holds answers back and cuts connections. They showed a primary given up though it could be reached again, a home's own refusal replaced by a vaguer one, a place in the target given away before its old connection was closed, two pools made at once for one target, and a caller's bound that did not shrink with the queue; all are mended.

--- a/crates/proxy/src/connection/pinned.rs
+++ b/crates/proxy/src/connection/pinned.rs
@@ -40,7 +40,7 @@
 /// request of the next caller.
 pub fn give_back(lease: Lease, cancel: &Arc<CancelSlot>) {
     match cancel.release() {
-        true => drop(lease),
+        true => lease.close(),
         false => lease.give_back(),
     }
 }
--- a/crates/proxy/src/connection/pool.rs
+++ b/crates/proxy/src/connection/pool.rs
@@ -93,6 +93,11 @@
         self.state.lock().budget.total()
     }
 
+    /// Whether the last try to connect failed.
+    pub fn is_failing(&self) -> bool {
+        self.state.lock().failing.is_some()
+    }
+
     /// Changes how many connections the pool may have.
     pub fn set_share(&self, share: u32) {
         self.state.lock().budget.set_share(share);
@@ -246,10 +251,13 @@
             (false, _) => Event::AnswersCut,
         };
         self.counters.event(event);
-        match recovered {
-            true => self.put_back(connection),
-            false => self.forget_one(),
+        if recovered {
+            self.put_back(connection);
+            return;
         }
+        // The socket is closed before its place is given to a new connection.
+        drop(connection);
+        self.forget_one();
     }
 }
 
@@ -327,6 +335,24 @@
     }
 }
 
+impl Lease {
+    /// Closes a connection that still works. Its place is free once the other end has closed too:
+    /// until then the target counts it, and would refuse a new one.
+    pub fn close(mut self) {
+        let Some(mut connection) = self.connection.take() else { return };
+        let timeout = Duration::from_millis(self.pool.options.drain_ms);
+        let pool = Arc::clone(&self.pool);
+        let turn = self.turn.take();
+        tokio::spawn(async move {
+            // A connection that does not end in time is reset by being dropped.
+            let _ = connection.terminate(timeout).await;
+            drop(connection);
+            pool.forget_one();
+            drop(turn);
+        });
+    }
+}
+
 impl Drop for Lease {
     fn drop(&mut self) {
         if self.connection.take().is_some() {
--- a/crates/proxy/src/connection/pools.rs
+++ b/crates/proxy/src/connection/pools.rs
@@ -75,12 +75,21 @@
     /// The pool of a target that this VM is home to.
     pub fn target(&self, published: &Published, id: TargetId) -> Arc<TargetPool> {
         let target = published.topology.target(id);
-        let known = self.targets.read().get(&target.name).cloned();
-        if let Some(known) = known.filter(|known| known.pool.address() == target.address) {
-            return known;
+        let is_current = |entry: &&Arc<TargetPool>| entry.pool.address() == target.address;
+        if let Some(known) = self.targets.read().get(&target.name).filter(is_current) {
+            return Arc::clone(known);
+        }
+        // Made while the table is locked: of two pools made at once one would be lost from the
+        // table with its connections, and the target would have twice this home's part.
+        let mut targets = self.targets.write();
+        if let Some(known) = targets.get(&target.name).filter(is_current) {
+            return Arc::clone(known);
         }
         let made = self.new_target(published, id);
-        self.targets.write().insert(target.name.clone(), Arc::clone(&made));
+        if let Some(old) = targets.insert(target.name.clone(), Arc::clone(&made)) {
+            old.pool.set_share(0);
+            old.pool.maintain();
+        }
         made
     }
 
@@ -88,17 +97,26 @@
     pub fn peer(&self, published: &Published, vm: VmId, group: GroupId) -> Arc<Pool> {
         let vm = published.topology.vm(vm);
         let group = &published.topology.group(group).name;
-        let peers = self.peers.read();
-        let known = peers.get(&vm.name).and_then(|groups| groups.get(group)).cloned();
-        drop(peers);
-        if let Some(known) = known.filter(|known| known.address() == vm.address) {
+        let is_current = |pool: &&Arc<Pool>| pool.address() == vm.address;
+        let find = |peers: &FastMap<String, FastMap<String, Arc<Pool>>>| {
+            let found = peers.get(&vm.name).and_then(|groups| groups.get(group));
+            found.filter(is_current).map(Arc::clone)
+        };
+        if let Some(known) = find(&self.peers.read()) {
+            return known;
+        }
+        let mut peers = self.peers.write();
+        if let Some(known) = find(&peers) {
             return known;
         }
         let login = Login { forwarded_by: Some(self.vm.clone()), ..self.login(group) };
         let pool = self.new_pool(&vm.address, login, &vm.name);
         pool.set_share(self.limits.peer_connections);
-        let mut peers = self.peers.write();
-        peers.entry(vm.name.clone()).or_default().insert(group.clone(), Arc::clone(&pool));
+        let groups = peers.entry(vm.name.clone()).or_default();
+        if let Some(old) = groups.insert(group.clone(), Arc::clone(&pool)) {
+            old.set_share(0);
+            old.maintain();
+        }
         pool
     }
 
@@ -152,12 +170,15 @@
 
     fn queue_limits(&self, target: &Target, homes: usize, rank: usize) -> QueueLimits {
         let queued = self.limits.queue_length;
+        let queued_per_class = queued / 2 + 1;
+        let usual = QueueLimits::default();
         QueueLimits {
             running: homes::connection_share(target.slots, homes, rank) + RUNNING_BEYOND_SLOTS,
             connections: homes::connection_share(target.connections, homes, rank),
             queued,
-            queued_per_class: queued / 2 + 1,
-            ..QueueLimits::default()
+            queued_per_class,
+            queued_per_caller: (queued_per_class / 8).clamp(1, usual.queued_per_caller),
+            ..usual
         }
     }
 
--- a/crates/proxy/src/connection/target_connection.rs
+++ b/crates/proxy/src/connection/target_connection.rs
@@ -126,6 +126,23 @@
         }
     }
 
+    /// Says goodbye and waits until the other end has closed.
+    pub async fn terminate(&mut self, timeout: Duration) -> io::Result<()> {
+        let mut request = BytesMut::new();
+        frontend::terminate(&mut request);
+        let closing = async {
+            self.send(&request).await?;
+            while self.read_more().await.is_ok() {
+                self.input.clear();
+            }
+            Ok(())
+        };
+        match time::timeout(timeout, closing).await {
+            Ok(closed) => closed,
+            Err(_) => Err(io::ErrorKind::TimedOut.into()),
+        }
+    }
+
     async fn drain_and_reset(&mut self) -> io::Result<()> {
         let mut request = BytesMut::new();
         if self.needs_sync {
--- a/crates/proxy/src/request/answer.rs
+++ b/crates/proxy/src/request/answer.rs
@@ -183,6 +183,16 @@
     Flow::End
 }
 
+/// Answers a request with another proxy's refusal.
+pub async fn pass_on(caller: &mut Caller, unit: &Unit, refusal: &[u8]) -> Flow {
+    let mut end = BytesMut::new();
+    match unit.awaits_ready() {
+        true => frames::ready_for_query(&mut end, caller.status()),
+        false => caller.skip_to_sync = true,
+    }
+    write(caller, refusal, &end).await
+}
+
 /// Answers a request with a refusal.
 pub async fn refuse(caller: &mut Caller, unit: &Unit, refusal: &Refusal) -> Flow {
     refuse_message(caller, refusal, unit.awaits_ready()).await
--- a/crates/proxy/src/request/context.rs
+++ b/crates/proxy/src/request/context.rs
@@ -140,9 +140,11 @@
         max_hops: u8,
     ) -> Result<Forward, Refusal> {
         let left = self.deadline.saturating_duration_since(Instant::now());
-        let way_back_us = HOP_RESERVE_US;
-        let deadline_ms = retry::hop_deadline_ms(left.as_micros() as u64, way_back_us)
-            .ok_or(ErrorKind::WaitTimedOut)?;
+        let left_us = left.as_micros() as u64;
+        let way_back_us =
+            (left_us / HOP_RESERVE_DIVISOR).clamp(MIN_HOP_RESERVE_US, MAX_HOP_RESERVE_US);
+        let deadline_ms =
+            retry::hop_deadline_ms(left_us, way_back_us).ok_or(ErrorKind::WaitTimedOut)?;
         if self.hops >= max_hops {
             return Err(ErrorKind::TooManyHops.into());
         }
@@ -162,8 +164,11 @@
     }
 }
 
-/// What a hop keeps of the deadline for the way back.
-const HOP_RESERVE_US: u64 = 5_000;
+/// What a hop keeps of the deadline for the way back: a part of it, within bounds. Then the answer
+/// that comes in time is that of the home, which knows more about the outcome.
+const HOP_RESERVE_DIVISOR: u64 = 10;
+const MIN_HOP_RESERVE_US: u64 = 5_000;
+const MAX_HOP_RESERVE_US: u64 = 50_000;
 
 fn deadline_in(traffic: &Traffic, deadline_ms: u64) -> (Instant, u64) {
     let deadline = Instant::now() + Duration::from_millis(deadline_ms);
--- a/crates/proxy/src/request/exchange.rs
+++ b/crates/proxy/src/request/exchange.rs
@@ -99,7 +99,7 @@
 }
 
 /// A failed try.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 pub struct Failed {
     /// [`RetryVerdict::Again`], or the kind of the answer.
     pub verdict: RetryVerdict,
@@ -109,6 +109,9 @@
     pub stage: Stage,
     /// Whether the connection broke.
     pub broken: bool,
+    /// Another proxy's refusal, to be passed on if no other try succeeds: it says more than this
+    /// proxy knows.
+    pub refusal: Option<BytesMut>,
 }
 
 /// A request on its way.
@@ -251,7 +254,9 @@
         };
         if verdict != RetryVerdict::PassOn {
             let stage = self.answer_stage();
-            let failed = Failed { verdict, failure: said, stage, broken: is_fatal };
+            let is_refusal = !is_fatal && self.exchange.live.is_none();
+            let refusal = is_refusal.then(|| BytesMut::from(frame));
+            let failed = Failed { verdict, failure: said, stage, broken: is_fatal, refusal };
             return Some(self.unless_torn(Ending::Failed(failed)));
         }
         self.relay.add(connection, frame);
@@ -265,7 +270,13 @@
             RetryVerdict::PassOn => Ending::Farewell(BytesMut::from(frame)),
             verdict => {
                 let stage = Stage::Sent;
-                Ending::Failed(Failed { verdict, failure: said, stage, broken: true })
+                Ending::Failed(Failed {
+                    verdict,
+                    failure: said,
+                    stage,
+                    broken: true,
+                    refusal: None,
+                })
             }
         }
     }
@@ -325,7 +336,7 @@
             verdict => verdict,
         };
         let broken = failure == Failure::Broken;
-        self.unless_torn(Ending::Failed(Failed { verdict, failure, stage, broken }))
+        self.unless_torn(Ending::Failed(Failed { verdict, failure, stage, broken, refusal: None }))
     }
 
     fn unless_torn(&self, ending: Ending) -> Ending {
--- a/crates/proxy/src/request/execute.rs
+++ b/crates/proxy/src/request/execute.rs
@@ -82,9 +82,15 @@
     learn_floor(caller, &scene, &mut context).await?;
     let mut tried = Tried::default();
     let mut retries = 0;
+    let mut last_refusal: Option<BytesMut> = None;
     caller.budget.request_started();
     loop {
-        let route = route::choose(&traffic, &caller.session.group, &context, &tried).await?;
+        let route = route::choose(&traffic, &caller.session.group, &context, &tried).await;
+        let route = match (route, last_refusal.take()) {
+            (Ok(route), _) => route,
+            (Err(_), Some(refusal)) => return Ok(answer::pass_on(caller, unit, &refusal).await),
+            (Err(refusal), None) => return Err(refusal),
+        };
         match try_once(caller, unit, &context, &route, retries).await {
             Tries::Ended(flow) => return Ok(flow),
             Tries::Refused(refusal) => return Err(refusal),
@@ -92,6 +98,7 @@
                 retries += 1;
                 traffic.counters.retry(retry_reason(&failed));
                 remember(&mut tried, &route, &context, &failed);
+                last_refusal = failed.refusal;
             }
         }
     }
@@ -188,7 +195,8 @@
             report(caller, route, failure);
             let left = stakes_deadline.saturating_duration_since(Instant::now());
             let verdict = retry::decide(&attempt, &caller.budget, left.as_micros() as u64);
-            return failed(Failed { verdict, failure, stage: Stage::Connecting, broken: true });
+            let stage = Stage::Connecting;
+            return failed(Failed { verdict, failure, stage, broken: true, refusal: None });
         }
         Err(refusal) => return Tries::Refused(refusal),
     };
--- a/crates/proxy/src/request/route.rs
+++ b/crates/proxy/src/request/route.rs
@@ -76,7 +76,7 @@
         traffic,
         context,
         tried,
-        started: Instant::now(),
+        waiting_since: None,
         spread: traffic.next_spread(),
         counted_wait: false,
     };
@@ -87,6 +87,7 @@
             Step::Go(place, reason) => return Ok(Route { scene, place, reason }),
             Step::Wait(wait) => wait,
         };
+        search.waiting_since.get_or_insert_with(Instant::now);
         if Instant::now() + wait >= context.deadline {
             return Err(ErrorKind::WaitTimedOut.into());
         }
@@ -103,12 +104,16 @@
     traffic: &'a Traffic,
     context: &'a RequestContext,
     tried: &'a Tried,
-    started: Instant,
+    waiting_since: Option<Instant>,
     spread: u32,
     counted_wait: bool,
 }
 
 impl Search<'_> {
+    fn waited(&self) -> Duration {
+        self.waiting_since.map_or(Duration::ZERO, |since| since.elapsed())
+    }
+
     fn step(&mut self, scene: &Scene) -> Result<Step, Refusal> {
         let view = scene.published.group(scene.group);
         if !view.tracked {
@@ -193,11 +198,7 @@
             floor: self.context.floor,
             max_age_us: self.context.max_age_us.unwrap_or(routing::NO_AGE_BOUND),
             deadline_us: self.context.deadline_us,
-            waited_us: if self.counted_wait {
-                self.started.elapsed().as_micros() as u64
-            } else {
-                0
-            },
+            waited_us: self.waited().as_micros() as u64,
             spread: self.spread,
         }
     }
@@ -254,7 +255,7 @@
         };
         if let Some((term, target, kind)) = self.tried.primary {
             let is_same = target == leader.target && term == Some(leader.term);
-            if is_same {
+            if is_same && !self.is_back(scene, target, kind) {
                 return self.wait_for_primary(kind);
             }
         }
@@ -272,6 +273,14 @@
         Ok(Step::Go(self.place_of(scene, leader.target)?, "primary"))
     }
 
+    /// Whether a primary that could not be connected to can be again. One that refused the work
+    /// itself does so until the control side says otherwise.
+    fn is_back(&self, scene: &Scene, target: TargetId, kind: ErrorKind) -> bool {
+        kind == ErrorKind::TargetUnreachable
+            && scene.published.is_home(target)
+            && !self.traffic.pools.target(&scene.published, target).pool.is_failing()
+    }
+
     fn wait_for_primary(&mut self, kind: ErrorKind) -> Result<Step, Refusal> {
         self.wait_up_to(self.traffic.limits.primary_wait_ms, Event::PrimaryWaits, kind)
     }
@@ -287,7 +296,7 @@
         event: Event,
         kind: ErrorKind,
     ) -> Result<Step, Refusal> {
-        if self.started.elapsed() >= Duration::from_millis(limit_ms) {
+        if self.waited() >= Duration::from_millis(limit_ms) {
             return Err(kind.into());
         }
         if !self.counted_wait {
--- a/crates/proxy/tests/traffic_queries.rs
+++ b/crates/proxy/tests/traffic_queries.rs
@@ -1,6 +1,8 @@
 //! What callers can ask: simple queries, transactions, errors, and what the proxy answers itself.
 
+use skylark_core::log_position::LogPosition;
 use traffic_support::World;
+use traffic_support::client::Client;
 
 mod traffic_support;
 
@@ -15,5 +17,185 @@
         assert_eq!(client.token.as_deref(), Some("loans:1/3"));
         let read = client.query("SELECT name FROM chairs").await;
         assert_eq!(read.value(), "blue");
+        assert_eq!(client.query("SHOW skylark.last_target").await.value(), "loans-1");
+        assert_eq!(client.query("SHOW skylark.last_reason").await.value(), "primary");
+    }
+
+    /// A transaction keeps its connection until its end; an error fails it, and a rollback ends it.
+    transactions_and_errors_pass_through {
+        let world = World::start().await;
+        let mut client = world.client().await;
+        client.query("CREATE TABLE chairs (id INT PRIMARY KEY)").await.ok();
+        assert_eq!(client.query("BEGIN").await.status, Some('T'));
+        assert_eq!(client.query("INSERT INTO chairs VALUES (1)").await.ok().status, Some('T'));
+        let mut other = world.client().await;
+        assert_eq!(other.query("SELECT count(*) FROM chairs").await.value(), "0");
+        let failed = client.query("INSERT INTO chairs VALUES (1)").await;
+        assert_eq!((failed.error().sqlstate.as_str(), failed.status), ("23505", Some('E')));
+        assert_eq!(client.query("ROLLBACK").await.ok().status, Some('I'));
+        assert_eq!(client.query("SELECT count(*) FROM chairs").await.value(), "0");
+        client.query("BEGIN").await.ok();
+        client.query("INSERT INTO chairs VALUES (2)").await.ok();
+        assert_eq!(client.query("COMMIT").await.ok().status, Some('I'));
+        assert_eq!(other.query("SELECT count(*) FROM chairs").await.value(), "1");
+    }
+
+    /// Several requests written at once are answered one by one, in order.
+    pipelined_queries_are_answered_in_order {
+        let world = World::start().await;
+        let mut client = world.client().await;
+        for number in 0..20 {
+            let sql = format!("SELECT {number}");
+            postgres_protocol::message::frontend::query(&sql, &mut client.output).expect("a query");
+        }
+        client.flush().await;
+        for number in 0..20 {
+            assert_eq!(client.answer().await.value(), number.to_string());
+        }
+    }
+
+    /// A large answer passes whole.
+    a_large_answer_passes_whole {
+        let world = World::start().await;
+        let mut client = world.client().await;
+        client.query("CREATE TABLE wide (id INT, text TEXT)").await.ok();
+        let text = "x".repeat(100_000);
+        for id in 0..30 {
+            client.query(&format!("INSERT INTO wide VALUES ({id}, '{text}')")).await.ok();
+        }
+        let all = client.query("SELECT text FROM wide ORDER BY id").await;
+        assert_eq!(all.ok().rows.len(), 30);
+        assert!(all.rows.iter().all(|row| row[0].as_deref() == Some(text.as_str())));
+    }
+
+    /// A declared read goes to a replica of the own zone or another one, and says so.
+    declared_reads_go_to_replicas {
+        let world = World::start().await;
+        let mut client = world.client().await;
+        client.query("CREATE TABLE chairs (id INT)").await.ok();
+        world.wait_known(LogPosition::new(1, 2)).await;
+        client.query("SET skylark.read_kind = 'lookup'").await.ok();
+        assert_eq!(client.query("SELECT count(*) FROM chairs").await.value(), "0");
+        let served = client.query("SHOW skylark.last_target").await.value().to_owned();
+        assert!(["loans-2", "loans-3"].contains(&served.as_str()), "{served}");
+        assert_eq!(client.query("SHOW skylark.last_reason").await.value(), "replica");
+        // What writes is no read, whatever kind is set.
+        client.query("INSERT INTO chairs VALUES (1)").await.ok();
+        assert_eq!(client.query("SHOW skylark.last_target").await.value(), "loans-1");
+        // The session's own write shows at once, from wherever it is read.
+        assert_eq!(client.query("SELECT count(*) FROM chairs").await.value(), "1");
+        client.query("BEGIN READ ONLY").await.ok();
+        client.query("SELECT count(*) FROM chairs").await.ok();
+        client.query("COMMIT").await.ok();
+        client.query("RESET skylark.read_kind").await.ok();
+        client.query("SELECT 1").await.ok();
+        assert_eq!(client.query("SHOW skylark.last_target").await.value(), "loans-1");
+    }
+
+    /// Parameters can be set at start-up, by options and by SET; what is not accepted says why.
+    parameters_are_answered_by_the_proxy {
+        let world = World::start().await;
+        let parameters = [
+            ("skylark.class", "urgent"),
+            ("options", "-c skylark.read_kind=lookup --skylark.session=clerk\\ 7"),
+        ];
+        let mut client = Client::connect(world.proxy().address, &parameters).await;
+        assert_eq!(client.query("SHOW skylark.class").await.value(), "urgent");
+        assert_eq!(client.query("show Skylark.Read_Kind;").await.value(), "lookup");
+        assert_eq!(client.query("SHOW skylark.session").await.value(), "clerk 7");
+        assert_eq!(client.query("SHOW skylark.vm").await.value(), "vm-0");
+        assert_eq!(client.query("SHOW skylark.term").await.value(), "1");
+        assert_eq!(client.query("SHOW skylark.revision").await.value(), "7");
+        client.query("SET skylark.token TO 'loans:1/1,other:4/5'").await.ok();
+        assert_eq!(client.query("SHOW skylark.token").await.value(), "other:4/5,loans:1/1");
+        client.query("SET skylark.deadline_ms = 700").await.ok();
+        assert_eq!(client.query("SHOW skylark.deadline_ms").await.value(), "700");
+        for bad in [
+            "SET skylark.read_kind = 'lookups'",
+            "SET skylark.class = 'other'",
+            "SET skylark.token = 'loans'",
+            "SET skylark.deadline_ms = 'soon'",
+            "SET skylark.vm = 'vm-9'",
+            "SET skylark.forward = '{}'",
+            "SHOW skylark.nothing",
+        ] {
+            let refused = client.query(bad).await;
+            assert_eq!(refused.error().sqlstate, "22023", "{bad}");
+            assert_eq!(refused.error().detail, "not run");
+            assert_eq!(refused.status, Some('I'));
+        }
+        let unknown = client.query("SET skylark.read_kind = 'lookups'").await;
+        assert!(unknown.error().message.contains("lookup, fresh"), "{unknown:?}");
+        client.query("DISCARD ALL").await.ok();
+        assert_eq!(client.query("SHOW skylark.class").await.value(), "urgent");
+        assert_eq!(client.query("SHOW skylark.deadline_ms").await.value(), "");
+    }
+
+    /// COPY, function calls and a mixed statement about the session are refused, not run.
+    unsupported_features_are_refused {
+        let world = World::start().await;
+        let mut client = world.client().await;
+        for sql in ["COPY chairs FROM STDIN", "SELECT 1; COPY chairs TO STDOUT"] {
+            let refused = client.query(sql).await;
+            assert_eq!(refused.error().sqlstate, "0A000", "{sql}");
+            assert_eq!(refused.error().detail, "not run");
+        }
+        let mixed = client.query("SET skylark.class = 'main'; DELETE FROM chairs").await;
+        assert_eq!(mixed.error().sqlstate, "0A000");
+        client.output.extend_from_slice(b"F\0\0\0\x0e\0\0\0\x01\0\0\0\0\0\0");
+        client.flush().await;
+        assert_eq!(client.answer().await.error().sqlstate, "0A000");
+        assert_eq!(client.query("SELECT 1").await.value(), "1");
+        assert_eq!(world.proxy().counter("refused.unsupported"), 4);
+    }
+
+    /// A start-up that can't be served gets a clear error and a close, and others go on.
+    bad_startups_get_a_clear_error {
+        let world = World::start().await;
+        let mut bystander = world.client().await;
+        let address = world.proxy().address;
+        let cases = [
+            (("database", "nothing"), "3D000"),
+            (("client_encoding", "LATIN1"), "22023"),
+            (("replication", "true"), "0A000"),
+            (("skylark.read_kind", "nothing"), "22023"),
+            (("skylark.nothing", "1"), "22023"),
+            (("options", "-z"), "22023"),
+        ];
+        for (parameter, sqlstate) in cases {
+            let (_, refused) = Client::try_connect(address, &[parameter]).await;
+            assert_eq!(refused.error().sqlstate, sqlstate, "{parameter:?}");
+            assert_eq!(refused.status, None, "the connection is closed");
+        }
+        for packet in [
+            &b"GET / HTTP/1.1\r\n\r\n"[..],
+            &[0, 0, 0, 8, 0, 2, 0, 0],
+            &[0, 0, 0, 12, 0, 3, 0, 0, b'u', b's', b'e', b'r'],
+            &[0, 0, 0, 3, 0, 3, 0, 0],
+        ] {
+            let mut client = Client::bare(address).await;
+            client.output.extend_from_slice(packet);
+            client.flush().await;
+            assert_eq!(client.answer().await.error().sqlstate, "08P01", "{packet:?}");
+        }
+        assert_eq!(bystander.query("SELECT 1").await.value(), "1");
+    }
+
+    /// A request for encryption is answered with "no", and the start-up goes on in the clear.
+    encryption_is_declined {
+        use tokio::io::AsyncReadExt;
+        let world = World::start().await;
+        let mut client = Client::bare(world.proxy().address).await;
+        postgres_protocol::message::frontend::ssl_request(&mut client.output);
+        client.flush().await;
+        assert_eq!(client.stream.read_u8().await.expect("one byte"), b'N');
+        let parameters = [("user", "desk"), ("database", "loans")];
+        let startup = postgres_protocol::message::frontend::startup_message(
+            parameters,
+            &mut client.output,
+        );
+        startup.expect("no zero bytes");
+        client.flush().await;
+        client.answer().await.ok();
     }
 }
--- /dev/null
+++ b/crates/proxy/tests/traffic_retry.rs
@@ -0,0 +1,196 @@
+//! A request runs at most once: what may have run is not repeated, and "not run" is true.
+
+use std::time::Duration;
+
+use skylark_core::log_position::LogPosition;
+use skylark_proxy::connection::limits::TrafficLimits;
+use skylark_proxy::process::control_handle::ControlEvent;
+use skylark_proxy::process::control_handle::TargetEvidence;
+use traffic_support::SHORT;
+use traffic_support::Setup;
+use traffic_support::World;
+use traffic_support::client::Client;
+use traffic_support::eventually;
+
+mod traffic_support;
+
+async fn with_table(limits: TrafficLimits) -> (World, Client) {
+    let world = World::with(Setup { limits, ..Setup::default() }).await;
+    let mut client = world.client().await;
+    client.query("CREATE TABLE chairs (id INT)").await.ok();
+    world.wait_known(LogPosition::new(1, 2)).await;
+    (world, client)
+}
+
+async fn rows(world: &World) -> String {
+    world.client().await.query("SELECT count(*) FROM chairs").await.value().to_owned()
+}
+
+cases! {
+    /// The connection breaks after a write was sent; its answer is lost and it ran.
+    /// 1. The target runs the insert; its answer is held up. 2. The connection is cut. 3. The caller
+    /// gets "outcome unknown" once, and the row is there once: nothing was repeated.
+    a_write_whose_answer_is_lost_is_not_repeated {
+        let (world, mut client) = with_table(TrafficLimits::default()).await;
+        world.gates[0].hold_answers(true);
+        client.send("INSERT INTO chairs VALUES (1)").await;
+        tokio::time::sleep(SHORT).await;
+        world.gates[0].cut().await;
+        let lost = client.answer().await;
+        assert_eq!((lost.error().sqlstate.as_str(), lost.error().detail.as_str()),
+            ("08007", "outcome unknown"));
+        assert_eq!(lost.status, None);
+        assert_eq!(world.proxy().counter("refused.answer_lost"), 1);
+        let snapshot = world.proxy().counters.snapshot();
+        let retries: u64 =
+            snapshot.iter().filter(|(name, _)| name.starts_with("retry.")).map(|(_, n)| n).sum();
+        assert_eq!(retries, 0);
+        let broken = |event: &ControlEvent| {
+            matches!(event, ControlEvent::TargetFailed { evidence: TargetEvidence::Broken, .. })
+        };
+        let reported = || world.proxy().seen.lock().iter().any(broken);
+        eventually("the control side hears of it", reported).await;
+        world.gates[0].hold_answers(false);
+        assert_eq!(rows(&world).await, "1");
+    }
+
+    /// The same for a statement that is a read but not declared as one: it may call a function.
+    an_undeclared_read_is_not_repeated {
+        let (world, mut client) = with_table(TrafficLimits::default()).await;
+        world.gates[0].hold_answers(true);
+        client.send("SELECT 1").await;
+        tokio::time::sleep(SHORT).await;
+        world.gates[0].cut().await;
+        assert_eq!(client.answer().await.error().detail, "outcome unknown");
+    }
+
+    /// A declared read whose connection breaks is asked elsewhere, and the caller sees one answer.
+    a_declared_read_is_tried_elsewhere {
+        let (world, mut client) = with_table(TrafficLimits::default()).await;
+        client.query("SET skylark.read_kind = 'lookup'").await.ok();
+        client.query("SELECT 1").await.ok();
+        for gate in &world.gates[1..] {
+            gate.hold_answers(true);
+        }
+        client.send("SELECT 'once'").await;
+        tokio::time::sleep(SHORT).await;
+        for gate in &world.gates[1..] {
+            gate.refuse(true).await;
+        }
+        let answer = client.answer().await;
+        assert_eq!((answer.value(), answer.rows.len()), ("once", 1));
+        assert!(world.proxy().counter("retry.read_lost") >= 1);
+        assert_eq!(client.query("SHOW skylark.last_target").await.value(), "loans-1");
+    }
+
+    /// A write meets a primary that was replaced a moment ago, which refuses it unrun.
+    /// 1. Another member leads term 2; the proxy does not know yet. 2. The old one answers 25006.
+    /// 3. The proxy waits for the news and sends the write to the new primary: it runs once.
+    a_write_refused_by_the_old_primary_goes_to_the_new_one {
+        let limits = TrafficLimits { primary_wait_ms: 5_000, ..TrafficLimits::default() };
+        let (world, mut client) = with_table(limits).await;
+        world.lead(1, 2);
+        client.send("INSERT INTO chairs VALUES (1)").await;
+        eventually("the refusal is seen", || world.proxy().counter("retry.not_primary") == 1).await;
+        world.proxy().publish_leader(1, 2);
+        client.answer().await.ok();
+        assert_eq!(client.token.as_deref(), Some("loans:2/4"));
+        assert_eq!(rows(&world).await, "1");
+        let not_primary = |event: &ControlEvent| {
+            matches!(event, ControlEvent::TargetFailed { evidence: TargetEvidence::NotPrimary, .. })
+        };
+        let reported = || world.proxy().seen.lock().iter().any(not_primary);
+        eventually("the control side hears of it", reported).await;
+    }
+
+    /// No new primary comes about: the caller is told that its write did not run, and it did not.
+    a_write_without_a_primary_is_refused_unrun {
+        let limits = TrafficLimits { primary_wait_ms: 50, ..TrafficLimits::default() };
+        let (world, mut client) = with_table(limits).await;
+        for server in &world.targets {
+            server.target().raise_term(skylark_core::log_position::Term(2), "nobody");
+        }
+        let refused = client.query("INSERT INTO chairs VALUES (1)").await;
+        assert_eq!((refused.error().sqlstate.as_str(), refused.error().detail.as_str()),
+            ("25006", "not run"));
+        assert_eq!(refused.status, Some('I'));
+        world.proxy().publish(|published| published.groups[0].leader = None);
+        let refused = client.query("INSERT INTO chairs VALUES (1)").await;
+        assert_eq!((refused.error().sqlstate.as_str(), refused.error().detail.as_str()),
+            ("57P03", "not run"));
+        world.lead(0, 3);
+        world.proxy().publish_leader(0, 3);
+        assert_eq!(rows(&world).await, "0");
+    }
+
+    /// The target can't be connected to, so nothing was sent: refused as not run, soon.
+    an_unreachable_target_is_refused_unrun {
+        let limits = TrafficLimits { primary_wait_ms: 50, ..TrafficLimits::default() };
+        let (world, mut client) = with_table(limits).await;
+        world.gates[0].refuse(true).await;
+        tokio::time::sleep(Duration::from_millis(50)).await;
+        let refused = client.query("INSERT INTO chairs VALUES (1)").await;
+        assert_eq!((refused.error().sqlstate.as_str(), refused.error().detail.as_str()),
+            ("08001", "not run"));
+        assert!(world.proxy().counter("retry.connect_failed") >= 1);
+    }
+
+    /// A transaction's connection breaks before its COMMIT was sent: rolled back, and said so; the
+    /// caller's connection goes on. With the COMMIT under way nobody can know.
+    a_lost_transaction_is_rolled_back_or_unknown {
+        let (world, mut client) = with_table(TrafficLimits::default()).await;
+        client.query("BEGIN").await.ok();
+        client.query("INSERT INTO chairs VALUES (1)").await.ok();
+        world.gates[0].cut().await;
+        let lost = client.query("INSERT INTO chairs VALUES (2)").await;
+        assert_eq!((lost.error().sqlstate.as_str(), lost.error().detail.as_str()),
+            ("40001", "not run"));
+        assert_eq!(lost.status, Some('I'));
+        assert_eq!(rows(&world).await, "0");
+        client.query("BEGIN").await.ok();
+        client.query("INSERT INTO chairs VALUES (3)").await.ok();
+        world.gates[0].hold_answers(true);
+        client.send("COMMIT").await;
+        tokio::time::sleep(SHORT).await;
+        world.gates[0].cut().await;
+        assert_eq!(client.answer().await.error().detail, "outcome unknown");
+        world.gates[0].hold_answers(false);
+        assert_eq!(rows(&world).await, "1");
+    }
+
+    /// A leaving primary refuses new transactions unrun; one that is open finishes there.
+    a_leaving_target_gets_no_new_work {
+        let limits = TrafficLimits { primary_wait_ms: 50, ..TrafficLimits::default() };
+        let (world, mut client) = with_table(limits).await;
+        client.query("BEGIN").await.ok();
+        client.query("INSERT INTO chairs VALUES (1)").await.ok();
+        world.targets[0].target().set_leaving(true);
+        let mut other = world.client().await;
+        let refused = other.query("INSERT INTO chairs VALUES (2)").await;
+        assert_eq!((refused.error().sqlstate.as_str(), refused.error().detail.as_str()),
+            ("57P03", "not run"));
+        client.query("INSERT INTO chairs VALUES (3)").await.ok();
+        client.query("COMMIT").await.ok();
+        world.targets[0].target().set_leaving(false);
+        assert_eq!(rows(&world).await, "2");
+    }
+
+    /// The retry budget bounds what a failing primary is hit with.
+    a_spent_retry_budget_refuses_unrun {
+        let limits = TrafficLimits {
+            primary_wait_ms: 0,
+            retry_budget_percent: 0,
+            ..TrafficLimits::default()
+        };
+        let (world, mut client) = with_table(limits).await;
+        for server in &world.targets {
+            server.target().raise_term(skylark_core::log_position::Term(2), "nobody");
+        }
+        for _ in 0..60 {
+            let refused = client.query("INSERT INTO chairs VALUES (1)").await;
+            assert_eq!(refused.error().detail, "not run");
+        }
+        assert_eq!(world.proxy().counter("retry.not_primary"), 50);
+        assert_eq!(world.proxy().counter("refused.retry_budget_spent"), 10);
+    }
+}
--- a/crates/proxy/tests/traffic_support/client.rs
+++ b/crates/proxy/tests/traffic_support/client.rs
@@ -199,3 +199,13 @@
         !matches!(read, Ok(0) | Err(_))
     }
 }
+
+impl Client {
+    /// Sends a simple query and closes the connection without reading.
+    pub async fn query_and_leave(&mut self, sql: &str) {
+        self.send(sql).await;
+        // The request is on its way before the socket closes.
+        tokio::time::sleep(std::time::Duration::from_millis(20)).await;
+        let _ = self.stream.shutdown().await;
+    }
+}
--- a/crates/proxy/tests/traffic_support/gate.rs
+++ b/crates/proxy/tests/traffic_support/gate.rs
@@ -1,7 +1,9 @@
 //! A gate in front of a target: it holds answers back and cuts connections when told to.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 
+use parking_lot::Mutex;
 use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpListener;
@@ -25,6 +27,8 @@
 pub struct Gate {
     address: SocketAddr,
     mode: watch::Sender<Mode>,
+    /// The number of cuts before each open connection.
+    open: Arc<Mutex<Vec<u32>>>,
 }
 
 impl Gate {
@@ -33,16 +37,27 @@
         let address = listener.local_addr().expect("bound");
         let mode = watch::Sender::new(Mode::default());
         let modes = mode.clone();
+        let open: Arc<Mutex<Vec<u32>>> = Arc::default();
+        let opened = Arc::clone(&open);
         tokio::spawn(async move {
             while let Ok((near, _)) = listener.accept().await {
-                if modes.borrow().refuse {
+                // A cut that comes while the way on is being opened cuts this connection too.
+                let before = *modes.borrow();
+                if before.refuse {
                     continue;
                 }
                 let Ok(far) = TcpStream::connect(target).await else { continue };
-                tokio::spawn(pass(near, far, modes.clone()));
+                opened.lock().push(before.cuts);
+                let (modes, opened) = (modes.clone(), Arc::clone(&opened));
+                tokio::spawn(async move {
+                    pass(near, far, modes, before.cuts).await;
+                    let mut opened = opened.lock();
+                    let own = opened.iter().position(|cuts| *cuts == before.cuts);
+                    opened.swap_remove(own.expect("each connection is noted"));
+                });
             }
         });
-        Gate { address, mode }
+        Gate { address, mode, open }
     }
 
     pub fn address(&self) -> SocketAddr {
@@ -55,26 +70,33 @@
     }
 
     /// Cuts all connections.
-    pub fn cut(&self) {
+    pub async fn cut(&self) {
         self.mode.send_modify(|mode| mode.cuts += 1);
+        self.old_ones_are_gone().await;
+    }
+
+    async fn old_ones_are_gone(&self) {
+        let cuts = self.mode.borrow().cuts;
+        let gone = || self.open.lock().iter().all(|before| *before >= cuts);
+        super::eventually("all connections are cut", gone).await;
     }
 
     /// Cuts all connections and lets no new ones through.
-    pub fn refuse(&self, refuse: bool) {
+    pub async fn refuse(&self, refuse: bool) {
         self.mode.send_modify(|mode| {
             mode.refuse = refuse;
             mode.cuts += 1;
         });
+        self.old_ones_are_gone().await;
     }
 }
 
-async fn pass(near: TcpStream, far: TcpStream, modes: watch::Sender<Mode>) {
+async fn pass(near: TcpStream, far: TcpStream, modes: watch::Sender<Mode>, before: u32) {
     near.set_nodelay(true).expect("a socket option");
     far.set_nodelay(true).expect("a socket option");
     let (near_read, near_write) = near.into_split();
     let (far_read, far_write) = far.into_split();
     let mut cuts = modes.subscribe();
-    let before = cuts.borrow().cuts;
     tokio::select! {
         () = copy(near_read, far_write, None) => (),
         () = copy(far_read, near_write, Some(modes.subscribe())) => (),
--- a/crates/proxy/tests/traffic_support/mod.rs
+++ b/crates/proxy/tests/traffic_support/mod.rs
@@ -344,6 +344,13 @@
         let _ = tokio::time::timeout(LONG, shown).await.expect("the member applies the record");
     }
 
+    /// Waits until the first proxy knows that all members show a record.
+    pub async fn wait_known(&self, position: LogPosition) {
+        let live = &self.proxy().live;
+        let known = || live.members.iter().all(|member| *member.applied.lock() >= position);
+        eventually("all members show the record", known).await;
+    }
+
     /// Makes a member lead a term, as a driver does.
     pub fn lead(&self, place: usize, term: u64) {
         lead(&self.targets, place, term);
