--- a/crates/ctl/src/failure.rs
+++ b/crates/ctl/src/failure.rs
@@ -182,7 +182,11 @@
                 write!(f, "plan {id} is superseded: {cause}; ")?;
                 match steps_done {
                     0 => f.write_str("nothing of it was changed"),
-                    done => write!(f, "steps 1 to {done} of {steps} are in force, the rest is not"),
+                    1 => write!(f, "step 1 of {steps} had taken effect, the rest was not done"),
+                    done => write!(
+                        f,
+                        "steps 1 to {done} of {steps} had taken effect, the rest was not done"
+                    ),
                 }?;
                 f.write_str("; plan again")
             }
