--- a/crates/core/src/version/spreading.rs
+++ b/crates/core/src/version/spreading.rs
@@ -48,7 +48,7 @@
 }
 
 /// The revision in force here, and the pull under way.
-#[derive(Clone, Copy, PartialEq, Eq, Debug, Default)]
+#[derive(Clone, Copy, PartialEq, Eq, Hash, Debug, Default)]
 pub struct Spreading {
     revision: u64,
     ready: bool,
@@ -56,7 +56,7 @@
 }
 
 /// A pull under way.
-#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+#[derive(Clone, Copy, PartialEq, Eq, Hash, Debug)]
 struct Pull {
     revision: u64,
     until_us: u64,
@@ -136,7 +136,7 @@
 /// A single peer may be one that was cut off and is behind. The highest answer of several is taken;
 /// when fewer answer until the deadline, the highest of those, since a version that was accepted
 /// once is better than none, and the next message from a peer corrects it.
-#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+#[derive(Clone, Copy, PartialEq, Eq, Hash, Debug)]
 pub struct StartChoice {
     asked: usize,
     answered: usize,
@@ -145,7 +145,7 @@
 }
 
 /// The highest answer so far.
-#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+#[derive(Clone, Copy, PartialEq, Eq, Hash, Debug)]
 struct Best {
     revision: u64,
     peer: usize,
--- a/crates/spec/src/case.rs
+++ b/crates/spec/src/case.rs
@@ -8,6 +8,7 @@
 use crate::floors;
 use crate::plans;
 use crate::repetition;
+use crate::spreading;
 
 /// How many states a case may have, which bounds its memory to a few hundred megabytes.
 pub const STATE_LIMIT: usize = 2_600_000;
@@ -40,6 +41,7 @@
         acknowledgement::cases::CASES,
         floors::cases::CASES,
         plans::cases::CASES,
+        spreading::cases::CASES,
         repetition::cases::CASES,
         answers::cases::CASES,
     ]
--- a/crates/spec/src/lib.rs
+++ b/crates/spec/src/lib.rs
@@ -13,6 +13,7 @@
 //! - [`floors`]: what a session that roams gets to read after its own writes.
 //! - [`plans`]: operators who race each other over a platform that loses answers.
 //! - [`repetition`]: what is sent again, and what a caller is told about it.
+//! - [`spreading`]: accepted settings on their way to every process.
 //! - [`answers`]: when a connection may serve the next caller.
 
 pub mod acknowledgement;
@@ -23,3 +24,4 @@
 pub mod intern;
 pub mod plans;
 pub mod repetition;
+pub mod spreading;
