--- a/crates/standin/src/target/connection/extended.rs
+++ b/crates/standin/src/target/connection/extended.rs
@@ -129,6 +129,9 @@
         if let Err(error) = result {
             self.fail(wire, &error);
             self.extended.skipping = true;
+            // A client that flushes instead of ending its batch waits for the error before it ends
+            // the batch, and its flush is among the skipped messages.
+            return wire.flush().await;
         }
         wire.flush_if_large().await
     }
@@ -160,7 +163,7 @@
         let statement = Statement::read(lexer::statements(sql).first().copied().unwrap_or(""));
         let prepared = match &self.write {
             Some(write) => Prepared::new(write.database(), statement, types)?,
-            None => Prepared::new(&self.target.visible.lock(), statement, types)?,
+            None => Prepared::new(&self.target.visible.lock().database, statement, types)?,
         };
         self.extended.statements.insert(name, Arc::new(prepared));
         backend::bare(&mut wire.output, tags::PARSE_COMPLETE_TAG);
@@ -285,7 +288,7 @@
         let inference = Inference::new(&statement.source, database);
         let inferred = inference.parameters();
         let engine_statement = database.prepare(&statement.sql)?;
-        let columns = rows::columns(&engine_statement, || inference.results(&inferred));
+        let columns = rows::columns(&engine_statement, |width| inference.results(&inferred, width));
         drop(engine_statement);
         let declared = |place: usize| types.get(place).copied().filter(|oid| *oid != 0);
         let oid = |(place, type_): (usize, &Type)| declared(place).unwrap_or(type_.oid());
--- a/crates/standin/src/target/connection/rows.rs
+++ b/crates/standin/src/target/connection/rows.rs
@@ -86,10 +86,7 @@
         database::bind(&mut statement, parameters)?;
         let width = statement.column_count();
         if self.describes && width > 0 {
-            let inferred = || {
-                let inference = Inference::new(source, database);
-                inference.results(&[])
-            };
+            let inferred = |width| Inference::new(source, database).results(&[], width);
             self.describe(&columns(&statement, inferred), output);
         }
         let mut count = 0;
@@ -146,7 +143,7 @@
 /// columns of a table.
 pub fn columns<F>(statement: &rusqlite::Statement<'_>, inferred: F) -> Vec<Column>
 where
-    F: FnOnce() -> Vec<Option<Type>>,
+    F: FnOnce(usize) -> Vec<Option<Type>>,
 {
     let declared: Vec<(String, Option<Type>)> = statement
         .columns()
@@ -156,9 +153,8 @@
         })
         .collect();
     let known = declared.iter().all(|(_, type_)| type_.is_some());
-    let inferred = if known { Vec::new() } else { inferred() };
-    let certain = inferred.len() == declared.len();
-    let inferred = inferred.into_iter().filter(|_| certain).chain(std::iter::repeat(None));
+    let width = declared.len();
+    let inferred = if known { vec![None; width] } else { inferred(width) };
     let column = |((name, declared), inferred): ((String, Option<Type>), Option<Type>)| Column {
         name,
         type_: declared.or(inferred).unwrap_or(Type::Text),
--- a/crates/standin/src/target/connection/run.rs
+++ b/crates/standin/src/target/connection/run.rs
@@ -218,9 +218,9 @@
             return Ok((ran, asked));
         }
         let moment = Moment { time_us: target::now_us(), seed: self.target.next_seed() };
-        let visible = self.target.visible.lock();
+        let visible = &self.target.visible.lock().database;
         visible.set_moment(moment);
-        let ran = rows.run(&visible, statement, parameters, only_read, &mut wire.output)?;
+        let ran = rows.run(visible, statement, parameters, only_read, &mut wire.output)?;
         let asked = visible.take_work();
         self.target.counters().reads.add();
         Ok((ran, asked))
--- a/crates/standin/src/target/error.rs
+++ b/crates/standin/src/target/error.rs
@@ -93,6 +93,7 @@
             TargetError::BadValue(reason)
             | TargetError::Protocol(reason)
             | TargetError::BadCommand(reason) => f.write_str(reason),
+            TargetError::Engine(rusqlite::Error::SqlInputError { msg, .. }) => f.write_str(msg),
             TargetError::Engine(error) => error.fmt(f),
         }
     }
--- a/crates/standin/src/target/member.rs
+++ b/crates/standin/src/target/member.rs
@@ -118,6 +118,11 @@
         &self.log[index as usize..]
     }
 
+    /// The records up to and with `index`.
+    pub fn records_up_to(&self, index: u64) -> &[Arc<Record>] {
+        &self.log[..index as usize]
+    }
+
     /// Takes a driver's vote for `term`, if it is new or the same driver's.
     pub fn raise_term(&mut self, term: Term, driver: &str) {
         if term <= self.raised_term {
--- a/crates/standin/src/target/mod.rs
+++ b/crates/standin/src/target/mod.rs
@@ -26,12 +26,12 @@
 
 use crate::network::Network;
 
-use self::database::Database;
 use self::error::TargetError;
 use self::member::Followed;
 use self::member::Member;
 use self::options::Lag;
 use self::options::TargetOptions;
+use self::visible::Visible;
 use self::writer::Working;
 
 pub mod connection;
@@ -45,6 +45,7 @@
 pub mod server;
 pub mod sql;
 pub mod statement;
+pub mod visible;
 pub mod writer;
 
 /// What `SELECT version()` answers.
@@ -58,7 +59,7 @@
     options: TargetOptions,
     network: Arc<Network>,
     member: Mutex<Member>,
-    visible: Mutex<Database>,
+    visible: Mutex<Visible>,
     working: Arc<sync::Mutex<Working>>,
     status: watch::Sender<MemberStatus>,
     lag: watch::Sender<Lag>,
@@ -136,11 +137,11 @@
 
     /// `group_promote`.
     pub fn promote(&self, term: Term, driver: &str) -> MemberStatus {
-        let visible = self.visible.lock();
+        let mut visible = self.visible.lock();
         let mut member = self.member.lock();
         if member.can_promote(term, driver) {
             let held = member.log_length();
-            apply_up_to(&visible, &mut member, held);
+            apply_up_to(&mut visible, &mut member, held);
             member.promote(now_us());
         }
         self.publish(&member)
@@ -191,7 +192,7 @@
         drop(member);
         let visible = self.visible.lock();
         let member = self.member.lock();
-        working.database.copy_from(&visible);
+        working.database.copy_from(&visible.database);
         working.applied = member.applied();
         working.generation = member.generation();
         for record in member.records_after(working.applied) {
@@ -215,7 +216,7 @@
 }
 
 /// Shows reads the records up to an index.
-fn apply_up_to(visible: &Database, member: &mut Member, index: u64) {
+fn apply_up_to(visible: &mut Visible, member: &mut Member, index: u64) {
     let applied = member.applied();
     let count = index.saturating_sub(applied) as usize;
     for record in &member.records_after(applied)[..count] {
--- a/crates/standin/src/target/replication.rs
+++ b/crates/standin/src/target/replication.rs
@@ -99,12 +99,12 @@
             self.publish(&member);
             return taken;
         }
-        let visible = self.visible.lock();
+        let mut visible = self.visible.lock();
         let mut member = self.member.lock();
         let taken = member.receive(followed, records);
         if taken {
             let held = member.log_length();
-            apply_up_to(&visible, &mut member, held);
+            apply_up_to(&mut visible, &mut member, held);
         }
         self.publish(&member);
         drop(member);
@@ -128,14 +128,14 @@
                 return None;
             }
         }
-        let visible = self.visible.lock();
+        let mut visible = self.visible.lock();
         let mut member = self.member.lock();
         let applied = member.applied();
         let waiting = member.records_after(applied);
         let due = waiting.partition_point(|record| record.written_at + delay <= now);
         let next = waiting.get(due).map(|record| record.written_at + delay);
         if due > 0 {
-            apply_up_to(&visible, &mut member, applied + due as u64);
+            apply_up_to(&mut visible, &mut member, applied + due as u64);
             self.publish(&member);
         }
         next
@@ -148,12 +148,10 @@
         if member.following() != Some(followed) || fork >= member.log_length() {
             return;
         }
-        let rebuild = fork < member.applied();
+        let shown = fork < member.applied();
         member.rewind(fork);
-        if rebuild {
-            *visible = super::database::Database::new();
-            member.set_applied(0);
-            apply_up_to(&visible, &mut member, fork);
+        if shown {
+            visible.rewind(member.records_up_to(fork));
         }
         self.counters.rewinds.add();
         self.publish(&member);
--- a/crates/standin/src/target/sql/infer.rs
+++ b/crates/standin/src/target/sql/infer.rs
@@ -60,19 +60,30 @@
         types.into_iter().map(|type_| type_.unwrap_or(Type::Text)).collect()
     }
 
-    /// The types of the result's expressions, in order; `None` where the text says nothing, and
-    /// an empty list where it can't be told which expression is which column.
-    pub fn results(&self, parameters: &[Type]) -> Vec<Option<Type>> {
-        let Some(start) = self.list_start() else { return Vec::new() };
+    /// The types of the result's `width` columns; `None` where the text says nothing. Of several
+    /// columns that stand behind a `*` nothing is known.
+    pub fn results(&self, parameters: &[Type], width: usize) -> Vec<Option<Type>> {
+        let mut types = vec![None; width];
+        let Some(start) = self.list_start() else { return types };
         let rest = &self.tokens[start..];
         let list = &rest[..end_of_list(self.sql, rest)];
         let items = split_at_depth_0(list, |token| token.kind == TokenKind::Symbol(b','));
         let is_star =
             |item: &&[Token]| item.last().is_some_and(|last| last.kind == TokenKind::Symbol(b'*'));
-        if items.iter().any(is_star) {
-            return Vec::new();
+        let before_star = items.iter().position(is_star).unwrap_or(items.len());
+        let after_star = items.iter().rev().position(is_star).unwrap_or_default();
+        if before_star + after_star > width {
+            return types;
         }
-        items.into_iter().map(|item| self.expression(item, parameters)).collect()
+        let expression = |item: &&[Token]| self.expression(item, parameters);
+        for (type_, item) in types.iter_mut().zip(&items[..before_star]) {
+            *type_ = expression(item);
+        }
+        let last = &items[items.len() - after_star..];
+        for (type_, item) in types[width - after_star..].iter_mut().zip(last) {
+            *type_ = expression(item);
+        }
+        types
     }
 
     fn word(&self, place: usize) -> Option<String> {
--- a/crates/standin/src/target/writer.rs
+++ b/crates/standin/src/target/writer.rs
@@ -134,7 +134,7 @@
         if self.logged.is_empty() {
             return Ok(None);
         }
-        let visible = target.visible.lock();
+        let mut visible = target.visible.lock();
         let mut member = target.member.lock();
         // Term, record and data change in one step: a commit that passed the check after a vote for
         // a new term would stay on a member that no longer confirms it.
--- a/crates/standin/tests/extended_queries.rs
+++ b/crates/standin/tests/extended_queries.rs
@@ -97,6 +97,35 @@
         assert_eq!(statement.params(), [Type::INT8, Type::TEXT, Type::INT8]);
     }
 
+    /// An expression behind a `*` has its type as well.
+    expressions_behind_a_star_have_types {
+        let deployment = support::start().await;
+        let client = stock_client(support::server(&deployment, 1)).await;
+        client.batch_execute("CREATE TABLE chairs (id INTEGER PRIMARY KEY, place TEXT)").await.expect("creates");
+        let statement = client.prepare("SELECT id + 1, *, id = 1 FROM chairs").await.expect("prepares");
+        let types: Vec<Type> = statement.columns().iter().map(|column| column.type_().clone()).collect();
+        assert_eq!(types, [Type::INT4, Type::INT4, Type::TEXT, Type::BOOL]);
+    }
+
+    /// An error leaves at once, also when the client has only asked for a flush.
+    ///
+    /// The client sends `Parse` and `Flush` and waits for either answer before it sends `Sync`.
+    /// Skipped up to the `Sync`, the flush would leave the error in the target's buffer, and both
+    /// would wait for ever.
+    an_error_does_not_wait_for_the_end_of_the_batch {
+        let deployment = support::start().await;
+        let mut caller = RawClient::caller(support::server(&deployment, 1)).await;
+        let mut packet = BytesMut::new();
+        frontend::parse("", "SELECT * FROM nowhere", [], &mut packet).expect("valid");
+        frontend::flush(&mut packet);
+        caller.send(&packet).await;
+        assert_eq!(caller.next().await, Some(Reply::Error("42P01".to_owned())));
+        packet.clear();
+        frontend::sync(&mut packet);
+        caller.send(&packet).await;
+        assert_eq!(caller.until_ready().await, [Reply::Ready('I')]);
+    }
+
     /// A stock client's transactions, its errors, and rows returned by a write.
     a_stock_client_works {
         let deployment = support::start().await;
--- a/crates/standin/tests/faults.rs
+++ b/crates/standin/tests/faults.rs
@@ -239,4 +239,43 @@
         let mut reader = RawClient::caller(support::server(&deployment, 2)).await;
         assert_eq!(support::rows(&reader.query("SELECT id FROM chairs").await), ["1"]);
     }
+
+    /// A rewind past checkpoints ends at the fork's data, not at a checkpoint's.
+    ///
+    /// The primary commits thousands of records, first followed and then alone, so that
+    /// checkpoints lie on both sides of the fork. Were a later one kept, the rewound data would
+    /// hold records that are gone; were the earlier one taken as it is, some would be missing.
+    a_rewind_starts_at_a_checkpoint_before_the_fork {
+        let deployment = support::start().await;
+        let mut caller = ready_table(&deployment).await;
+        let mut last = LogPosition::default();
+        for id in 1..=10_000 {
+            let replies = caller.query(&format!("INSERT INTO chairs VALUES ({id})")).await;
+            last = support::position(&replies).expect("it wrote");
+            if id == 5_000 {
+                for place in 2..=3 {
+                    support::wait_applied(support::server(&deployment, place), last).await;
+                    isolate(&deployment, place, true).await;
+                }
+            }
+        }
+        isolate(&deployment, 1, true).await;
+        isolate(&deployment, 2, false).await;
+        isolate(&deployment, 3, false).await;
+        fail_over(&deployment, 2).await;
+        let new = support::server(&deployment, 2);
+        let mut writer = RawClient::caller(new).await;
+        let replies = writer.query("INSERT INTO chairs VALUES (30000)").await;
+        let position = support::position(&replies).expect("it wrote");
+        assert_eq!(position.index + 5_000 - 2, last.index);
+        isolate(&deployment, 1, false).await;
+        let old = support::server(&deployment, 1);
+        old.target().follow(Term(2), new.address());
+        support::wait_applied(old, position).await;
+        let all = "SELECT count(*) || ' ' || sum(id) FROM chairs";
+        let there = support::rows(&writer.query(all).await);
+        assert_eq!(there, ["5001 12532500"]);
+        let mut reader = RawClient::caller(old).await;
+        assert_eq!(support::rows(&reader.query(all).await), there);
+    }
 }
