Test the stand-ins' program, endpoint and refusals

The test of replicated random numbers passed without the numbers being replicated: both copies that it compared ran the record from the same state. It compares with what the caller was told now, and fails when the seed is left out.

The program ended when the reader of its log was gone; it goes on now.

--- a/crates/standin/src/main.rs
+++ b/crates/standin/src/main.rs
@@ -49,8 +49,9 @@
 
 fn main() -> ExitCode {
     let arguments = command().get_matches();
-    let drain = slog_json::Json::default(io::stderr()).fuse();
-    let drain = slog_async::Async::new(drain).build().fuse();
+    // A reader of the log that is gone must not end the program.
+    let drain = slog_json::Json::default(io::stderr()).ignore_res();
+    let drain = slog_async::Async::new(drain).build().ignore_res();
     let log = Logger::root(drain, slog::o!());
     match run(&arguments, &log) {
         Ok(()) => ExitCode::SUCCESS,
--- a/crates/standin/src/platform/mod.rs
+++ b/crates/standin/src/platform/mod.rs
@@ -1,7 +1,7 @@
 //! The stand-in of the platform's object API.
 //!
-//! [`store`] holds the objects and the list of VMs, [`api`] answers the calls, [`faults`] holds back,
-//! refuses or loses answers, and [`counters`] counts the calls by kind.
+//! [`store`] holds the objects and the list of VMs, [`api`] answers the calls, [`faults`] holds
+//! back, refuses or loses answers, and [`counters`] counts the calls by kind.
 
 use std::io;
 use std::net::SocketAddr;
--- a/crates/standin/src/target/sql/infer.rs
+++ b/crates/standin/src/target/sql/infer.rs
@@ -277,7 +277,10 @@
         if first.kind == TokenKind::Symbol(b'(') && closes_at_end(&item[1..]) {
             return self.expression(&item[1..item.len() - 1], parameters);
         }
-        let is_arithmetic = |token: &Token| matches!(token.kind, TokenKind::Symbol(symbol) if b"+-*/%".contains(&symbol));
+        let is_arithmetic = |token: &Token| match token.kind {
+            TokenKind::Symbol(symbol) => b"+-*/%".contains(&symbol),
+            _ => false,
+        };
         let operands = split_at_depth_0(item, is_arithmetic);
         if operands.len() < 2 {
             // A column with its table before it.
--- a/crates/standin/tests/extended_queries.rs
+++ b/crates/standin/tests/extended_queries.rs
@@ -61,12 +61,36 @@
         let deployment = support::start().await;
         let client = stock_client(support::server(&deployment, 1)).await;
         client.batch_execute(TABLE).await.expect("creates");
-        let insert = client.prepare("INSERT INTO loans VALUES ($1, $2, $3, $4, $5, $6, $7, $8)").await.expect("prepares");
-        assert_eq!(insert.params(), [Type::INT8, Type::INT4, Type::INT2, Type::FLOAT8, Type::BOOL, Type::TEXT, Type::VARCHAR, Type::BYTEA]);
+        let insert = client
+            .prepare("INSERT INTO loans VALUES ($1, $2, $3, $4, $5, $6, $7, $8)")
+            .await
+            .expect("prepares");
+        assert_eq!(
+            insert.params(),
+            [
+                Type::INT8,
+                Type::INT4,
+                Type::INT2,
+                Type::FLOAT8,
+                Type::BOOL,
+                Type::TEXT,
+                Type::VARCHAR,
+                Type::BYTEA
+            ]
+        );
         let photo: &[u8] = &[0, 255, 7];
-        let count = client.execute(&insert, &[&5_000_000_000_i64, &7_i32, &-3_i16, &1.5_f64, &true, &"clinic", &"C1", &photo]).await.expect("inserts");
+        let count = client
+            .execute(
+                &insert,
+                &[&5_000_000_000_i64, &7_i32, &-3_i16, &1.5_f64, &true, &"clinic", &"C1", &photo],
+            )
+            .await
+            .expect("inserts");
         assert_eq!(count, 1);
-        let row = client.query_one("SELECT * FROM loans WHERE chair = $1 AND returned = $2", &[&7_i32, &true]).await.expect("finds");
+        let row = client
+            .query_one("SELECT * FROM loans WHERE chair = $1 AND returned = $2", &[&7_i32, &true])
+            .await
+            .expect("finds");
         assert_eq!(row.get::<_, i64>(0), 5_000_000_000);
         assert_eq!(row.get::<_, i32>(1), 7);
         assert_eq!(row.get::<_, i16>(2), -3);
@@ -75,7 +99,10 @@
         assert_eq!((row.get::<_, &str>(5), row.get::<_, &str>(6)), ("clinic", "C1"));
         assert_eq!(row.get::<_, &[u8]>(7), photo);
         let nothing: Option<i32> = None;
-        client.execute("UPDATE loans SET chair = $1 WHERE id = $2", &[&nothing, &5_000_000_000_i64]).await.expect("updates");
+        client
+            .execute("UPDATE loans SET chair = $1 WHERE id = $2", &[&nothing, &5_000_000_000_i64])
+            .await
+            .expect("updates");
         let row = client.query_one("SELECT chair FROM loans", &[]).await.expect("finds");
         assert_eq!(row.get::<_, Option<i32>>(0), None);
     }
@@ -85,15 +112,30 @@
         let deployment = support::start().await;
         let client = stock_client(support::server(&deployment, 1)).await;
         client.batch_execute(TABLE).await.expect("creates");
-        let statement = client.prepare(
-            "SELECT count(*), max(l.chair), sum(fee), 1, 1.5, 'a' || place, id = 3, $1::int8, \
+        let statement = client
+            .prepare(
+                "SELECT count(*), max(l.chair), sum(fee), 1, 1.5, 'a' || place, id = 3, $1::int8, \
              coalesce(days, 0), count(*)::int4 AS n FROM loans l WHERE place LIKE $2 LIMIT $3",
-        ).await.expect("prepares");
-        let types: Vec<Type> = statement.columns().iter().map(|column| column.type_().clone()).collect();
-        assert_eq!(types, [
-            Type::INT8, Type::INT4, Type::FLOAT8, Type::INT4, Type::FLOAT8, Type::TEXT, Type::BOOL,
-            Type::INT8, Type::INT2, Type::INT4,
-        ]);
+            )
+            .await
+            .expect("prepares");
+        let types: Vec<Type> =
+            statement.columns().iter().map(|column| column.type_().clone()).collect();
+        assert_eq!(
+            types,
+            [
+                Type::INT8,
+                Type::INT4,
+                Type::FLOAT8,
+                Type::INT4,
+                Type::FLOAT8,
+                Type::TEXT,
+                Type::BOOL,
+                Type::INT8,
+                Type::INT2,
+                Type::INT4,
+            ]
+        );
         assert_eq!(statement.params(), [Type::INT8, Type::TEXT, Type::INT8]);
     }
 
@@ -101,9 +143,14 @@
     expressions_behind_a_star_have_types {
         let deployment = support::start().await;
         let client = stock_client(support::server(&deployment, 1)).await;
-        client.batch_execute("CREATE TABLE chairs (id INTEGER PRIMARY KEY, place TEXT)").await.expect("creates");
-        let statement = client.prepare("SELECT id + 1, *, id = 1 FROM chairs").await.expect("prepares");
-        let types: Vec<Type> = statement.columns().iter().map(|column| column.type_().clone()).collect();
+        client
+            .batch_execute("CREATE TABLE chairs (id INTEGER PRIMARY KEY, place TEXT)")
+            .await
+            .expect("creates");
+        let statement =
+            client.prepare("SELECT id + 1, *, id = 1 FROM chairs").await.expect("prepares");
+        let types: Vec<Type> =
+            statement.columns().iter().map(|column| column.type_().clone()).collect();
         assert_eq!(types, [Type::INT4, Type::INT4, Type::TEXT, Type::BOOL]);
     }
 
@@ -130,18 +177,33 @@
     a_stock_client_works {
         let deployment = support::start().await;
         let mut client = stock_client(support::server(&deployment, 1)).await;
-        client.batch_execute("CREATE TABLE chairs (id BIGSERIAL PRIMARY KEY, place TEXT)").await.expect("creates");
+        client
+            .batch_execute("CREATE TABLE chairs (id BIGSERIAL PRIMARY KEY, place TEXT)")
+            .await
+            .expect("creates");
         let transaction = client.transaction().await.expect("begins");
-        let row = transaction.query_one("INSERT INTO chairs (place) VALUES ($1) RETURNING id, place", &[&"a"]).await.expect("inserts");
+        let row = transaction
+            .query_one("INSERT INTO chairs (place) VALUES ($1) RETURNING id, place", &[&"a"])
+            .await
+            .expect("inserts");
         assert_eq!(row.get::<_, &str>(1), "a");
         drop(transaction);
         assert!(client.query("SELECT 1 FROM chairs", &[]).await.expect("reads").is_empty());
         let transaction = client.transaction().await.expect("begins");
-        transaction.execute("INSERT INTO chairs (id, place) VALUES ($1, $2)", &[&9_i32, &"b"]).await.expect("inserts");
+        transaction
+            .execute("INSERT INTO chairs (id, place) VALUES ($1, $2)", &[&9_i32, &"b"])
+            .await
+            .expect("inserts");
         transaction.commit().await.expect("commits");
-        let error = client.execute("INSERT INTO chairs (id, place) VALUES (9, 'c')", &[]).await.expect_err("refused");
+        let error = client
+            .execute("INSERT INTO chairs (id, place) VALUES (9, 'c')", &[])
+            .await
+            .expect_err("refused");
         assert_eq!(error.code(), Some(&SqlState::UNIQUE_VIOLATION));
-        let row = client.query_one("SELECT count(*) FROM chairs WHERE id IN ($1, $2)", &[&9_i32, &10_i32]).await.expect("reads");
+        let row = client
+            .query_one("SELECT count(*) FROM chairs WHERE id IN ($1, $2)", &[&9_i32, &10_i32])
+            .await
+            .expect("reads");
         assert_eq!(row.get::<_, i64>(0), 1);
     }
 
@@ -149,9 +211,12 @@
     a_portal_is_read_in_parts {
         let deployment = support::start().await;
         let mut client = stock_client(support::server(&deployment, 1)).await;
-        client.batch_execute("CREATE TABLE chairs (id INTEGER PRIMARY KEY); INSERT INTO chairs VALUES (1), (2), (3)").await.expect("creates");
+        let create = "CREATE TABLE chairs (id INTEGER PRIMARY KEY)";
+        client.batch_execute(create).await.expect("creates");
+        client.batch_execute("INSERT INTO chairs VALUES (1), (2), (3)").await.expect("inserts");
         let transaction = client.transaction().await.expect("begins");
-        let portal = transaction.bind("SELECT id FROM chairs ORDER BY id", &[]).await.expect("binds");
+        let portal =
+            transaction.bind("SELECT id FROM chairs ORDER BY id", &[]).await.expect("binds");
         assert_eq!(transaction.query_portal(&portal, 2).await.expect("reads").len(), 2);
         assert_eq!(transaction.query_portal(&portal, 2).await.expect("reads").len(), 1);
         assert_eq!(transaction.query_portal(&portal, 2).await.expect("reads").len(), 0);
@@ -163,13 +228,16 @@
         let mut caller = RawClient::caller(support::server(&deployment, 1)).await;
         caller.query("CREATE TABLE chairs (id INTEGER PRIMARY KEY)").await;
         caller.send(&batch(&["INSERT INTO chairs VALUES (1)"])).await;
-        assert_eq!(caller.until_ready().await, [
-            Reply::Other("ParseComplete"),
-            Reply::Other("BindComplete"),
-            Reply::Parameter("group.commit".to_owned(), "1/3".to_owned()),
-            Reply::Complete("INSERT 0 1".to_owned()),
-            Reply::Ready('I'),
-        ]);
+        assert_eq!(
+            caller.until_ready().await,
+            [
+                Reply::Other("ParseComplete"),
+                Reply::Other("BindComplete"),
+                Reply::Parameter("group.commit".to_owned(), "1/3".to_owned()),
+                Reply::Complete("INSERT 0 1".to_owned()),
+                Reply::Ready('I'),
+            ]
+        );
     }
 
     /// Several statements in a batch are one transaction, and after an error the rest is skipped.
--- a/crates/standin/tests/faults.rs
+++ b/crates/standin/tests/faults.rs
@@ -49,7 +49,8 @@
         let mut caller = ready_table(&deployment).await;
         caller.query("BEGIN; INSERT INTO chairs VALUES (1)").await;
         let primary = support::server(&deployment, 1);
-        let status = RawClient::control(primary).await.command("SELECT group_raise_term(2, 'vm-1')").await;
+        let status =
+            RawClient::control(primary).await.command("SELECT group_raise_term(2, 'vm-1')").await;
         assert_eq!(status.role, Role::Fenced);
         let replies = caller.query("COMMIT").await;
         assert_eq!(support::sqlstate(&replies), Some("25006"));
@@ -147,7 +148,9 @@
         let mut writer = ready_table(&deployment).await;
         let address = support::server(&deployment, 1).address();
         let from = |zone: &'static str| async move {
-            RawClient::connect(address, support::GROUP, &format!("{zone}/vm-1")).await.expect("accepted")
+            RawClient::connect(address, support::GROUP, &format!("{zone}/vm-1"))
+                .await
+                .expect("accepted")
         };
         let mut cut_off = from(support::ZONES[1]).await;
         let mut connected = from(support::ZONES[2]).await;
@@ -180,11 +183,13 @@
         let before = support::server(&deployment, 1).target().status();
         caller.send_query("INSERT INTO chairs VALUES (standin_work_ms(300))").await;
         assert!(caller.is_silent().await);
-        support::inject(&deployment, Fault::PauseTarget { target: support::member(1), on: true }).await;
+        support::inject(&deployment, Fault::PauseTarget { target: support::member(1), on: true })
+            .await;
         tokio::time::sleep(support::SHORT * 3).await;
         assert_eq!(support::server(&deployment, 1).target().status(), before);
         support::server(&deployment, 1).target().raise_term(Term(2), "vm-1");
-        support::inject(&deployment, Fault::PauseTarget { target: support::member(1), on: false }).await;
+        support::inject(&deployment, Fault::PauseTarget { target: support::member(1), on: false })
+            .await;
         assert_eq!(support::sqlstate(&caller.until_ready().await), Some("25006"));
     }
 
@@ -196,10 +201,12 @@
         caller.query("BEGIN; INSERT INTO chairs VALUES (2)").await;
         let primary = support::server(&deployment, 1);
         let before = primary.target().status();
-        support::inject(&deployment, Fault::KillTarget { target: support::member(1), on: true }).await;
+        support::inject(&deployment, Fault::KillTarget { target: support::member(1), on: true })
+            .await;
         assert_eq!(caller.next().await, None);
         assert!(tokio::net::TcpStream::connect(primary.address()).await.is_err());
-        support::inject(&deployment, Fault::KillTarget { target: support::member(1), on: false }).await;
+        support::inject(&deployment, Fault::KillTarget { target: support::member(1), on: false })
+            .await;
         assert_eq!(primary.target().status(), before);
         let mut again = RawClient::caller(primary).await;
         assert_eq!(support::rows(&again.query("SELECT id FROM chairs").await), ["1"]);
@@ -212,7 +219,8 @@
     lag_holds_records_back {
         let deployment = support::start().await;
         let mut caller = ready_table(&deployment).await;
-        let lag = |hold_us, apply_us| Fault::LagTarget { target: support::member(2), hold_us, apply_us };
+        let lag =
+            |hold_us, apply_us| Fault::LagTarget { target: support::member(2), hold_us, apply_us };
         let hour_us = 3_600_000_000;
         support::inject(&deployment, lag(hour_us, 0)).await;
         let before = support::server(&deployment, 2).target().status();
@@ -221,7 +229,9 @@
         support::wait_applied(support::server(&deployment, 3), position).await;
         assert_eq!(support::server(&deployment, 2).target().status(), before);
         support::inject(&deployment, lag(0, hour_us)).await;
-        let status = support::wait_for(support::server(&deployment, 2), |status| status.log == position).await;
+        let status =
+            support::wait_for(support::server(&deployment, 2), |status| status.log == position)
+                .await;
         assert_eq!(status.applied, before.applied);
         support::inject(&deployment, lag(300, 200)).await;
         support::wait_applied(support::server(&deployment, 2), position).await;
@@ -231,7 +241,11 @@
     promotion_applies_what_is_held {
         let deployment = support::start().await;
         let mut caller = ready_table(&deployment).await;
-        support::inject(&deployment, Fault::LagTarget { target: support::member(2), hold_us: 0, apply_us: 3_600_000_000 }).await;
+        support::inject(
+            &deployment,
+            Fault::LagTarget { target: support::member(2), hold_us: 0, apply_us: 3_600_000_000 },
+        )
+        .await;
         let replies = caller.query("INSERT INTO chairs VALUES (1)").await;
         let position = support::position(&replies).expect("it wrote");
         support::wait_for(support::server(&deployment, 2), |status| status.log == position).await;
--- a/crates/standin/tests/limits.rs
+++ b/crates/standin/tests/limits.rs
@@ -52,6 +52,17 @@
         }
     }
 
+    /// A new caller's connection costs the set time, a lower bound; a control connection nothing.
+    a_connection_costs_its_time {
+        let cost_ms = 60;
+        let mut settings = support::settings();
+        settings.groups[0].members[0].connect_cost_ms = cost_ms;
+        let deployment = Deployment::start(&settings).await.expect("starts");
+        let start = Instant::now();
+        RawClient::caller(support::server(&deployment, 1)).await;
+        assert!(start.elapsed() >= Duration::from_millis(cost_ms));
+    }
+
     /// A database that isn't the target's group is unknown.
     another_groups_name_is_unknown {
         let deployment = support::start().await;
@@ -107,7 +118,8 @@
         let mut idle = RawClient::caller(server).await;
         open.query("CREATE TABLE chairs (id INTEGER PRIMARY KEY)").await;
         open.query("BEGIN").await;
-        support::inject(&deployment, Fault::LeaveTarget { target: support::member(1), on: true }).await;
+        support::inject(&deployment, Fault::LeaveTarget { target: support::member(1), on: true })
+            .await;
         open.query("INSERT INTO chairs VALUES (1)").await;
         assert!(support::position(&open.query("COMMIT").await).is_some());
         for sql in ["SELECT 1", "BEGIN", "INSERT INTO chairs VALUES (2)", "SELECT 1; SELECT 2"] {
@@ -146,7 +158,8 @@
         let deployment = Deployment::start(&settings).await.expect("starts");
         let server = support::server(&deployment, 1);
         let far = format!("{}/vm-1", support::ZONES[1]);
-        let mut far = RawClient::connect(server.address(), support::GROUP, &far).await.expect("accepted");
+        let mut far =
+            RawClient::connect(server.address(), support::GROUP, &far).await.expect("accepted");
         let start = Instant::now();
         far.send_query("SELECT 1").await;
         far.send_query("SELECT 2").await;
@@ -154,7 +167,13 @@
             assert_eq!(support::rows(&far.until_ready().await), [wanted]);
             assert!(start.elapsed() >= one_way * 2);
         }
-        let mut control = RawClient::connect(server.address(), "group_control", &format!("{}/vm-1", support::ZONES[2])).await.expect("accepted");
+        let mut control = RawClient::connect(
+            server.address(),
+            "group_control",
+            &format!("{}/vm-1", support::ZONES[2]),
+        )
+        .await
+        .expect("accepted");
         let start = Instant::now();
         control.command("SHOW group.status").await;
         assert!(start.elapsed() >= one_way * 2);
--- a/crates/standin/tests/members.rs
+++ b/crates/standin/tests/members.rs
@@ -89,7 +89,12 @@
         let deployment = support::start().await;
         let primary = support::server(&deployment, 1);
         let mut listener = RawClient::control(primary).await;
-        assert!(listener.query("LISTEN group_status").await.contains(&Reply::Complete("LISTEN".to_owned())));
+        assert!(
+            listener
+                .query("LISTEN group_status")
+                .await
+                .contains(&Reply::Complete("LISTEN".to_owned()))
+        );
         let mut caller = RawClient::caller(primary).await;
         caller.query("CREATE TABLE chairs (id INTEGER PRIMARY KEY)").await;
         let writes = tokio::spawn(async move {
@@ -124,7 +129,8 @@
         let server = support::server(&deployment, 3);
         let mut listener = RawClient::control(server).await;
         listener.query("LISTEN group_status").await;
-        support::inject(&deployment, Fault::LeaveTarget { target: support::member(3), on: true }).await;
+        support::inject(&deployment, Fault::LeaveTarget { target: support::member(3), on: true })
+            .await;
         while !listener.notice().await.leaving {}
     }
 }
--- a/crates/standin/tests/platform.rs
+++ b/crates/standin/tests/platform.rs
@@ -1,5 +1,7 @@
 //! The platform's object API, through the client that the programs use.
 
+use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use serde_json::json;
@@ -8,9 +10,11 @@
 use skylark_core::version::objects::VmState;
 use skylark_core::version::topology::Topology;
 use skylark_platform::ObjectStore;
+use skylark_platform::PutAnswer;
 use skylark_platform::StoreError;
 use skylark_platform::http::HttpStore;
 use skylark_standin::deployment::Deployment;
+use skylark_standin::deployment::admin::AdminServer;
 use skylark_standin::deployment::fault::Fault;
 
 mod support;
@@ -59,7 +63,10 @@
         assert_eq!(conflict, Err(StoreError::Conflict { actual: created.version }));
         let conflict = store.put(KIND, "vm-2", 7, json!({})).await;
         assert_eq!(conflict, Err(StoreError::Conflict { actual: 0 }));
-        let changed = store.put(KIND, "vm-1", created.version, json!({"drain": true})).await.expect("changes");
+        let changed = store
+            .put(KIND, "vm-1", created.version, json!({"drain": true}))
+            .await
+            .expect("changes");
         assert_eq!(changed.version, revision + 1);
         let object = store.get(KIND, "vm-1").await.expect("there");
         assert_eq!((object.version, object.body), (changed.version, json!({"drain": true})));
@@ -117,14 +124,18 @@
         let store = store(&deployment);
         let before = store.snapshot().await.expect("answered");
         let watcher = store.clone();
-        let watch = tokio::spawn(async move { watcher.watch(before.revision, support::LONG).await });
+        let watch =
+            tokio::spawn(async move { watcher.watch(before.revision, support::LONG).await });
         while deployment.platform().platform().counters.watches.get() == 0 {
             tokio::task::yield_now().await;
         }
         support::inject(&deployment, Fault::PlatformDown { on: true }).await;
         assert!(matches!(watch.await.expect("ends"), Err(StoreError::NoAnswer(_))));
         assert!(matches!(store.snapshot().await, Err(StoreError::NoAnswer(_))));
-        assert!(matches!(store.put(KIND, "vm-1", 0, json!({})).await, Err(StoreError::NoAnswer(_))));
+        assert!(matches!(
+            store.put(KIND, "vm-1", 0, json!({})).await,
+            Err(StoreError::NoAnswer(_))
+        ));
         support::inject(&deployment, Fault::PlatformDown { on: false }).await;
         assert_eq!(store.snapshot().await.expect("answered"), before);
     }
@@ -165,10 +176,117 @@
         let created = store.put(KIND, "vm-1", 0, json!({})).await.expect("creates");
         assert!(store.put(KIND, "vm-1", created.version + 1, json!({})).await.is_err());
         assert!(store.get(KIND, "vm-1").await.is_ok());
-        let counters = serde_json::to_value(&deployment.platform().platform().counters).expect("plain data");
-        assert_eq!(counters, json!({
-            "gets": 1, "puts": 2, "deletes": 0, "snapshots": 1, "watches": 1, "vm_lists": 1,
-            "conflicts": 1, "unavailable": 0, "lost_answers": 0,
-        }));
+        let counters =
+            serde_json::to_value(&deployment.platform().platform().counters).expect("plain data");
+        assert_eq!(
+            counters,
+            json!({
+                "gets": 1, "puts": 2, "deletes": 0, "snapshots": 1, "watches": 1, "vm_lists": 1,
+                "conflicts": 1, "unavailable": 0, "lost_answers": 0,
+            })
+        );
+    }
+
+    /// What the API can't take is refused for good, and changes nothing.
+    bad_calls_are_refused {
+        let deployment = support::start().await;
+        let client = reqwest::Client::new();
+        let base = format!("http://{}/v1", deployment.platform().address());
+        let before = deployment.platform().platform().store.snapshot().revision;
+        let object = format!("{base}/objects/vm_spec/vm-1");
+        let oversized = json!({"expected_version": 0, "body": "x".repeat(1 << 20)});
+        for request in [
+            client.put(&object).body("no JSON"),
+            client.put(&object).json(&json!({"body": {}})),
+            client.put(&object).json(&oversized),
+            client
+                .put(format!("{base}/objects/chair/c-1"))
+                .json(&json!({"expected_version": 0, "body": 1})),
+            client.get(format!("{base}/objects/chair/c-1")),
+            client.delete(&object),
+            client.get(format!("{base}/watch")),
+        ] {
+            let status = request.send().await.expect("answered").status();
+            assert_eq!(status, reqwest::StatusCode::BAD_REQUEST);
+        }
+        assert_eq!(deployment.platform().platform().store.snapshot().revision, before);
+    }
+
+    /// A deletion over HTTP is conditional as an update is.
+    deletions_are_conditional {
+        let deployment = support::start().await;
+        let client = reqwest::Client::new();
+        let created = store(&deployment).put(KIND, "vm-1", 0, json!({})).await.expect("creates");
+        let delete = |version: u64| {
+            let address = deployment.platform().address();
+            let url =
+                format!("http://{address}/v1/objects/vm_spec/vm-1?expected_version={version}");
+            client.delete(url).send()
+        };
+        let conflict = delete(created.version + 1).await.expect("answered");
+        assert_eq!(conflict.status(), reqwest::StatusCode::CONFLICT);
+        let answer: PutAnswer = conflict.json().await.expect("an answer");
+        assert_eq!(answer, created);
+        let deleted = delete(created.version).await.expect("answered");
+        assert_eq!(deleted.status(), reqwest::StatusCode::OK);
+        let answer: PutAnswer = deleted.json().await.expect("an answer");
+        assert_eq!(answer.version, created.version + 1);
+        let again = delete(answer.version).await.expect("answered");
+        assert_eq!(again.status(), reqwest::StatusCode::CONFLICT);
+        assert_eq!(again.json::<PutAnswer>().await.expect("an answer").version, 0);
+    }
+
+    /// Faults, VMs, counters and statuses over the deployment's own endpoint.
+    faults_are_switched_over_http {
+        let deployment = Arc::new(support::start().await);
+        let free = SocketAddr::from(([127, 0, 0, 1], 0));
+        let admin = AdminServer::start(&deployment, free).await.expect("listens");
+        let client = reqwest::Client::new();
+        let base = format!("http://{}", admin.address());
+        let fault = json!({"fault": "kill_target", "target": "loans-2", "on": true});
+        let answer =
+            client.post(format!("{base}/fault")).json(&fault).send().await.expect("answered");
+        assert_eq!(answer.status(), reqwest::StatusCode::OK);
+        let killed = support::server(&deployment, 2);
+        assert!(tokio::net::TcpStream::connect(killed.address()).await.is_err());
+        for bad in [
+            json!({"fault": "kill_target", "target": "nowhere", "on": true}),
+            json!({"fault": "cut_zones", "zone": "zone-a", "other": "nowhere", "on": true}),
+            json!({"fault": "kill_target", "target": "loans-2"}),
+            json!({"fault": "unheard_of"}),
+        ] {
+            let answer =
+                client.post(format!("{base}/fault")).json(&bad).send().await.expect("answered");
+            assert_eq!(answer.status(), reqwest::StatusCode::BAD_REQUEST, "{bad}");
+        }
+        client
+            .post(format!("{base}/fault"))
+            .json(&json!({"fault": "heal_all"}))
+            .send()
+            .await
+            .expect("answered");
+        support::RawClient::caller(killed).await;
+        let record = vm("vm-7", VmState::Live);
+        client.post(format!("{base}/vm")).json(&record).send().await.expect("answered");
+        assert_eq!(store(&deployment).vms().await.expect("answered"), [record]);
+        let counters: serde_json::Value = client
+            .get(format!("{base}/counters"))
+            .send()
+            .await
+            .expect("answered")
+            .json()
+            .await
+            .expect("JSON");
+        assert_eq!(counters["targets"]["loans-2"]["connections"], 1);
+        assert_eq!(counters["platform"]["vm_lists"], 1);
+        let statuses: serde_json::Value = client
+            .get(format!("{base}/status"))
+            .send()
+            .await
+            .expect("answered")
+            .json()
+            .await
+            .expect("JSON");
+        assert_eq!(statuses["loans-1"]["role"], "primary");
     }
 }
--- a/crates/standin/tests/simple_queries.rs
+++ b/crates/standin/tests/simple_queries.rs
@@ -16,15 +16,21 @@
         let mut caller = RawClient::caller(support::server(&deployment, 1)).await;
         caller.query(TABLE).await;
         let replies = caller.query("INSERT INTO chairs VALUES (1, 'clinic')").await;
-        assert_eq!(replies, [
-            Reply::Parameter("group.commit".to_owned(), "1/3".to_owned()),
-            Reply::Complete("INSERT 0 1".to_owned()),
-            Reply::Ready('I'),
-        ]);
+        assert_eq!(
+            replies,
+            [
+                Reply::Parameter("group.commit".to_owned(), "1/3".to_owned()),
+                Reply::Complete("INSERT 0 1".to_owned()),
+                Reply::Ready('I'),
+            ]
+        );
         let replies = caller.query("SELECT place FROM chairs WHERE id = 1").await;
         assert_eq!(support::rows(&replies), ["clinic"]);
         assert_eq!(support::position(&replies), None);
-        assert_eq!(support::position(&caller.query("UPDATE chairs SET id = 2 WHERE id = 9").await), None);
+        assert_eq!(
+            support::position(&caller.query("UPDATE chairs SET id = 2 WHERE id = 9").await),
+            None
+        );
     }
 
     /// Replicas show what the primary committed, and refuse writes without running them.
@@ -101,7 +107,10 @@
         caller.query(TABLE).await;
         caller.query("BEGIN; INSERT INTO chairs VALUES (1, 'a'); SAVEPOINT here").await;
         caller.query("INSERT INTO chairs VALUES (2, 'b')").await;
-        assert_eq!(caller.query("INSERT INTO chairs VALUES (2, 'c')").await.last(), Some(&Reply::Ready('E')));
+        assert_eq!(
+            caller.query("INSERT INTO chairs VALUES (2, 'c')").await.last(),
+            Some(&Reply::Ready('E'))
+        );
         assert_eq!(caller.query("ROLLBACK TO here").await.last(), Some(&Reply::Ready('T')));
         let position = support::position(&caller.query("COMMIT").await).expect("it wrote");
         let replica = support::server(&deployment, 3);
@@ -139,21 +148,23 @@
         assert_eq!(support::rows(&caller.query("SELECT 'alive'").await), ["alive"]);
     }
 
-    /// Functions whose result differs at each call give replicas what the primary stored.
+    /// Functions whose result differs at each call give replicas what the caller was told.
     replicas_compute_the_same {
         let deployment = support::start().await;
         let mut caller = RawClient::caller(support::server(&deployment, 1)).await;
         caller.query("CREATE TABLE draws (id INTEGER PRIMARY KEY, number REAL, at TEXT)").await;
-        let insert = "INSERT INTO draws (number, at) VALUES (random(), now())";
-        let replies = caller.query(&[insert; 5].join(";")).await;
+        let shown = "id || ' ' || number || ' ' || at";
+        let insert =
+            format!("INSERT INTO draws (number, at) VALUES (random(), now()) RETURNING {shown}");
+        let replies = caller.query(&[&*insert; 5].join(";")).await;
+        let told = support::rows(&replies);
+        assert_eq!(told.len(), 5);
+        assert_ne!(told[0].split(' ').nth(1), told[1].split(' ').nth(1));
         let position = support::position(&replies).expect("it wrote");
         let replica = support::server(&deployment, 2);
         support::wait_applied(replica, position).await;
-        let all = "SELECT id || ' ' || number || ' ' || at FROM draws";
-        let here = support::rows(&caller.query(all).await);
-        let there = support::rows(&RawClient::caller(replica).await.query(all).await);
-        assert_eq!(here.len(), 5);
-        assert_eq!(here, there);
-        assert_ne!(here[0].split(' ').nth(1), here[1].split(' ').nth(1));
+        let all = format!("SELECT {shown} FROM draws");
+        assert_eq!(support::rows(&caller.query(&all).await), told);
+        assert_eq!(support::rows(&RawClient::caller(replica).await.query(&all).await), told);
     }
 }
