Let no record pass a fault that came before it

isolation_stops_replication failed now and then: the replica's task had looked at the faults, then the fault came and a record was written, and the task took it. The look and the record are one step now, under the faults' lock.

--- a/crates/standin/src/network.rs
+++ b/crates/standin/src/network.rs
@@ -15,6 +15,7 @@
 use tokio::sync::watch;
 
 use crate::target::Target;
+use crate::target::options::TargetOptions;
 
 /// The faults that are on.
 #[derive(Clone, PartialEq, Eq, Debug, Default)]
@@ -42,6 +43,14 @@
             || self.cuts(target_zone, zone)
     }
 
+    /// Whether records pass between two targets.
+    pub fn connects(&self, target: &TargetOptions, other: &TargetOptions) -> bool {
+        let silent = |name: &str| {
+            self.isolated.contains(name) || self.paused.contains(name) || self.dead.contains(name)
+        };
+        !silent(&target.name) && !silent(&other.name) && !self.cuts(&target.zone, &other.zone)
+    }
+
     /// Cuts two zones off from each other, or ends that.
     pub fn set_cut(&mut self, zone: &str, other: &str, cut: bool) {
         for (from, to) in [(zone, other), (other, zone)] {
@@ -111,15 +120,8 @@
         self.targets.lock().get(&address)?.upgrade()
     }
 
-    /// Whether records pass between two targets now.
-    pub fn connects(&self, target: &Target, other: &Target) -> bool {
-        let faults = self.faults.borrow();
-        let (here, there) = (target.options(), other.options());
-        let silent = |name: &str| {
-            faults.isolated.contains(name)
-                || faults.paused.contains(name)
-                || faults.dead.contains(name)
-        };
-        !silent(&here.name) && !silent(&there.name) && !faults.cuts(&here.zone, &there.zone)
+    /// The faults of this moment. No fault changes while the answer is held.
+    pub fn faults(&self) -> watch::Ref<'_, Faults> {
+        self.faults.borrow()
     }
 }
--- a/crates/standin/src/target/replication.rs
+++ b/crates/standin/src/target/replication.rs
@@ -63,12 +63,19 @@
     fn upstream(&self) -> Option<(Followed, Arc<Target>)> {
         let followed = self.member.lock().following()?;
         let primary = self.network.target_at(followed.address)?;
-        self.network.connects(self, &primary).then_some((followed, primary))
+        let connects = self.network.faults().connects(&self.options, &primary.options);
+        connects.then_some((followed, primary))
     }
 
     /// Takes the records that are due. Returns when the next one will be.
     fn pull(&self, followed: Followed, primary: &Target) -> Option<Instant> {
         loop {
+            // Held while records pass: a fault that came between the look and the record would let
+            // a record through that was written after the fault.
+            let faults = self.network.faults();
+            if !faults.connects(&self.options, &primary.options) {
+                return None;
+            }
             let last = self.member.lock().status().log;
             let supply = primary.member.lock().supply(followed.term, last);
             match supply {
