--- a/crates/core/tests/plan_cases.rs
+++ b/crates/core/tests/plan_cases.rs
@@ -37,7 +37,11 @@
         }
     }
     let intent = intent.expect("the case has an intent");
-    let found = match planner::plan(&intent, &snapshot) {
+    let planned = planner::plan(&intent, &snapshot);
+    // The order of a snapshot's objects is arbitrary; the plan and its id must not depend on it.
+    snapshot.objects.reverse();
+    assert_eq!(planner::plan(&intent, &snapshot), planned, "plan on the reversed snapshot");
+    let found = match planned {
         Ok(plan) => plan.to_string(),
         Err(error) => format!("error: {error}\n"),
     };
--- a/crates/ctl/tests/operators.rs
+++ b/crates/ctl/tests/operators.rs
@@ -372,6 +372,30 @@
     assert_eq!(deployment.server.platform().store.get(ObjectKind::Group, "loans-4"), None);
 }
 
+#[tokio::test]
+async fn old_plans_are_removed() {
+    // Every plan makes an object that all snapshots carry. Beyond the bound the oldest ones go, a
+    // few at a time; one that is confirmed and not finished stays, for it is to be resumed.
+    const OLD_PLANS: usize = 260;
+    let deployment = Deployment::start().await;
+    let unfinished = deployment.plan(&DRAIN_PRIMARY).await;
+    assert_eq!(deployment.ctl(&["confirm", &unfinished]).await.exit, Exit::Unfinished);
+    let store = &deployment.server.platform().store;
+    for number in 0..OLD_PLANS {
+        store.put(ObjectKind::Plan, &format!("{number:016x}"), 0, json!({})).expect("a new plan");
+    }
+    let plans = || {
+        let mut objects = store.snapshot().objects;
+        objects.retain(|object| object.kind == ObjectKind::Plan);
+        objects.into_iter().map(|object| object.name).collect::<Vec<_>>()
+    };
+    let newest = deployment.plan(&WEIGHT_2).await;
+    let kept = plans();
+    assert_eq!(kept.len(), 257, "the bound, and the plan that was just made");
+    assert!(kept.contains(&unfinished) && kept.contains(&newest), "{kept:?}");
+    assert!(!kept.contains(&format!("{:016x}", 0)), "the oldest of the others went");
+}
+
 #[tokio::test]
 async fn check_lists_every_mistake() {
     for (name, kind) in
--- a/crates/settings/tests/settings_cases.rs
+++ b/crates/settings/tests/settings_cases.rs
@@ -8,6 +8,7 @@
 
 use skylark_settings::Settings;
 use skylark_settings::deployment::DeploymentSettings;
+use skylark_settings::deployment::Group;
 use skylark_settings::proxy::ProxySettings;
 
 const SEPARATOR: &str = "---- mistakes\n";
@@ -48,3 +49,7 @@
     deployment_names = "deployment-names.case";
     deployment_shapes_and_relations = "deployment-shapes-and-relations.case";
 }
+
+cases! { Group:
+    group_repeated = "group-repeated.case";
+}
