Give each driver of a change of primary a name of its own

A proxy that stops being home to a group and becomes one again makes a new driver, which has forgotten what the old one promoted, under the old name. A promotion of the old one that arrives late and one of the new one could then both take in the same term. The name now carries a number that is not used twice in a run of the process.

--- a/crates/core/src/process/failover/mod.rs
+++ b/crates/core/src/process/failover/mod.rs
@@ -25,9 +25,9 @@
 //! member's log equals the primary's, and goes on from step 3; past its bound it releases the writes
 //! and clears the wish.
 //!
-//! The driver's name is its vote's identity and must be unique to one run of one process. Otherwise
-//! a process that restarts would take up the votes of its former self and could promote a second
-//! member in the same term.
+//! The driver's name is its vote's identity and must be unique to one [`FailoverDriver`], also among
+//! those that one process makes one after the other. Otherwise a driver that has forgotten its former
+//! self's promotion would take up its votes and could promote a second member in the same term.
 //!
 //! The scheme is the leader change of Raft (Ongaro and Ousterhout 2014) and of Viewstamped
 //! Replication (Liskov and Cowling 2012), with the vote collected by a third party because members
@@ -132,7 +132,7 @@
 }
 
 impl FailoverDriver {
-    /// A driver that knows nothing yet. `name` must be unique to this run of the process, and the
+    /// A driver that knows nothing yet. `name` must never have been used by another driver, and the
     /// seed should differ between processes.
     pub fn new(
         settings: FailoverSettings,
--- a/crates/proxy/src/process/control/align.rs
+++ b/crates/proxy/src/process/control/align.rs
@@ -210,9 +210,14 @@
         let Ok(set) = MemberSet::new(spec.version, names.to_vec()) else { return };
         let members =
             spec.members.iter().map(|&target| self.track(topology.target(target))).collect();
+        // Tracking can end and begin again in one run of the process, and the new driver has forgotten
+        // which member the old one promoted. Under the same name it could take up the old one's votes
+        // and promote a second member in the same term, so the name carries the number of the next
+        // member connection, which is never used twice.
+        let driver_name = format!("{}.{}", self.driver_name, self.next_member);
         let driver = FailoverDriver::new(
             failover::FailoverSettings::default(),
-            &self.driver_name,
+            &driver_name,
             set.clone(),
             &profiles(topology, spec),
             0,
