Let explain ask every proxy, like status

An operator does not know which proxies are home to a group. Both commands now ask the proxies named, or all that the platform lists, and show the failures below the answers.

--- a/crates/ctl/src/explain.rs
+++ b/crates/ctl/src/explain.rs
@@ -9,10 +9,12 @@
 use skylark_core::version::plan::record::PlanRecord;
 use skylark_core::version::plan::record::PlanState;
 use skylark_platform::ObjectStore;
+use skylark_proxy::process::peer::api::ExplainReport;
 
 use crate::arguments::Options;
 use crate::failure::Failure;
 use crate::proxy;
+use crate::proxy::Answers;
 use crate::report::Report;
 use crate::store;
 
@@ -20,22 +22,26 @@
     if Plan::is_id(subject) {
         return explain_plan(&store::open(options)?, subject).await;
     }
-    let Some(proxy) = options.proxies.first() else {
-        return Err(Failure::MissingOption {
-            option: "--proxy",
-            purpose: "decisions about a group are kept by the proxies that take them",
-        });
-    };
-    let report = proxy::explain(*proxy, subject).await?;
-    let mut text = format!("group {} at VM {}, latest decisions:\n", report.group, report.vm);
+    let proxies = proxy::find(options).await?;
+    let ask = async |proxy| proxy::explain(proxy, subject).await;
+    let answers = Answers::collect(&proxies, ask).await;
+    let mut text = String::new();
+    for report in &answers.given {
+        write_decisions(&mut text, report);
+    }
+    let json = json!({ "reports": answers.given });
+    answers.report(text, json)
+}
+
+fn write_decisions(out: &mut String, report: &ExplainReport) {
+    let _ = writeln!(out, "group {} at VM {}, latest decisions:", report.group, report.vm);
     for decision in &report.decisions {
         let ago_ms = decision.ago_ms;
-        let _ = writeln!(text, "  {ago_ms} ms ago: {}: {}", decision.decision, decision.reason);
+        let _ = writeln!(out, "  {ago_ms} ms ago: {}: {}", decision.decision, decision.reason);
     }
     if report.decisions.is_empty() {
-        text.push_str("  none since this proxy started\n");
+        out.push_str("  none since this proxy started\n");
     }
-    Ok(Report::success(text, json!(report)))
 }
 
 async fn explain_plan<S>(store: &S, id: &str) -> Result<Report, Failure>
--- a/crates/ctl/src/proxy.rs
+++ b/crates/ctl/src/proxy.rs
@@ -1,21 +1,90 @@
 //! Calls to proxies.
 
+use std::fmt::Write;
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use jsonrpsee::core::client;
 use jsonrpsee::http_client::HttpClient;
+use serde_json::Value;
+use serde_json::json;
+use skylark_platform::ObjectStore;
 use skylark_proxy::process::peer;
 use skylark_proxy::process::peer::api;
 use skylark_proxy::process::peer::api::ExplainReport;
 use skylark_proxy::process::peer::api::PeerApiClient;
 use skylark_proxy::process::peer::api::StatusReport;
 
+use crate::arguments::Options;
+use crate::exit::Exit;
 use crate::failure::Failure;
+use crate::report::Report;
+use crate::store;
 
 /// The time limit of a call to a proxy.
 const CALL_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// The proxies that the operator names, or else all that the platform lists.
+pub(crate) async fn find(options: &Options) -> Result<Vec<SocketAddr>, Failure> {
+    if !options.proxies.is_empty() {
+        return Ok(options.proxies.clone());
+    }
+    if options.platform.is_none() {
+        return Err(Failure::MissingOption {
+            option: "--proxy or --platform",
+            purpose: "the proxies named are asked, or those that the platform lists",
+        });
+    }
+    let vms = store::open(options)?.vms().await.map_err(Failure::of_store)?;
+    Ok(vms.iter().filter_map(|vm| vm.control_address.parse().ok()).collect())
+}
+
+/// What several proxies answered to one question.
+pub(crate) struct Answers<T> {
+    /// The answers.
+    pub(crate) given: Vec<T>,
+    /// Why the others gave none.
+    failures: Vec<(SocketAddr, Failure)>,
+}
+
+impl<T> Answers<T> {
+    /// Asks every proxy. One that is down must not hide what the others say.
+    pub(crate) async fn collect<F>(proxies: &[SocketAddr], ask: F) -> Answers<T>
+    where
+        F: AsyncFn(SocketAddr) -> Result<T, Failure>,
+    {
+        let mut answers = Answers { given: Vec::new(), failures: Vec::new() };
+        for proxy in proxies {
+            match ask(*proxy).await {
+                Ok(answer) => answers.given.push(answer),
+                Err(failure) => answers.failures.push((*proxy, failure)),
+            }
+        }
+        answers
+    }
+
+    /// The result, with the failures below the answers. It is a failure itself where one proxy was
+    /// asked and did not answer.
+    pub(crate) fn report(self, mut text: String, mut json: Value) -> Result<Report, Failure> {
+        if let ([(_, only)], true) = (&*self.failures, self.given.is_empty()) {
+            return Err(only.clone());
+        }
+        let exit = self.failures.first().map_or(Exit::Success, |(_, failure)| failure.exit());
+        for (_, failure) in &self.failures {
+            let _ = writeln!(text, "{failure}");
+        }
+        let failures = self.failures.iter().map(|(proxy, failure)| {
+            json!({
+                "proxy": proxy,
+                "error": failure.exit().name(),
+                "message": failure.to_string(),
+            })
+        });
+        json["failures"] = failures.collect();
+        Ok(Report { exit, text, json })
+    }
+}
+
 fn open(proxy: SocketAddr) -> Result<HttpClient, Failure> {
     let client = peer::client::open(&proxy.to_string(), CALL_TIMEOUT);
     client.ok_or_else(|| Failure::ProxyDown {
--- a/crates/ctl/src/status.rs
+++ b/crates/ctl/src/status.rs
@@ -1,10 +1,8 @@
 //! `status`: what proxies do.
 
 use std::fmt::Write;
-use std::net::SocketAddr;
 
 use serde_json::json;
-use skylark_platform::ObjectStore;
 use skylark_proxy::process::peer::api::GroupReport;
 use skylark_proxy::process::peer::api::MemberReport;
 use skylark_proxy::process::peer::api::StatusReport;
@@ -12,53 +10,18 @@
 use crate::arguments::Options;
 use crate::failure::Failure;
 use crate::proxy;
+use crate::proxy::Answers;
 use crate::report::Report;
-use crate::store;
 
 pub(crate) async fn run(options: &Options) -> Result<Report, Failure> {
-    let proxies = find_proxies(options).await?;
-    let mut report = Report::success(String::new(), json!({ "proxies": [], "failures": [] }));
-    let mut reports = Vec::new();
-    let mut failures = Vec::new();
-    for proxy in proxies {
-        match proxy::status(proxy).await {
-            Ok(status) => {
-                write_status(&mut report.text, &status);
-                reports.push(status);
-            }
-            // One proxy that is down must not hide what the others say.
-            Err(failure) => {
-                let _ = writeln!(report.text, "{failure}");
-                failures.push((proxy, failure));
-            }
-        }
-    }
-    if let Some((_, first)) = failures.first() {
-        if reports.is_empty() && failures.len() == 1 {
-            return Err(first.clone());
-        }
-        report.exit = first.exit();
-    }
-    let failures = failures.iter().map(|(proxy, failure)| {
-        json!({ "proxy": proxy, "error": failure.exit().name(), "message": failure.to_string() })
-    });
-    report.json = json!({ "proxies": reports, "failures": failures.collect::<Vec<_>>() });
-    Ok(report)
-}
-
-/// The proxies that the operator names, or else all that the platform lists.
-async fn find_proxies(options: &Options) -> Result<Vec<SocketAddr>, Failure> {
-    if !options.proxies.is_empty() {
-        return Ok(options.proxies.clone());
-    }
-    if options.platform.is_none() {
-        return Err(Failure::MissingOption {
-            option: "--proxy or --platform",
-            purpose: "status asks the proxies named, or those that the platform lists",
-        });
+    let proxies = proxy::find(options).await?;
+    let answers = Answers::collect(&proxies, proxy::status).await;
+    let mut text = String::new();
+    for status in &answers.given {
+        write_status(&mut text, status);
     }
-    let vms = store::open(options)?.vms().await.map_err(Failure::of_store)?;
-    Ok(vms.iter().filter_map(|vm| vm.control_address.parse().ok()).collect())
+    let json = json!({ "proxies": answers.given });
+    answers.report(text, json)
 }
 
 fn yes_no(value: bool) -> &'static str {
--- a/crates/ctl/tests/operators.rs
+++ b/crates/ctl/tests/operators.rs
@@ -138,8 +138,6 @@
         "the weight: `0` is not accepted; accepted: 1 to 1000000";
     no_change: ["plan", "set-weight", "loans-db", "lookups", "1"] => NoChange,
         "nothing to change: class `lookups` has weight 1";
-    explain_without_proxy: ["explain", "loans-1"] => Usage,
-        "--proxy is needed: decisions about a group are kept by the proxies that take them";
 }
 
 #[tokio::test]
@@ -230,6 +228,15 @@
     assert_eq!(deployment.weight(), 1);
 }
 
+#[tokio::test]
+async fn nobody_to_ask() {
+    for command in [["status"].as_slice(), &["explain", "loans-1"]] {
+        let said = skylarkctl(command).await;
+        assert_eq!(said.exit, Exit::Usage);
+        assert!(said.err.contains("--proxy or --platform is needed"), "{}", said.err);
+    }
+}
+
 #[tokio::test]
 async fn proxy_down() {
     let gone = TcpListener::bind(LOOPBACK).await.expect("a free port");
--- a/crates/ctl/tests/proxies.rs
+++ b/crates/ctl/tests/proxies.rs
@@ -126,8 +126,8 @@
     let arguments = ["--proxy", &down, "--proxy", &address, "status"];
     let (exit, out, _) = skylarkctl(&arguments).await;
     assert_eq!(exit, Exit::ProxyDown);
-    assert!(out.starts_with(&format!("the proxy {down} does not answer")), "{out}");
-    assert!(out.ends_with(STATUS), "{out}");
+    let failure = out.strip_prefix(STATUS).expect("the other one's answer comes first");
+    assert!(failure.starts_with(&format!("the proxy {down} does not answer")), "{out}");
 }
 
 #[tokio::test]
@@ -138,6 +138,11 @@
     let expected = "group loans-1 at VM sfax-1, latest decisions:\n  250 ms ago: promote \
                     loans-1-depot in term 2: it holds most of the majority\n";
     assert_eq!(out, expected);
+    let (other, _other_server) = proxy("sfax-2").await;
+    let both = ["--json", "--proxy", &address, "--proxy", &other, "explain", "loans-1"];
+    let (_, out, _) = skylarkctl(&both).await;
+    let json: Value = serde_json::from_str(&out).expect("the output is JSON");
+    assert_eq!(json["reports"].as_array().map(Vec::len), Some(2));
     let (exit, _, err) = skylarkctl(&["--proxy", &address, "explain", "loans"]).await;
     assert_eq!(exit, Exit::UnknownObject);
     assert_eq!(err, format!("skylarkctl: there is no group `loans` at the proxy {address}\n"));
