--- a/crates/standin/src/target/connection/run.rs
+++ b/crates/standin/src/target/connection/run.rs
@@ -210,8 +210,10 @@
         let only_read = !kind.writes;
         if let Some(write) = &mut self.write {
             let database = write.database();
-            let ran = rows.run(database, statement, parameters, only_read, &mut wire.output)?;
+            let ran = rows.run(database, statement, parameters, only_read, &mut wire.output);
+            // Taken also after an error: left there, the next statement would serve it.
             let asked = database.take_work();
+            let ran = ran?;
             if kind.writes && (ran.wrote || !kind.changes_rows()) {
                 write.log(&statement.sql, parameters);
             }
@@ -220,8 +222,9 @@
         let moment = Moment { time_us: target::now_us(), seed: self.target.next_seed() };
         let visible = &self.target.visible.lock().database;
         visible.set_moment(moment);
-        let ran = rows.run(visible, statement, parameters, only_read, &mut wire.output)?;
+        let ran = rows.run(visible, statement, parameters, only_read, &mut wire.output);
         let asked = visible.take_work();
+        let ran = ran?;
         self.target.counters().reads.add();
         Ok((ran, asked))
     }
--- a/crates/standin/src/target/mod.rs
+++ b/crates/standin/src/target/mod.rs
@@ -203,6 +203,9 @@
 
     /// Waits while the process is paused.
     async fn awake(&self) {
+        if self.network.faults().paused.is_empty() {
+            return;
+        }
         let mut faults = self.network.subscribe();
         // The network outlives its targets, so there is always an answer.
         let _ = faults.wait_for(|faults| !faults.paused.contains(&self.options.name)).await;
