--- a/crates/bench/src/commands/overhead.rs
+++ b/crates/bench/src/commands/overhead.rs
@@ -115,7 +115,7 @@
     let group = comparison.group;
     let straight = embedded.deployment().group(group)[0].address();
     let through = embedded.addresses()[0];
-    let settings = CallerSettings { address: through, group, session: None };
+    let settings = CallerSettings { address: through, group, user: "", session: None };
     let mut caller = Caller::connect(&settings).await.map_err(refused)?;
     caller.run(Declaration::default(), CREATE, READY_LIMIT).await.map_err(refused)?;
     let mut direct = Clients::connect(straight, group, clients).await.map_err(refused)?;
--- a/crates/bench/src/commands/slopes.rs
+++ b/crates/bench/src/commands/slopes.rs
@@ -9,6 +9,9 @@
 use clap::Command;
 
 use crate::commands::CommandError;
+use crate::commands::runtime;
+use crate::live;
+use crate::slopes::case::Slope;
 use crate::slopes::measure;
 use crate::slopes::report;
 
@@ -32,6 +35,12 @@
                 .action(ArgAction::SetTrue)
                 .help("Write JSON lines in place of a table"),
         )
+        .arg(
+            Arg::new("live")
+                .long("live")
+                .action(ArgAction::SetTrue)
+                .help("Measure at running proxies over stand-ins, which takes some minutes"),
+        )
 }
 
 /// Runs the subcommand.
@@ -43,15 +52,28 @@
         writeln!(out, "Load average at the start: {}.\n", measure::load_average())?;
         writeln!(out, "{}", report::TABLE_HEAD)?;
     }
-    for case in report::cases(filter) {
-        let slope = case.measure();
-        match json {
-            true => {
-                writeln!(out, "{}", serde_json::to_string(&slope).map_err(CommandError::other)?)?
-            }
-            false => writeln!(out, "{}", report::table_row(&slope))?,
+    if matches.get_flag("live") {
+        for case in live::report::CASES.iter().filter(|case| case.name.contains(filter)) {
+            let slope = runtime()?.block_on(case.measure()).map_err(CommandError::other)?;
+            write(&mut out, &slope, json)?;
         }
-        out.flush()?;
+        return Ok(());
     }
+    for case in report::cases(filter) {
+        write(&mut out, &case.measure(), json)?;
+    }
+    Ok(())
+}
+
+fn write<W>(out: &mut W, slope: &Slope, json: bool) -> Result<(), CommandError>
+where
+    W: Write,
+{
+    let line = match json {
+        true => serde_json::to_string(slope).map_err(CommandError::other)?,
+        false => report::table_row(slope),
+    };
+    writeln!(out, "{line}")?;
+    out.flush()?;
     Ok(())
 }
--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -6,7 +6,8 @@
 //!   the end.
 //! - [`embedded`] runs a whole deployment in this process; [`gap`] measures how long no primary
 //!   accepts writes in it.
-//! - [`slopes`] measures how costs grow with the size that they depend on.
+//! - [`slopes`] measures how costs grow with the size that they depend on; [`live`] does so at
+//!   running proxies.
 //! - [`surge`] compares ways of sharing a target's slots on one recorded surge.
 
 pub mod commands;
@@ -14,6 +15,7 @@
 pub mod experiment;
 pub mod gap;
 pub mod history;
+pub mod live;
 pub mod load;
 pub mod overhead;
 pub mod slopes;
--- a/crates/bench/src/load/caller.rs
+++ b/crates/bench/src/load/caller.rs
@@ -31,6 +31,9 @@
 /// The parameter in which a target reports a commit's position.
 const COMMIT_PARAMETER: &str = "group.commit";
 
+/// The user of callers that name none.
+const SHARED_USER: &str = "bench";
+
 /// The time limit of a connection's start-up.
 const CONNECT_LIMIT: Duration = Duration::from_secs(5);
 
@@ -41,6 +44,8 @@
     pub address: SocketAddr,
     /// The group, which is the database's name.
     pub group: &'a str,
+    /// The user, by which a proxy tells callers apart; empty for one that all such callers share.
+    pub user: &'a str,
     /// The identity of the session, for sessions that roam by one.
     pub session: Option<&'a str>,
 }
@@ -76,7 +81,7 @@
         let mut config = Config::new();
         config.host(settings.address.ip().to_string());
         config.port(settings.address.port());
-        config.user("bench");
+        config.user(if settings.user.is_empty() { SHARED_USER } else { settings.user });
         config.dbname(settings.group);
         if let Some(session) = settings.session {
             config.options(format!("-c skylark.session={session}"));
--- a/crates/bench/src/load/run.rs
+++ b/crates/bench/src/load/run.rs
@@ -126,7 +126,7 @@
     group: &str,
     statement: &str,
 ) -> Result<Vec<SimpleQueryMessage>, Refusal> {
-    let settings = CallerSettings { address, group, session: None };
+    let settings = CallerSettings { address, group, user: "", session: None };
     let mut caller = Caller::connect(&settings).await?;
     caller.run(Declaration::default(), statement, STATEMENT_LIMIT).await
 }
--- a/crates/bench/src/load/session.rs
+++ b/crates/bench/src/load/session.rs
@@ -181,6 +181,7 @@
         let settings = CallerSettings {
             address: self.plan.entries[self.entry],
             group: &self.group_name,
+            user: &self.identity,
             session: identity,
         };
         *slot = Some(Caller::connect(&settings).await?);
--- a/crates/bench/src/overhead/closed_loop.rs
+++ b/crates/bench/src/overhead/closed_loop.rs
@@ -43,7 +43,7 @@
     ) -> Result<Clients, Refusal> {
         let mut callers = Vec::with_capacity(count);
         for _ in 0..count {
-            let settings = CallerSettings { address, group, session: None };
+            let settings = CallerSettings { address, group, user: "", session: None };
             callers.push(Caller::connect(&settings).await?);
         }
         Ok(Clients { callers })
--- a/crates/bench/src/overhead/idle.rs
+++ b/crates/bench/src/overhead/idle.rs
@@ -66,7 +66,7 @@
         while callers.len() < step {
             let count = AT_ONCE.min(step - callers.len());
             for _ in 0..count {
-                let settings = CallerSettings { address, group, session: None };
+                let settings = CallerSettings { address, group, user: "", session: None };
                 let caller = Caller::connect(&settings)
                     .await
                     .map_err(|refusal| IdleError::Refused { callers: callers.len(), refusal })?;
--- a/crates/bench/src/slopes/case.rs
+++ b/crates/bench/src/slopes/case.rs
@@ -10,8 +10,10 @@
 #[derive(Clone, Copy, PartialEq, Eq, Debug, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Unit {
-    /// Nanoseconds of one core.
+    /// Nanoseconds.
     Ns,
+    /// Microseconds.
+    Us,
     /// Bytes.
     Bytes,
     /// A number of things.
--- a/crates/bench/src/slopes/report.rs
+++ b/crates/bench/src/slopes/report.rs
@@ -50,6 +50,7 @@
 pub fn quantity(value: f64, unit: Unit) -> String {
     let steps: &[(f64, &str)] = match unit {
         Unit::Ns => &[(1e9, "s"), (1e6, "ms"), (1e3, "µs"), (1.0, "ns")],
+        Unit::Us => &[(1e6, "s"), (1e3, "ms"), (1.0, "µs")],
         Unit::Bytes => &[(1e9, "GB"), (1e6, "MB"), (1e3, "KB"), (1.0, "B")],
         Unit::Count => &[(1.0, "")],
     };
