Test prepared statements and batches over pooled connections

Cause: the extended protocol was written before the stand-in spoke it. Change: eleven cases with a stock client and with single messages; the count of statements that were prepared again is kept now, which was forgotten.

--- a/crates/proxy/src/request/exchange.rs
+++ b/crates/proxy/src/request/exchange.rs
@@ -25,6 +25,7 @@
 use crate::connection::relay::RelayError;
 use crate::connection::reply::Replies;
 use crate::connection::target_connection::TargetConnection;
+use crate::process::counters::Event;
 use crate::process::traffic::Traffic;
 use crate::request::acknowledge;
 use crate::request::acknowledge::Verdict;
@@ -43,6 +44,8 @@
     pub replies: Option<Replies>,
     /// Whether the request ends with a ReadyForQuery.
     pub awaits_ready: bool,
+    /// How many statements are prepared again for it.
+    pub prepared_again: usize,
     /// Whether the request may change the session beyond its transaction.
     pub changes_session: bool,
 }
@@ -137,6 +140,9 @@
         connection.awaited_ready += encoded.prelude_ready + u32::from(encoded.awaits_ready);
         connection.needs_sync = !encoded.awaits_ready;
         connection.session_changed |= encoded.changes_session;
+        for _ in 0..encoded.prepared_again {
+            self.traffic.counters.event(Event::StatementsPrepared);
+        }
         let stall = self.traffic.limits.slow_reader();
         let eager = self.stakes.effect == Effect::Read;
         let replies = encoded.replies.clone();
--- a/crates/proxy/src/request/unit.rs
+++ b/crates/proxy/src/request/unit.rs
@@ -91,7 +91,8 @@
             }
             Unit::Batch { plan, end } => {
                 let mut replies = Replies::default();
-                plan.encode(&mut connection.prepared, prepared_limit, &mut out, &mut replies)?;
+                encoded.prepared_again =
+                    plan.encode(&mut connection.prepared, prepared_limit, &mut out, &mut replies)?;
                 match end {
                     BatchEnd::Sync => frontend::sync(&mut out),
                     BatchEnd::Flush => frontend::flush(&mut out),
--- /dev/null
+++ b/crates/proxy/tests/traffic_prepared.rs
@@ -0,0 +1,318 @@
+//! The extended protocol: prepared statements outlive pooled connections, and batches are answered
+//! in order whatever the proxy adds or leaves out.
+
+use postgres_protocol::IsNull;
+use postgres_protocol::message::frontend;
+use skylark_core::log_position::LogPosition;
+use skylark_proxy::connection::limits::TrafficLimits;
+use skylark_standin::target::options::Lag;
+use tokio_postgres::NoTls;
+use traffic_support::GROUP;
+use traffic_support::Setup;
+use traffic_support::World;
+use traffic_support::client::Answer;
+use traffic_support::client::Client;
+
+mod traffic_support;
+
+async fn stock_client(world: &World) -> tokio_postgres::Client {
+    let mut config = tokio_postgres::Config::new();
+    config.host("127.0.0.1").port(world.proxy().address.port()).user("desk").dbname(GROUP);
+    let (client, connection) = config.connect(NoTls).await.expect("the client connects");
+    tokio::spawn(connection);
+    client
+}
+
+async fn few_connections(connections: u32, limits: TrafficLimits) -> World {
+    let world = World::with(Setup { connections, slots: 2, limits, ..Setup::default() }).await;
+    let mut client = world.client().await;
+    client.query("CREATE TABLE chairs (id INT, name TEXT)").await.ok();
+    world.wait_known(LogPosition::new(1, 2)).await;
+    world
+}
+
+fn parse(client: &mut Client, name: &str, sql: &str) {
+    frontend::parse(name, sql, [], &mut client.output).expect("a parse");
+}
+
+fn bind_text(client: &mut Client, portal: &str, statement: &str, value: Option<&str>) {
+    let bound = frontend::bind(
+        portal,
+        statement,
+        [],
+        value,
+        |value, out| {
+            out.extend_from_slice(value.as_bytes());
+            Ok(IsNull::No)
+        },
+        [],
+        &mut client.output,
+    );
+    assert!(bound.is_ok(), "a bind");
+}
+
+fn execute(client: &mut Client, portal: &str) {
+    frontend::execute(portal, 0, &mut client.output).expect("an execute");
+}
+
+async fn sync(client: &mut Client) -> Answer {
+    frontend::sync(&mut client.output);
+    client.flush().await;
+    client.answer().await
+}
+
+async fn run(client: &mut Client, statement: &str, value: Option<&str>) -> Answer {
+    bind_text(client, "", statement, value);
+    execute(client, "");
+    sync(client).await
+}
+
+cases! {
+    /// A stock client prepares, binds binary parameters, and works in transactions; more callers
+    /// than connections use the same statements.
+    stock_clients_share_few_connections {
+        let world = few_connections(2, TrafficLimits::default()).await;
+        let mut callers = Vec::new();
+        for caller in 0..8_i32 {
+            let mut client = stock_client(&world).await;
+            callers.push(tokio::spawn(async move {
+                let insert = "INSERT INTO chairs VALUES ($1, $2)";
+                let insert = client.prepare(insert).await.expect("prepares");
+                let select = "SELECT name FROM chairs WHERE id = $1";
+                let select = client.prepare(select).await.expect("prepares");
+                for number in 0..10 {
+                    let id = caller * 100 + number;
+                    let name = format!("chair {id}");
+                    let transaction = client.transaction().await.expect("begins");
+                    let inserted = transaction.execute(&insert, &[&id, &name]).await;
+                    assert_eq!(inserted.expect("inserts"), 1);
+                    transaction.commit().await.expect("commits");
+                    let row = client.query_one(&select, &[&id]).await.expect("selects");
+                    assert_eq!(row.get::<_, String>(0), name);
+                }
+                let failed = client.query("SELECT * FROM nothing", &[]).await;
+                assert!(failed.expect_err("no table").code().is_some());
+                let transaction = client.transaction().await.expect("begins");
+                transaction.execute(&insert, &[&-1, &"gone"]).await.expect("inserts");
+                transaction.rollback().await.expect("rolls back");
+            }));
+        }
+        for caller in callers {
+            caller.await.expect("the caller ends well");
+        }
+        let client = stock_client(&world).await;
+        let row = client.query_one("SELECT count(*) FROM chairs", &[]).await.expect("counts");
+        assert_eq!(row.get::<_, i64>(0), 80);
+    }
+
+    /// A caller's statement works on a connection that never saw its Parse.
+    /// 1. The caller prepares on the only connection. 2. The connection is cut. 3. Its next Bind goes
+    /// to a new connection, where the proxy prepares the statement first; the caller sees only its
+    /// own answers.
+    a_statement_survives_its_connection {
+        let world = few_connections(1, TrafficLimits::default()).await;
+        let mut client = world.client().await;
+        parse(&mut client, "pick", "SELECT $1::text");
+        assert_eq!(sync(&mut client).await.ok().types, "1Z");
+        world.gates[0].cut().await;
+        let answer = run(&mut client, "pick", Some("a")).await;
+        assert_eq!((answer.value(), answer.types.as_str()), ("a", "2DCZ"));
+        assert_eq!(run(&mut client, "pick", Some("b")).await.value(), "b");
+        assert_eq!(world.proxy().counter("statements.prepared_again"), 1);
+    }
+
+    /// Two callers give the same name to different statements, and the same statement two names.
+    names_belong_to_their_caller {
+        let world = few_connections(1, TrafficLimits::default()).await;
+        let mut first = world.client().await;
+        let mut second = world.client().await;
+        parse(&mut first, "s", "SELECT 'first'");
+        sync(&mut first).await.ok();
+        parse(&mut second, "s", "SELECT 'second'");
+        parse(&mut second, "t", "SELECT 'first'");
+        assert_eq!(sync(&mut second).await.ok().types, "11Z");
+        assert_eq!(run(&mut first, "s", None).await.value(), "first");
+        assert_eq!(run(&mut second, "s", None).await.value(), "second");
+        assert_eq!(run(&mut second, "t", None).await.value(), "first");
+        frontend::close(b'S', "s", &mut second.output).expect("a close");
+        assert_eq!(sync(&mut second).await.ok().types, "3Z");
+        assert_eq!(run(&mut second, "s", None).await.error().sqlstate, "26000");
+        assert_eq!(run(&mut first, "s", None).await.value(), "first");
+        first.query("DEALLOCATE ALL").await.ok();
+        assert_eq!(run(&mut first, "s", None).await.error().sqlstate, "26000");
+    }
+
+    /// The unnamed statement lasts until the next one, also when the batches that use it run on
+    /// different connections.
+    the_unnamed_statement_lasts {
+        let world = few_connections(1, TrafficLimits::default()).await;
+        let mut client = world.client().await;
+        parse(&mut client, "", "SELECT $1::text");
+        frontend::describe(b'S', "", &mut client.output).expect("a describe");
+        assert_eq!(sync(&mut client).await.ok().types, "1tTZ");
+        let mut other = world.client().await;
+        parse(&mut other, "", "SELECT 'other'");
+        assert_eq!(sync(&mut other).await.ok().types, "1Z");
+        let answer = run(&mut client, "", Some("mine")).await;
+        assert_eq!((answer.value(), answer.types.as_str()), ("mine", "2DCZ"));
+        assert_eq!(run(&mut other, "", None).await.value(), "other");
+    }
+
+    /// A connection remembers a bounded number of statements; the oldest makes room unseen.
+    statements_on_a_connection_are_bounded {
+        let limits = TrafficLimits {
+            prepared_per_connection: 4,
+            prepared_per_caller: 20,
+            ..TrafficLimits::default()
+        };
+        let world = few_connections(1, limits).await;
+        let mut client = world.client().await;
+        for round in 0..3 {
+            for number in 0..20 {
+                let name = format!("s{number}");
+                if round == 0 {
+                    parse(&mut client, &name, &format!("SELECT '{number}'"));
+                }
+                bind_text(&mut client, "", &name, None);
+                execute(&mut client, "");
+                let answer = sync(&mut client).await;
+                assert_eq!(answer.value(), number.to_string());
+                assert_eq!(answer.types, if round == 0 { "12DCZ" } else { "2DCZ" });
+            }
+        }
+        parse(&mut client, "one too many", "SELECT 1");
+        let refused = sync(&mut client).await;
+        assert_eq!((refused.error().sqlstate.as_str(), refused.status), ("0A000", Some('I')));
+    }
+
+    /// An error in a batch skips the rest of it, and its statements are prepared by none.
+    an_error_skips_the_rest_of_the_batch {
+        let world = few_connections(1, TrafficLimits::default()).await;
+        let mut client = world.client().await;
+        parse(&mut client, "bad", "SELECT FROM WHERE");
+        parse(&mut client, "good", "SELECT 'good'");
+        bind_text(&mut client, "", "good", None);
+        execute(&mut client, "");
+        let answer = sync(&mut client).await;
+        assert_eq!((answer.types.as_str(), answer.status), ("EZ", Some('I')));
+        parse(&mut client, "good", "SELECT 'good'");
+        sync(&mut client).await.ok();
+        assert_eq!(run(&mut client, "good", None).await.value(), "good");
+        // The same with the messages flushed one by one.
+        parse(&mut client, "worse", "SELECT FROM WHERE");
+        frontend::flush(&mut client.output);
+        client.flush().await;
+        assert_eq!(client.answer_until('E').await.types, "E");
+        bind_text(&mut client, "", "good", None);
+        execute(&mut client, "");
+        assert_eq!(sync(&mut client).await.types, "Z");
+        assert_eq!(run(&mut client, "good", None).await.value(), "good");
+    }
+
+    /// Flushed messages are answered before the Sync, on one connection, as one transaction.
+    flushed_messages_are_answered_at_once {
+        let world = few_connections(2, TrafficLimits::default()).await;
+        let mut client = world.client().await;
+        parse(&mut client, "put", "INSERT INTO chairs VALUES (1, $1)");
+        frontend::flush(&mut client.output);
+        client.flush().await;
+        assert_eq!(client.answer_until('1').await.types, "1");
+        bind_text(&mut client, "p", "put", Some("x"));
+        execute(&mut client, "p");
+        frontend::flush(&mut client.output);
+        client.flush().await;
+        assert_eq!(client.answer_until('C').await.types, "2C");
+        let mut other = world.client().await;
+        assert_eq!(other.query("SELECT count(*) FROM chairs").await.value(), "0");
+        sync(&mut client).await.ok();
+        assert_eq!(other.query("SELECT count(*) FROM chairs").await.value(), "1");
+    }
+
+    /// A batch without a transaction commits at its Sync: its success is held back until confirmed.
+    /// 1. No replica takes records. 2. The insert's CommandComplete comes before the commit. 3. The
+    /// caller sees no success, and "outcome unknown" at the end.
+    a_batch_is_held_back_until_confirmed {
+        let limits = TrafficLimits { confirm_ms: 100, ..TrafficLimits::default() };
+        let world = few_connections(1, limits).await;
+        for replica in &world.targets[1..] {
+            replica.target().set_lag(Lag { hold_us: 3_600_000_000, apply_us: 0 });
+        }
+        let mut client = world.client().await;
+        parse(&mut client, "", "INSERT INTO chairs VALUES (1, 'x')");
+        let lost = run(&mut client, "", None).await;
+        assert_eq!((lost.tags.len(), lost.status), (0, None));
+        assert_eq!(lost.error().detail, "outcome unknown");
+    }
+
+    /// What the proxy answers itself works in batches too, mixed with what a target answers.
+    parameters_work_in_batches {
+        let world = few_connections(1, TrafficLimits::default()).await;
+        let client = stock_client(&world).await;
+        client.execute("SET skylark.read_kind = 'lookup'", &[]).await.expect("sets");
+        let row = client.query_one("SHOW skylark.read_kind", &[]).await.expect("shows");
+        assert_eq!(row.get::<_, String>(0), "lookup");
+        let bad = client.execute("SET skylark.read_kind = 'other'", &[]).await;
+        assert_eq!(bad.expect_err("refused").code().expect("a code").code(), "22023");
+        let row = client.query_one("SELECT count(*) FROM chairs", &[]).await.expect("counts");
+        assert_eq!(row.get::<_, i64>(0), 0);
+        let row = client.query_one("SHOW skylark.last_target", &[]).await.expect("shows");
+        assert_ne!(row.get::<_, String>(0), "loans-1", "the declared read goes to a replica");
+        let copy = client.execute("COPY chairs FROM STDIN", &[]).await;
+        assert_eq!(copy.expect_err("refused").code().expect("a code").code(), "0A000");
+        let mut raw = world.client().await;
+        parse(&mut raw, "vm", "SHOW skylark.vm");
+        bind_text(&mut raw, "", "vm", None);
+        execute(&mut raw, "");
+        parse(&mut raw, "", "SELECT 'target'");
+        bind_text(&mut raw, "", "", None);
+        execute(&mut raw, "");
+        let answer = sync(&mut raw).await;
+        assert_eq!(answer.rows, [[Some("vm-0".to_owned())], [Some("target".to_owned())]]);
+        assert_eq!(answer.types, "12DC12DCZ");
+    }
+
+    /// A forwarded batch is prepared at the home's connection like any other.
+    batches_are_forwarded {
+        let setup = Setup { homes: vec![vec![], vec![0, 1, 2]], connections: 2, ..Setup::default() };
+        let world = World::with(setup).await;
+        world.client().await.query("CREATE TABLE chairs (id INT, name TEXT)").await.ok();
+        let mut client = stock_client(&world).await;
+        let insert = client.prepare("INSERT INTO chairs VALUES ($1, $2)").await.expect("prepares");
+        for id in 0..5_i32 {
+            client.execute(&insert, &[&id, &"x"]).await.expect("inserts");
+        }
+        let transaction = client.transaction().await.expect("begins");
+        transaction.execute(&insert, &[&5, &"x"]).await.expect("inserts");
+        transaction.commit().await.expect("commits");
+        let row = client.query_one("SELECT count(*) FROM chairs", &[]).await.expect("counts");
+        assert_eq!(row.get::<_, i64>(0), 6);
+    }
+
+    /// A large batch whose answers are larger than any buffer does not lock up: the target's answers
+    /// are read while the rest of the batch is still being sent.
+    a_large_batch_does_not_lock_up {
+        let world = few_connections(1, TrafficLimits::default()).await;
+        let mut client = world.client().await;
+        let text = "x".repeat(20_000);
+        for _ in 0..400 {
+            parse(&mut client, "", "SELECT $1::text");
+            bind_text(&mut client, "", "", Some(&text));
+            execute(&mut client, "");
+        }
+        frontend::sync(&mut client.output);
+        let output = client.output.split();
+        let (mut read, mut write) = client.stream.into_split();
+        let sending = tokio::spawn(async move {
+            tokio::io::AsyncWriteExt::write_all(&mut write, &output).await.expect("sent");
+            write
+        });
+        let mut received = 0;
+        let mut buffer = vec![0; 1 << 16];
+        while received < 400 * 20_000 {
+            let read = tokio::io::AsyncReadExt::read(&mut read, &mut buffer).await.expect("read");
+            assert!(read > 0, "the answer comes whole");
+            received += read;
+        }
+        sending.await.expect("all was sent");
+    }
+}
