--- a/crates/core/src/process/connection_budget.rs
+++ b/crates/core/src/process/connection_budget.rs
@@ -287,7 +287,8 @@
         let capped_until = self.overshoot.map(|(_, until_us)| until_us);
         let for_tokens = (missing > 0 && self.opening == 0).then(|| {
             let rate = u64::from(self.policy.tries_per_second.max(1));
-            self.not_before_us.max(now_us + SECOND_US / rate)
+            let refill_us = if self.tokens_milli < TRY_COST_MILLI { SECOND_US / rate } else { 0 };
+            self.not_before_us.max(now_us + refill_us)
         });
         let for_idle = (self.idle > 0).then_some(for_need);
         [capped_until, for_tokens, for_idle]
--- a/crates/core/src/process/read_age.rs
+++ b/crates/core/src/process/read_age.rs
@@ -7,9 +7,9 @@
 //! A primary that is isolated and still believes it leads would yield samples too, while another
 //! one acknowledges writes that it never sees. So a sample's time is not the time of the primary's
 //! probe alone: it is the latest `t` such that the primary and members that together make a
-//! majority answered probes *sent* at `t` or later without having promised themselves to a later
-//! term. A promise is never taken back, a newer primary needs promises of a majority before it
-//! acknowledges anything, and two majorities share a member: at `t` there was no newer primary.
+//! quorum answered probes *sent* at `t` or later without having promised themselves to a later
+//! term. A promise is never taken back, a newer primary needs promises of a quorum before it
+//! acknowledges anything, and two quorums share a member: at `t` there was no newer primary.
 //!
 //! The time of sending counts, not that of the answer: the answer may have been under way for long.
 
@@ -18,6 +18,8 @@
 use crate::log_position::LogPosition;
 use crate::member_status::MemberStatus;
 use crate::member_status::Role;
+use crate::process::member_set::MemberMask;
+use crate::process::member_set::MemberSet;
 
 /// How many samples are kept for a group.
 pub const MAX_SAMPLES: usize = 64;
@@ -46,6 +48,8 @@
 /// The samples of one group and what its members have applied.
 #[derive(Clone, Debug, Default)]
 pub struct ReadAge {
+    /// The member set where versions are known; otherwise a majority of the members counts.
+    set: Option<MemberSet>,
     members: Vec<MemberAge>,
     samples: collections::VecDeque<Sample>,
 }
@@ -54,7 +58,24 @@
     /// A group of this many members, about which nothing is known.
     pub fn new(members: usize) -> ReadAge {
         let members = vec![MemberAge::default(); members];
-        ReadAge { members, samples: collections::VecDeque::with_capacity(MAX_SAMPLES) }
+        ReadAge { set: None, members, samples: collections::VecDeque::new() }
+    }
+
+    /// A group with this member set, whose quorums count also in a joint phase.
+    pub fn for_set(set: MemberSet) -> ReadAge {
+        let age = ReadAge::new(set.count());
+        ReadAge { set: Some(set), ..age }
+    }
+
+    /// Ends the joint phase of the member set, see [`MemberSet::settle`]. Answers from before
+    /// prove nothing for the settled set: a member that left may have been part of what they say.
+    pub fn settle_members(&mut self) {
+        if let Some(set) = &mut self.set {
+            set.settle();
+        }
+        for member in &mut self.members {
+            member.probe = None;
+        }
     }
 
     /// Takes a member's answer to a probe that was sent at `sent_us` and answered at `now_us`.
@@ -120,8 +141,8 @@
     /// Adds the best sample that the newest probes prove, if it says more than the last one.
     fn take_sample(&mut self) {
         let Some((primary_sent_us, position)) = self.primary_report() else { return };
-        let Some(majority_us) = self.majority_sent_us(position) else { return };
-        let taken_us = primary_sent_us.min(majority_us);
+        let Some(quorum_us) = self.quorum_sent_us(position) else { return };
+        let taken_us = primary_sent_us.min(quorum_us);
         let Some(last) = self.samples.back_mut() else {
             self.samples.push_back(Sample { taken_us, position });
             return;
@@ -134,7 +155,7 @@
             return;
         }
         if self.samples.len() == MAX_SAMPLES {
-            self.thin_out();
+            self.thin_out(taken_us);
         }
         self.samples.push_back(Sample { taken_us, position });
     }
@@ -150,26 +171,42 @@
         reports.max_by_key(|(_, log)| log.term)
     }
 
-    /// The latest time at which probes were sent to a majority that had then promised itself to no
-    /// later term than the position's.
-    fn majority_sent_us(&self, position: LogPosition) -> Option<u64> {
+    /// The latest time such that probes sent then or later found a quorum that had promised itself to
+    /// no later term than the position's.
+    fn quorum_sent_us(&self, position: LogPosition) -> Option<u64> {
         let bound = |member: &MemberAge| {
             let (sent_us, status) = member.probe.as_ref()?;
             (status.raised_term <= position.term).then_some(*sent_us)
         };
-        let majority = self.members.len() / 2 + 1;
         let times = || self.members.iter().filter_map(bound);
-        times().filter(|time| times().filter(|other| other >= time).count() >= majority).max()
+        let is_shown = |time_us: &u64| {
+            let found = |place: &usize| bound(&self.members[*place]) >= Some(*time_us);
+            self.is_quorum((0..self.members.len()).filter(found).collect())
+        };
+        times().filter(is_shown).max()
     }
 
-    /// Drops every second sample. A missing sample makes claims older, never wrong, and the span
-    /// that the ring covers doubles, so that a long lag is still shown.
-    fn thin_out(&mut self) {
-        let mut keep = false;
-        self.samples.retain(|_| {
-            keep = !keep;
-            keep
-        });
+    fn is_quorum(&self, members: MemberMask) -> bool {
+        match &self.set {
+            Some(set) => set.is_quorum(members),
+            None => members.count() > self.members.len() / 2,
+        }
+    }
+
+    /// Drops the sample whose loss matters least: the one between neighbours that are close together
+    /// for their age. So the samples stand ever wider apart the older they are, and the ring covers a
+    /// long lag with a claim that is too old by a small part of it. A missing sample makes claims
+    /// older, never wrong.
+    fn thin_out(&mut self, now_us: u64) {
+        let gap_to_age = |place: &usize| {
+            let gap_us = self.samples[place + 1].taken_us - self.samples[place - 1].taken_us;
+            let age_us = now_us.saturating_sub(self.samples[*place].taken_us).max(1);
+            u128::from(gap_us) * u128::from(u32::MAX) / u128::from(age_us)
+        };
+        let inner = 1..self.samples.len() - 1;
+        if let Some(place) = inner.min_by_key(gap_to_age) {
+            self.samples.remove(place);
+        }
     }
 
     fn observe_lag(&mut self, member: usize, now_us: u64) {
--- a/crates/core/src/process/sharing/queue.rs
+++ b/crates/core/src/process/sharing/queue.rs
@@ -358,9 +358,10 @@
     /// connects under one name. It still leaves places for others that come.
     fn crowds_out(&self, class: usize, caller: CallerId) -> bool {
         let queue = &self.queues[class];
+        let per_caller = self.limits.queued_per_caller;
         let bound = match queue.has_others(caller) {
-            true => self.limits.queued_per_caller,
-            false => self.limits.queued_per_class.saturating_sub(self.limits.queued_per_caller),
+            true => per_caller,
+            false => self.limits.queued_per_class.saturating_sub(per_caller).max(per_caller),
         };
         queue.queued_of(caller) >= bound
     }
--- /dev/null
+++ b/crates/core/tests/membership.rs
@@ -0,0 +1,115 @@
+//! Evidence of our own beside the platform's lagging list.
+
+use skylark_core::process::membership::Evidence;
+use skylark_core::process::membership::Membership;
+use skylark_core::process::membership::MembershipPolicy;
+use skylark_core::process::membership::Standing;
+use skylark_core::version::objects::Snapshot;
+use skylark_core::version::objects::VmRecord;
+use skylark_core::version::objects::VmState;
+use skylark_core::version::topology::Topology;
+
+const SECOND_US: u64 = 1_000_000;
+
+fn topology(vms: &[(&str, VmState)]) -> Topology {
+    let record = |(name, state): &(&str, VmState)| VmRecord {
+        vm: (*name).to_owned(),
+        zone: "olten-hall".to_owned(),
+        address: "127.0.0.1:1".to_owned(),
+        control_address: "127.0.0.1:2".to_owned(),
+        state: *state,
+    };
+    let vms = vms.iter().map(record).collect();
+    Topology::build(&Snapshot { revision: 1, objects: Vec::new(), vms })
+}
+
+fn listed() -> Topology {
+    topology(&[("a", VmState::Live), ("b", VmState::Live), ("c", VmState::Leaving)])
+}
+
+/// The standing of a VM after a series of evidence a second apart, a moment after the last one.
+fn standing_after(vm: &str, seen: &[Evidence]) -> Standing {
+    let mut membership = Membership::new(MembershipPolicy::default());
+    let mut now_us = SECOND_US;
+    for evidence in seen {
+        now_us += SECOND_US;
+        membership.vm_seen(vm, *evidence, now_us);
+    }
+    assert_eq!(membership.verify(), Vec::<String>::new());
+    membership.vm_standing_by_name(&listed(), vm, now_us + 1)
+}
+
+macro_rules! standings {
+    ($($name:ident: $vm:literal, [$($evidence:ident),*] => $standing:ident;)+) => {
+        $(#[test]
+        fn $name() {
+            let seen = [$(Evidence::$evidence),*];
+            assert_eq!(standing_after($vm, &seen), Standing::$standing);
+        })+
+    };
+}
+
+standings! {
+    listed_as_live: "a", [] => Usable;
+    listed_as_leaving: "c", [] => ListedLeaving;
+    not_listed: "z", [] => Unknown;
+    not_listed_and_healthy: "z", [Healthy] => Unknown;
+    listed_as_leaving_and_healthy: "c", [Healthy] => ListedLeaving;
+    one_refusal_is_not_enough: "a", [Refused] => Usable;
+    two_refusals: "a", [Refused, Refused] => Unreachable;
+    three_lost_answers: "a", [Unreachable, Unreachable, Unreachable] => Usable;
+    four_lost_answers: "a", [Unreachable, Unreachable, Unreachable, Unreachable] => Unreachable;
+    healthy_again: "a", [Refused, Refused, Healthy] => Usable;
+    healthy_then_one_refusal: "a", [Refused, Healthy, Refused] => Usable;
+    leaving_then_healthy: "a", [Leaving, Healthy] => Usable;
+}
+
+// A caller's request is forwarded to a VM that stops a moment later. The VM answered "leaving", and
+// the platform's list goes on calling it live for half a minute. One such answer must be enough, and
+// must count for longer than the list lags.
+#[test]
+fn a_vm_that_says_it_leaves_gets_no_work_although_the_list_lags() {
+    let mut membership = Membership::new(MembershipPolicy::default());
+    let topology = listed();
+    assert!(membership.vm_seen("a", Evidence::Leaving, SECOND_US), "the standing changed");
+    let mut usable = Vec::new();
+    for after_s in [0, 1, 30, 60] {
+        membership.usable_vms(&topology, SECOND_US + after_s * SECOND_US, &mut usable);
+        assert_eq!(usable, [false, true, false], "after {after_s} s");
+    }
+}
+
+// A VM that was unreachable for a moment would stay without work for ever if nobody told us that it
+// came back. The evidence expires, and says when.
+#[test]
+fn evidence_expires_by_itself() {
+    let mut membership = Membership::new(MembershipPolicy::default());
+    let topology = listed();
+    membership.vm_seen("a", Evidence::Refused, SECOND_US);
+    membership.vm_seen("a", Evidence::Refused, SECOND_US);
+    let expires_us = membership.expire(SECOND_US).expect("something expires");
+    let standing =
+        |membership: &Membership, now_us| membership.vm_standing_by_name(&topology, "a", now_us);
+    assert_eq!(standing(&membership, expires_us - 1), Standing::Unreachable);
+    assert_eq!(standing(&membership, expires_us), Standing::Usable);
+    assert_eq!(membership.expire(expires_us), None);
+    assert!(membership.is_empty());
+}
+
+// Two refusals minutes apart are two restarts, not a dead VM.
+#[test]
+fn old_failures_do_not_add_up() {
+    let mut membership = Membership::new(MembershipPolicy::default());
+    membership.vm_seen("a", Evidence::Refused, SECOND_US);
+    membership.vm_seen("a", Evidence::Refused, 100 * SECOND_US);
+    let standing = membership.vm_standing_by_name(&listed(), "a", 100 * SECOND_US);
+    assert_eq!(standing, Standing::Usable);
+}
+
+#[test]
+fn targets_and_vms_of_one_name_are_distinct() {
+    let mut membership = Membership::new(MembershipPolicy::default());
+    membership.target_seen("a", Evidence::Leaving, SECOND_US);
+    assert_eq!(membership.vm_standing_by_name(&listed(), "a", SECOND_US), Standing::Usable);
+    assert_eq!(membership.len(), 1);
+}
--- /dev/null
+++ b/crates/core/tests/retry.rs
@@ -0,0 +1,197 @@
+//! What is sent again: never what may have run, unless it is a read.
+
+use skylark_core::request::error_kind::ErrorKind;
+use skylark_core::request::error_kind::Outcome;
+use skylark_core::request::retry;
+use skylark_core::request::retry::Attempt;
+use skylark_core::request::retry::Effect;
+use skylark_core::request::retry::Failure;
+use skylark_core::request::retry::RetryBudget;
+use skylark_core::request::retry::RetryVerdict;
+use skylark_core::request::retry::Stage;
+
+const LEFT_US: u64 = 1_000_000;
+
+const STAGES: [Stage; 6] = [
+    Stage::Connecting,
+    Stage::NothingSent,
+    Stage::PartlySent,
+    Stage::Sent,
+    Stage::AnswerBegun,
+    Stage::AnswerPassedOn,
+];
+
+const CODES: [&[u8; 5]; 7] = [b"53300", b"25006", b"57P01", b"57P03", b"40001", b"23505", b"53000"];
+
+const CLAIMS: [Option<Outcome>; 4] =
+    [None, Some(Outcome::NotRun), Some(Outcome::Ran), Some(Outcome::Unknown)];
+
+fn said(code: &str) -> Failure {
+    let sqlstate = code.as_bytes().try_into().expect("five characters");
+    Failure::Said { sqlstate, claimed: None }
+}
+
+fn attempt(effect: Effect, stage: Stage, in_transaction: bool, failure: Failure) -> Attempt {
+    Attempt { effect, stage, in_transaction, failure, retries: 0 }
+}
+
+fn decide(attempt: &Attempt) -> RetryVerdict {
+    retry::decide(attempt, &RetryBudget::new(10, 10), LEFT_US)
+}
+
+macro_rules! verdicts {
+    ($($name:ident: $effect:ident, $stage:ident, $in_transaction:literal, $failure:expr
+       => $verdict:expr;)+) => {
+        $(#[test]
+        fn $name() {
+            let attempt = attempt(Effect::$effect, Stage::$stage, $in_transaction, $failure);
+            assert_eq!(decide(&attempt), $verdict);
+        })+
+    };
+}
+
+verdicts! {
+    write_not_sent: Write, NothingSent, false, Failure::Broken => RetryVerdict::Again;
+    write_partly_sent: Write, PartlySent, false, Failure::Broken => RetryVerdict::Again;
+    write_connect_refused: Write, Connecting, false, Failure::Broken => RetryVerdict::Again;
+    // The caller would book twice: the first one ran and its answer is lost.
+    write_sent: Write, Sent, false, Failure::Broken => RetryVerdict::Answer(ErrorKind::AnswerLost);
+    write_sent_and_late: Write, Sent, false, Failure::TimedOut
+        => RetryVerdict::Answer(ErrorKind::AnswerTimedOut);
+    commit_sent: Commit, Sent, true, Failure::Broken
+        => RetryVerdict::Answer(ErrorKind::AnswerLost);
+    commit_not_sent: Commit, NothingSent, true, Failure::Broken
+        => RetryVerdict::Answer(ErrorKind::TransactionLost);
+    read_sent: Read, Sent, false, Failure::Broken => RetryVerdict::Again;
+    read_answer_begun: Read, AnswerBegun, false, Failure::Broken => RetryVerdict::Again;
+    // The caller has half of the rows: the other half of another run would cross the answers.
+    read_answer_passed_on: Read, AnswerPassedOn, false, Failure::Broken
+        => RetryVerdict::Answer(ErrorKind::AnswerLost);
+    read_in_transaction: Read, Sent, true, Failure::Broken
+        => RetryVerdict::Answer(ErrorKind::TransactionLost);
+    write_in_transaction: Write, Sent, true, Failure::Broken
+        => RetryVerdict::Answer(ErrorKind::TransactionLost);
+    not_primary: Write, Sent, false, said("25006") => RetryVerdict::Again;
+    fenced_at_commit: Commit, Sent, true, said("25006")
+        => RetryVerdict::Answer(ErrorKind::TransactionLost);
+    leaving: Write, Sent, false, said("57P01") => RetryVerdict::Again;
+    leaving_at_connect: Write, Connecting, false, said("57P01") => RetryVerdict::Again;
+    cut_off_at_commit: Commit, Sent, true, said("57P01")
+        => RetryVerdict::Answer(ErrorKind::AnswerLost);
+    too_many_connections: Write, Connecting, false, said("53300") => RetryVerdict::Again;
+    duplicate_key: Write, Sent, false, said("23505") => RetryVerdict::PassOn;
+    serialization_failure: Commit, Sent, true, said("40001") => RetryVerdict::PassOn;
+    home_is_overloaded: Read, Sent, false,
+        Failure::Said { sqlstate: *b"53000", claimed: Some(Outcome::NotRun) }
+        => RetryVerdict::PassOn;
+    home_did_not_run_it: Write, Sent, false,
+        Failure::Said { sqlstate: *b"57P03", claimed: Some(Outcome::NotRun) }
+        => RetryVerdict::Again;
+    home_does_not_know: Write, Sent, false,
+        Failure::Said { sqlstate: *b"08007", claimed: Some(Outcome::Unknown) }
+        => RetryVerdict::PassOn;
+}
+
+/// Every combination of the table.
+fn all_attempts() -> Vec<Attempt> {
+    let mut failures = vec![Failure::Broken, Failure::TimedOut];
+    for sqlstate in CODES {
+        failures.extend(CLAIMS.map(|claimed| Failure::Said { sqlstate: *sqlstate, claimed }));
+    }
+    let mut attempts = Vec::new();
+    for effect in [Effect::Read, Effect::Write, Effect::Commit] {
+        for stage in STAGES {
+            for in_transaction in [false, true] {
+                let of = |failure: &Failure| attempt(effect, stage, in_transaction, *failure);
+                attempts.extend(failures.iter().map(of));
+            }
+        }
+    }
+    attempts
+}
+
+// A booking runs twice. Whatever broke, and whoever said what: a request that may write and that was
+// sent whole is only sent again when its target or home said that it did not run.
+#[test]
+fn what_may_have_run_is_never_sent_again_unless_it_is_a_read() {
+    let mut again = 0;
+    for attempt in all_attempts() {
+        if decide(&attempt) != RetryVerdict::Again {
+            continue;
+        }
+        again += 1;
+        assert!(!attempt.in_transaction, "{attempt:?}");
+        assert_ne!(attempt.stage, Stage::AnswerPassedOn, "{attempt:?}");
+        let silent = matches!(attempt.failure, Failure::Broken | Failure::TimedOut);
+        if silent && attempt.effect != Effect::Read {
+            assert!(attempt.stage < Stage::Sent, "{attempt:?}");
+        }
+    }
+    assert!(again > 0);
+}
+
+// A refusal that says "not run" is true: no answer of that kind for what was sent whole and whose end
+// is not known, unless its transaction had no commit.
+#[test]
+fn no_answer_says_not_run_about_what_may_have_run() {
+    for attempt in all_attempts() {
+        let RetryVerdict::Answer(kind) = decide(&attempt) else { continue };
+        let silent = matches!(attempt.failure, Failure::Broken | Failure::TimedOut);
+        let open = attempt.in_transaction && attempt.effect != Effect::Commit;
+        if silent && attempt.stage >= Stage::Sent && !open {
+            assert_eq!(kind.answer().outcome, Outcome::Unknown, "{attempt:?}");
+        }
+    }
+}
+
+#[test]
+fn retries_end() {
+    let mut tried = attempt(Effect::Read, Stage::Sent, false, Failure::Broken);
+    tried.retries = retry::MAX_RETRIES;
+    assert_eq!(decide(&tried), RetryVerdict::Answer(ErrorKind::AnswerLost));
+    let budget = RetryBudget::new(10, 10);
+    let unsent = attempt(Effect::Write, Stage::NothingSent, false, Failure::Broken);
+    let late = retry::decide(&unsent, &budget, 0);
+    assert_eq!(late, RetryVerdict::Answer(ErrorKind::WaitTimedOut));
+}
+
+// Everything fails at once. Each request would be sent four times, and the group that comes back meets
+// four times its load. The budget allows a tenth.
+#[test]
+fn the_budget_bounds_retries_to_a_share_of_the_requests() {
+    let budget = RetryBudget::new(10, 20);
+    let failed = attempt(Effect::Write, Stage::NothingSent, false, Failure::Broken);
+    let mut again = 0;
+    for _ in 0..1_000 {
+        budget.request_started();
+        again += u32::from(retry::decide(&failed, &budget, LEFT_US) == RetryVerdict::Again);
+    }
+    // The burst of 20, and a tenth of a thousand.
+    assert_eq!(again, 119);
+    let spent = retry::decide(&failed, &budget, LEFT_US);
+    assert_eq!(spent, RetryVerdict::Answer(ErrorKind::RetryBudgetSpent));
+    for _ in 0..10_000 {
+        budget.request_started();
+    }
+    assert_eq!(budget.retries_left(), 20);
+    assert_eq!(budget.verify(), Vec::<String>::new());
+}
+
+#[test]
+fn a_refusal_to_retry_costs_no_budget() {
+    let budget = RetryBudget::new(10, 3);
+    let sent = attempt(Effect::Write, Stage::Sent, false, Failure::Broken);
+    retry::decide(&sent, &budget, LEFT_US);
+    assert_eq!(budget.retries_left(), 3);
+}
+
+#[test]
+fn a_hop_never_grants_more_than_it_has() {
+    assert_eq!(retry::hop_deadline_ms(10_999, 1_000), Some(9));
+    assert_eq!(retry::hop_deadline_ms(1_999, 1_000), None);
+    assert_eq!(retry::hop_deadline_ms(500, 1_000), None);
+    assert_eq!(retry::deadline_us(7, 9), 9_007);
+    assert_eq!(retry::deadline_us(7, u64::MAX), u64::MAX);
+    assert_eq!(retry::next_hop(0), Some(1));
+    assert_eq!(retry::next_hop(retry::MAX_HOPS), None);
+}
--- /dev/null
+++ b/crates/core/tests/sharing_connections.rs
@@ -0,0 +1,190 @@
+//! The connections of a home to a target: ahead of need, given back, and never a storm.
+
+use quickcheck::Gen;
+use quickcheck::QuickCheck;
+use skylark_core::process::connection_budget::BudgetPolicy;
+use skylark_core::process::connection_budget::ConnectFailure;
+use skylark_core::process::connection_budget::ConnectionBudget;
+
+const SECOND_US: u64 = 1_000_000;
+
+fn budget(share: u32, seed: u64) -> ConnectionBudget {
+    ConnectionBudget::new(BudgetPolicy::default(), share, seed, 0)
+}
+
+/// Plans at `now_us` and lets every try succeed.
+fn open_all(budget: &mut ConnectionBudget, now_us: u64) -> u32 {
+    let plan = budget.plan(now_us);
+    for _ in 0..plan.open {
+        budget.opened();
+    }
+    plan.open
+}
+
+#[test]
+fn some_are_open_before_anybody_asks() {
+    let mut budget = budget(8, 1);
+    assert_eq!(open_all(&mut budget, 0), BudgetPolicy::default().spare);
+    assert!(budget.take(1));
+    assert_eq!(open_all(&mut budget, 2), 1, "one more before the spare ones are gone");
+}
+
+#[test]
+fn a_home_stays_within_its_part() {
+    let mut budget = budget(3, 1);
+    budget.set_waiting(50);
+    assert_eq!(open_all(&mut budget, 0), 3);
+    assert_eq!(budget.plan(SECOND_US).open, 0);
+}
+
+#[test]
+fn connections_beyond_the_need_are_given_back() {
+    let mut budget = budget(16, 1);
+    budget.set_waiting(10);
+    assert_eq!(open_all(&mut budget, 0), 12);
+    budget.set_waiting(0);
+    assert_eq!(budget.plan(SECOND_US).close, 0, "the need is remembered for a while");
+    let plan = budget.plan(20 * SECOND_US);
+    assert_eq!((plan.close, budget.idle()), (10, 2));
+    assert_eq!(budget.verify(), Vec::<String>::new());
+}
+
+#[test]
+fn a_smaller_part_closes_idle_connections_and_cuts_none_in_use() {
+    let mut budget = budget(8, 1);
+    budget.set_waiting(6);
+    open_all(&mut budget, 0);
+    budget.set_waiting(0);
+    for _ in 0..4 {
+        assert!(budget.take(1));
+    }
+    budget.set_share(2);
+    assert_eq!(budget.plan(2).close, 4);
+    assert_eq!(budget.used(), 4);
+    budget.gave_back();
+    assert_eq!(budget.plan(3).close, 1);
+}
+
+/// The times of all tries within `until_us` against a target that refuses each.
+fn tries_at_a_dead_target(seed: u64, until_us: u64) -> Vec<u64> {
+    let mut budget = budget(8, seed);
+    budget.set_waiting(8);
+    let mut tries = Vec::new();
+    let mut now_us = 0;
+    while now_us < until_us {
+        let plan = budget.plan(now_us);
+        for _ in 0..plan.open {
+            tries.push(now_us);
+            budget.open_failed(ConnectFailure::Failed, now_us);
+        }
+        assert_eq!(budget.verify(), Vec::<String>::new());
+        let after = budget.plan(now_us);
+        assert_eq!(after.open, 0, "a failed try is not repeated at once");
+        now_us = after.ask_again_us.expect("a home that lacks connections asks again");
+    }
+    tries
+}
+
+// A target restarts, and its homes have lost all their connections. All come back at the same moment
+// and again at each doubling of the delay, so that the target spends its start on connections. After
+// the first tries each home tries one at a time, ever less often, at moments of its own.
+#[test]
+fn a_dead_target_is_not_stormed() {
+    let tries = tries_at_a_dead_target(1, 60 * SECOND_US);
+    let first = tries.iter().filter(|at_us| **at_us == 0).count();
+    assert_eq!(first, 8, "the first tries are made together");
+    assert!(tries.len() < 40, "{} tries in a minute", tries.len());
+    let others = tries_at_a_dead_target(2, 60 * SECOND_US);
+    assert!(tries[8..].iter().all(|at_us| !others[8..].contains(at_us)), "jitter differs by seed");
+}
+
+#[test]
+fn success_ends_the_back_off() {
+    let mut budget = budget(4, 1);
+    budget.set_waiting(4);
+    let opening = budget.plan(0).open;
+    assert_eq!(opening, 4);
+    for _ in 0..opening {
+        budget.open_failed(ConnectFailure::Failed, 0);
+    }
+    assert_eq!(budget.plan(1).open, 0);
+    let plan = budget.plan(SECOND_US);
+    assert_eq!(plan.open, 1, "one finds out whether the target is back");
+    budget.opened();
+    assert_eq!(budget.plan(SECOND_US).open, 3);
+}
+
+// Two proxies differ about who is home, and together pass the target's limit. The one that is told so
+// would try again at once, and so on, until the views agree. It stays below what it has, and asks for
+// one more at a time.
+#[test]
+fn an_overshoot_is_met_by_staying_below() {
+    let mut budget = budget(8, 1);
+    budget.set_waiting(8);
+    assert_eq!(budget.plan(0).open, 8);
+    for _ in 0..5 {
+        budget.opened();
+    }
+    for _ in 0..3 {
+        budget.open_failed(ConnectFailure::TooMany, 10);
+    }
+    assert_eq!(budget.plan(11).open, 0);
+    let mut tries = 0;
+    let mut now_us = 11;
+    while now_us < 10 * SECOND_US {
+        let plan = budget.plan(now_us);
+        assert!(plan.open <= 1);
+        for _ in 0..plan.open {
+            tries += 1;
+            budget.open_failed(ConnectFailure::TooMany, now_us);
+        }
+        now_us += 10_000;
+    }
+    assert!((15..=40).contains(&tries), "{tries} tries in ten seconds");
+    for _ in 0..10 {
+        now_us += SECOND_US;
+        open_all(&mut budget, now_us);
+    }
+    assert_eq!(budget.total(), 8, "the part is reached once the target has room");
+}
+
+fn budget_stays_sound(steps: Vec<(u8, u8)>) -> bool {
+    let mut budget = budget(6, 7);
+    let mut now_us = 0;
+    let mut opening = 0;
+    for (action, value) in steps {
+        now_us += u64::from(value) * 1_000;
+        match action % 7 {
+            0 => budget.set_waiting(u32::from(value) % 10),
+            1 => {
+                budget.take(now_us);
+            }
+            2 if budget.used() > 0 => budget.gave_back(),
+            3 if budget.used() > 0 => budget.used_closed(),
+            4 if opening > 0 => {
+                opening -= 1;
+                budget.opened();
+            }
+            5 if opening > 0 => {
+                opening -= 1;
+                let kinds = [ConnectFailure::TooMany, ConnectFailure::Failed];
+                budget.open_failed(kinds[usize::from(value) % 2], now_us);
+            }
+            _ => opening += budget.plan(now_us).open,
+        }
+        if budget.total() > 6 || !budget.verify().is_empty() {
+            return false;
+        }
+    }
+    true
+}
+
+#[test]
+fn the_part_is_never_passed() {
+    for seed in 1..=4 {
+        QuickCheck::new()
+            .tests(400)
+            .rng(Gen::from_size_and_seed(80, seed))
+            .quickcheck(budget_stays_sound as fn(Vec<(u8, u8)>) -> bool);
+    }
+}
--- /dev/null
+++ b/crates/core/tests/spreading.rs
@@ -0,0 +1,118 @@
+//! Versions spread upwards only.
+
+use quickcheck::Gen;
+use quickcheck::QuickCheck;
+use skylark_core::version::spreading;
+use skylark_core::version::spreading::OfferVerdict;
+use skylark_core::version::spreading::PeerAction;
+use skylark_core::version::spreading::Source;
+use skylark_core::version::spreading::Spreading;
+use skylark_core::version::spreading::StartChoice;
+use skylark_core::version::spreading::StartVerdict;
+
+fn at(revision: u64) -> Spreading {
+    let mut spreading = Spreading::new();
+    assert_eq!(spreading.offered(revision, Source::Platform), OfferVerdict::Take);
+    spreading
+}
+
+// An operator's confirmed change is in force and vanishes again. The platform's answer comes from a
+// copy of the store that lags, or that was restored, with a lower revision than the one in force.
+#[test]
+fn a_lower_revision_is_never_taken_whoever_offers_it() {
+    for source in [Source::Platform, Source::Watcher, Source::Peer] {
+        let mut spreading = at(9);
+        assert_eq!(spreading.offered(8, source), OfferVerdict::IgnoreOlder);
+        assert_eq!(spreading.revision(), 9);
+    }
+}
+
+#[test]
+fn the_vm_list_of_the_same_revision_is_taken_from_fresh_sources_only() {
+    let mut spreading = at(9);
+    assert_eq!(spreading.offered(9, Source::Watcher), OfferVerdict::TakeVmsOnly);
+    assert_eq!(spreading.offered(9, Source::Platform), OfferVerdict::TakeVmsOnly);
+    assert_eq!(spreading.offered(9, Source::Peer), OfferVerdict::IgnoreOlder);
+}
+
+#[test]
+fn one_pull_at_a_time() {
+    let mut spreading = at(3);
+    assert_eq!(spreading.peer_seen(2, 0), PeerAction::Tell);
+    assert_eq!(spreading.peer_seen(3, 0), PeerAction::Nothing);
+    assert_eq!(spreading.peer_seen(4, 0), PeerAction::Pull);
+    assert_eq!(spreading.peer_seen(5, 1), PeerAction::Nothing);
+    assert_eq!(spreading.peer_seen(5, spreading::PULL_TIMEOUT_US), PeerAction::Pull);
+    spreading.pull_failed();
+    assert_eq!(spreading.peer_seen(5, spreading::PULL_TIMEOUT_US + 1), PeerAction::Pull);
+    assert_eq!(spreading.offered(5, Source::Peer), OfferVerdict::Take);
+    assert_eq!(spreading.peer_seen(6, spreading::PULL_TIMEOUT_US + 2), PeerAction::Pull);
+    assert_eq!(spreading.verify(), Vec::<String>::new());
+}
+
+#[test]
+fn a_store_without_changes_makes_ready() {
+    let mut spreading = Spreading::new();
+    assert!(!spreading.is_ready());
+    assert_eq!(spreading.offered(0, Source::Platform), OfferVerdict::Take);
+    assert!(spreading.is_ready());
+}
+
+fn never_back(offers: Vec<(u64, bool)>) -> bool {
+    let mut spreading = Spreading::new();
+    let mut in_force = 0;
+    for (index, (revision, is_offer)) in offers.into_iter().enumerate() {
+        if is_offer {
+            spreading.offered(revision, Source::Peer);
+        } else {
+            spreading.peer_seen(revision, index as u64 * 300_000);
+        }
+        if spreading.revision() < in_force || !spreading.verify().is_empty() {
+            return false;
+        }
+        in_force = spreading.revision();
+    }
+    true
+}
+
+#[test]
+fn no_order_of_offers_goes_back() {
+    QuickCheck::new()
+        .tests(500)
+        .rng(Gen::from_size_and_seed(30, 1))
+        .quickcheck(never_back as fn(Vec<(u64, bool)>) -> bool);
+}
+
+// A VM that starts while the platform is down asks one peer that was cut off for hours, and puts an
+// old version in force. The highest of several answers is taken.
+#[test]
+fn a_start_takes_the_highest_of_several_peers() {
+    let mut choice = StartChoice::new(3, 1_000);
+    choice.answered(0, 7);
+    assert_eq!(choice.verdict(10), StartVerdict::Wait);
+    choice.answered(1, 9);
+    choice.answered(2, 0);
+    assert_eq!(choice.verdict(11), StartVerdict::Take(1));
+}
+
+#[test]
+fn a_start_takes_what_it_has_at_the_deadline() {
+    let mut choice = StartChoice::new(3, 1_000);
+    assert_eq!(choice.verdict(1_000), StartVerdict::AskAgain);
+    choice.failed();
+    choice.answered(2, 4);
+    assert_eq!(choice.verdict(999), StartVerdict::Wait);
+    assert_eq!(choice.verdict(1_000), StartVerdict::Take(2));
+}
+
+#[test]
+fn start_peers_are_distinct_and_differ_by_seed() {
+    let first = spreading::start_peers(50, spreading::START_PEERS, 1);
+    let mut sorted = first.clone();
+    sorted.sort_unstable();
+    sorted.dedup();
+    assert_eq!(sorted.len(), spreading::START_PEERS);
+    assert_ne!(first, spreading::start_peers(50, spreading::START_PEERS, 2));
+    assert_eq!(spreading::start_peers(2, spreading::START_PEERS, 1).len(), 2);
+    assert!(spreading::start_peers(0, spreading::START_PEERS, 1).is_empty());
+}
