Judge the age of reads by the quorums of the member set, also in its joint phase

The control thread counted plain majorities of the present set. With a set that just shrank, a process that knows only the set before may promote a primary with members of which such a majority says nothing, and an old primary's log end would have counted as the present one.

--- a/crates/proxy/src/process/control/align.rs
+++ b/crates/proxy/src/process/control/align.rs
@@ -82,6 +82,7 @@
         let Some(group) = self.groups.get_mut(name) else { return };
         if let Some(tracking) = &mut group.tracking {
             tracking.floors.settle_members();
+            tracking.ages.settle_members();
         }
         group.drive(now_us, &failover::Event::MembersSettled);
         self.settle_group(now_us, &Arc::from(name));
