Send gauges of the control state, and bound the last calls of a stop

Cause: metrics showed requests alone; and telling the last writes to homes that are gone could hold a stop for long.

--- a/crates/proxy/src/process/control/mod.rs
+++ b/crates/proxy/src/process/control/mod.rs
@@ -66,6 +66,9 @@
 /// How often expired evidence about VMs and targets is looked for.
 const EVIDENCE_EVERY_US: u64 = 1_000_000;
 
+/// How long the last writes may take to be told to other homes at the end.
+const LAST_WRITES: Duration = Duration::from_secs(2);
+
 const US_PER_MS: u64 = 1000;
 
 /// What the control thread is started with.
@@ -356,14 +359,17 @@
     }
 
     async fn end(&mut self) {
-        self.send_all_writes().await;
+        // Bounded, since the peers may be gone: what they are not told costs them freshness only.
+        let _ = time::timeout(LAST_WRITES, self.send_all_writes()).await;
         self.send_metrics();
         slog::info!(self.log, "control ended");
     }
 
     fn send_metrics(&mut self) {
+        let gauges = self.gauges();
         if let Some(metrics) = &mut self.metrics {
             metrics.send_counters(&self.counters);
+            metrics.send_gauges(&gauges);
         }
     }
 }
--- a/crates/proxy/src/process/control/report.rs
+++ b/crates/proxy/src/process/control/report.rs
@@ -11,6 +11,7 @@
 use crate::process::control::US_PER_MS;
 use crate::process::control::group::Group;
 use crate::process::member::client::MemberClient;
+use crate::process::metrics::ControlGauges;
 use crate::process::peer::api;
 use crate::process::peer::server::PeerRequest;
 use crate::process::peer::server::Refusal;
@@ -56,6 +57,21 @@
         }
     }
 
+    pub(super) fn gauges(&self) -> ControlGauges {
+        let tracked = || self.groups.values().filter(|group| group.tracking.is_some());
+        let stalled = |group: &&Group| group.tracking.as_ref().is_some_and(|it| it.stalled);
+        let members = tracked().flat_map(|group| &group.live.members);
+        let unreachable = members.filter(|member| !member.reachable.load(Ordering::Relaxed));
+        ControlGauges {
+            revision: self.configuration.revision(),
+            tracked_groups: tracked().count() as u64,
+            leaderless_groups: tracked().filter(|group| group.leader().is_none()).count() as u64,
+            stalled_groups: tracked().filter(stalled).count() as u64,
+            unreachable_members: unreachable.count() as u64,
+            platform_answers: u64::from(self.platform_answers),
+        }
+    }
+
     fn explain(&self, name: &str) -> Option<api::ExplainReport> {
         let group = self.groups.get(name)?;
         Some(api::ExplainReport {
--- a/crates/proxy/src/process/metrics.rs
+++ b/crates/proxy/src/process/metrics.rs
@@ -1,8 +1,10 @@
-//! Metrics by UDP to a statsd server: what changed in the counters since the last time.
+//! Metrics by UDP to a statsd server: what changed in the counters since the last time, and gauges of
+//! the control state.
 
 use std::net::UdpSocket;
 
 use cadence::Counted;
+use cadence::Gauged;
 use cadence::StatsdClient;
 use cadence::UdpMetricSink;
 use skylark_core::FastMap;
@@ -10,6 +12,37 @@
 
 use crate::process::counters::Counters;
 
+/// The control state as numbers.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub struct ControlGauges {
+    /// The revision in force.
+    pub revision: u64,
+    /// Groups whose members are tracked.
+    pub tracked_groups: u64,
+    /// Tracked groups without a known primary.
+    pub leaderless_groups: u64,
+    /// Tracked groups whose writes are refused because a majority can't confirm them.
+    pub stalled_groups: u64,
+    /// Members of tracked groups that don't answer.
+    pub unreachable_members: u64,
+    /// 1 while the platform answers, otherwise 0.
+    pub platform_answers: u64,
+}
+
+impl ControlGauges {
+    /// The gauges by name.
+    pub fn by_name(&self) -> [(&'static str, u64); 6] {
+        [
+            ("control.revision", self.revision),
+            ("control.tracked_groups", self.tracked_groups),
+            ("control.leaderless_groups", self.leaderless_groups),
+            ("control.stalled_groups", self.stalled_groups),
+            ("control.unreachable_members", self.unreachable_members),
+            ("control.platform_answers", self.platform_answers),
+        ]
+    }
+}
+
 /// The client, and what was sent already.
 #[derive(Debug)]
 pub struct Metrics {
@@ -46,6 +79,13 @@
         }
     }
 
+    /// Sends the control state.
+    pub fn send_gauges(&self, gauges: &ControlGauges) {
+        for (name, value) in gauges.by_name() {
+            let _ = self.client.gauge_with_tags(name, value).try_send();
+        }
+    }
+
     /// Sends how much each counter grew.
     pub fn send_counters(&mut self, counters: &Counters) {
         for (name, value) in counters.snapshot() {
--- a/crates/proxy/tests/control_spreading.rs
+++ b/crates/proxy/tests/control_spreading.rs
@@ -15,6 +15,7 @@
 use skylark_proxy::process::peer::api::PeerApiClient;
 use skylark_proxy::process::peer::client;
 use skylark_standin::deployment::fault::Fault;
+use tokio::net::UdpSocket;
 
 /// Makes one asynchronous test of each function.
 macro_rules! spreading_tests {
@@ -37,6 +38,7 @@
     unknown_group_and_bad_calls_are_refused
     leaving_target_is_kept_from_new_work
     dead_proxy_loses_its_homes_while_the_list_lags
+    metrics_reach_the_statsd_server
 }
 
 mod cases {
@@ -203,6 +205,25 @@
         }
     }
 
+    /// Counters and gauges go to the configured server as datagrams, each with VM and zone.
+    pub async fn metrics_reach_the_statsd_server() {
+        let server = UdpSocket::bind("127.0.0.1:0").await.expect("a free port is there");
+        let deployment = control_support::deployment().await;
+        let platform = deployment.platform().address();
+        let mut settings = settings("vm-1", "medina", platform, &[], PEER_INTERVAL_MS);
+        settings.metrics.statsd_address = server.local_addr().ok();
+        settings.metrics.interval_ms = 50;
+        let _proxy = Proxy::start(settings).await;
+        let mut datagram = [0; 2048];
+        until("the gauge shows that the platform answers", async || {
+            let count = server.recv(&mut datagram).await.ok()?;
+            let text = std::str::from_utf8(&datagram[..count]).ok()?;
+            let line = "skylark.control.platform_answers:1|g|#vm:vm-1,zone:medina";
+            text.lines().any(|it| it == line).then_some(())
+        })
+        .await;
+    }
+
     fn control_client(proxy: &Proxy) -> jsonrpsee::http_client::HttpClient {
         let address = proxy.handle.control_address().to_string();
         client::open(&address, PATIENCE).expect("the address is right")
