Weigh waiting for a replica by how fast it follows, not by the age that it shows

The age that a member shows includes the time between two probes, 100 ms by default, while members tell of new records at once. A read of a session's own write was therefore expected to wait for over 100 ms at a replica that follows within a few, and went to the primary. The time between the primary's record and the member's is now averaged by itself.

--- a/crates/core/src/process/read_age.rs
+++ b/crates/core/src/process/read_age.rs
@@ -24,6 +24,9 @@
 /// How many samples are kept for a group.
 pub const MAX_SAMPLES: usize = 64;
 
+/// How many of the primary's positions are kept for telling how fast members follow.
+const MAX_SEEN: usize = 16;
+
 /// The weight of the newest observation in the average lag, as one part in this many.
 const LAG_DIVISOR: u64 = 8;
 
@@ -43,6 +46,9 @@
     probe: Option<(u64, MemberStatus)>,
     applied: LogPosition,
     lag_us: Option<u64>,
+    catch_up_us: Option<u64>,
+    /// The last of the primary's positions by which catching up was measured.
+    caught_up: LogPosition,
 }
 
 /// The samples of one group and what its members have applied.
@@ -52,13 +58,15 @@
     set: Option<MemberSet>,
     members: Vec<MemberAge>,
     samples: collections::VecDeque<Sample>,
+    /// When the primary's latest positions were first seen here.
+    seen: collections::VecDeque<(LogPosition, u64)>,
 }
 
 impl ReadAge {
     /// A group of this many members, about which nothing is known.
     pub fn new(members: usize) -> ReadAge {
         let members = vec![MemberAge::default(); members];
-        ReadAge { set: None, members, samples: collections::VecDeque::new() }
+        ReadAge { members, ..ReadAge::default() }
     }
 
     /// A group with this member set, whose quorums count also in a joint phase.
@@ -95,7 +103,7 @@
         state.probe = Some((sent_us, status.clone()));
         state.applied = status.applied;
         self.take_sample();
-        self.observe_lag(member, now_us);
+        self.observe(member, now_us);
     }
 
     /// Takes a notice that a member sent on its own after a change.
@@ -103,7 +111,7 @@
     /// It carries no time of sending, so it moves the applied position and proves nothing of terms.
     pub fn notified(&mut self, member: usize, now_us: u64, applied: LogPosition) {
         self.members[member].applied = applied;
-        self.observe_lag(member, now_us);
+        self.observe(member, now_us);
     }
 
     /// The time up to which reads at the member see all that was acknowledged.
@@ -119,6 +127,12 @@
         self.members[member].lag_us
     }
 
+    /// How long after the primary's records are seen here the member usually reports them as applied:
+    /// what a read that needs the primary's newest record has to wait.
+    pub fn catch_up_us(&self, member: usize) -> Option<u64> {
+        self.members[member].catch_up_us
+    }
+
     /// The samples, oldest first.
     pub fn samples(&self) -> impl Iterator<Item = &Sample> {
         self.samples.iter()
@@ -209,13 +223,42 @@
         }
     }
 
-    fn observe_lag(&mut self, member: usize, now_us: u64) {
-        let Some(fresh_us) = self.fresh_as_of_us(member) else { return };
-        let observed_us = now_us.saturating_sub(fresh_us);
+    fn observe(&mut self, member: usize, now_us: u64) {
+        if self.is_primary(member) {
+            self.see(self.members[member].applied, now_us);
+        }
+        if let Some(fresh_us) = self.fresh_as_of_us(member) {
+            let state = &mut self.members[member];
+            state.lag_us = Some(averaged(state.lag_us, now_us.saturating_sub(fresh_us)));
+        }
+        let applied = self.members[member].applied;
+        let covered = self.seen.iter().rev().find(|(position, _)| applied.covers(*position));
         let state = &mut self.members[member];
-        state.lag_us = Some(match state.lag_us {
-            None => observed_us,
-            Some(average_us) => average_us - average_us / LAG_DIVISOR + observed_us / LAG_DIVISOR,
-        });
+        if let Some((position, seen_us)) = covered.filter(|(at, _)| *at > state.caught_up) {
+            state.caught_up = *position;
+            state.catch_up_us = Some(averaged(state.catch_up_us, now_us.saturating_sub(*seen_us)));
+        }
+    }
+
+    fn is_primary(&self, member: usize) -> bool {
+        let probe = self.members[member].probe.as_ref();
+        probe.is_some_and(|(_, status)| status.role == Role::Primary)
+    }
+
+    fn see(&mut self, position: LogPosition, now_us: u64) {
+        if self.seen.back().is_some_and(|(last, _)| *last >= position) {
+            return;
+        }
+        if self.seen.len() == MAX_SEEN {
+            self.seen.pop_front();
+        }
+        self.seen.push_back((position, now_us));
+    }
+}
+
+fn averaged(average_us: Option<u64>, observed_us: u64) -> u64 {
+    match average_us {
+        None => observed_us,
+        Some(average_us) => average_us - average_us / LAG_DIVISOR + observed_us / LAG_DIVISOR,
     }
 }
--- a/crates/core/src/request/routing.rs
+++ b/crates/core/src/request/routing.rs
@@ -4,8 +4,9 @@
 //! can show data young enough. Among the replicas that may, the one with the shortest expected
 //! time is taken: the predicted wait at the member plus the way to it; the nearer one on a tie.
 //!
-//! When no replica may serve the read now, two ways are weighed. Waiting costs the replica's recent
-//! lag. The primary costs its own predicted wait, the same wait once more because the read delays
+//! When no replica may serve the read now, two ways are weighed. Waiting costs the time in which the
+//! replica usually follows the primary or, where its data is too old, the age that it usually shows.
+//! The primary costs its own predicted wait, the same wait once more because the read delays
 //! the writes behind it, and a fixed toll for a slot that writes need. The cheaper way that meets
 //! the deadline is taken. Every verdict carries a [`ReadReason`], so that the share of reads served
 //! by replicas can be explained by counters.
@@ -42,8 +43,10 @@
     pub applied: LogPosition,
     /// Reads at the member see all that was acknowledged by this time; zero when nothing is shown.
     pub fresh_as_of_us: u64,
-    /// How far the member was behind recently; `None` when nothing is known.
+    /// How old the member's data usually is when it reports; `None` when nothing is known.
     pub lag_us: Option<u64>,
+    /// How long the member usually takes to apply what the primary has; `None` when nothing is known.
+    pub catch_up_us: Option<u64>,
     /// Whether the member answers now.
     pub reachable: bool,
     /// Whether the member is leaving or drained.
@@ -381,7 +384,7 @@
     replica: Option<Fit>,
     ties: u32,
     primary: Option<Fit>,
-    /// The replica that is expected to be fit first, with its lag; unknown lags come last.
+    /// The replica that is expected to be fit first, with the time until then; unknown ones come last.
     pending: Option<(Option<u64>, Fit, Shortfall)>,
     replica_leaving: bool,
     any_lacks_age: bool,
@@ -455,21 +458,28 @@
         // A replica whose usual lag passes the bound can't be waited for: it never gets there.
         let hopeless = member.lag_us.is_some_and(|lag_us| lag_us > request.max_age_us);
         if is_replica && !hopeless {
-            self.add_pending(member.lag_us, fit, shortfall);
+            let ready_us = match shortfall {
+                Shortfall::Floor => member.catch_up_us.or(member.lag_us),
+                _ => member.lag_us,
+            };
+            self.add_pending(ready_us, fit, shortfall);
         }
     }
 
-    fn add_pending(&mut self, lag_us: Option<u64>, fit: Fit, shortfall: Shortfall) {
-        let rank = |lag_us: Option<u64>, fit: &Fit| lag_us.map(|lag_us| lag_us + fit.cost_us);
+    fn add_pending(&mut self, ready_us: Option<u64>, fit: Fit, shortfall: Shortfall) {
+        let cost_us =
+            |ready_us: Option<u64>, fit: &Fit| Some(ready_us?.saturating_add(fit.cost_us));
         let better = match &self.pending {
             None => true,
-            Some((best_lag_us, best, _)) => match (rank(lag_us, &fit), rank(*best_lag_us, best)) {
-                (Some(new), Some(old)) => new < old,
-                (new, old) => new.is_some() && old.is_none(),
-            },
+            Some((known_us, known, _)) => {
+                match (cost_us(ready_us, &fit), cost_us(*known_us, known)) {
+                    (Some(new), Some(old)) => new < old,
+                    (new, old) => new.is_some() && old.is_none(),
+                }
+            }
         };
         if better {
-            self.pending = Some((lag_us, fit, shortfall));
+            self.pending = Some((ready_us, fit, shortfall));
         }
     }
 
@@ -496,10 +506,10 @@
         request: &ReadRequest,
         left_us: u64,
     ) -> Option<Wait> {
-        let (lag_us, fit, shortfall) = self.pending?;
+        let (expected_us, fit, shortfall) = self.pending?;
         let allowed_us = policy.max_wait_us.saturating_sub(request.waited_us);
-        let ready_us = match lag_us {
-            Some(lag_us) => lag_us.max(1),
+        let ready_us = match expected_us {
+            Some(expected_us) => expected_us.max(1),
             None if self.primary.is_some() => return None,
             None => policy.unknown_lag_us.min(allowed_us),
         };
@@ -539,10 +549,10 @@
             (ErrorKind::TargetUnreachable, ReadReason::RefusedNoMember)
         };
         let table_us = kind.answer().retry_after_ms * 1_000;
-        let lag_us = self.pending.and_then(|(lag_us, _, _)| lag_us);
+        let ready_us = self.pending.and_then(|(ready_us, _, _)| ready_us);
         ReadVerdict::Refuse {
             kind,
-            retry_after_us: lag_us.unwrap_or(table_us).max(policy.primary_toll_us),
+            retry_after_us: ready_us.unwrap_or(table_us).max(policy.primary_toll_us),
             reason,
         }
     }
--- a/crates/core/tests/read_age.rs
+++ b/crates/core/tests/read_age.rs
@@ -65,6 +65,22 @@
     assert_eq!(age.fresh_as_of_us(1), Some(300));
 }
 
+#[test]
+fn catching_up_is_told_apart_from_the_age_that_is_shown() {
+    let mut age = ReadAge::new(2);
+    age.probe_answered(0, 100, 101, &primary(1, 5));
+    age.probe_answered(1, 100, 101, &replica(1, 5));
+    assert_eq!(age.catch_up_us(1), Some(0));
+    for step in 1..200 {
+        let now_us = 1_000 * step;
+        age.notified(0, now_us, LogPosition::new(1, 5 + step));
+        age.notified(1, now_us + 40, LogPosition::new(1, 5 + step));
+    }
+    let catch_up_us = age.catch_up_us(1).expect("it was measured");
+    assert!((30..=40).contains(&catch_up_us), "{catch_up_us}");
+    assert!(age.lag_us(1).expect("it was measured") > 1_000, "no probe shows a younger age");
+}
+
 // A caller reads a lookup of at most 1 s and gets data of minutes ago. The primary is cut off from the
 // other members and still believes that it leads; only this process's probes reach it, each answered
 // at once with its standing log. Meanwhile the others have promised themselves to a new term and its
@@ -104,6 +120,7 @@
     joint.probe_answered(2, 100, 101, &replica(1, 5));
     assert_eq!(joint.fresh_as_of_us(0), Some(100), "three of four");
 
+    joint.probe_answered(1, 150, 151, &replica(1, 5));
     joint.settle_members();
     joint.probe_answered(0, 200, 201, &primary(1, 6));
     assert_eq!(joint.fresh_as_of_us(0), Some(100), "answers from before the settling don't count");
--- a/crates/core/tests/routing.rs
+++ b/crates/core/tests/routing.rs
@@ -42,6 +42,7 @@
         applied: "3/10".parse().expect("a position"),
         fresh_as_of_us: (NOW_MS - 10) * 1_000,
         lag_us: None,
+        catch_up_us: None,
         reachable: true,
         leaving: false,
         nearness: Nearness::SameZone,
@@ -53,6 +54,7 @@
             "age" if value == "none" => member.fresh_as_of_us = 0,
             "age" => member.fresh_as_of_us = NOW_MS * 1_000 - us(value),
             "lag" => member.lag_us = Some(us(value)),
+            "catch_up" => member.catch_up_us = Some(us(value)),
             "reachable" => member.reachable = value == "yes",
             "leaving" => member.leaving = value == "yes",
             "zone" if value == "other" => member.nearness = Nearness::OtherZone,
@@ -141,6 +143,7 @@
     unshown_age = "unshown-age.case";
     no_bound_needs_no_age = "no-bound-needs-no-age.case";
     waits_for_replica = "waits-for-replica.case";
+    follows_fast = "follows-fast.case";
     waited_and_served = "waited-and-served.case";
     waited_long_enough = "waited-long-enough.case";
     hopeless_lag = "hopeless-lag.case";
--- a/crates/proxy/src/process/control/group.rs
+++ b/crates/proxy/src/process/control/group.rs
@@ -399,4 +399,7 @@
     let fresh_us = ages.fresh_as_of_us(member).unwrap_or(0);
     live.fresh_as_of_us.store(fresh_us, Ordering::Relaxed);
     live.lag_us.store(ages.lag_us(member).unwrap_or(0), Ordering::Relaxed);
+    // Zero stands for unknown.
+    let catch_up_us = ages.catch_up_us(member).map_or(0, |catch_up_us| catch_up_us.max(1));
+    live.catch_up_us.store(catch_up_us, Ordering::Relaxed);
 }
--- a/crates/proxy/src/request/route.rs
+++ b/crates/proxy/src/request/route.rs
@@ -4,6 +4,7 @@
 //! A proxy that does not track the group leaves the choice to one that does.
 
 use std::sync::Arc;
+use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 use std::time::Instant;
@@ -230,7 +231,8 @@
                 target: *target,
                 applied: *live.applied.lock(),
                 fresh_as_of_us: live.fresh_as_of_us.load(Ordering::Acquire),
-                lag_us: Some(live.lag_us.load(Ordering::Relaxed)).filter(|lag_us| *lag_us > 0),
+                lag_us: known_us(&live.lag_us),
+                catch_up_us: known_us(&live.catch_up_us),
                 reachable: live.reachable.load(Ordering::Relaxed)
                     && !self.tried.targets.contains(target),
                 leaving: live.leaving.load(Ordering::Relaxed),
@@ -320,6 +322,11 @@
     LeaderView { target: leader.target, term: leader.term }
 }
 
+/// A published time; zero stands for unknown.
+fn known_us(published: &AtomicU64) -> Option<u64> {
+    Some(published.load(Ordering::Relaxed)).filter(|time_us| *time_us > 0)
+}
+
 fn nearness(own_zone: Option<ZoneId>, zone: ZoneId) -> Nearness {
     match own_zone == Some(zone) {
         true => Nearness::SameZone,
--- a/crates/proxy/src/version/published.rs
+++ b/crates/proxy/src/version/published.rs
@@ -99,6 +99,9 @@
     pub fresh_as_of_us: AtomicU64,
     /// How old the member's data usually is when it reports, in microseconds; zero when unknown.
     pub lag_us: AtomicU64,
+    /// How long the member usually takes to apply what the primary has, in microseconds; zero when
+    /// unknown.
+    pub catch_up_us: AtomicU64,
     /// Whether the member answers now.
     pub reachable: AtomicBool,
     /// Whether the member is leaving or drained and gets no new work.
