Let nobody lead before a first term is opened

A member that was set up as primary by hand reports so in term zero, where the lowest position counts as confirmed: it would have been announced without any majority. It leads once it was promoted in term one, and the vote of the member that brought the data is waited for a moment, since no acknowledgement protects that data yet.

--- a/crates/core/src/process/failover/fence.rs
+++ b/crates/core/src/process/failover/fence.rs
@@ -13,6 +13,9 @@
 use crate::member_status::Role;
 use crate::process::member_set::MemberMask;
 
+/// The term of a group's first primary.
+const FIRST_TERM: Term = Term(1);
+
 /// How candidates of a fence compare: the log first, for safety; the rest only among equal logs.
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 struct Merit {
@@ -38,7 +41,7 @@
         }
         let voters = self.voters(term);
         if self.members().is_quorum(voters)
-            && !self.awaits_preferred(now_us, cause, voters, since_us)
+            && !self.awaits_preferred(now_us, cause, term, voters, since_us)
         {
             Self::trace(Step::Fenced, term, actions);
             return self.choose(term, voters).map(|member| {
@@ -85,11 +88,13 @@
     }
 
     /// Waits a moment longer for the vote of the member that is to lead: the wanted one, or the
-    /// present primary where it works and only a stray member has to be won back.
+    /// present primary where it works and only a stray member has to be won back, or the one that
+    /// brought the data into a new group, which no acknowledgement protects yet.
     fn awaits_preferred(
         &mut self,
         now_us: u64,
         cause: Cause,
+        term: Term,
         voters: MemberMask,
         since_us: u64,
     ) -> bool {
@@ -97,6 +102,7 @@
         let preferred = match cause {
             Cause::Wanted => self.wanted_member(),
             Cause::RaisedBeyond => self.announced.map(|leader| leader.member),
+            Cause::Unled if term == FIRST_TERM => self.longest_log(),
             Cause::Suspected | Cause::Unled => None,
         };
         let missing = preferred.is_some_and(|member| !voters.contains(member));
@@ -107,6 +113,10 @@
         waits
     }
 
+    fn longest_log(&self) -> Option<usize> {
+        (0..self.members().count()).max_by_key(|&member| self.status(member).map(|it| it.log))
+    }
+
     /// The member to promote: the highest log of the fence.
     fn choose(&self, term: Term, voters: MemberMask) -> Option<usize> {
         (0..self.members().count())
--- a/crates/core/src/process/failover/view.rs
+++ b/crates/core/src/process/failover/view.rs
@@ -49,7 +49,8 @@
         let in_term = (0..self.members().count()).any(|other| {
             self.status(other).is_some_and(|status| status.raised_term == record.term)
         });
-        (in_term && !contradicts).then_some(Leader { term: record.term, member })
+        let opened = record.term > Term::default();
+        (opened && in_term && !contradicts).then_some(Leader { term: record.term, member })
     }
 
     /// The highest term that any report or the lead record shows.
@@ -76,7 +77,10 @@
     }
 }
 
-/// Whether a report shows a primary that opened its term.
+/// Whether a report shows a primary that opened its term. Nobody opens term zero: what a member says
+/// of itself before its first promotion was decided by no majority.
 fn leads(status: &MemberStatus) -> bool {
-    status.role == Role::Primary && status.log.term == status.raised_term
+    status.role == Role::Primary
+        && status.log.term == status.raised_term
+        && status.raised_term > Term::default()
 }
--- a/crates/core/tests/failover/cases.rs
+++ b/crates/core/tests/failover/cases.rs
@@ -61,6 +61,7 @@
     drained_member_leads_with_the_highest_log
     fence_needs_a_majority
     highest_log_is_promoted
+    first_primary_is_elected
     hold_of_a_dead_driver_ends
     lost_promotion_promotes_nobody_else
     lower_ranked_waits_its_turn
