--- a/crates/bench/src/commands/mod.rs
+++ b/crates/bench/src/commands/mod.rs
@@ -8,6 +8,7 @@
 
 pub mod experiment;
 pub mod failover_gap;
+pub mod fleet;
 pub mod idle_memory;
 pub mod overhead;
 pub mod quickstart;
--- a/crates/bench/src/live/threads.rs
+++ b/crates/bench/src/live/threads.rs
@@ -1,4 +1,4 @@
-//! Processor time of this process's threads, by name.
+//! Processor time of a process's threads, by name.
 
 use std::fs;
 use std::path::Path;
@@ -6,7 +6,12 @@
 /// The processor time of all threads with this name in nanoseconds; zero where the system doesn't
 /// tell.
 pub fn cpu_ns(name: &str) -> u64 {
-    let Ok(tasks) = fs::read_dir("/proc/self/task") else { return 0 };
+    cpu_ns_of("self", name)
+}
+
+/// The same for a process by its number.
+pub fn cpu_ns_of(process: &str, name: &str) -> u64 {
+    let Ok(tasks) = fs::read_dir(format!("/proc/{process}/task")) else { return 0 };
     let named = tasks.flatten().filter(|task| has_name(&task.path(), name));
     named.map(|task| time_of(&task.path())).sum()
 }
--- a/crates/bench/src/load/session.rs
+++ b/crates/bench/src/load/session.rs
@@ -226,7 +226,9 @@
                 write_ending(&commit, caller, &self.group_name)
             }
         };
-        if let Some(token) = caller.token() {
+        // Only after a write: a connection that the session roamed away from still shows the token of
+        // its own last write, and taking that one back would forget the writes made elsewhere.
+        if let (Ending::Acknowledged { .. }, Some(token)) = (&ending, caller.token()) {
             self.token = Some(token.to_owned());
         }
         Ok(ending)
--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -16,6 +16,8 @@
         .subcommand(commands::experiment::command())
         .subcommand(commands::experiment::compare_command())
         .subcommand(commands::failover_gap::command())
+        .subcommand(commands::fleet::file_command())
+        .subcommand(commands::fleet::cost_command())
         .subcommand(commands::idle_memory::command())
         .subcommand(commands::overhead::command())
         .subcommand(commands::quickstart::command())
@@ -26,6 +28,8 @@
             commands::experiment::run_compare(matches)
         }
         Some((commands::failover_gap::NAME, matches)) => commands::failover_gap::run(matches),
+        Some((commands::fleet::FILE_NAME, matches)) => commands::fleet::write_file(matches),
+        Some((commands::fleet::COST_NAME, matches)) => commands::fleet::read_cost(matches),
         Some((commands::idle_memory::NAME, matches)) => commands::idle_memory::run(matches),
         Some((commands::overhead::NAME, matches)) => commands::overhead::run(matches),
         Some((commands::quickstart::NAME, matches)) => commands::quickstart::run(matches),
--- a/crates/bench/tests/slopes.rs
+++ b/crates/bench/tests/slopes.rs
@@ -1,5 +1,6 @@
 //! Lines fit their points, and the made-up fleet resolves without problems.
 
+use skylark_bench::commands;
 use skylark_bench::slopes::fleet;
 use skylark_bench::slopes::line::Line;
 use skylark_bench::slopes::measure::Spread;
@@ -36,3 +37,12 @@
     assert_eq!(names.len(), cases.len());
     assert!(cases.iter().all(|case| case.sizes.len() >= 3));
 }
+
+#[test]
+fn fleet_file_is_accepted_as_a_deployment() {
+    let text =
+        serde_json::to_string(&commands::fleet::fleet(550)).expect("settings are plain data");
+    let read = skylark_settings::parse::<skylark_settings::deployment::DeploymentSettings>(&text);
+    let settings = read.unwrap_or_else(|mistakes| panic!("{mistakes}"));
+    assert_eq!((settings.vms.len(), settings.groups.len()), (550, 367));
+}
