Explore the failover driver itself among the specification's members

The model of acknowledgement lets attempts do what a driver may do, but did not run the driver. Now the core's FailoverDriver acts on the same members with the platform down and late, lost and repeated calls.

--- a/crates/spec/src/acknowledgement/model.rs
+++ b/crates/spec/src/acknowledgement/model.rs
@@ -82,12 +82,12 @@
     }
 
     fn push(&self, next: &mut Next<N>, step: Step, mut state: State<N>) {
-        self.confirm(&mut state);
+        self.note_reports(&mut state);
         next.push((step, state));
     }
 
     /// Hands every report that a member could send now to the acknowledging proxies.
-    fn confirm(&self, state: &mut State<N>) {
+    pub fn note_reports(&self, state: &mut State<N>) {
         for write in 0..self.bounds.writes {
             if state.writes[write].term == 0 {
                 continue;
--- a/crates/spec/src/case.rs
+++ b/crates/spec/src/case.rs
@@ -4,6 +4,7 @@
 
 use crate::acknowledgement;
 use crate::answers;
+use crate::driver;
 use crate::explore::Exploration;
 use crate::floors;
 use crate::plans;
@@ -39,6 +40,7 @@
 pub fn all() -> Vec<Case> {
     [
         acknowledgement::cases::CASES,
+        driver::cases::CASES,
         floors::cases::CASES,
         plans::cases::CASES,
         spreading::cases::CASES,
--- a/crates/spec/src/lib.rs
+++ b/crates/spec/src/lib.rs
@@ -10,6 +10,7 @@
 //! it calls the function of `skylark-core`.
 //!
 //! - [`acknowledgement`]: who may acknowledge a write, the fence, and the choice of a new primary.
+//! - [`driver`]: the failover driver of the core among the same members.
 //! - [`floors`]: what a session that roams gets to read after its own writes.
 //! - [`plans`]: operators who race each other over a platform that loses answers.
 //! - [`repetition`]: what is sent again, and what a caller is told about it.
@@ -19,6 +20,7 @@
 pub mod acknowledgement;
 pub mod answers;
 pub mod case;
+pub mod driver;
 pub mod explore;
 pub mod floors;
 pub mod intern;
