Keep a killed target's port, and make two tests certain

A killed target gave its port back, so under parallel tests another one could take it and the restart failed, or a caller reached a stranger. The socket stops listening at once now and stays bound until the target listens again.

The test of a rejoining primary let the old primary take its stalled statements after the heal, in one of two orders; in one of them they were legitimately committed in the new term. It commits them while the replicas are cut off instead, which is also what it claims.

--- a/crates/standin/src/target/server.rs
+++ b/crates/standin/src/target/server.rs
@@ -1,10 +1,15 @@
 //! Listens for a target, and ends and restarts it as a process would.
+//!
+//! A killed target's socket stops listening and stays bound: connections are refused at once, and
+//! nobody else gets the port before the target starts again.
 
 use std::io;
+use std::net::Shutdown;
 use std::net::SocketAddr;
 use std::sync::Arc;
 
 use parking_lot::Mutex;
+use socket2::SockRef;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
 use tokio::sync::watch;
@@ -30,6 +35,7 @@
 pub struct TargetServer {
     target: Arc<Target>,
     address: SocketAddr,
+    listener: Mutex<Arc<TcpListener>>,
     running: Mutex<Option<Running>>,
 }
 
@@ -47,8 +53,9 @@
         let address = listener.local_addr()?;
         let target = Target::new(options, Arc::clone(network));
         network.register(address, &target);
-        let server = TargetServer { target, address, running: Mutex::new(None) };
-        server.run(listener);
+        let listener = Mutex::new(Arc::new(listener));
+        let server = TargetServer { target, address, listener, running: Mutex::new(None) };
+        server.run();
         Ok(server)
     }
 
@@ -69,6 +76,8 @@
         self.set_dead(true);
         running.accept.abort();
         running.replication.abort();
+        // Only a socket that doesn't listen could refuse this, and a running target's does.
+        let _ = SockRef::from(&**self.listener.lock()).shutdown(Shutdown::Both);
         running.stop.send_replace(true);
     }
 
@@ -76,14 +85,16 @@
     ///
     /// # Errors
     ///
-    /// When the address can't be listened on.
+    /// When another process listens on the address meanwhile.
     pub async fn restart(&self) -> Result<(), io::Error> {
         if self.running.lock().is_some() {
             return Ok(());
         }
+        // The socket that listened before is let go once the new one has the port.
         let listener = TcpListener::bind(self.address).await?;
+        *self.listener.lock() = Arc::new(listener);
         self.set_dead(false);
-        self.run(listener);
+        self.run();
         Ok(())
     }
 
@@ -92,8 +103,9 @@
         self.target.network.change(|faults| set_member(&mut faults.dead, name, dead));
     }
 
-    fn run(&self, listener: TcpListener) {
+    fn run(&self) {
         let stop = watch::Sender::new(false);
+        let listener = Arc::clone(&self.listener.lock());
         let accept = accept(Arc::clone(&self.target), listener, stop.clone());
         let running = Running {
             accept: tokio::spawn(accept),
@@ -110,7 +122,7 @@
     }
 }
 
-async fn accept(target: Arc<Target>, listener: TcpListener, stop: watch::Sender<bool>) {
+async fn accept(target: Arc<Target>, listener: Arc<TcpListener>, stop: watch::Sender<bool>) {
     loop {
         // An error here is one connection's, or passes, as when file descriptors are short.
         if let Ok((stream, _)) = listener.accept().await {
--- a/crates/standin/tests/faults.rs
+++ b/crates/standin/tests/faults.rs
@@ -77,18 +77,23 @@
 
     /// An isolated primary's writes that nobody else holds are gone after it rejoins.
     ///
-    /// The primary is cut off, and still commits; the others elect member 2, which commits too;
-    /// the old primary comes back and follows. Without the rewind its reads would show a row that
-    /// no majority ever held, and its log would differ from the group's at the same indexes.
+    /// The replicas are cut off, and the primary still commits; then it is cut off in their place,
+    /// and they elect member 2, which commits too; the old primary comes back and follows. Without
+    /// the rewind its reads would show rows that no majority ever held, and its log would differ
+    /// from the group's at the same indexes.
     a_rejoining_primary_rewinds_to_the_fork {
         let deployment = support::start().await;
         let mut caller = ready_table(&deployment).await;
         let fork = support::server(&deployment, 1).target().status().log;
-        isolate(&deployment, 1, true).await;
+        isolate(&deployment, 2, true).await;
+        isolate(&deployment, 3, true).await;
         for id in 1..=3 {
-            caller.send_query(&format!("INSERT INTO chairs VALUES ({id})")).await;
+            let replies = caller.query(&format!("INSERT INTO chairs VALUES ({id})")).await;
+            assert!(support::position(&replies).is_some());
         }
-        assert!(caller.is_silent().await);
+        isolate(&deployment, 1, true).await;
+        isolate(&deployment, 2, false).await;
+        isolate(&deployment, 3, false).await;
         fail_over(&deployment, 2).await;
         let mut new_caller = RawClient::caller(support::server(&deployment, 2)).await;
         let replies = new_caller.query("INSERT INTO chairs VALUES (9)").await;
@@ -201,12 +206,15 @@
         caller.query("BEGIN; INSERT INTO chairs VALUES (2)").await;
         let primary = support::server(&deployment, 1);
         let before = primary.target().status();
-        support::inject(&deployment, Fault::KillTarget { target: support::member(1), on: true })
-            .await;
+        let kill = |on| Fault::KillTarget { target: support::member(1), on };
+        support::inject(&deployment, kill(true)).await;
+        assert!(tokio::net::TcpStream::connect(primary.address()).await.is_err());
         assert_eq!(caller.next().await, None);
+        support::inject(&deployment, kill(false)).await;
+        RawClient::caller(primary).await;
+        support::inject(&deployment, kill(true)).await;
         assert!(tokio::net::TcpStream::connect(primary.address()).await.is_err());
-        support::inject(&deployment, Fault::KillTarget { target: support::member(1), on: false })
-            .await;
+        support::inject(&deployment, kill(false)).await;
         assert_eq!(primary.target().status(), before);
         let mut again = RawClient::caller(primary).await;
         assert_eq!(support::rows(&again.query("SELECT id FROM chairs").await), ["1"]);
