--- a/crates/core/tests/sharing_connections.rs
+++ b/crates/core/tests/sharing_connections.rs
@@ -43,7 +43,10 @@
     budget.set_waiting(10);
     assert_eq!(open_all(&mut budget, 0), 12);
     budget.set_waiting(0);
-    assert_eq!(budget.plan(SECOND_US).close, 0, "the need is remembered for a while");
+    for after_s in [1, 6, 9] {
+        let plan = budget.plan(after_s * SECOND_US);
+        assert_eq!(plan.close, 0, "the need of {after_s} s ago is remembered");
+    }
     let plan = budget.plan(20 * SECOND_US);
     assert_eq!((plan.close, budget.idle()), (10, 2));
     assert_eq!(budget.verify(), Vec::<String>::new());
--- a/crates/core/tests/spreading.rs
+++ b/crates/core/tests/spreading.rs
@@ -91,7 +91,7 @@
     choice.answered(0, 7);
     assert_eq!(choice.verdict(10), StartVerdict::Wait);
     choice.answered(1, 9);
-    choice.answered(2, 0);
+    choice.answered(2, 8);
     assert_eq!(choice.verdict(11), StartVerdict::Take(1));
 }
 
--- a/crates/core/tests/timer.rs
+++ b/crates/core/tests/timer.rs
@@ -36,6 +36,16 @@
     assert_eq!(timers.next_deadline_us(), None);
 }
 
+#[test]
+fn a_moved_tick_does_not_come_at_its_old_time() {
+    let mut timers = Timers::new();
+    let timer = timers.once(50);
+    timers.reset(timer, 100);
+    assert_eq!(timers.next_deadline_us(), Some(100));
+    assert_eq!(due(&mut timers, 60), []);
+    assert_eq!(due(&mut timers, 100), [timer]);
+}
+
 // After a pause of minutes a process would probe every member hundreds of times at once, and take the
 // answers' delay for more failures. Missed ticks are one tick.
 #[test]
