--- a/crates/core/tests/failover/group.rs
+++ b/crates/core/tests/failover/group.rs
@@ -1,5 +1,5 @@
-//! A small fake group: members, processes with failover drivers, a platform, and a network whose
-//! messages the test delivers, loses or repeats one by one in virtual time.
+//! A small fake group: members, processes with failover drivers, and a platform in virtual time. Its
+//! network's messages are delivered, lost or repeated one by one.
 
 use skylark_core::log_position::LogPosition;
 use skylark_core::log_position::Term;
@@ -7,13 +7,12 @@
 use skylark_core::process::failover::Event;
 use skylark_core::process::failover::FailoverDriver;
 use skylark_core::process::failover::FailoverSettings;
-use skylark_core::process::failover::MemberCall;
-use skylark_core::process::failover::PlatformAnswer;
-use skylark_core::process::failover::PlatformCall;
 use skylark_core::process::member_set::MemberSet;
 use skylark_core::version::objects::LeadRecord;
 
 use crate::member::FakeMember;
+use crate::network::Payload;
+use crate::network::Wire;
 
 /// How many processes there are; process `i` and member `i` are in zone `i`.
 pub const PROCESSES: usize = 3;
@@ -22,25 +21,9 @@
 /// How often a settling group's processes probe all members.
 const PROBE_STEPS: u64 = 50;
 
-#[derive(Clone, Debug)]
-enum Payload {
-    ToMember { name: String, member: usize, call: MemberCall },
-    ToProcess(Event),
-    Update { call: PlatformCall, expected_version: u64, record: LeadRecord },
-    Read { call: PlatformCall },
-}
-
-#[derive(Clone, Debug)]
-struct Wire {
-    process: usize,
-    run: u64,
-    sent_us: u64,
-    payload: Payload,
-}
-
 pub struct Process {
     pub driver: FailoverDriver,
-    run: u64,
+    pub run: u64,
     timer_us: Option<u64>,
     pub paused: bool,
     inbox: Vec<Event>,
@@ -65,7 +48,7 @@
     first_count: usize,
     /// Whether the version with all members was accepted.
     grown: bool,
-    wires: Vec<Wire>,
+    pub wires: Vec<Wire>,
     pub acked: Vec<LogPosition>,
     pub reigns: Vec<Reign>,
     /// What went wrong; empty in a correct run.
@@ -125,7 +108,7 @@
     }
 
     /// Whether two zones reach each other.
-    fn linked(&self, a: usize, b: usize) -> bool {
+    pub fn linked(&self, a: usize, b: usize) -> bool {
         a == b || !self.cut[a] && !self.cut[b]
     }
 
@@ -191,11 +174,6 @@
         self.send(process, payload);
     }
 
-    fn send(&mut self, process: usize, payload: Payload) {
-        let run = self.processes[process].run;
-        self.wires.push(Wire { process, run, sent_us: self.now_us, payload });
-    }
-
     fn acknowledge(&mut self, process: usize) {
         let confirmed = self.processes[process].driver.acknowledgement().confirmed();
         let pending = std::mem::take(&mut self.processes[process].pending);
@@ -219,7 +197,7 @@
         }
     }
 
-    fn note_reign(&mut self, member: usize) {
+    pub fn note_reign(&mut self, member: usize) {
         let term = self.members[member].raised_term;
         if self.reigns.iter().any(|reign| reign.term == term && reign.member != member) {
             self.faults.push(format!("two members led term {term}"));
@@ -260,7 +238,7 @@
     }
 
     /// Sends a member's status to every process.
-    fn notify(&mut self, member: usize) {
+    pub fn notify(&mut self, member: usize) {
         let status = self.members[member].status();
         for process in 0..PROCESSES {
             let event = Event::Report { member, status: status.clone() };
@@ -279,99 +257,6 @@
         }
     }
 
-    pub fn lose(&mut self, pick: usize) {
-        if !self.wires.is_empty() {
-            self.wires.swap_remove(pick % self.wires.len());
-        }
-    }
-
-    pub fn repeat(&mut self, pick: usize) {
-        if !self.wires.is_empty() {
-            self.wires.push(self.wires[pick % self.wires.len()].clone());
-        }
-    }
-
-    pub fn deliver(&mut self, pick: usize) {
-        if !self.wires.is_empty() {
-            let wire = self.wires.remove(pick % self.wires.len());
-            self.arrive(wire);
-        }
-    }
-
-    fn arrive(&mut self, wire: Wire) {
-        let process = wire.process;
-        if let Payload::ToMember { name, member, call } = &wire.payload {
-            self.call_member(&wire, name, *member, *call);
-            return;
-        }
-        if self.processes[process].run != wire.run {
-            return;
-        }
-        match wire.payload {
-            Payload::ToProcess(event) => {
-                let reached = match &event {
-                    Event::Report { member, .. } | Event::MemberAnswer { member, .. } => {
-                        self.linked(process, *member)
-                    }
-                    _ => !self.cut[process],
-                };
-                if reached {
-                    self.tell(process, event);
-                }
-            }
-            Payload::Update { call, expected_version, record } => {
-                self.update_lead(process, call, expected_version, record);
-            }
-            Payload::Read { call } => {
-                let answer = PlatformAnswer::Read {
-                    version: self.record_version,
-                    record: self.record.clone(),
-                };
-                self.answer_platform(process, call, answer);
-            }
-            Payload::ToMember { .. } => {}
-        }
-    }
-
-    fn call_member(&mut self, wire: &Wire, name: &str, member: usize, call: MemberCall) {
-        if !self.linked(wire.process, member) || self.members[member].down {
-            return;
-        }
-        let led_before = self.members[member].leads(self.members[member].raised_term);
-        let before = self.members[member].status();
-        self.members[member].call(name, call);
-        let status = self.members[member].status();
-        if !led_before && self.members[member].leads(status.raised_term) {
-            self.note_reign(member);
-        }
-        if status != before {
-            self.notify(member);
-        }
-        if self.processes[wire.process].run == wire.run {
-            let event = Event::MemberAnswer { member, call, status };
-            self.send(wire.process, Payload::ToProcess(event));
-        }
-    }
-
-    fn update_lead(
-        &mut self,
-        process: usize,
-        call: PlatformCall,
-        expected_version: u64,
-        record: LeadRecord,
-    ) {
-        if !self.platform_up || self.cut[process] {
-            return;
-        }
-        if expected_version != self.record_version {
-            self.answer_platform(process, call, PlatformAnswer::Conflict);
-            return;
-        }
-        self.set_record(record);
-        let version = self.record_version;
-        self.answer_platform(process, call, PlatformAnswer::Took { version });
-    }
-
     /// Changes the lead record; every process watches it.
     pub fn set_record(&mut self, record: LeadRecord) {
         self.record_version += 1;
@@ -390,12 +275,6 @@
         }
     }
 
-    fn answer_platform(&mut self, process: usize, call: PlatformCall, answer: PlatformAnswer) {
-        if self.platform_up && !self.cut[process] {
-            self.send(process, Payload::ToProcess(Event::Platform { call, answer }));
-        }
-    }
-
     /// Runs without new faults, with messages of one or two milliseconds, for `steps` milliseconds.
     /// A process suspects a primary that is down.
     pub fn run(&mut self, steps: u64) {
--- a/crates/core/tests/failover/main.rs
+++ b/crates/core/tests/failover/main.rs
@@ -5,4 +5,5 @@
 mod faults;
 mod group;
 mod member;
+mod network;
 mod random;
