--- a/crates/standin/tests/platform.rs
+++ b/crates/standin/tests/platform.rs
@@ -152,6 +152,29 @@
         assert!(other.snapshot().await.is_ok());
     }
 
+    /// A zone that is isolated has neither the platform nor the targets of other zones.
+    an_isolated_zone_has_its_own_targets_only {
+        let deployment = support::start().await;
+        let zone = support::ZONES[0];
+        let application = format!("{zone}/vm-1");
+        let mut own = Vec::new();
+        for place in 1..=2 {
+            let address = support::server(&deployment, place).address();
+            let client = support::RawClient::connect(address, support::GROUP, &application).await;
+            own.push(client.expect("accepted"));
+        }
+        let isolate = |on| Fault::IsolateZone { zone: zone.to_owned(), on };
+        support::inject(&deployment, isolate(true)).await;
+        assert_eq!(support::rows(&own[0].query("SELECT 'here'").await), ["here"]);
+        own[1].send_query("SELECT 'there'").await;
+        assert!(own[1].is_silent().await);
+        let platform = store(&deployment);
+        assert!(tokio::time::timeout(support::SHORT, platform.snapshot()).await.is_err());
+        support::inject(&deployment, isolate(false)).await;
+        assert_eq!(support::rows(&own[1].until_ready().await), ["there"]);
+        platform.snapshot().await.expect("answered");
+    }
+
     /// A change of the VMs shows after the lag only.
     the_vm_list_lags {
         let deployment = support::start().await;
