--- a/crates/proxy/src/request/execute.rs
+++ b/crates/proxy/src/request/execute.rs
@@ -55,8 +55,13 @@
     Ended(Flow),
     Refused(Refusal),
     Again(Failed),
+    /// Nothing was sent, and the place it was routed to is no longer the right one.
+    RouteAgain,
 }
 
+/// A wait for a turn and a connection after which the choice of the member is looked at again.
+const LONG_WAIT: Duration = Duration::from_millis(2);
+
 /// Answers one request.
 pub async fn run(caller: &mut Caller, unit: &Unit) -> Flow {
     caller.traffic.counters.event(Event::Requests);
@@ -94,6 +99,7 @@
         match try_once(caller, unit, &context, &route, retries).await {
             Tries::Ended(flow) => return Ok(flow),
             Tries::Refused(refusal) => return Err(refusal),
+            Tries::RouteAgain => (),
             Tries::Again(failed) => {
                 retries += 1;
                 traffic.counters.retry(retry_reason(&failed));
@@ -182,6 +188,7 @@
 ) -> Tries {
     let effect = unit.effect(context.is_read(), false);
     let stakes_deadline = context.deadline;
+    let waiting_since = Instant::now();
     let lease = match take_connection(caller, context, route).await {
         Ok(Ok(lease)) => lease,
         Ok(Err(failure)) => {
@@ -201,6 +208,11 @@
         Err(refusal) => return Tries::Refused(refusal),
     };
     let mut lease = lease;
+    let waited_long = waiting_since.elapsed() >= LONG_WAIT;
+    if waited_long && !route::is_still_fit(&caller.traffic, context, route) {
+        lease.give_back();
+        return Tries::RouteAgain;
+    }
     let prelude = match prelude(caller, context, route) {
         Ok(prelude) => prelude,
         Err(refusal) => {
--- a/crates/proxy/src/request/route.rs
+++ b/crates/proxy/src/request/route.rs
@@ -73,14 +73,7 @@
     context: &RequestContext,
     tried: &Tried,
 ) -> Result<Route, Refusal> {
-    let mut search = Search {
-        traffic,
-        context,
-        tried,
-        waiting_since: None,
-        spread: traffic.next_spread(),
-        counted_wait: false,
-    };
+    let mut search = Search::new(traffic, context, tried);
     loop {
         let scene = Scene::now(traffic, group_name)?;
         let step = search.step(&scene)?;
@@ -96,6 +89,36 @@
     }
 }
 
+/// Whether a request that has waited for its turn may still go to the target that was chosen for
+/// it before.
+///
+/// Meanwhile the target's data grew older, another primary may lead, or confirmations stall. Sent
+/// now it would show data older than the caller accepts, or end as unknown where it could still be
+/// refused as not run.
+pub fn is_still_fit(traffic: &Traffic, context: &RequestContext, route: &Route) -> bool {
+    let Place::Target(target) = route.place else { return true };
+    let group_name = &route.scene.published.topology.group(route.scene.group).name;
+    let Ok(scene) = Scene::now(traffic, group_name) else { return false };
+    // Another version may number targets differently; the request is routed again by it.
+    if !Arc::ptr_eq(&scene.published.topology, &route.scene.published.topology) {
+        return false;
+    }
+    let view = scene.published.group(scene.group);
+    if !context.is_read() {
+        let leads = view.leader.is_some_and(|leader| leader.target == target);
+        return leads && (context.only_reads || !view.moving && !view.stalled);
+    }
+    let tried = Tried::default();
+    let search = Search::new(traffic, context, &tried);
+    let members = search.members(&scene, view);
+    let member = members.iter().find(|member| member.target == target);
+    let leader = view.leader.map(leader_view);
+    let now_us = traffic.clock.now_us();
+    member.is_some_and(|member| {
+        routing::shortfall(&search.read_request(), leader, member, now_us).is_none()
+    })
+}
+
 enum Step {
     Go(Place, &'static str),
     Wait(Duration),
@@ -110,7 +133,18 @@
     counted_wait: bool,
 }
 
-impl Search<'_> {
+impl<'a> Search<'a> {
+    fn new(traffic: &'a Traffic, context: &'a RequestContext, tried: &'a Tried) -> Search<'a> {
+        Search {
+            traffic,
+            context,
+            tried,
+            waiting_since: None,
+            spread: traffic.next_spread(),
+            counted_wait: false,
+        }
+    }
+
     fn waited(&self) -> Duration {
         self.waiting_since.map_or(Duration::ZERO, |since| since.elapsed())
     }
@@ -143,9 +177,9 @@
         Ok(Step::Go(Place::Peer(chosen, None), "forwarded"))
     }
 
-    fn usable_home<'a, I>(&self, scene: &Scene, homes: I) -> Result<VmId, Refusal>
+    fn usable_home<'b, I>(&self, scene: &Scene, homes: I) -> Result<VmId, Refusal>
     where
-        I: Iterator<Item = &'a VmId> + Clone,
+        I: Iterator<Item = &'b VmId> + Clone,
     {
         if self.context.hops >= self.traffic.limits.max_hops {
             return Err(ErrorKind::TooManyHops.into());
--- a/crates/proxy/tests/traffic_acknowledge.rs
+++ b/crates/proxy/tests/traffic_acknowledge.rs
@@ -175,4 +175,23 @@
         assert_eq!(refused.error().detail, "not run");
         assert_eq!(refused.error().sqlstate, "57P03");
     }
+
+    /// A write waits for its turn while the group's confirmations begin to stall.
+    /// 1. The only connection is taken by a transaction. 2. The write queues. 3. The group stalls.
+    /// 4. The write gets its turn, and is refused as not run: sent now it would end as unknown.
+    a_write_that_waited_is_checked_again {
+        let world = World::with(Setup { connections: 1, slots: 1, ..Setup::default() }).await;
+        let mut client = world.client().await;
+        client.query("CREATE TABLE chairs (id INT)").await.ok();
+        client.query("BEGIN").await.ok();
+        let mut waiting = world.client().await;
+        waiting.send("INSERT INTO chairs VALUES (1)").await;
+        tokio::time::sleep(SHORT).await;
+        world.proxy().publish(|published| published.groups[0].stalled = true);
+        client.query("ROLLBACK").await.ok();
+        let refused = waiting.answer().await;
+        assert_eq!((refused.error().sqlstate.as_str(), refused.error().detail.as_str()),
+            ("57P03", "not run"));
+        assert_eq!(client.query("SELECT count(*) FROM chairs").await.value(), "0");
+    }
 }
--- a/crates/proxy/tests/traffic_forward.rs
+++ b/crates/proxy/tests/traffic_forward.rs
@@ -126,6 +126,9 @@
         assert_eq!((refused.error().sqlstate.as_str(), refused.error().detail.as_str()),
             ("57P03", "not run"));
         assert!(refused.error().message.contains("forwarded too often"), "{refused:?}");
+        // The entry asks both, and each passes it on once.
+        let sent = world.proxies.iter().map(|proxy| proxy.counter("forwards.sent")).sum::<u64>();
+        assert_eq!(sent, 4);
     }
 
     /// The deadline travels: the home gives the request up on its own, by what the entry left it.
--- a/crates/proxy/tests/traffic_prepared.rs
+++ b/crates/proxy/tests/traffic_prepared.rs
@@ -229,16 +229,19 @@
     }
 
     /// A batch without a transaction commits at its Sync: its success is held back until confirmed.
-    /// 1. No replica takes records. 2. The insert's CommandComplete comes before the commit. 3. The
-    /// caller sees no success, and "outcome unknown" at the end.
+    /// 1. No replica takes records. 2. Of two inserts each CommandComplete comes before the commit.
+    /// 3. The caller sees no success, and "outcome unknown" at the end.
     a_batch_is_held_back_until_confirmed {
         let limits = TrafficLimits { confirm_ms: 100, ..TrafficLimits::default() };
         let world = few_connections(1, limits).await;
         for replica in &world.targets[1..] {
             replica.target().set_lag(Lag { hold_us: 3_600_000_000, apply_us: 0 });
         }
+        world.gates[0].split_commits();
         let mut client = world.client().await;
         parse(&mut client, "", "INSERT INTO chairs VALUES (1, 'x')");
+        bind_text(&mut client, "", "", None);
+        execute(&mut client, "");
         let lost = run(&mut client, "", None).await;
         assert_eq!((lost.tags.len(), lost.status), (0, None));
         assert_eq!(lost.error().detail, "outcome unknown");
--- a/crates/proxy/tests/traffic_support/gate.rs
+++ b/crates/proxy/tests/traffic_support/gate.rs
@@ -12,6 +12,12 @@
 use tokio::net::tcp::OwnedWriteHalf;
 use tokio::sync::watch;
 
+use super::SHORT;
+
+/// The parameter that carries a commit's position, and what stands before it in its message.
+const COMMIT: &[u8] = b"group.commit";
+const FRAME_HEADER_BYTES: usize = 5;
+
 /// What a gate does now.
 #[derive(Clone, Copy, PartialEq, Eq, Debug, Default)]
 pub struct Mode {
@@ -21,6 +27,8 @@
     pub cuts: u32,
     /// New connections are closed at once.
     pub refuse: bool,
+    /// What comes before a commit's position is passed on some time before it.
+    pub split_commits: bool,
 }
 
 /// A gate.
@@ -69,6 +77,11 @@
         self.mode.send_modify(|mode| mode.hold_answers = hold);
     }
 
+    /// Passes on what comes before a commit's position some time before it.
+    pub fn split_commits(&self) {
+        self.mode.send_modify(|mode| mode.split_commits = true);
+    }
+
     /// Cuts all connections.
     pub async fn cut(&self) {
         self.mode.send_modify(|mode| mode.cuts += 1);
@@ -111,10 +124,21 @@
 ) {
     let mut bytes = vec![0; 64 << 10];
     while let Ok(count @ 1..) = from.read(&mut bytes).await {
+        let mut rest = &bytes[..count];
         if let Some(mut held) = held.clone() {
             let _ = held.wait_for(|mode| !mode.hold_answers).await;
+            let splits = held.borrow().split_commits;
+            let at = rest.windows(COMMIT.len()).position(|window| window == COMMIT);
+            if let (true, Some(at)) = (splits, at) {
+                let (before, after) = rest.split_at(at - FRAME_HEADER_BYTES);
+                if to.write_all(before).await.is_err() {
+                    return;
+                }
+                tokio::time::sleep(SHORT).await;
+                rest = after;
+            }
         }
-        if to.write_all(&bytes[..count]).await.is_err() {
+        if to.write_all(rest).await.is_err() {
             return;
         }
     }
