--- a/crates/spec/src/acknowledgement/mod.rs
+++ b/crates/spec/src/acknowledgement/mod.rs
@@ -20,6 +20,7 @@
 //! Every member-related fact stands in the [`Member`](state::Member), so sorting the members
 //! identifies all states that differ by a renaming of members.
 
+mod attempts;
 pub mod cases;
 pub mod model;
 pub mod state;
--- a/crates/spec/src/plans/mod.rs
+++ b/crates/spec/src/plans/mod.rs
@@ -14,6 +14,7 @@
 pub mod cases;
 pub mod machines;
 pub mod model;
+pub mod state;
 
 pub use model::PlansModel;
 
--- a/crates/spec/src/plans/model.rs
+++ b/crates/spec/src/plans/model.rs
@@ -1,6 +1,4 @@
-//! The states, transitions and invariants of the plans model.
-
-use std::fmt;
+//! The transitions and invariants of the plans model.
 
 use serde_json::Value;
 use serde_json::json;
@@ -22,110 +20,18 @@
 use super::machines::Effect;
 use super::machines::Machines;
 use super::machines::Reply;
+use super::state::Fate;
+use super::state::MAX_LATE;
+use super::state::OPERATORS;
+use super::state::Operator;
+use super::state::PlanState;
+use super::state::State;
+use super::state::Step;
+use super::state::Told;
 use crate::explore::Model;
 
-/// The operators; each makes one plan.
-const OPERATORS: usize = 2;
-/// The most updates that are on their way although their sender heard no answer.
-const MAX_LATE: usize = 2;
 const SERVICE: &str = "s";
 
-/// Where an operator stands.
-#[derive(Clone, Copy, PartialEq, Eq, Hash, Debug)]
-enum Operator {
-    /// It has made no plan.
-    Idle,
-    /// It confirms its plan.
-    Confirming(u16),
-    /// It sends an update again and again, on any version (only without the safeguard).
-    Repeating { confirmation: u16, call: u16 },
-    /// It was told how the confirmation ended.
-    Told(Told),
-}
-
-/// What an operator was told.
-#[derive(Clone, Copy, PartialEq, Eq, Hash, Debug)]
-enum Told {
-    /// The plan has taken effect.
-    Applied,
-    /// Another change came before any step.
-    Superseded,
-    /// It stopped, and nothing was touched.
-    Untouched,
-    /// Anything that claims less.
-    Other,
-}
-
-/// A plan and what became of it.
-#[derive(Clone, Copy, PartialEq, Eq, Hash, Debug, Default)]
-struct PlanState {
-    /// The record in the platform.
-    record: Option<u16>,
-    /// The version of the service that the plan was made for.
-    base: u8,
-    /// How often the plan changed the service.
-    effects: u8,
-}
-
-/// A state.
-#[derive(Clone, Copy, PartialEq, Eq, Hash, Debug)]
-pub struct State {
-    revision: u8,
-    service: Option<u16>,
-    plans: [PlanState; OPERATORS],
-    operators: [Operator; OPERATORS],
-    /// Updates that may still take effect, by the operator's number and the call's.
-    late: [Option<(u8, u16)>; MAX_LATE],
-    /// Whether a plan took effect on another version than its base.
-    on_other_version: bool,
-}
-
-/// What becomes of a call.
-#[derive(Clone, Copy, PartialEq, Eq, Debug)]
-pub enum Fate {
-    /// It takes effect and is answered.
-    Answered,
-    /// It is lost.
-    Lost,
-    /// It takes effect and its answer is lost.
-    AnswerLost,
-    /// No answer comes, and it may take effect later.
-    Late,
-}
-
-/// What happens between two states.
-#[derive(Clone, PartialEq, Debug)]
-pub enum Step {
-    /// An operator makes its plan and stores it.
-    Plan(usize),
-    /// An operator's call, and what becomes of it.
-    Call(usize, u16, Fate),
-    /// An operator waits and asks again.
-    Pause(usize),
-    /// An operator is told the end.
-    End(usize, End),
-    /// An operator stops.
-    Stop(usize),
-    /// An operator runs the confirmation again from its beginning.
-    Again(usize),
-    /// A late update arrives.
-    Arrive(usize, u16),
-}
-
-impl fmt::Display for Step {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        match self {
-            Step::Plan(number) => write!(f, "operator{number} plans"),
-            Step::Call(number, call, fate) => write!(f, "operator{number}: call{call}: {fate:?}"),
-            Step::Pause(number) => write!(f, "operator{number} waits"),
-            Step::End(number, end) => write!(f, "operator{number} is told {end:?}"),
-            Step::Stop(number) => write!(f, "operator{number} stops"),
-            Step::Again(number) => write!(f, "operator{number} starts the confirmation again"),
-            Step::Arrive(number, call) => write!(f, "operator{number}'s late call{call} arrives"),
-        }
-    }
-}
-
 /// The model.
 #[derive(Clone, Debug)]
 pub struct PlansModel {
