--- a/crates/core/src/process/connection_budget.rs
+++ b/crates/core/src/process/connection_budget.rs
@@ -208,8 +208,8 @@
     /// Every violated invariant.
     pub fn verify(&self) -> Vec<String> {
         let mut problems = Vec::new();
-        if self.opening + self.idle > self.share && self.opening > self.share {
-            problems.push(format!("{} tries pass the part of {}", self.opening, self.share));
+        if self.overshoot.is_some_and(|(_, until_us)| until_us == 0) {
+            problems.push("an overshoot is held that never began".to_owned());
         }
         if self.tokens_milli > u64::from(self.policy.burst) * TRY_COST_MILLI {
             problems.push(format!("{} thousandths pass the burst", self.tokens_milli));
