Report brought tokens, let a half-open flood keep nobody out, trust no unreadable commit position

A commit position that can't be read was skipped, and the success passed on unconfirmed. Change: a SET, a batch or a start-up that changes the token reports it; the oldest start-up makes room for the newest; a commit at an unreadable position ends as outcome unknown. SHOW skylark.last_reason gives this proxy's reason where it chose the member itself.

--- a/crates/proxy/src/connection/caller.rs
+++ b/crates/proxy/src/connection/caller.rs
@@ -34,6 +34,7 @@
 use crate::request::execute;
 use crate::request::execute::Flow;
 use crate::request::parameters::LocalStatement;
+use crate::request::parameters::Parameter;
 use crate::request::refusal::Refusal;
 use crate::request::statement::StatementTraits;
 use crate::request::unit::Unit;
@@ -213,11 +214,12 @@
     async fn answer_locally(&mut self, local: &LocalStatement) -> Flow {
         self.traffic.counters.event(Event::AnsweredLocally);
         let published = self.traffic.slot.load_full();
-        let shown = match self.session.apply(local, &published, &self.traffic.vm) {
+        let mut out = BytesMut::new();
+        let applied = self.session.apply_and_report(local, &published, &self.traffic.vm, &mut out);
+        let shown = match applied {
             Ok(shown) => shown,
             Err(refusal) => return self.refuse(refusal, true).await,
         };
-        let mut out = BytesMut::new();
         if let (Some(shown), LocalStatement::Show(parameter)) = (shown, local) {
             frames::text_column(&mut out, parameter.name());
             frames::text_row(&mut out, &shown);
@@ -310,12 +312,15 @@
     }
 }
 
-/// The messages of a start-up that succeeded.
-pub fn write_greeting(out: &mut BytesMut, key: CancelKey) {
+/// The messages of a start-up that succeeded. A token that came with it is reported as after a `SET`.
+pub fn write_greeting(out: &mut BytesMut, key: CancelKey, token: &str) {
     frames::authentication_ok(out);
     for (name, value) in GREETING_PARAMETERS {
         frames::parameter_status(out, name, value);
     }
+    if !token.is_empty() {
+        frames::parameter_status(out, Parameter::Token.name(), token);
+    }
     frames::backend_key_data(out, key.process_id, key.secret);
     frames::ready_for_query(out, frames::STATUS_IDLE);
     debug_assert_eq!(out[0], backend::AUTHENTICATION_TAG);
--- a/crates/proxy/src/connection/callers.rs
+++ b/crates/proxy/src/connection/callers.rs
@@ -1,10 +1,12 @@
 //! How many connections there are: of all callers, of each user, and in their start-up.
 
+use std::collections::BTreeMap;
 use std::sync::Arc;
 
 use parking_lot::Mutex;
 use skylark_core::FastMap;
 use skylark_core::request::error_kind::ErrorKind;
+use tokio::sync::oneshot;
 
 use crate::connection::limits::TrafficLimits;
 use crate::request::refusal::Refusal;
@@ -21,7 +23,10 @@
 #[derive(Debug, Default)]
 struct Counts {
     callers: usize,
-    half_open: usize,
+    /// The start-ups under way by their age: the lowest number is the oldest. A start-up whose sender
+    /// is dropped has to make room.
+    half_open: BTreeMap<u64, oneshot::Sender<()>>,
+    next_half_open: u64,
     by_user: FastMap<Box<str>, usize>,
 }
 
@@ -41,14 +46,21 @@
         self.counts.lock().callers
     }
 
-    /// A place for a start-up.
-    pub fn begin(self: &Arc<Self>) -> Option<HalfOpenPermit> {
+    /// A place for a start-up. At the limit the oldest start-up gives up its place.
+    ///
+    /// If the newest were turned away instead, a flood of connections that send nothing would hold
+    /// every place until the start-up times out, and callers would be refused meanwhile. A caller's
+    /// start-up takes a round trip, so it is done long before as many newer ones have come.
+    pub fn begin(self: &Arc<Self>) -> HalfOpenPermit {
         let mut counts = self.counts.lock();
-        if counts.half_open >= self.half_open_limit {
-            return None;
+        if counts.half_open.len() >= self.half_open_limit {
+            counts.half_open.pop_first();
         }
-        counts.half_open += 1;
-        Some(HalfOpenPermit { callers: Arc::clone(self) })
+        let number = counts.next_half_open;
+        counts.next_half_open += 1;
+        let (place, evicted) = oneshot::channel();
+        counts.half_open.insert(number, place);
+        HalfOpenPermit { callers: Arc::clone(self), number, evicted }
     }
 
     /// A place among the callers; `user` is none for another proxy.
@@ -74,11 +86,21 @@
 #[derive(Debug)]
 pub struct HalfOpenPermit {
     callers: Arc<Callers>,
+    number: u64,
+    evicted: oneshot::Receiver<()>,
+}
+
+impl HalfOpenPermit {
+    /// Waits until a newer start-up takes the place.
+    pub async fn evicted(&mut self) {
+        // Nothing is ever sent; the sender's end is what tells.
+        let _ = (&mut self.evicted).await;
+    }
 }
 
 impl Drop for HalfOpenPermit {
     fn drop(&mut self) {
-        self.callers.counts.lock().half_open -= 1;
+        self.callers.counts.lock().half_open.remove(&self.number);
     }
 }
 
--- a/crates/proxy/src/connection/session.rs
+++ b/crates/proxy/src/connection/session.rs
@@ -2,11 +2,13 @@
 
 use std::sync::Arc;
 
+use bytes::BytesMut;
 use skylark_core::FastMap;
 use skylark_core::log_position::LogPosition;
 use skylark_core::process::sharing::class_queue::CallerId;
 use skylark_core::request::error_kind::ErrorKind;
 
+use crate::connection::frames;
 use crate::connection::prepared::PreparedStatement;
 use crate::request::forward::Forward;
 use crate::request::parameters;
@@ -105,6 +107,29 @@
         }
     }
 
+    /// Carries out a statement about the session, and reports the token if that changed it. Returns
+    /// what a `SHOW` shows.
+    ///
+    /// A caller that roams takes the token that a connection last reported for the session's own.
+    /// If a `SET` changed it unreported, the caller would carry the older one on, and read without
+    /// its latest write at a proxy that can't know better. Reporting every change is enough, since
+    /// reports and answers reach the caller in order.
+    pub fn apply_and_report(
+        &mut self,
+        statement: &LocalStatement,
+        published: &Published,
+        vm: &str,
+        out: &mut BytesMut,
+    ) -> Result<Option<String>, Refusal> {
+        let before = self.token();
+        let shown = self.apply(statement, published, vm)?;
+        let token = self.token();
+        if token != before {
+            frames::parameter_status(out, Parameter::Token.name(), &token);
+        }
+        Ok(shown)
+    }
+
     /// Carries out a statement about the session. Returns what a `SHOW` shows.
     pub fn apply(
         &mut self,
--- a/crates/proxy/src/connection/startup.rs
+++ b/crates/proxy/src/connection/startup.rs
@@ -297,7 +297,7 @@
     let cancel = Arc::new(CancelSlot::default());
     let cancel_key = traffic.cancels.register(&cancel);
     let mut out = BytesMut::new();
-    caller::write_greeting(&mut out, cancel_key);
+    caller::write_greeting(&mut out, cancel_key, &session.token());
     let budget = traffic.budget_of(&session.group);
     let caller = Caller {
         traffic: Arc::clone(traffic),
--- a/crates/proxy/src/process/traffic.rs
+++ b/crates/proxy/src/process/traffic.rs
@@ -186,21 +186,25 @@
 }
 
 fn begin(traffic: &Arc<Traffic>, stream: TcpStream) {
-    let Some(permit) = traffic.callers.begin() else {
-        // A flood of connections that never start is closed without a word: an answer would cost
-        // more than the flood does.
-        traffic.counters.refusal(ErrorKind::TooManyConnections);
-        return;
-    };
+    let permit = traffic.callers.begin();
     let traffic = Arc::clone(traffic);
     tokio::spawn(serve_one(traffic, stream, permit));
 }
 
-async fn serve_one(traffic: Arc<Traffic>, stream: TcpStream, half_open: HalfOpenPermit) {
+async fn serve_one(traffic: Arc<Traffic>, stream: TcpStream, mut half_open: HalfOpenPermit) {
     if stream.set_nodelay(true).is_err() {
         return;
     }
-    let welcomed = Box::pin(startup::welcome(&traffic, stream)).await;
+    let welcomed = tokio::select! {
+        biased;
+        welcomed = Box::pin(startup::welcome(&traffic, stream)) => welcomed,
+        // Closed without a word: in a flood of connections that never start, an answer would cost
+        // more than the flood does.
+        () = half_open.evicted() => {
+            traffic.counters.refusal(ErrorKind::TooManyConnections);
+            None
+        }
+    };
     drop(half_open);
     if let Some((caller, permit)) = welcomed {
         caller.serve().await;
--- a/crates/proxy/src/request/batch.rs
+++ b/crates/proxy/src/request/batch.rs
@@ -300,8 +300,9 @@
             return Ok(());
         };
         let Some(local) = &statement.local else { return Ok(()) };
-        let shown = self.session.apply(local, self.context.published, self.context.vm)?;
         let mut out = BytesMut::new();
+        let PlanContext { published, vm, .. } = self.context;
+        let shown = self.session.apply_and_report(local, published, vm, &mut out)?;
         if let Some(shown) = shown {
             frames::text_row(&mut out, &shown);
         }
--- a/crates/proxy/src/request/exchange.rs
+++ b/crates/proxy/src/request/exchange.rs
@@ -192,7 +192,11 @@
                     return None;
                 }
                 Notice::Flushed => return None,
-                Notice::Commit(position) => self.committed(&position),
+                Notice::Commit(position) => {
+                    if !self.committed(&position) {
+                        return Some(Ending::NotConfirmed);
+                    }
+                }
                 Notice::HeldEnough => {
                     if !self.confirm().await {
                         return Some(Ending::NotConfirmed);
@@ -220,13 +224,16 @@
     }
 
     /// From a commit on the answer is held back: its success may not be seen before it is confirmed.
-    fn committed(&mut self, position: &str) {
-        let Ok(position) = position.parse::<LogPosition>() else { return };
+    /// Returns whether the position can be read. Nothing confirms one that can't, and a success passed
+    /// on regardless could be a write that the next primary lacks.
+    fn committed(&mut self, position: &str) -> bool {
+        let Ok(position) = position.parse::<LogPosition>() else { return false };
         self.answer.commit = self.answer.commit.max(Some(position));
         self.answer.confirmed = self.exchange.live.is_none();
         if !self.answer.confirmed {
             self.relay.hold();
         }
+        true
     }
 
     async fn confirm(&mut self) -> bool {
--- a/crates/proxy/src/request/execute.rs
+++ b/crates/proxy/src/request/execute.rs
@@ -252,9 +252,9 @@
             failed(failure)
         }
         Ending::Complete(mut complete) => {
-            caller.session.last_served = match complete.served.take() {
-                Some(served) => served.into(),
-                None => served_words(route).into(),
+            caller.session.last_served = match (route.place, complete.served.take()) {
+                (Place::Peer(_, None), Some(served)) => served.into(),
+                _ => served_words(route).into(),
             };
             let held = Pinned {
                 lease,
--- a/crates/proxy/tests/traffic_acknowledge.rs
+++ b/crates/proxy/tests/traffic_acknowledge.rs
@@ -49,6 +49,18 @@
         assert_eq!(world.proxy().counter("writes.acknowledged"), 1, "only the table's creation");
     }
 
+    /// The target reports a commit at a position that can't be read.
+    /// 1. The primary commits. 2. No confirmation can be looked up for a position that is unknown.
+    /// 3. The caller gets "outcome unknown": a success could be a write that the next primary lacks.
+    a_commit_at_an_unreadable_position_ends_unknown {
+        let (world, mut client) = with_table(TrafficLimits::default()).await;
+        world.gates[0].garble_commits();
+        let lost = client.query("INSERT INTO chairs VALUES (1)").await;
+        assert_eq!(lost.tags, [""; 0], "no success is seen");
+        assert_eq!((lost.error().sqlstate.as_str(), lost.status), ("08007", None));
+        assert_eq!(lost.error().detail, "outcome unknown");
+    }
+
     /// The same for a COMMIT of a transaction, and for several statements in one message.
     explicit_commits_are_held_back_too {
         let limits = TrafficLimits { confirm_ms: 100, ..TrafficLimits::default() };
--- a/crates/proxy/tests/traffic_queries.rs
+++ b/crates/proxy/tests/traffic_queries.rs
@@ -1,5 +1,7 @@
 //! What callers can ask: simple queries, transactions, errors, and what the proxy answers itself.
 
+use postgres_protocol::IsNull;
+use postgres_protocol::message::frontend;
 use skylark_core::log_position::LogPosition;
 use traffic_support::World;
 use traffic_support::client::Client;
@@ -21,6 +23,31 @@
         assert_eq!(client.query("SHOW skylark.last_reason").await.value(), "primary");
     }
 
+    /// A session roams and comes back, and takes the token that a connection last reported.
+    /// 1. It writes here, and the connection reports that floor. 2. It writes elsewhere and brings the
+    /// newer token by SET, by a batch, or at a start-up. 3. Unless that is reported too, the older
+    /// token goes on with the session, and its next read may miss the newer write.
+    a_token_that_is_brought_is_reported {
+        let world = World::start().await;
+        let mut client = world.client().await;
+        client.query("CREATE TABLE chairs (id INT)").await.ok();
+        client.query("SET skylark.token = 'loans:1/7'").await.ok();
+        assert_eq!(client.token.as_deref(), Some("loans:1/7"));
+        frontend::parse("", "SET skylark.token = 'loans:1/9'", [], &mut client.output).expect("a parse");
+        let values: [(); 0] = [];
+        let bound =
+            frontend::bind("", "", [], values, |(), _| Ok(IsNull::Yes), [], &mut client.output);
+        assert!(bound.is_ok(), "a bind");
+        frontend::execute("", 0, &mut client.output).expect("an execute");
+        frontend::sync(&mut client.output);
+        client.flush().await;
+        client.answer().await.ok();
+        assert_eq!(client.token.as_deref(), Some("loans:1/9"));
+        let brought = [("skylark.token", "loans:1/9")];
+        let client = Client::connect(world.proxy().address, &brought).await;
+        assert_eq!(client.token.as_deref(), Some("loans:1/9"));
+    }
+
     /// A transaction keeps its connection until its end; an error fails it, and a rollback ends it.
     transactions_and_errors_pass_through {
         let world = World::start().await;
@@ -108,6 +135,7 @@
         assert_eq!(client.query("SHOW skylark.revision").await.value(), "7");
         client.query("SET skylark.token TO 'loans:1/1,other:4/5'").await.ok();
         assert_eq!(client.query("SHOW skylark.token").await.value(), "other:4/5,loans:1/1");
+        assert_eq!(client.token.as_deref(), Some("other:4/5,loans:1/1"));
         client.query("SET skylark.deadline_ms = 700").await.ok();
         assert_eq!(client.query("SHOW skylark.deadline_ms").await.value(), "700");
         for bad in [
