Tell the balancer that a drained VM is leaving

A VM that an operator drains, or that the platform lists as leaving, answered `stopping: false` and 200 on /ready, although the comment on VmSpec::drain says that it reports itself as leaving. So the balancer went on sending new callers.

The health answer carries `leaving`, and /ready answers 500 meanwhile. What arrives is served as before. The new test waited in vain for the 500 before.

--- a/crates/proxy/src/process/control/report.rs
+++ b/crates/proxy/src/process/control/report.rs
@@ -51,8 +51,7 @@
                 let _ = answer.send(self.explain(&group).ok_or(Refusal::UnknownGroup));
             }
             PeerRequest::Health(answer) => {
-                let ready = self.configuration.is_ready();
-                let _ = answer.send(Ok(api::Health { ready, stopping: self.stopping }));
+                let _ = answer.send(Ok(self.health()));
             }
         }
     }
@@ -72,6 +71,15 @@
         }
     }
 
+    fn health(&self) -> api::Health {
+        let topology = self.configuration.topology();
+        api::Health {
+            ready: self.configuration.is_ready(),
+            stopping: self.stopping,
+            leaving: self.own_vm().is_some_and(|vm| topology.vm(vm).leaving),
+        }
+    }
+
     fn explain(&self, name: &str) -> Option<api::ExplainReport> {
         let group = self.groups.get(name)?;
         Some(api::ExplainReport {
--- a/crates/proxy/src/process/peer/api.rs
+++ b/crates/proxy/src/process/peer/api.rs
@@ -129,6 +129,10 @@
     pub ready: bool,
     /// Whether the process is stopping and is to get no new callers.
     pub stopping: bool,
+    /// Whether the VM is drained or the platform lists it as leaving: it serves what arrives, and is
+    /// to get no new callers.
+    #[serde(default)]
+    pub leaving: bool,
 }
 
 /// What `skylarkctl status` shows of one proxy.
@@ -258,7 +262,7 @@
     #[method(name = "health")]
     async fn health(&self) -> RpcResult<Health>;
 
-    /// The same, refused unless the proxy is ready and not stopping.
+    /// The same, refused unless the proxy is ready and neither stopping nor leaving.
     #[method(name = "ready")]
     async fn ready(&self) -> RpcResult<Health>;
 }
--- a/crates/proxy/tests/control_spreading.rs
+++ b/crates/proxy/tests/control_spreading.rs
@@ -11,6 +11,7 @@
 use control_support::settings;
 use control_support::until;
 use jsonrpsee::core::client::ClientT;
+use skylark_core::version::objects::ObjectKind;
 use skylark_proxy::process::peer::api;
 use skylark_proxy::process::peer::api::PeerApiClient;
 use skylark_proxy::process::peer::client;
@@ -37,6 +38,7 @@
     zone_without_the_platform_gets_versions_from_other_zones
     proxy_starts_from_peers_while_the_platform_is_down
     proxy_without_a_version_is_not_ready
+    drained_vm_shows_that_it_is_leaving
     lower_revision_is_refused
     unknown_group_and_bad_calls_are_refused
     leaving_target_is_kept_from_new_work
@@ -117,7 +119,7 @@
         let proxy = Proxy::start(settings("vm-1", "medina", platform, &[], PEER_INTERVAL_MS)).await;
         let client = control_client(&proxy);
         let health = client.health().await.expect("a running proxy answers");
-        assert_eq!(health, api::Health { ready: false, stopping: false });
+        assert_eq!(health, api::Health { ready: false, stopping: false, leaving: false });
         client.peer_snapshot().await.expect_err("there is no version to give away");
         assert_eq!(http_status(&proxy, "/health").await, 200);
         assert_eq!(http_status(&proxy, "/ready").await, 500);
@@ -127,6 +129,34 @@
         assert_eq!(http_status(&proxy, "/ready").await, 200);
     }
 
+    /// An operator drains a VM. The balancer is told, by the status code too, so that it sends no
+    /// new callers there; callers that come all the same are served. Undrained, it is welcome again.
+    pub async fn drained_vm_shows_that_it_is_leaving() {
+        let cluster = Cluster::start().await;
+        let proxy = &cluster.proxies[1];
+        let store = &cluster.deployment.platform().platform().store;
+        let mut version = 0;
+        for (drain, code) in [(true, 500), (false, 200)] {
+            let body = serde_json::json!({ "drain": drain });
+            version = store.put(ObjectKind::VmSpec, "vm-2", version, body).expect("one writer");
+            until("the balancer sees whether the VM is drained", async || {
+                (http_status(proxy, "/ready").await == code).then_some(())
+            })
+            .await;
+            assert_eq!(http_status(proxy, "/health").await, 200);
+            let config = format!(
+                "host=127.0.0.1 port={} user=test dbname={GROUP}",
+                proxy.handle.listen_address().port(),
+            );
+            let connected = tokio_postgres::connect(&config, tokio_postgres::NoTls).await;
+            let (caller, connection) = connected.expect("a drained VM takes callers");
+            let driven = tokio::spawn(connection);
+            let table = format!("CREATE TABLE drained_{drain} (id INTEGER)");
+            caller.simple_query(&table).await.expect("a drained VM passes work on");
+            driven.abort();
+        }
+    }
+
     /// A proxy that was cut off offers what it has, which is older than what is in force, with a
     /// longer staleness bound in it. Nothing goes back.
     pub async fn lower_revision_is_refused() {
