Name no term of a change of primary before one is chosen

`explain` showed "change of primary to term 0: started", and a wished move that was given up before it began as "change of primary to term 0: given up" with the reason of a change that was under way. Steps before the claim now name no term, and such a wish has its own words and reason. The new test found neither before.

--- a/crates/proxy/src/process/decisions.rs
+++ b/crates/proxy/src/process/decisions.rs
@@ -12,6 +12,9 @@
 /// How many decisions of one group are kept.
 const KEPT: usize = 64;
 
+/// The term of a change of primary that has chosen none yet.
+const NO_TERM: Term = Term(0);
+
 /// A decision of the control thread about one group.
 #[derive(Clone, PartialEq, Eq, Debug)]
 pub enum Decision {
@@ -79,6 +82,12 @@
             Decision::Judged { target, term, verdict } => {
                 write!(f, "primary `{target}` of term {term}: {}", verdict_words(*verdict))
             }
+            Decision::Stepped { step: failover::Step::GivenUp, term: NO_TERM } => {
+                f.write_str("give up the wished change of primary")
+            }
+            Decision::Stepped { step, term: NO_TERM } => {
+                write!(f, "change of primary: {}", step_words(*step))
+            }
             Decision::Stepped { step, term } => {
                 write!(f, "change of primary to term {term}: {}", step_words(*step))
             }
@@ -110,6 +119,9 @@
             Decision::Untracked => "this VM is home to no member",
             Decision::Configured { .. } => "its version is higher than the one in force",
             Decision::Judged { verdict, .. } => verdict_reason(*verdict),
+            Decision::Stepped { step: failover::Step::GivenUp, term: NO_TERM } => {
+                "the wanted member did not come near the primary in time"
+            }
             Decision::Stepped { step, .. } => step_reason(*step),
             Decision::Announced { .. } => "a majority confirmed the record that opens its term",
             Decision::WritesHeld => "an operator asked for another primary",
--- a/crates/proxy/tests/control_failover.rs
+++ b/crates/proxy/tests/control_failover.rs
@@ -29,6 +29,7 @@
     lost_answer_of_the_claim_stops_nothing
     rival_driver_leaves_one_primary
     ordered_move_changes_the_primary
+    move_to_a_member_that_is_cut_off_is_given_up
     isolated_zone_refuses_writes_and_rejoins
     untracked_proxy_learns_the_leader_while_the_platform_is_down
     member_that_leaves_and_comes_back_confirms_again
@@ -170,6 +171,25 @@
         assert!(cluster.write_at("loans-1-sakiet", "INSERT INTO chairs VALUES (1)").await);
     }
 
+    /// An operator wishes for a member that answers nobody. The move never begins, the wish is
+    /// withdrawn after its time, and the decisions say so; they name no term, since none was chosen.
+    pub async fn move_to_a_member_that_is_cut_off_is_given_up() {
+        let cluster = Cluster::start().await;
+        let wanted = "loans-1-sakiet".to_owned();
+        cluster.inject(Fault::IsolateTarget { target: wanted, on: true }).await;
+        cluster.want_leader("loans-1-sakiet");
+        until("the wish is withdrawn", async || {
+            cluster.lead_record().filter(|record| record.wanted.is_empty())
+        })
+        .await;
+        let explained = cluster.explain().await;
+        let given_up = "give up the wished change of primary";
+        assert!(explained.contains(given_up), "{explained}");
+        assert!(explained.contains("change of primary: started"), "{explained}");
+        assert!(!explained.contains("term 0"), "{explained}");
+        assert_eq!(cluster.primaries(), [(FIRST_PRIMARY.to_owned(), Term(1))]);
+    }
+
     /// The primary's zone is cut off from the others and the platform. A write that the primary
     /// still runs there is confirmed by nobody, and the zone's proxy has further ones refused
     /// before they run. The other zones go on in a new term. When the cut heals, the old primary
