Name the module in the experiment page's link

Cause: the documentation build fails with warnings denied, since `file` is a macro as well. Change: the link says mod@file.

--- a/crates/bench/src/experiment/mod.rs
+++ b/crates/bench/src/experiment/mod.rs
@@ -1,6 +1,6 @@
 //! Experiments: a deployment, a load and faults on a timeline, described in a file.
 //!
-//! - [`file`]: the description.
+//! - [`mod@file`]: the description.
 //! - [`runner`]: runs one.
 //! - [`reads`]: the replicas' share from the proxies' counters.
 //! - [`result`]: what a run gives, as JSON lines.
