Pass over a target that refuses connections before the control side notices

Between a replica's end and the next probes every read that chose it spent a retry, and with the budget gone reads were refused although another replica was idle. Change: a member whose pool at this home could not connect last counts as unreachable for reads; the pool's own tries clear the mark. Before and after: the new test was refused within 300 reads, and now answers all of them. Conclusion: the budget is left for failures that can't be foreseen.

--- a/crates/proxy/src/request/route.rs
+++ b/crates/proxy/src/request/route.rs
@@ -268,7 +268,8 @@
                 lag_us: known_us(&live.lag_us),
                 catch_up_us: known_us(&live.catch_up_us),
                 reachable: live.reachable.load(Ordering::Relaxed)
-                    && !self.tried.targets.contains(target),
+                    && !self.tried.targets.contains(target)
+                    && !self.refuses_connections(scene, *target),
                 leaving: live.leaving.load(Ordering::Relaxed),
                 nearness: nearness(own_zone, topology.target(*target).zone),
                 predicted_wait_us: self.predicted_wait_us(scene, *target),
@@ -276,6 +277,16 @@
             .collect()
     }
 
+    /// Whether this VM's last try to connect to the target failed.
+    ///
+    /// The control side notices a target that is gone only with its next probes. Reads sent there
+    /// meanwhile each spend a retry, and once the budget is spent they are refused although another
+    /// member could serve them. The pool's own tries go on and clear the mark.
+    fn refuses_connections(&self, scene: &Scene, target: TargetId) -> bool {
+        let published = &scene.published;
+        published.is_home(target) && self.traffic.pools.target(published, target).pool.is_failing()
+    }
+
     fn predicted_wait_us(&self, scene: &Scene, target: TargetId) -> u64 {
         if !scene.published.is_home(target) {
             return 0;
@@ -314,7 +325,7 @@
     fn is_back(&self, scene: &Scene, target: TargetId, kind: ErrorKind) -> bool {
         kind == ErrorKind::TargetUnreachable
             && scene.published.is_home(target)
-            && !self.traffic.pools.target(&scene.published, target).pool.is_failing()
+            && !self.refuses_connections(scene, target)
     }
 
     fn wait_for_primary(&mut self, kind: ErrorKind) -> Result<Step, Refusal> {
--- a/crates/proxy/tests/traffic_retry.rs
+++ b/crates/proxy/tests/traffic_retry.rs
@@ -83,6 +83,22 @@
         assert_eq!(client.query("SHOW skylark.last_target").await.value(), "loans-1");
     }
 
+    /// Callers read while a replica's process is gone and the control side has not noticed.
+    /// 1. The replica resets its connections and refuses new ones. 2. The first reads find out and are
+    /// tried elsewhere. 3. Later ones pass it over: each that found out anew would spend the retry
+    /// budget, and soon reads would be refused although another replica is idle.
+    reads_pass_over_a_target_that_refuses_connections {
+        let limits = TrafficLimits { retry_budget_percent: 0, ..TrafficLimits::default() };
+        let (world, mut client) = with_table(limits).await;
+        client.query("SET skylark.read_kind = 'lookup'").await.ok();
+        client.query("SELECT 1").await.ok();
+        world.gates[1].refuse(true).await;
+        for _ in 0..300 {
+            assert_eq!(client.query("SELECT 'fine'").await.value(), "fine");
+        }
+        assert_eq!(world.proxy().counter("refused.retry_budget_spent"), 0);
+    }
+
     /// A write meets a primary that was replaced a moment ago, which refuses it unrun.
     /// 1. Another member leads term 2; the proxy does not know yet. 2. The old one answers 25006.
     /// 3. The proxy waits for the news and sends the write to the new primary: it runs once.
