Account for writes of sessions without an identity at the primary's homes

A home was told only of writes of sessions with an identity. The record of any other write was a position that it could not account for, so each such write raised the floor of every session with an identity until the replicas had applied it: safe, and it cost the replicas their share of reads.

The event's session is optional, and is sent for each acknowledged write that a process executes at a target. Co-homes are told of such writes by term and indexes, every 200 ms, since being late costs freshness only. The caller waits for no record of them.

--- a/crates/proxy/src/process/control/floors.rs
+++ b/crates/proxy/src/process/control/floors.rs
@@ -84,8 +84,8 @@
     }
 
     /// Records a write that was executed here or that a co-home reported.
-    pub fn record(&mut self, session: &str, position: LogPosition) {
-        self.floors.record(session_floors::SessionWrite { session: Some(session), position });
+    pub fn record(&mut self, session: Option<&str>, position: LogPosition) {
+        self.floors.record(session_floors::SessionWrite { session, position });
     }
 
     /// Looks a session's floor up for the asker.
--- a/crates/proxy/src/process/control/group.rs
+++ b/crates/proxy/src/process/control/group.rs
@@ -35,8 +35,11 @@
     pub tracking: Option<Tracking>,
     /// The primary of the highest term that a lead record or a peer named.
     hinted_leader: Option<(String, Term)>,
-    /// Acknowledged writes that the primary's homes are still to be told about.
+    /// Acknowledged writes of sessions with an identity that the primary's homes are still to be
+    /// told about.
     pub unsent_writes: Vec<api::SessionWrite>,
+    /// The positions of acknowledged writes of other sessions, for the same use.
+    pub unsent_plain: Vec<LogPosition>,
     /// Whether what traffic sees through a new version has changed.
     pub changed: bool,
 }
@@ -53,6 +56,7 @@
             tracking: None,
             hinted_leader: None,
             unsent_writes: Vec::new(),
+            unsent_plain: Vec::new(),
             changed: true,
         }
     }
--- a/crates/proxy/src/process/control/sessions.rs
+++ b/crates/proxy/src/process/control/sessions.rs
@@ -24,6 +24,7 @@
 use crate::process::member::client::MemberCommand;
 use crate::process::peer::api;
 use crate::process::peer::api::PeerApiClient;
+use crate::process::peer::api::PlainWrites;
 use crate::process::peer::server;
 use crate::process::peer::server::Refusal;
 use crate::process::schedule::Purpose;
@@ -32,6 +33,10 @@
 /// How long writes are collected before they are told to other homes.
 const COLLECT_US: u64 = 20_000;
 
+/// How long writes are collected while none of them belongs to a session with an identity. Told
+/// later they only keep such sessions' reads from the replicas for that long, and each call costs.
+const COLLECT_PLAIN_US: u64 = 200_000;
+
 /// The most writes that wait to be told. What passes it stays unaccounted for at the other homes,
 /// whose answers then ask for more than they need to.
 const MAX_WAITING: usize = 2_000;
@@ -61,16 +66,33 @@
         }
     }
 
-    fn write_acknowledged(&mut self, name: Arc<str>, session: String, position: LogPosition) {
+    fn write_acknowledged(
+        &mut self,
+        name: Arc<str>,
+        session: Option<String>,
+        position: LogPosition,
+    ) {
         let now_us = self.clock.now_us();
         let Some(group) = self.groups.get_mut(&name) else { return };
         if let Some(tracking) = &mut group.tracking {
-            tracking.floors.record(&session, position);
+            tracking.floors.record(session.as_deref(), position);
         }
-        if group.unsent_writes.len() < MAX_WAITING {
-            group.unsent_writes.push(api::SessionWrite { session, position });
+        if group.unsent_writes.len() + group.unsent_plain.len() >= MAX_WAITING {
+            return;
+        }
+        let purpose = Purpose::SendWrites(name.to_string());
+        match session {
+            Some(session) => {
+                if group.unsent_writes.is_empty() {
+                    self.schedule.set(purpose, now_us + COLLECT_US);
+                }
+                group.unsent_writes.push(api::SessionWrite { session, position });
+            }
+            None => {
+                group.unsent_plain.push(position);
+                self.schedule.set_once(purpose, now_us + COLLECT_PLAIN_US);
+            }
         }
-        self.schedule.set_once(Purpose::SendWrites(name.to_string()), now_us + COLLECT_US);
     }
 
     fn floor_wanted(
@@ -137,7 +159,12 @@
         let Some(group) = self.groups.get_mut(notice.group.as_str()) else { return };
         let Some(tracking) = &mut group.tracking else { return };
         for write in &notice.writes {
-            tracking.floors.record(&write.session, write.position);
+            tracking.floors.record(Some(&write.session), write.position);
+        }
+        for PlainWrites { term, indexes } in &notice.plain {
+            for &index in indexes {
+                tracking.floors.record(None, LogPosition { term: *term, index });
+            }
         }
     }
 
@@ -161,7 +188,8 @@
     fn writes_calls(&mut self, name: &str) -> Vec<impl Future<Output = ()> + Send + use<S, C>> {
         let Some(group) = self.groups.get_mut(name) else { return Vec::new() };
         let writes = std::mem::take(&mut group.unsent_writes);
-        if writes.is_empty() {
+        let plain = by_term(std::mem::take(&mut group.unsent_plain));
+        if writes.is_empty() && plain.is_empty() {
             return Vec::new();
         }
         let notice = api::WritesNotice {
@@ -169,6 +197,7 @@
             revision: self.configuration.revision(),
             group: name.to_owned(),
             writes,
+            plain,
         };
         let own_vm = self.own_vm();
         let mut others = self.primary_homes(name);
@@ -218,3 +247,11 @@
 fn group_name(version: &Published, group: GroupId) -> Arc<str> {
     Arc::from(version.topology.group(group).name.as_str())
 }
+
+/// The positions with each term said once.
+fn by_term(mut positions: Vec<LogPosition>) -> Vec<PlainWrites> {
+    positions.sort_unstable();
+    let runs = positions.chunk_by(|one, other| one.term == other.term);
+    let indexes = |run: &[LogPosition]| run.iter().map(|position| position.index).collect();
+    runs.map(|run| PlainWrites { term: run[0].term, indexes: indexes(run) }).collect()
+}
--- a/crates/proxy/src/process/control_handle.rs
+++ b/crates/proxy/src/process/control_handle.rs
@@ -15,12 +15,13 @@
 /// What traffic tells or asks the control thread.
 #[derive(Debug)]
 pub enum ControlEvent {
-    /// A write of a session with an identity was acknowledged here.
+    /// A write that this process executed at a target is acknowledged.
     WriteAcknowledged {
         /// The group written.
         group: GroupId,
-        /// The session's identity, as the caller named it.
-        session: String,
+        /// The session's identity, as the caller named it; none for a session without one, whose
+        /// write is accounted for, so that it raises no other session's floor.
+        session: Option<String>,
         /// The commit's position.
         position: LogPosition,
         /// Answered (or dropped) once the homes that answer for the session know the write: the
--- a/crates/proxy/src/process/peer/api.rs
+++ b/crates/proxy/src/process/peer/api.rs
@@ -109,6 +109,15 @@
     pub position: LogPosition,
 }
 
+/// Acknowledged writes of one term that belong to no session with an identity.
+#[derive(Clone, PartialEq, Eq, Debug, Serialize, Deserialize)]
+pub struct PlainWrites {
+    /// The term.
+    pub term: Term,
+    /// The indexes of the commits' records.
+    pub indexes: Vec<u64>,
+}
+
 /// Writes that the receiver is to remember as a home of the group.
 #[derive(Clone, PartialEq, Eq, Debug, Serialize, Deserialize)]
 pub struct WritesNotice {
@@ -118,8 +127,11 @@
     pub revision: u64,
     /// The group.
     pub group: String,
-    /// The writes.
+    /// The writes of sessions with an identity.
     pub writes: Vec<SessionWrite>,
+    /// The other ones, which the receiver accounts for: they raise no session's floor.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub plain: Vec<PlainWrites>,
 }
 
 /// The health answer for the balancer.
--- a/crates/proxy/src/request/answer.rs
+++ b/crates/proxy/src/request/answer.rs
@@ -108,15 +108,17 @@
         return true;
     }
     traffic.counters.event(Event::WritesAcknowledged);
-    let Some(identity) = &commit.identity else { return true };
     let (sender, recorded) = oneshot::channel();
     let event = ControlEvent::WriteAcknowledged {
         group: scene.group,
-        session: identity.to_string(),
+        session: commit.identity.as_deref().map(str::to_owned),
         position: commit.position,
         recorded: sender,
     };
     traffic.control.send(Arc::clone(&scene.published), event);
+    if commit.identity.is_none() {
+        return true;
+    }
     // The write itself is safe by now. A record that takes longer than the caller waits, or can't
     // be made, is the control thread's to make good: it answers for the session's floor.
     let _ = time::timeout_at(deadline.into(), recorded).await;
--- a/crates/proxy/tests/control_sessions.rs
+++ b/crates/proxy/tests/control_sessions.rs
@@ -31,6 +31,7 @@
 session_tests! {
     roaming_session_reads_its_own_writes
     home_that_restarted_answers_for_sessions_it_never_saw
+    plain_write_raises_no_floor_of_another_session
     isolated_home_answers_for_nobody
     stop_cuts_no_transaction
     stopping_proxy_is_home_to_nothing
@@ -84,6 +85,44 @@
         assert!(answer.position >= written, "{} does not cover {written}", answer.position);
     }
 
+    /// A caller without an identity writes through one of the primary's two homes, while replicas
+    /// apply late. Both homes know that no session with an identity wrote this record, so that such
+    /// a session's reads need not wait for it. Without that, each write of anybody would keep all of
+    /// them from the replicas.
+    pub async fn plain_write_raises_no_floor_of_another_session() {
+        let places =
+            [("vm-1", "medina"), ("vm-4", "medina"), ("vm-2", "depot"), ("vm-3", "sakiet")];
+        let cluster = Cluster::start_with(&places).await;
+        cluster.until_led_by_all(FIRST_PRIMARY).await;
+        for proxy in &cluster.proxies {
+            until("the proxy tracks the group", async || {
+                proxy.group().await.filter(|group| group.tracked)
+            })
+            .await;
+        }
+        create_table(&cluster).await;
+        for target in ["loans-1-depot", "loans-1-sakiet"] {
+            cluster.inject(lag(target, HOUR_US)).await;
+        }
+        let writer = connect_plain(&cluster.proxies[0]).await;
+        writer.simple_query("INSERT INTO chairs VALUES (1)").await.unwrap();
+        // What a home did not see from its beginning on is covered by its first answer.
+        let begun = cluster.member(FIRST_PRIMARY).log;
+        let homes: Vec<_> = cluster.proxies[..2].iter().map(control_client).collect();
+        for home in &homes {
+            until("the home answers", async || home.peer_floor(question("vm-2")).await.ok()).await;
+        }
+        writer.simple_query("INSERT INTO chairs VALUES (2)").await.unwrap();
+        assert!(cluster.member(FIRST_PRIMARY).log > begun);
+        let answer = homes[0].peer_floor(question("vm-2")).await.expect("the home answers");
+        assert!(answer.position <= begun, "{} is above {begun}", answer.position);
+        until("the other home knows of the write", async || {
+            let answer = homes[1].peer_floor(question("vm-2")).await.ok()?;
+            (answer.position <= begun).then_some(())
+        })
+        .await;
+    }
+
     /// A home is cut off from the majority while others may go on in a new term. It can't know
     /// what the session wrote there, so it gives no answer at all.
     pub async fn isolated_home_answers_for_nobody() {
@@ -170,8 +209,22 @@
         )
     }
 
+    fn control_client(proxy: &Proxy) -> jsonrpsee::http_client::HttpClient {
+        let address = proxy.handle.control_address().to_string();
+        client::open(&address, PATIENCE).expect("the address is right")
+    }
+
     async fn connect(proxy: &Proxy, session: &str) -> Client {
-        let connected = tokio_postgres::connect(&config(proxy, session), NoTls).await;
+        connect_by(&config(proxy, session)).await
+    }
+
+    async fn connect_plain(proxy: &Proxy) -> Client {
+        let port = proxy.handle.listen_address().port();
+        connect_by(&format!("host=127.0.0.1 port={port} user=clerk dbname={GROUP}")).await
+    }
+
+    async fn connect_by(config: &str) -> Client {
+        let connected = tokio_postgres::connect(config, NoTls).await;
         let (client, connection) = connected.expect("the proxy takes callers");
         tokio::spawn(async move {
             let _ = connection.await;
--- a/crates/proxy/tests/traffic_support/mod.rs
+++ b/crates/proxy/tests/traffic_support/mod.rs
@@ -447,7 +447,9 @@
     while let Some(VersionedEvent { event, .. }) = events.recv().await {
         match event {
             ControlEvent::WriteAcknowledged { group: GroupId(0), session, position, recorded } => {
-                floors.lock().insert(session, position);
+                if let Some(session) = session {
+                    floors.lock().insert(session, position);
+                }
                 let _ = recorded.send(());
             }
             ControlEvent::FloorWanted { session, answer, .. } => {
