--- a/crates/ctl/tests/operators.rs
+++ b/crates/ctl/tests/operators.rs
@@ -275,6 +275,10 @@
         self.answer(self.store.snapshot().await)
     }
 
+    async fn snapshot_within(&self, limit: Duration) -> Result<Snapshot, StoreError> {
+        self.answer(self.store.snapshot_within(limit).await)
+    }
+
     async fn put(
         &self,
         kind: ObjectKind,
--- a/crates/platform/src/http.rs
+++ b/crates/platform/src/http.rs
@@ -74,8 +74,12 @@
     }
 
     async fn snapshot(&self) -> Result<Snapshot, StoreError> {
+        self.snapshot_within(CALL_TIMEOUT).await
+    }
+
+    async fn snapshot_within(&self, limit: Duration) -> Result<Snapshot, StoreError> {
         let url = format!("{}/snapshot", self.base_url);
-        self.call(self.client.get(url), CALL_TIMEOUT).await
+        self.call(self.client.get(url), limit).await
     }
 
     async fn put(
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -84,6 +84,12 @@
     /// Reads all objects of the system and the list of VMs.
     fn snapshot(&self) -> impl Future<Output = Result<Snapshot, StoreError>> + Send;
 
+    /// The same with a time limit of the caller's, for a platform that is slow but does answer.
+    fn snapshot_within(
+        &self,
+        limit: Duration,
+    ) -> impl Future<Output = Result<Snapshot, StoreError>> + Send;
+
     /// Changes one object if it still has `expected_version` (zero creates it).
     fn put(
         &self,
--- /dev/null
+++ b/crates/proxy/src/process/control/first_version.rs
@@ -0,0 +1,170 @@
+//! The first version of a process that starts: from the platform, or from peers while the platform
+//! does not answer.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use skylark_core::process::jitter;
+use skylark_core::version::objects::Snapshot;
+use skylark_core::version::spreading;
+use skylark_core::version::spreading::Source;
+use skylark_core::version::spreading::StartChoice;
+use skylark_core::version::spreading::StartVerdict;
+use skylark_platform::ObjectStore;
+use skylark_settings::proxy::ProxySettings;
+use tokio::sync::mpsc;
+use tokio::sync::watch;
+use tokio::time;
+
+use crate::process::control::input::Input;
+use crate::process::control::platform::WatchOrder;
+use crate::process::control::platform::jittered;
+use crate::process::peer::api;
+use crate::process::peer::api::PeerApiClient;
+use crate::process::peer::client;
+
+/// The time limit of the first call to the platform.
+pub const FIRST_LIMIT_MS: u64 = 2_000;
+
+/// The highest time limit of a call.
+pub const MOST_LIMIT_MS: u64 = 30_000;
+
+/// The longest pause between two calls. A platform that comes back waits for no process longer.
+pub const MOST_PAUSE_MS: u64 = 8_000;
+
+/// The limits and the pauses of the calls for the first version.
+///
+/// With a fixed limit, a platform that needs longer for each call never gives a version to anybody,
+/// while all processes of a cold start go on asking: useless load just when the platform is slow.
+/// Doubling the limit lets some call have the time it needs, whatever that is up to the highest
+/// limit; and growing pauses that differ between processes let the load fall.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub struct StartPace {
+    seed: u64,
+    first_pause_ms: u64,
+    calls: u32,
+}
+
+impl StartPace {
+    /// The pace before the first call. Pauses begin at `first_pause_ms`; jitter is drawn from the
+    /// seed.
+    pub fn new(seed: u64, first_pause_ms: u64) -> StartPace {
+        StartPace { seed, first_pause_ms, calls: 0 }
+    }
+
+    /// The time limit of the next call, in milliseconds.
+    pub fn limit_ms(&self) -> u64 {
+        doubled(FIRST_LIMIT_MS, self.calls).min(MOST_LIMIT_MS)
+    }
+
+    /// Takes in that a call failed, and returns the pause before the next one in milliseconds.
+    pub fn failed(&mut self) -> u64 {
+        let pause_ms = doubled(self.first_pause_ms, self.calls).min(MOST_PAUSE_MS);
+        self.calls = self.calls.saturating_add(1);
+        jitter::upper_half_us(self.seed, u64::from(self.calls), pause_ms)
+    }
+}
+
+fn doubled(first_ms: u64, times: u32) -> u64 {
+    first_ms.saturating_mul(1_u64.checked_shl(times).unwrap_or(u64::MAX))
+}
+
+/// Gets the first version.
+pub(super) struct FirstVersion<S> {
+    pub(super) store: S,
+    pub(super) settings: Arc<ProxySettings>,
+    pub(super) orders: watch::Receiver<WatchOrder>,
+    pub(super) inputs: mpsc::UnboundedSender<Input>,
+    pub(super) seed: u64,
+}
+
+impl<S> FirstVersion<S>
+where
+    S: ObjectStore,
+{
+    pub(super) async fn run(self) {
+        let mut orders = self.orders.clone();
+        let (snapshot, source) = tokio::select! {
+            found = self.find() => found,
+            // An offer or a pull was faster, or the process ends.
+            _ = orders.wait_for(|order| order.revision > 0) => return,
+        };
+        let _ = self.inputs.send(Input::Snapshot { snapshot, source });
+    }
+
+    /// The platform's answer is the freshest, so its first call has its time before any peer is
+    /// asked. Later ones can be long, and peers are asked meanwhile.
+    async fn find(&self) -> (Snapshot, Source) {
+        let mut pace = StartPace::new(self.seed, self.settings.timing.platform_retry_ms);
+        if let Some(snapshot) = self.ask_platform(&pace).await {
+            return (snapshot, Source::Platform);
+        }
+        let pause_ms = pace.failed();
+        tokio::select! {
+            snapshot = self.go_on_asking_the_platform(pace, pause_ms) => (snapshot, Source::Platform),
+            snapshot = self.go_on_asking_peers() => (snapshot, Source::Peer),
+        }
+    }
+
+    async fn ask_platform(&self, pace: &StartPace) -> Option<Snapshot> {
+        let limit = Duration::from_millis(pace.limit_ms());
+        self.store.snapshot_within(limit).await.ok()
+    }
+
+    async fn go_on_asking_the_platform(
+        &self,
+        mut pace: StartPace,
+        first_pause_ms: u64,
+    ) -> Snapshot {
+        let mut pause_ms = first_pause_ms;
+        loop {
+            time::sleep(Duration::from_millis(pause_ms)).await;
+            if let Some(snapshot) = self.ask_platform(&pace).await {
+                return snapshot;
+            }
+            pause_ms = pace.failed();
+        }
+    }
+
+    async fn go_on_asking_peers(&self) -> Snapshot {
+        let retry = Duration::from_millis(self.settings.timing.platform_retry_ms);
+        let mut attempt = 0;
+        loop {
+            if let Some(snapshot) = self.ask_some_peers(attempt).await {
+                return snapshot;
+            }
+            attempt += 1;
+            time::sleep(jittered(retry)).await;
+        }
+    }
+
+    /// The highest version among several peers.
+    async fn ask_some_peers(&self, attempt: u64) -> Option<Snapshot> {
+        let timeout = Duration::from_millis(self.settings.timing.peer_timeout_ms);
+        let peers = &self.settings.peers;
+        let seed = self.seed.wrapping_add(attempt);
+        let chosen = spreading::start_peers(peers.len(), spreading::START_PEERS, seed);
+        let clients: Vec<_> = chosen
+            .iter()
+            .filter_map(|&place| client::open(&peers[place].to_string(), timeout))
+            .collect();
+        let mut asked: Vec<_> = clients.iter().cloned().map(ask_version).collect();
+        // Every call ends by its own timeout, so the choice needs no deadline.
+        let mut choice = StartChoice::new(asked.len(), u64::MAX);
+        for (place, answer) in asked.iter_mut().enumerate() {
+            match answer.await {
+                Ok(Some(version)) => choice.answered(place, version.revision),
+                Ok(None) | Err(_) => choice.failed(),
+            }
+        }
+        let StartVerdict::Take(place) = choice.verdict(0) else { return None };
+        clients[place].peer_snapshot().await.ok()
+    }
+}
+
+fn ask_version(
+    client: jsonrpsee::http_client::HttpClient,
+) -> tokio::task::JoinHandle<Option<api::PeerVersion>> {
+    let nobody = api::PeerVersion::default();
+    tokio::spawn(async move { client.peer_version(nobody).await.ok() })
+}
--- a/crates/proxy/src/process/control/mod.rs
+++ b/crates/proxy/src/process/control/mod.rs
@@ -9,7 +9,8 @@
 //! - [`group`], [`tracking`]: what a group's members report and the decisions that follow.
 //! - [`align`]: bringing groups, members and homes in line with a new version.
 //! - [`drive`]: carrying out what a failover driver asks for.
-//! - [`spread`]: taking and passing on versions; [`platform`]: the tasks that call the platform.
+//! - [`spread`]: taking and passing on versions; [`platform`], [`first_version`]: the tasks that call
+//!   the platform.
 //! - [`leaders`]: who leads the groups that are not tracked here.
 //! - [`floors`], [`sessions`]: floors of sessions that roam without a token.
 //! - [`publish`]: what traffic sees; [`report`]: what operators see.
@@ -49,6 +50,7 @@
 
 pub mod align;
 pub mod drive;
+pub mod first_version;
 pub mod floors;
 pub mod group;
 pub mod input;
