--- a/crates/bench/src/gap/phases.rs
+++ b/crates/bench/src/gap/phases.rs
@@ -5,7 +5,8 @@
 
 use crate::embedded::decisions::Decision;
 
-/// How a step begins in the log.
+/// How a step begins in the log, before a term is chosen and after it.
+const TERMLESS_PREFIX: &str = "change of primary: ";
 const STEP_PREFIX: &str = "change of primary to term ";
 
 /// Where the time of one change of primary went, in microseconds. Phases follow each other.
@@ -23,8 +24,11 @@
     pub route_us: u64,
 }
 
-/// The step of a decision, with the term that it is about.
+/// The step of a decision, with the term that it is about; zero before one is chosen.
 pub fn step_of(decision: &Decision) -> Option<(u64, &str)> {
+    if let Some(step) = decision.decision.strip_prefix(TERMLESS_PREFIX) {
+        return Some((0, step));
+    }
     let rest = decision.decision.strip_prefix(STEP_PREFIX)?;
     let (term, step) = rest.split_once(": ")?;
     Some((term.parse().ok()?, step))
