Leave counters that stand at zero out of the readable status

Cause: status printed some fifty lines of zeros below each VM and hid what had happened. Measured: the test of the output has a counter at zero, which was printed before.

--- a/crates/ctl/src/status.rs
+++ b/crates/ctl/src/status.rs
@@ -46,7 +46,8 @@
     for problem in &status.problems {
         let _ = writeln!(out, "  problem: {problem}");
     }
-    for (name, count) in &status.counters {
+    // Some fifty counters stand at zero in an ordinary hour and would hide the rest; JSON has them all.
+    for (name, count) in status.counters.iter().filter(|(_, count)| **count > 0) {
         let _ = writeln!(out, "  counter {name}: {count}");
     }
 }
--- a/crates/ctl/tests/proxies.rs
+++ b/crates/ctl/tests/proxies.rs
@@ -53,7 +53,10 @@
         platform_answers: false,
         groups: vec![group],
         problems: vec!["group `x`: there is no service `y`".to_owned()],
-        counters: BTreeMap::from([("refused.queue_full".to_owned(), 3)]),
+        counters: BTreeMap::from([
+            ("refused.queue_full".to_owned(), 3),
+            ("refused.no_primary".to_owned(), 0),
+        ]),
     }
 }
 
@@ -113,6 +116,7 @@
     let (_, out, _) = skylarkctl(&["--proxy", &address, "--json", "status"]).await;
     let json: Value = serde_json::from_str(&out).expect("the output is JSON");
     assert_eq!(json["proxies"][0]["counters"]["refused.queue_full"], 3);
+    assert_eq!(json["proxies"][0]["counters"]["refused.no_primary"], 0);
 }
 
 #[tokio::test]
