Wake one task a thread for a confirmed position

Cause: the control thread woke each waiting commit by itself; on a loop of another thread each such wake-up is a system call.

Change: a task on each traffic thread copies the confirmed position for the commits of that thread. The copy is never ahead of what is published and ends with it.

--- a/crates/proxy/src/request/acknowledge.rs
+++ b/crates/proxy/src/request/acknowledge.rs
@@ -6,9 +6,11 @@
 //! term as well as the index is enough: a majority that confirms a position in its own term has not
 //! promised itself to a newer one, and every newer primary comes out of a majority that holds it.
 
+use std::cell::RefCell;
 use std::time::Instant;
 
 use skylark_core::log_position::LogPosition;
+use tokio::sync::watch;
 use tokio::time;
 
 use crate::version::published::GroupLive;
@@ -22,10 +24,53 @@
     Unknown,
 }
 
+/// A group's confirmed position, and this thread's copy of it.
+struct Followed {
+    published: watch::Receiver<LogPosition>,
+    copy: watch::Receiver<LogPosition>,
+}
+
+thread_local! {
+    /// The groups that commits of this thread wait for. The control thread wakes one task of each
+    /// thread, not one for each commit: each wake-up of another thread is a system call of its own.
+    static FOLLOWED: RefCell<Vec<Followed>> = const { RefCell::new(Vec::new()) };
+}
+
+/// This thread's copy of a group's confirmed position. It is never ahead of what is published, and
+/// ends with it.
+fn follow(live: &GroupLive) -> watch::Receiver<LogPosition> {
+    let published = live.confirmed.subscribe();
+    FOLLOWED.with_borrow_mut(|followed| {
+        followed.retain(|group| group.copy.has_changed().is_ok());
+        if let Some(known) = followed.iter().find(|group| group.published.same_channel(&published))
+        {
+            return known.copy.clone();
+        }
+        let (sender, copy) = watch::channel(*published.borrow());
+        tokio::spawn(keep_up(published.clone(), sender));
+        followed.push(Followed { published, copy: copy.clone() });
+        copy
+    })
+}
+
+async fn keep_up(mut published: watch::Receiver<LogPosition>, copy: watch::Sender<LogPosition>) {
+    loop {
+        let confirmed = *published.borrow_and_update();
+        copy.send_if_modified(|copied| {
+            let grew = confirmed > *copied;
+            *copied = confirmed;
+            grew
+        });
+        if published.changed().await.is_err() {
+            return;
+        }
+    }
+}
+
 /// Waits until `position` is confirmed in its own term, a newer term is confirmed, or the deadline
 /// comes.
 pub async fn wait(live: &GroupLive, position: LogPosition, deadline: Instant) -> Verdict {
-    let mut confirmed = live.confirmed.subscribe();
+    let mut confirmed = follow(live);
     let decided = confirmed.wait_for(|confirmed| *confirmed >= position);
     match time::timeout_at(deadline.into(), decided).await {
         Ok(Ok(confirmed)) if confirmed.term == position.term => Verdict::Confirmed,
