--- a/crates/proxy/tests/control_start.rs
+++ b/crates/proxy/tests/control_start.rs
@@ -48,6 +48,26 @@
     .await;
 }
 
+/// Operators change the configuration while the platform takes 3 s for each call, longer than the
+/// limit of ordinary calls. Idle watches are given up 2 s after their wait and begun again; one that
+/// begins after a change is answered within its wait, so the change comes into force.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn changes_arrive_while_the_platform_is_slow() {
+    let cluster = Cluster::start().await;
+    cluster.until_led_by_all(FIRST_PRIMARY).await;
+    cluster.inject(Fault::PlatformSlow { slow_ms: 3_000 }).await;
+    // The watches that were under way when the platform slowed down may still deliver once.
+    for max_age_ms in [701, 702] {
+        let revision = cluster.set_max_age(max_age_ms);
+        for proxy in &cluster.proxies {
+            until("the change is in force", async || {
+                (proxy.status().await.revision >= revision).then_some(())
+            })
+            .await;
+        }
+    }
+}
+
 /// A proxy finds no version while the platform is silent. Each call ends by its limit. 1. The limits
 /// double up to the highest one, so that a slow platform gets the time it needs. 2. The calls of a
 /// process become few: with the fixed limit of 2 s and the pause of 0.5 s there were some 130 within
