Part the first try of a request into its steps

Change: connecting failures, encoding and completion are functions of their own, and a route says whether it leads to another proxy. Behaviour is unchanged.

--- a/crates/proxy/src/request/execute.rs
+++ b/crates/proxy/src/request/execute.rs
@@ -30,6 +30,8 @@
 use crate::request::answer::Written;
 use crate::request::context::RequestContext;
 use crate::request::context::Scene;
+use crate::request::exchange::Answer;
+use crate::request::exchange::Encoded;
 use crate::request::exchange::Ending;
 use crate::request::exchange::Exchange;
 use crate::request::exchange::Failed;
@@ -187,27 +189,12 @@
     retries: u32,
 ) -> Tries {
     let effect = unit.effect(context.is_read(), false);
-    let stakes_deadline = context.deadline;
     let waiting_since = Instant::now();
-    let lease = match take_connection(caller, context, route).await {
+    let mut lease = match take_connection(caller, context, route).await {
         Ok(Ok(lease)) => lease,
-        Ok(Err(failure)) => {
-            let attempt = Attempt {
-                effect,
-                stage: Stage::Connecting,
-                in_transaction: false,
-                failure,
-                retries,
-            };
-            report(caller, route, failure);
-            let left = stakes_deadline.saturating_duration_since(Instant::now());
-            let verdict = retry::decide(&attempt, &caller.budget, left.as_micros() as u64);
-            let stage = Stage::Connecting;
-            return failed(Failed { verdict, failure, stage, broken: true, refusal: None });
-        }
+        Ok(Err(failure)) => return not_connected(caller, context, route, effect, failure, retries),
         Err(refusal) => return Tries::Refused(refusal),
     };
-    let mut lease = lease;
     let waited_long = waiting_since.elapsed() >= LONG_WAIT;
     if waited_long && !route::is_still_fit(&caller.traffic, context, route) {
         lease.give_back();
@@ -220,12 +207,7 @@
             return Tries::Refused(refusal);
         }
     };
-    let is_peer = matches!(route.place, Place::Peer(..));
-    let connection = lease.connection();
-    connection.session_changed |= !context.settings.is_empty() && !is_peer;
-    let prelude_ready = u32::from(!prelude.is_empty());
-    let limit = caller.traffic.limits.prepared_per_connection;
-    let Ok(encoded) = unit.encode(connection, prelude, prelude_ready, limit) else {
+    let Some(encoded) = encode(caller, unit, context, route, prelude, &mut lease) else {
         return Tries::Refused(ErrorKind::ProtocolViolation.into());
     };
     let cancel_key = lease.connection().cancel_key;
@@ -240,39 +222,83 @@
             in_transaction: false,
             retries,
             budget: &caller.budget,
-            deadline: stakes_deadline,
+            deadline: context.deadline,
         },
-        live: (!is_peer).then_some(&*live),
+        live: (!route.is_peer()).then_some(&*live),
     };
-    let ending = exchange.run(lease.connection()).await;
-    match ending {
+    match exchange.run(lease.connection()).await {
         Ending::Failed(failure) => {
             report(caller, route, failure.failure);
             end_failed(lease, caller, &failure);
             failed(failure)
         }
-        Ending::Complete(mut complete) => {
-            caller.session.last_served = match (route.place, complete.served.take()) {
-                (Place::Peer(_, None), Some(served)) => served.into(),
-                _ => served_words(route).into(),
-            };
-            let held = Pinned {
-                lease,
-                scene: route.scene.clone(),
-                is_peer,
-                is_read: context.is_read(),
-                awaits_sync: false,
-                is_implicit: false,
-                identity: context.identity.clone(),
-                deadline_ms: context.deadline_ms,
-            };
-            let written = Written { deadline: stakes_deadline, was_in_transaction: false };
-            Tries::Ended(answer::complete(caller, unit, held, complete, written).await)
+        Ending::Complete(complete) => {
+            Tries::Ended(complete_first(caller, unit, context, route, lease, complete).await)
         }
         other => Tries::Ended(answer::end(caller, lease, other).await),
     }
 }
 
+/// What follows from a failure to connect, when nothing was sent.
+fn not_connected(
+    caller: &Caller,
+    context: &RequestContext,
+    route: &Route,
+    effect: Effect,
+    failure: Failure,
+    retries: u32,
+) -> Tries {
+    report(caller, route, failure);
+    let stage = Stage::Connecting;
+    let attempt = Attempt { effect, stage, in_transaction: false, failure, retries };
+    let left = context.deadline.saturating_duration_since(Instant::now());
+    let verdict = retry::decide(&attempt, &caller.budget, left.as_micros() as u64);
+    failed(Failed { verdict, failure, stage, broken: true, refusal: None })
+}
+
+/// What is sent for a request outside a transaction; none if it can't be put into messages.
+fn encode(
+    caller: &Caller,
+    unit: &Unit,
+    context: &RequestContext,
+    route: &Route,
+    prelude: BytesMut,
+    lease: &mut Lease,
+) -> Option<Encoded> {
+    let connection = lease.connection();
+    connection.session_changed |= !context.settings.is_empty() && !route.is_peer();
+    let prelude_ready = u32::from(!prelude.is_empty());
+    let limit = caller.traffic.limits.prepared_per_connection;
+    unit.encode(connection, prelude, prelude_ready, limit).ok()
+}
+
+/// Answers a request outside a transaction, and keeps its connection if it opened one.
+async fn complete_first(
+    caller: &mut Caller,
+    unit: &Unit,
+    context: &RequestContext,
+    route: &Route,
+    lease: Lease,
+    mut complete: Answer,
+) -> Flow {
+    caller.session.last_served = match (route.place, complete.served.take()) {
+        (Place::Peer(_, None), Some(served)) => served.into(),
+        _ => served_words(route).into(),
+    };
+    let held = Pinned {
+        lease,
+        scene: route.scene.clone(),
+        is_peer: route.is_peer(),
+        is_read: context.is_read(),
+        awaits_sync: false,
+        is_implicit: false,
+        identity: context.identity.clone(),
+        deadline_ms: context.deadline_ms,
+    };
+    let written = Written { deadline: context.deadline, was_in_transaction: false };
+    answer::complete(caller, unit, held, complete, written).await
+}
+
 fn failed(failed: Failed) -> Tries {
     match failed.verdict {
         RetryVerdict::Again => Tries::Again(failed),
--- a/crates/proxy/src/request/route.rs
+++ b/crates/proxy/src/request/route.rs
@@ -55,6 +55,13 @@
     pub reason: &'static str,
 }
 
+impl Route {
+    /// Whether another proxy serves the request.
+    pub fn is_peer(&self) -> bool {
+        matches!(self.place, Place::Peer(..))
+    }
+}
+
 /// What earlier tries of the same request found out.
 #[derive(Clone, Debug, Default)]
 pub struct Tried {
