Tell the traffic threads' number instead of starting idle ones to be counted

Cause: the daemon started as many workers as there are traffic threads only for their number to be read from the runtime; since each traffic thread has an event loop of its own, those workers only accept and maintain. Change: the number is an option, and one worker accepts and maintains. The tests still run two loops. Measured: the tests of skylark-proxy and skylark-bench pass, as do the lints of all crates; throughput was not measured again.

--- a/crates/proxy/src/process/daemon.rs
+++ b/crates/proxy/src/process/daemon.rs
@@ -113,9 +113,10 @@
         Err(_) => return Err(StartError::Threads(io::Error::other("the control thread ended"))),
     };
 
+    // Accepts connections and looks after the pools; callers are served by threads of their own.
     let threads = runtime::Builder::new_multi_thread()
-        .worker_threads(settings.traffic_threads as usize)
-        .thread_name("traffic")
+        .worker_threads(1)
+        .thread_name("accept")
         .enable_all()
         .build()
         .map_err(StartError::Threads)?;
@@ -124,6 +125,7 @@
         let listener = TcpListener::from_std(listener)
             .map_err(|error| StartError::Listen(settings.listen_address, error))?;
         threads.spawn(traffic::serve(TrafficOptions {
+            threads: settings.traffic_threads as usize,
             listener,
             slot: Arc::clone(&published),
             control: handle,
--- a/crates/proxy/src/process/traffic.rs
+++ b/crates/proxy/src/process/traffic.rs
@@ -44,6 +44,8 @@
 /// What the traffic threads are started with.
 #[derive(Debug)]
 pub struct TrafficOptions {
+    /// How many threads serve callers.
+    pub threads: usize,
     /// Where callers and other proxies connect.
     pub listener: TcpListener,
     /// The versions that the control thread publishes.
@@ -147,11 +149,11 @@
 /// were in the middle of something have ended or used up their grace.
 pub async fn serve(options: TrafficOptions) {
     let traffic = Traffic::new(&options);
-    let TrafficOptions { listener, log, .. } = options;
+    let TrafficOptions { threads, listener, log, .. } = options;
     slog::info!(log, "serving"; "address" => address_of(&listener));
     let maintenance = tokio::spawn(maintain(Arc::clone(&traffic)));
     let mut stopping = traffic.stopping();
-    let loops = start_loops(&log);
+    let loops = start_loops(threads, &log);
     let accepting = accept(&traffic, &listener, &loops);
     let stopped = async {
         // The sender lives as long as the process's state, so this ends only with a stop.
@@ -166,10 +168,10 @@
     slog::info!(log, "stopped"; "callers_cut" => traffic.callers.count());
 }
 
-/// Starts as many event loops as the present runtime has threads.
-fn start_loops(log: &slog::Logger) -> EventLoops {
+/// Starts the threads that serve callers. One that can't be started leaves its share to the others.
+fn start_loops(threads: usize, log: &slog::Logger) -> EventLoops {
     let mut loops = EventLoops::default();
-    for _ in 0..Handle::current().metrics().num_workers() {
+    for _ in 0..threads {
         if let Err(error) = loops.start_one() {
             slog::error!(log, "a traffic thread could not be started"; "error" => %error);
         }
--- a/crates/proxy/tests/traffic_support/mod.rs
+++ b/crates/proxy/tests/traffic_support/mod.rs
@@ -287,6 +287,7 @@
         tokio::spawn(control_side(events, Arc::clone(&self.floors), Arc::clone(&seen)));
         let address = listener.local_addr().expect("bound");
         let serving = tokio::spawn(traffic::serve(TrafficOptions {
+            threads: 2,
             listener,
             slot: Arc::clone(&slot),
             control,
