--- a/crates/bench/src/embedded/operator.rs
+++ b/crates/bench/src/embedded/operator.rs
@@ -2,8 +2,8 @@
 
 use skylark_core::version::objects::LeadRecord;
 use skylark_core::version::objects::ObjectKind;
-use skylark_platform::ObjectStore;
-use skylark_platform::StoreError;
+use skylark_objects::ObjectStore;
+use skylark_objects::StoreError;
 
 /// Asks for `target` as primary of `group`. A driver that writes the record meanwhile makes the
 /// update meet another version; then it is tried again on the new one.
--- a/crates/bench/src/gap/trial.rs
+++ b/crates/bench/src/gap/trial.rs
@@ -8,7 +8,7 @@
 use serde::Serialize;
 use skylark_core::log_position::Term;
 use skylark_core::member_status::Role;
-use skylark_platform::http::HttpStore;
+use skylark_objects::http::HttpStore;
 use skylark_settings::deployment::DeploymentSettings;
 use skylark_standin::deployment::fault::Fault;
 use tokio::time;
--- a/crates/bench/src/slopes/versions.rs
+++ b/crates/bench/src/slopes/versions.rs
@@ -9,7 +9,7 @@
 use skylark_core::process::membership::MembershipPolicy;
 use skylark_core::version::objects::Snapshot;
 use skylark_core::version::topology::Topology;
-use skylark_platform::WatchAnswer;
+use skylark_objects::WatchAnswer;
 
 use crate::slopes::case::Case;
 use crate::slopes::case::Unit;
--- a/crates/core/src/process/mod.rs
+++ b/crates/core/src/process/mod.rs
@@ -12,4 +12,6 @@
 pub mod read_age;
 pub mod session_floors;
 pub mod sharing;
+pub mod takeover;
+pub mod takeover_claim;
 pub mod timer;
--- a/crates/core/src/request/error_kind.rs
+++ b/crates/core/src/request/error_kind.rs
@@ -109,6 +109,15 @@
     /// The target refused the work because it is leaving.
     TargetLeaving = "target_leaving", "57P03", NotRun, 100, false,
         "the target is leaving";
+    /// The target refused the work because it has too much to do.
+    TargetBusy = "target_busy", "57P03", NotRun, 100, false,
+        "the target has too much to do";
+    /// A read got no answer from any member. It changed nothing.
+    ReadFailed = "read_failed", "58030", Unknown, 100, false,
+        "the read got no answer";
+    /// The caller runs a statement that it did not prepare.
+    UnknownPrepared = "unknown_prepared", "26000", NotRun, 0, false,
+        "there is no prepared statement of this name";
     /// The connection to the target broke before an answer to a request that may have run.
     AnswerLost = "answer_lost", "08007", Unknown, 0, true,
         "the answer was lost; look before repeating";
--- a/crates/core/src/request/mod.rs
+++ b/crates/core/src/request/mod.rs
@@ -1,5 +1,8 @@
 //! What lives as long as one request.
 
 pub mod error_kind;
+pub mod primary_positions;
+pub mod read_choice;
 pub mod retry;
 pub mod routing;
+pub mod statement;
--- /dev/null
+++ b/crates/core/src/request/primary_positions.rs
@@ -0,0 +1,79 @@
+//! Log positions of a primary with the times by which they were reached.
+//!
+//! Whoever asks a target for "at least position P" has a read refused where P is missing, so no
+//! member's position needs to be known. P has to cover all that was acknowledged by the time that
+//! the read's bound on age allows. Each answer by which a primary proves that it led, such as that
+//! to a commit, brings such a position: it covers all that was acknowledged before the request was
+//! *sent*. The time of the answer would be wrong: what was acknowledged while it travelled may be
+//! missing.
+//!
+//! Of the samples that are young enough the oldest is taken, since more replicas have reached it.
+
+use std::collections;
+
+use crate::log_position::LogPosition;
+use crate::process::read_age::Sample;
+
+/// The time between two samples that are kept. The choice of the oldest one that is young enough is
+/// at most this much younger than it could be.
+pub const SPACING_US: u64 = 50_000;
+
+/// How many samples are kept: with [`SPACING_US`] apart, 3.2 s, above the usual bounds on age.
+pub const MAX_KEPT: usize = 64;
+
+/// The samples of one group, in the order of their times.
+#[derive(Clone, Debug, Default)]
+pub struct PrimaryPositions {
+    samples: collections::VecDeque<Sample>,
+}
+
+impl PrimaryPositions {
+    /// A primary that proved its lead answered a request sent at `sent_us` with `position`.
+    pub fn saw(&mut self, sent_us: u64, position: LogPosition) {
+        let newest = self.samples.back();
+        if newest.is_some_and(|newest| newest.taken_us > sent_us) {
+            return;
+        }
+        let highest = newest.map_or(position, |newest| newest.position.max(position));
+        let sample = Sample { taken_us: sent_us, position: highest };
+        if self.replaces_newest(sent_us) {
+            self.samples.pop_back();
+        }
+        self.samples.push_back(sample);
+        if self.samples.len() > MAX_KEPT {
+            self.samples.pop_front();
+        }
+    }
+
+    /// The lowest known position that covers all that was acknowledged by `as_of_us`.
+    pub fn covering(&self, as_of_us: u64) -> Option<LogPosition> {
+        let first = self.samples.partition_point(|sample| sample.taken_us < as_of_us);
+        self.samples.get(first).map(|sample| sample.position)
+    }
+
+    /// When the newest sample was taken.
+    pub fn newest_us(&self) -> Option<u64> {
+        self.samples.back().map(|sample| sample.taken_us)
+    }
+
+    /// Every violated invariant.
+    pub fn verify(&self) -> Vec<String> {
+        let pairs = self.samples.iter().zip(self.samples.iter().skip(1));
+        let backward =
+            pairs.filter(|(a, b)| a.taken_us > b.taken_us || a.position > b.position).count();
+        match backward {
+            0 => Vec::new(),
+            _ => vec![format!("{backward} samples go back")],
+        }
+    }
+
+    /// Whether the newest sample stands too close after the one before it to be kept beside the
+    /// next one.
+    fn replaces_newest(&self, sent_us: u64) -> bool {
+        let Some(before) = self.samples.len().checked_sub(2).and_then(|at| self.samples.get(at))
+        else {
+            return false;
+        };
+        sent_us < before.taken_us + SPACING_US
+    }
+}
--- /dev/null
+++ b/crates/core/src/request/read_choice.rs
@@ -0,0 +1,49 @@
+//! Which member of a group serves a read that any member may serve.
+//!
+//! A target refuses a read that its log can't serve by itself, so the choice is about time and bytes
+//! only: the member that is expected to answer first, with a preference for the own availability
+//! zone. Members that lately refused for lagging, or did not answer, come after all others: they
+//! are tried only when nothing else is left.
+
+/// What a member in another availability zone costs beyond its answer time. A read that crosses
+/// zones costs about 1% of what it earns, so it pays only where the answer would come clearly sooner.
+pub const OTHER_ZONE_US: u64 = 15_000;
+
+/// What a read at the primary costs beyond its answer time: the primary's slots are the only ones
+/// that can run writes.
+pub const PRIMARY_US: u64 = 6_000;
+
+/// One member that may serve the read.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub struct ReadCandidate {
+    /// Whether it is in the own availability zone.
+    pub same_zone: bool,
+    /// Whether it leads.
+    pub is_primary: bool,
+    /// How long its answers usually take, in microseconds.
+    pub usual_us: u64,
+    /// How many statements this process has under way or waiting there.
+    pub under_way: u32,
+    /// Whether it lately refused a read for lagging behind.
+    pub lags: bool,
+    /// Whether it lately did not answer.
+    pub fails: bool,
+}
+
+impl ReadCandidate {
+    /// How long the answer is expected to take, with the costs of the place.
+    fn cost_us(&self) -> u64 {
+        let zone_us = if self.same_zone { 0 } else { OTHER_ZONE_US };
+        let primary_us = if self.is_primary { PRIMARY_US } else { 0 };
+        self.usual_us * u64::from(1 + self.under_way) + zone_us + primary_us
+    }
+}
+
+/// The place of the best candidate; none if there is none.
+pub fn choose(candidates: &[ReadCandidate]) -> Option<usize> {
+    let rank = |index: &usize| {
+        let candidate = &candidates[*index];
+        (candidate.fails, candidate.lags, candidate.cost_us())
+    };
+    (0..candidates.len()).min_by_key(rank)
+}
--- a/crates/core/src/version/mod.rs
+++ b/crates/core/src/version/mod.rs
@@ -2,5 +2,6 @@
 
 pub mod objects;
 pub mod plan;
+pub mod routes;
 pub mod spreading;
 pub mod topology;
--- a/crates/ctl/src/confirm.rs
+++ b/crates/ctl/src/confirm.rs
@@ -11,8 +11,8 @@
 use skylark_core::version::plan::call::Verb;
 use skylark_core::version::plan::confirmation::Confirmation;
 use skylark_core::version::plan::record::PlanRecord;
-use skylark_platform::ObjectStore;
-use skylark_platform::StoreError;
+use skylark_objects::ObjectStore;
+use skylark_objects::StoreError;
 use tokio::time;
 use tokio::time::Instant;
 
--- a/crates/ctl/src/explain.rs
+++ b/crates/ctl/src/explain.rs
@@ -8,7 +8,7 @@
 use skylark_core::version::plan::Plan;
 use skylark_core::version::plan::record::PlanRecord;
 use skylark_core::version::plan::record::PlanState;
-use skylark_platform::ObjectStore;
+use skylark_objects::ObjectStore;
 use skylark_proxy::process::peer::api::ExplainReport;
 
 use crate::arguments::Options;
--- a/crates/ctl/src/failure.rs
+++ b/crates/ctl/src/failure.rs
@@ -6,7 +6,7 @@
 
 use serde_json::json;
 use skylark_core::version::plan::error::PlanError;
-use skylark_platform::StoreError;
+use skylark_objects::StoreError;
 use skylark_settings::mistake::Mistakes;
 
 use crate::exit::Exit;
--- a/crates/ctl/src/plan.rs
+++ b/crates/ctl/src/plan.rs
@@ -10,8 +10,8 @@
 use skylark_core::version::plan::planner;
 use skylark_core::version::plan::record::PlanRecord;
 use skylark_core::version::plan::record::PlanState;
-use skylark_platform::ObjectStore;
-use skylark_platform::StoreError;
+use skylark_objects::ObjectStore;
+use skylark_objects::StoreError;
 
 use crate::failure::Failure;
 use crate::report::Report;
--- a/crates/ctl/src/proxy.rs
+++ b/crates/ctl/src/proxy.rs
@@ -8,7 +8,7 @@
 use jsonrpsee::http_client::HttpClient;
 use serde_json::Value;
 use serde_json::json;
-use skylark_platform::ObjectStore;
+use skylark_objects::ObjectStore;
 use skylark_proxy::process::peer;
 use skylark_proxy::process::peer::api;
 use skylark_proxy::process::peer::api::ExplainReport;
--- a/crates/ctl/src/store.rs
+++ b/crates/ctl/src/store.rs
@@ -2,9 +2,9 @@
 
 use skylark_core::version::objects::ObjectKind;
 use skylark_core::version::objects::StoredObject;
-use skylark_platform::ObjectStore;
-use skylark_platform::StoreError;
-use skylark_platform::http::HttpStore;
+use skylark_objects::ObjectStore;
+use skylark_objects::StoreError;
+use skylark_objects::http::HttpStore;
 
 use crate::arguments::Options;
 use crate::failure::Failure;
--- a/crates/proxy/src/connection/mod.rs
+++ b/crates/proxy/src/connection/mod.rs
@@ -8,6 +8,7 @@
 pub mod event_loops;
 pub mod frames;
 pub mod limits;
+pub mod link;
 pub mod pinned;
 pub mod pool;
 pub mod pools;
--- a/crates/proxy/src/connection/pinned.rs
+++ b/crates/proxy/src/connection/pinned.rs
@@ -4,6 +4,7 @@
 
 use crate::connection::cancel::CancelSlot;
 use crate::connection::pool::Lease;
+use crate::connection::target_connection::TargetConnection;
 use crate::request::context::Scene;
 use crate::request::exchange::Ending;
 
@@ -11,7 +12,7 @@
 #[derive(Debug)]
 pub struct Pinned {
     /// The connection.
-    pub lease: Lease,
+    pub lease: Lease<TargetConnection>,
     /// The version that the transaction was routed with.
     pub scene: Scene,
     /// Whether the other end is a proxy, which waits for confirmations itself.
@@ -38,7 +39,7 @@
 
 /// Gives a connection back, unless a cancel was passed on to it that may arrive late and hit the
 /// request of the next caller.
-pub fn give_back(lease: Lease, cancel: &Arc<CancelSlot>) {
+pub fn give_back(lease: Lease<TargetConnection>, cancel: &Arc<CancelSlot>) {
     match cancel.release() {
         true => lease.close(),
         false => lease.give_back(),
@@ -46,14 +47,14 @@
 }
 
 /// Closes a connection.
-pub fn close(lease: Lease, cancel: &Arc<CancelSlot>) {
+pub fn close(lease: Lease<TargetConnection>, cancel: &Arc<CancelSlot>) {
     cancel.release();
     drop(lease);
 }
 
 /// Ends the hold of a request that has no answer: a connection that still works is drained and
 /// reset, one that said goodbye is closed.
-pub fn close_or_recover(lease: Lease, cancel: &Arc<CancelSlot>, ending: &Ending) {
+pub fn close_or_recover(lease: Lease<TargetConnection>, cancel: &Arc<CancelSlot>, ending: &Ending) {
     match ending {
         Ending::Farewell(_) => close(lease, cancel),
         _ => give_back(lease, cancel),
--- a/crates/proxy/src/connection/pool.rs
+++ b/crates/proxy/src/connection/pool.rs
@@ -22,9 +22,8 @@
 use tokio::time;
 
 use crate::connection::admission::Turnstile;
-use crate::connection::target_connection::Login;
+use crate::connection::link::Link;
 use crate::connection::target_connection::OpenError;
-use crate::connection::target_connection::TargetConnection;
 use crate::process::clock::MonotonicClock;
 use crate::process::counters::Counters;
 use crate::process::counters::Event;
@@ -34,13 +33,15 @@
 
 /// What a pool needs to know to work.
 #[derive(Clone, Debug)]
-pub struct PoolOptions {
+pub struct PoolOptions<Login> {
     /// IP address and port.
     pub address: String,
     /// How connections introduce themselves.
     pub login: Login,
     /// The time that a connection may take to open.
     pub connect_ms: u64,
+    /// How many connections are kept, and how tries are spaced.
+    pub budget: BudgetPolicy,
     /// The time that an abandoned answer has to end.
     pub drain_ms: u64,
     /// Whether connections are reset after every transaction.
@@ -53,23 +54,29 @@
 
 /// Connections to one address for one group.
 #[derive(Debug)]
-pub struct Pool {
-    options: PoolOptions,
+pub struct Pool<L>
+where
+    L: Link,
+{
+    options: PoolOptions<L::Login>,
     counters: Arc<Counters>,
-    state: Mutex<State>,
+    state: Mutex<State<L>>,
 }
 
 #[derive(Debug)]
-struct State {
-    idle: Vec<TargetConnection>,
-    waiting: VecDeque<oneshot::Sender<Result<TargetConnection, Failure>>>,
+struct State<L> {
+    idle: Vec<L>,
+    waiting: VecDeque<oneshot::Sender<Result<L, Failure>>>,
     budget: ConnectionBudget,
     /// Why the last try to connect failed, until one succeeds.
     failing: Option<Failure>,
 }
 
-impl State {
-    fn plan(&mut self, now_us: u64) -> (BudgetPlan, Vec<TargetConnection>) {
+impl<L> State<L>
+where
+    L: Link,
+{
+    fn plan(&mut self, now_us: u64) -> (BudgetPlan, Vec<L>) {
         self.budget.set_waiting(self.waiting.len() as u32);
         let plan = self.budget.plan(now_us);
         let closed = self.idle.drain(..plan.close as usize).collect();
@@ -77,7 +84,7 @@
     }
 
     /// The newest idle connection, sooner one that this thread watches already.
-    fn pop_idle(&mut self) -> Option<TargetConnection> {
+    fn pop_idle(&mut self) -> Option<L> {
         let mut newest = self.idle.iter().enumerate().rev().take(LOOKED_AT);
         match newest.find(|(_, connection)| connection.is_here()) {
             Some((place, _)) => Some(self.idle.remove(place)),
@@ -86,11 +93,14 @@
     }
 }
 
-impl Pool {
+impl<L> Pool<L>
+where
+    L: Link,
+{
     /// A pool without connections.
-    pub fn new(options: PoolOptions, counters: Arc<Counters>) -> Pool {
+    pub fn new(options: PoolOptions<L::Login>, counters: Arc<Counters>) -> Pool<L> {
         let now_us = options.clock.now_us();
-        let budget = ConnectionBudget::new(BudgetPolicy::default(), 0, options.jitter_seed, now_us);
+        let budget = ConnectionBudget::new(options.budget, 0, options.jitter_seed, now_us);
         let state = State { idle: Vec::new(), waiting: VecDeque::new(), budget, failing: None };
         Pool { options, counters, state: Mutex::new(state) }
     }
@@ -132,7 +142,7 @@
         self: &Arc<Self>,
         turn: Option<Turnstile>,
         deadline: Instant,
-    ) -> Result<Lease, Failure> {
+    ) -> Result<Lease<L>, Failure> {
         if let Some(connection) = self.take_idle() {
             return Ok(Lease::new(connection, self, turn));
         }
@@ -156,9 +166,9 @@
     /// A lease of a connection that another thread handed over.
     fn lease(
         self: &Arc<Self>,
-        connection: TargetConnection,
+        connection: L,
         turn: Option<Turnstile>,
-    ) -> Result<Lease, Failure> {
+    ) -> Result<Lease<L>, Failure> {
         match connection.brought_here() {
             Ok(connection) => Ok(Lease::new(connection, self, turn)),
             Err(_) => {
@@ -184,7 +194,7 @@
     }
 
     /// Stops waiting; a connection that was handed over at the last moment goes back.
-    fn take_back(&self, mut receiver: oneshot::Receiver<Result<TargetConnection, Failure>>) {
+    fn take_back(&self, mut receiver: oneshot::Receiver<Result<L, Failure>>) {
         receiver.close();
         if let Ok(Ok(connection)) = receiver.try_recv() {
             self.put_back(connection);
@@ -192,7 +202,7 @@
     }
 
     /// The newest idle connection that is still good.
-    fn take_idle(&self) -> Option<TargetConnection> {
+    fn take_idle(&self) -> Option<L> {
         loop {
             let connection = {
                 let mut state = self.state.lock();
@@ -214,7 +224,7 @@
     async fn open_one(self: Arc<Self>) {
         let timeout = Duration::from_millis(self.options.connect_ms);
         let options = &self.options;
-        match TargetConnection::open(&options.address, &options.login, timeout).await {
+        match L::open(&options.address, &options.login, timeout).await {
             Ok(connection) => {
                 self.counters.event(Event::ConnectionsOpened);
                 let mut state = self.state.lock();
@@ -237,14 +247,14 @@
     }
 
     /// Takes back an idle connection.
-    fn put_back(&self, connection: TargetConnection) {
+    fn put_back(&self, connection: L) {
         let mut state = self.state.lock();
         state.budget.gave_back();
         self.hand_over(state, connection);
     }
 
     /// Hands a connection that counts as idle to the first who waits, or keeps it.
-    fn hand_over(&self, mut state: MutexGuard<'_, State>, mut connection: TargetConnection) {
+    fn hand_over(&self, mut state: MutexGuard<'_, State<L>>, mut connection: L) {
         while let Some(waiting) = state.waiting.pop_front() {
             match waiting.send(Ok(connection)) {
                 Ok(()) => {
@@ -271,7 +281,7 @@
     }
 
     /// Brings a connection back to a new session, or closes it.
-    async fn recover(self: Arc<Self>, mut connection: TargetConnection, abandoned: bool) {
+    async fn recover(self: Arc<Self>, mut connection: L, abandoned: bool) {
         let timeout = Duration::from_millis(self.options.drain_ms);
         let recovered = connection.recover(timeout).await.is_ok();
         let event = match (recovered, abandoned) {
@@ -310,19 +320,25 @@
 
 /// A connection out of a pool. Dropping it closes the connection.
 #[derive(Debug)]
-pub struct Lease {
-    connection: Option<TargetConnection>,
-    pool: Arc<Pool>,
+pub struct Lease<L>
+where
+    L: Link,
+{
+    connection: Option<L>,
+    pool: Arc<Pool<L>>,
     turn: Option<Turnstile>,
 }
 
-impl Lease {
-    fn new(connection: TargetConnection, pool: &Arc<Pool>, turn: Option<Turnstile>) -> Lease {
+impl<L> Lease<L>
+where
+    L: Link,
+{
+    fn new(connection: L, pool: &Arc<Pool<L>>, turn: Option<Turnstile>) -> Lease<L> {
         Lease { connection: Some(connection), pool: Arc::clone(pool), turn }
     }
 
     /// The connection.
-    pub fn connection(&mut self) -> &mut TargetConnection {
+    pub fn connection(&mut self) -> &mut L {
         self.connection.as_mut().expect("a lease holds its connection until it ends")
     }
 
@@ -350,7 +366,7 @@
     pub fn give_back(mut self) {
         let Some(connection) = self.connection.take() else { return };
         let is_idle = connection.is_idle();
-        if is_idle && !connection.session_changed && !self.pool.options.reset_always {
+        if is_idle && !connection.needs_reset() && !self.pool.options.reset_always {
             self.pool.put_back(connection);
             return;
         }
@@ -364,7 +380,10 @@
     }
 }
 
-impl Lease {
+impl<L> Lease<L>
+where
+    L: Link,
+{
     /// Closes a connection that still works. Its place is free once the other end has closed too:
     /// until then the target counts it, and would refuse a new one.
     pub fn close(mut self) {
@@ -382,7 +401,10 @@
     }
 }
 
-impl Drop for Lease {
+impl<L> Drop for Lease<L>
+where
+    L: Link,
+{
     fn drop(&mut self) {
         if self.connection.take().is_some() {
             self.pool.forget_one();
--- a/crates/proxy/src/connection/pools.rs
+++ b/crates/proxy/src/connection/pools.rs
@@ -10,6 +10,7 @@
 use skylark_core::ids::GroupId;
 use skylark_core::ids::TargetId;
 use skylark_core::ids::VmId;
+use skylark_core::process::connection_budget::BudgetPolicy;
 use skylark_core::process::homes;
 use skylark_core::process::jitter;
 use skylark_core::process::sharing::ClassShare;
@@ -22,6 +23,7 @@
 use crate::connection::pool::Pool;
 use crate::connection::pool::PoolOptions;
 use crate::connection::target_connection::Login;
+use crate::connection::target_connection::TargetConnection;
 use crate::process::clock::MonotonicClock;
 use crate::process::counters::Counters;
 use crate::version::published::Published;
@@ -34,7 +36,7 @@
 #[derive(Debug)]
 pub struct TargetPool {
     /// The connections.
-    pub pool: Arc<Pool>,
+    pub pool: Arc<Pool<TargetConnection>>,
     /// The queue in front of them.
     pub queue: Arc<AdmissionQueue>,
 }
@@ -49,7 +51,7 @@
     counters: Arc<Counters>,
     targets: RwLock<FastMap<String, Arc<TargetPool>>>,
     /// By VM, then by group.
-    peers: RwLock<FastMap<String, FastMap<String, Arc<Pool>>>>,
+    peers: RwLock<FastMap<String, FastMap<String, Arc<Pool<TargetConnection>>>>>,
 }
 
 impl Pools {
@@ -94,11 +96,16 @@
     }
 
     /// The pool towards another proxy for one group.
-    pub fn peer(&self, published: &Published, vm: VmId, group: GroupId) -> Arc<Pool> {
+    pub fn peer(
+        &self,
+        published: &Published,
+        vm: VmId,
+        group: GroupId,
+    ) -> Arc<Pool<TargetConnection>> {
         let vm = published.topology.vm(vm);
         let group = &published.topology.group(group).name;
-        let is_current = |pool: &&Arc<Pool>| pool.address() == vm.address;
-        let find = |peers: &FastMap<String, FastMap<String, Arc<Pool>>>| {
+        let is_current = |pool: &&Arc<Pool<TargetConnection>>| pool.address() == vm.address;
+        let find = |peers: &FastMap<String, FastMap<String, Arc<Pool<TargetConnection>>>>| {
             let found = peers.get(&vm.name).and_then(|groups| groups.get(group));
             found.filter(is_current).map(Arc::clone)
         };
@@ -201,11 +208,12 @@
         }
     }
 
-    fn new_pool(&self, address: &str, login: Login, other: &str) -> Arc<Pool> {
+    fn new_pool(&self, address: &str, login: Login, other: &str) -> Arc<Pool<TargetConnection>> {
         let options = PoolOptions {
             address: address.to_owned(),
             login,
             connect_ms: self.limits.connect_ms,
+            budget: BudgetPolicy::default(),
             drain_ms: self.limits.drain_ms,
             reset_always: self.limits.reset_always,
             jitter_seed: jitter::seed_of(&self.vm) ^ jitter::seed_of(other),
--- a/crates/proxy/src/connection/target_connection.rs
+++ b/crates/proxy/src/connection/target_connection.rs
@@ -14,6 +14,7 @@
 
 use crate::connection::frames;
 use crate::connection::frames::FrameHeader;
+use crate::connection::link::Link;
 use crate::connection::prepared::PreparedOnConnection;
 use crate::connection::socket;
 
@@ -90,9 +91,10 @@
     watched_by: ThreadId,
 }
 
-impl TargetConnection {
-    /// Connects and passes the start-up within `timeout`.
-    pub async fn open(
+impl Link for TargetConnection {
+    type Login = Login;
+
+    async fn open(
         address: &str,
         login: &Login,
         timeout: Duration,
@@ -103,14 +105,12 @@
         }
     }
 
-    /// Whether this thread's event loop watches the stream.
-    pub fn is_here(&self) -> bool {
+    fn is_here(&self) -> bool {
         self.watched_by == thread::current().id()
     }
 
-    /// Has the stream watched by this thread's event loop. Another thread's would serve as well, but
-    /// each wake-up would cross threads.
-    pub fn brought_here(self) -> io::Result<TargetConnection> {
+    /// Another thread's event loop would serve as well, but each wake-up would cross threads.
+    fn brought_here(self) -> io::Result<TargetConnection> {
         if self.is_here() {
             return Ok(self);
         }
@@ -118,35 +118,33 @@
         Ok(TargetConnection { stream, watched_by: thread::current().id(), ..self })
     }
 
-    /// Whether an idle connection can be used: still open, and nothing came unasked.
-    ///
     /// A connection that the other end closed while it was idle would swallow a request whose
     /// outcome then can't be known, though it never ran.
-    pub fn is_quiet(&mut self) -> bool {
+    fn is_quiet(&mut self) -> bool {
         self.input.is_empty() && socket::is_silent(&self.stream)
     }
 
-    /// Whether the connection is between requests, outside a transaction, with nothing unread.
-    pub fn is_idle(&self) -> bool {
+    fn is_idle(&self) -> bool {
         self.status == frames::STATUS_IDLE
             && self.awaited_ready == 0
             && !self.needs_sync
             && self.input.is_empty()
     }
 
-    /// Brings a connection whose answer was abandoned back to idle with a new session: the answer
-    /// is read to its end, an open transaction rolled back, the session reset.
-    ///
-    /// An answer left on the connection would reach the next caller as its own.
-    pub async fn recover(&mut self, timeout: Duration) -> io::Result<()> {
+    fn needs_reset(&self) -> bool {
+        self.session_changed
+    }
+
+    /// The answer is read to its end, an open transaction rolled back, the session reset. An answer
+    /// left on the connection would reach the next caller as its own.
+    async fn recover(&mut self, timeout: Duration) -> io::Result<()> {
         match time::timeout(timeout, self.drain_and_reset()).await {
             Ok(done) => done,
             Err(_) => Err(io::ErrorKind::TimedOut.into()),
         }
     }
 
-    /// Says goodbye and waits until the other end has closed.
-    pub async fn terminate(&mut self, timeout: Duration) -> io::Result<()> {
+    async fn terminate(&mut self, timeout: Duration) -> io::Result<()> {
         let mut request = BytesMut::new();
         frontend::terminate(&mut request);
         let closing = async {
@@ -161,7 +159,9 @@
             Err(_) => Err(io::ErrorKind::TimedOut.into()),
         }
     }
+}
 
+impl TargetConnection {
     async fn drain_and_reset(&mut self) -> io::Result<()> {
         let mut request = BytesMut::new();
         if self.needs_sync {
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -8,4 +8,5 @@
 pub mod connection;
 pub mod process;
 pub mod request;
+pub mod sessions;
 pub mod version;
--- a/crates/proxy/src/process/control/align.rs
+++ b/crates/proxy/src/process/control/align.rs
@@ -14,7 +14,7 @@
 use skylark_core::process::membership;
 use skylark_core::version::topology;
 use skylark_core::version::topology::Topology;
-use skylark_platform::ObjectStore;
+use skylark_objects::ObjectStore;
 
 use crate::process::control::Control;
 use crate::process::control::Place;
--- a/crates/proxy/src/process/control/drive.rs
+++ b/crates/proxy/src/process/control/drive.rs
@@ -8,8 +8,8 @@
 use skylark_core::version::objects::LeadRecord;
 use skylark_core::version::objects::ObjectKind;
 use skylark_core::version::objects::StoredObject;
-use skylark_platform::ObjectStore;
-use skylark_platform::StoreError;
+use skylark_objects::ObjectStore;
+use skylark_objects::StoreError;
 use tokio::time;
 
 use crate::process::control::Control;
--- a/crates/proxy/src/process/control/first_version.rs
+++ b/crates/proxy/src/process/control/first_version.rs
@@ -10,7 +10,7 @@
 use skylark_core::version::spreading::Source;
 use skylark_core::version::spreading::StartChoice;
 use skylark_core::version::spreading::StartVerdict;
-use skylark_platform::ObjectStore;
+use skylark_objects::ObjectStore;
 use skylark_settings::proxy::ProxySettings;
 use tokio::sync::mpsc;
 use tokio::sync::watch;
--- a/crates/proxy/src/process/control/input.rs
+++ b/crates/proxy/src/process/control/input.rs
@@ -5,8 +5,8 @@
 use skylark_core::version::objects::Snapshot;
 use skylark_core::version::objects::VmRecord;
 use skylark_core::version::spreading::Source;
-use skylark_platform::StoreError;
-use skylark_platform::WatchAnswer;
+use skylark_objects::StoreError;
+use skylark_objects::WatchAnswer;
 
 use crate::process::peer::api;
 
--- a/crates/proxy/src/process/control/leaders.rs
+++ b/crates/proxy/src/process/control/leaders.rs
@@ -7,7 +7,7 @@
 
 use skylark_core::ids::VmId;
 use skylark_core::process::jitter;
-use skylark_platform::ObjectStore;
+use skylark_objects::ObjectStore;
 
 use crate::process::control::Control;
 use crate::process::control::group::Group;
--- a/crates/proxy/src/process/control/mod.rs
+++ b/crates/proxy/src/process/control/mod.rs
@@ -23,7 +23,7 @@
 use skylark_core::process::jitter;
 use skylark_core::process::membership;
 use skylark_core::process::membership::Membership;
-use skylark_platform::ObjectStore;
+use skylark_objects::ObjectStore;
 use skylark_settings::proxy::ProxySettings;
 use tokio::sync::mpsc;
 use tokio::sync::watch;
--- a/crates/proxy/src/process/control/platform.rs
+++ b/crates/proxy/src/process/control/platform.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use rand::RngExt;
-use skylark_platform::ObjectStore;
+use skylark_objects::ObjectStore;
 use skylark_settings::proxy::ProxySettings;
 use tokio::sync::mpsc;
 use tokio::sync::watch;
--- a/crates/proxy/src/process/control/publish.rs
+++ b/crates/proxy/src/process/control/publish.rs
@@ -4,7 +4,7 @@
 
 use skylark_core::ids::GroupId;
 use skylark_core::version::topology::Topology;
-use skylark_platform::ObjectStore;
+use skylark_objects::ObjectStore;
 
 use crate::process::control::Control;
 use crate::process::control::group::Group;
--- a/crates/proxy/src/process/control/report.rs
+++ b/crates/proxy/src/process/control/report.rs
@@ -5,7 +5,7 @@
 use skylark_core::ids::GroupId;
 use skylark_core::ids::TargetId;
 use skylark_core::version::topology::Topology;
-use skylark_platform::ObjectStore;
+use skylark_objects::ObjectStore;
 
 use crate::process::control::Control;
 use crate::process::control::US_PER_MS;
--- a/crates/proxy/src/process/control/sessions.rs
+++ b/crates/proxy/src/process/control/sessions.rs
@@ -12,7 +12,7 @@
 use skylark_core::log_position::LogPosition;
 use skylark_core::process::detection;
 use skylark_core::process::membership;
-use skylark_platform::ObjectStore;
+use skylark_objects::ObjectStore;
 use tokio::sync::oneshot;
 
 use crate::process::control::Control;
--- a/crates/proxy/src/process/control/spread.rs
+++ b/crates/proxy/src/process/control/spread.rs
@@ -8,9 +8,9 @@
 use skylark_core::version::objects::VmRecord;
 use skylark_core::version::spreading::PeerAction;
 use skylark_core::version::spreading::Source;
-use skylark_platform::ObjectStore;
-use skylark_platform::StoreError;
-use skylark_platform::WatchAnswer;
+use skylark_objects::ObjectStore;
+use skylark_objects::StoreError;
+use skylark_objects::WatchAnswer;
 
 use crate::process::control::Control;
 use crate::process::control::input::Input;
--- a/crates/proxy/src/process/counters.rs
+++ b/crates/proxy/src/process/counters.rs
@@ -44,6 +44,12 @@
         ConnectFailed = "retry.connect_failed",
         /// The connection broke under a read before any of its answer reached the caller.
         ReadLost = "retry.read_lost",
+        /// The target's log lacked the position that the read must see.
+        Lagging = "retry.lagging",
+        /// The target had too much to do.
+        Busy = "retry.busy",
+        /// The target no longer knew a prepared statement.
+        PreparedLost = "retry.prepared_lost",
     }
 }
 
--- a/crates/proxy/src/process/daemon.rs
+++ b/crates/proxy/src/process/daemon.rs
@@ -11,7 +11,7 @@
 use std::time::Duration;
 
 use arc_swap::ArcSwap;
-use skylark_platform::http::HttpStore;
+use skylark_objects::http::HttpStore;
 use skylark_settings::proxy::ProxySettings;
 use tokio::net::TcpListener;
 use tokio::runtime;
--- a/crates/proxy/src/request/answer.rs
+++ b/crates/proxy/src/request/answer.rs
@@ -18,6 +18,7 @@
 use crate::connection::relay::COMMIT_PARAMETER;
 use crate::connection::relay::SERVED_PARAMETER;
 use crate::connection::socket;
+use crate::connection::target_connection::TargetConnection;
 use crate::process::control_handle::ControlEvent;
 use crate::process::counters::Event;
 use crate::request::acknowledge;
@@ -156,7 +157,7 @@
 }
 
 /// Ends a request that has no answer of its own.
-pub async fn end(caller: &mut Caller, lease: Lease, ending: Ending) -> Flow {
+pub async fn end(caller: &mut Caller, lease: Lease<TargetConnection>, ending: Ending) -> Flow {
     pinned::close_or_recover(lease, &caller.cancel, &ending);
     match ending {
         Ending::NotConfirmed => lose(caller, ErrorKind::NotConfirmed).await,
--- a/crates/proxy/src/request/execute.rs
+++ b/crates/proxy/src/request/execute.rs
@@ -22,6 +22,7 @@
 use crate::connection::pinned;
 use crate::connection::pinned::Pinned;
 use crate::connection::pool::Lease;
+use crate::connection::target_connection::TargetConnection;
 use crate::process::control_handle::ControlEvent;
 use crate::process::control_handle::TargetEvidence;
 use crate::process::counters::Event;
@@ -263,7 +264,7 @@
     context: &RequestContext,
     route: &Route,
     prelude: BytesMut,
-    lease: &mut Lease,
+    lease: &mut Lease<TargetConnection>,
 ) -> Option<Encoded> {
     let connection = lease.connection();
     connection.session_changed |= !context.settings.is_empty() && !route.is_peer();
@@ -278,7 +279,7 @@
     unit: &Unit,
     context: &RequestContext,
     route: &Route,
-    lease: Lease,
+    lease: Lease<TargetConnection>,
     mut complete: Answer,
 ) -> Flow {
     caller.session.last_served = match (route.place, complete.served.take()) {
@@ -308,7 +309,7 @@
     }
 }
 
-fn end_failed(lease: Lease, caller: &Caller, failure: &Failed) {
+fn end_failed(lease: Lease<TargetConnection>, caller: &Caller, failure: &Failed) {
     match failure.broken {
         true => pinned::close(lease, &caller.cancel),
         false => pinned::give_back(lease, &caller.cancel),
@@ -329,7 +330,7 @@
     caller: &Caller,
     context: &RequestContext,
     route: &Route,
-) -> Result<Result<Lease, Failure>, Refusal> {
+) -> Result<Result<Lease<TargetConnection>, Failure>, Refusal> {
     let traffic = &caller.traffic;
     let published = &route.scene.published;
     match route.place {
--- /dev/null
+++ b/crates/proxy/src/sessions/connection/caller.rs
@@ -0,0 +1,290 @@
+//! One caller's connection: each statement is answered before the next one is begun.
+//!
+//! While nothing is under way the task waits for the socket and holds no buffer, so that thousands
+//! of resting sessions cost little memory.
+
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use bytes::BytesMut;
+use skylark_core::request::error_kind::ErrorKind;
+use skylark_core::request::statement::TransactionStatus;
+use tokio::net::TcpStream;
+use tokio::sync::watch;
+use tokio::time;
+
+use crate::connection::socket;
+use crate::process::counters::Event;
+use crate::request::refusal::Refusal;
+use crate::sessions::codec::CallerMessage;
+use crate::sessions::codec::Codec;
+use crate::sessions::codec::CodecError;
+use crate::sessions::codec::TargetMessage;
+use crate::sessions::connection::link::End;
+use crate::sessions::connection::session::Session;
+use crate::sessions::connection::session::SessionState;
+use crate::sessions::process::gateway::Gateway;
+use crate::sessions::process::gateway::StopPhase;
+use crate::sessions::process::limits;
+use crate::sessions::request::execute;
+use crate::sessions::request::execute::Answer;
+use crate::sessions::request::transaction;
+
+/// Resting sessions are closed over this time when the process stops, so that their callers don't
+/// all come back to the other VMs at one moment.
+const CLOSING_SPREAD_MS: u64 = 1_200;
+
+/// How many parts the spread has.
+const CLOSING_PARTS: u64 = 64;
+
+/// How long a caller that was refused has to read the answer before the socket is closed.
+const LINGER: Duration = Duration::from_millis(500);
+
+/// Why a caller's task goes on.
+enum Wake {
+    /// A whole message, at the start of the input.
+    Message(usize),
+    /// The message is too long or not understood.
+    Broken(ErrorKind),
+    /// It rested inside a transaction for too long.
+    IdleInTransaction,
+    /// Nothing came after all.
+    Nothing,
+    /// It left, or has to leave.
+    End,
+}
+
+/// A caller's connection.
+struct Caller<C>
+where
+    C: Codec,
+{
+    gateway: Arc<Gateway<C>>,
+    stream: TcpStream,
+    input: BytesMut,
+    output: BytesMut,
+    stop: watch::Receiver<StopPhase>,
+}
+
+/// Serves one caller until it ends.
+pub async fn serve<C>(gateway: Arc<Gateway<C>>, stream: TcpStream)
+where
+    C: Codec,
+{
+    if super::link::watch_for_silence(&stream).is_err() {
+        return;
+    }
+    let stop = gateway.stop.subscribe();
+    let (input, output) = (BytesMut::new(), BytesMut::new());
+    gateway.sessions.fetch_add(1, Ordering::Relaxed);
+    gateway.counters.event(Event::CallersAccepted);
+    let mut caller = Caller { gateway, stream, input, output, stop };
+    if let Some(mut session) = caller.welcome().await {
+        caller.serve_session(&mut session).await;
+        if let SessionState::Open(open) = session.state {
+            transaction::roll_back(open);
+        }
+    }
+    caller.gateway.sessions.fetch_sub(1, Ordering::Relaxed);
+    caller.gateway.counters.event(Event::CallersEnded);
+}
+
+impl<C> Caller<C>
+where
+    C: Codec,
+{
+    /// Takes the first message. `None` if no session comes of it.
+    async fn welcome(&mut self) -> Option<Session<C>> {
+        let first = time::timeout(limits::STARTUP_LIMIT, self.whole_message()).await;
+        let length = match first {
+            Ok(Ok(Some(length))) => length,
+            Ok(Ok(None)) => return None,
+            Ok(Err(kind)) => return self.reject(kind).await,
+            Err(_) => return self.reject(ErrorKind::StartupTimedOut).await,
+        };
+        let message = self.input.split_to(length);
+        let Ok(CallerMessage::Startup { database, .. }) = C::decode_caller(&message) else {
+            return self.reject(ErrorKind::ProtocolViolation).await;
+        };
+        if !self.gateway.is_configured() {
+            return self.reject(ErrorKind::NotReady).await;
+        }
+        if self.gateway.route(database).is_none() {
+            return self.reject(ErrorKind::UnknownGroup).await;
+        }
+        let session = Session::new(database, self.gateway.next_session());
+        self.push_ready(TransactionStatus::Idle);
+        self.flush().await.then_some(session)
+    }
+
+    async fn reject(&mut self, kind: ErrorKind) -> Option<Session<C>> {
+        self.gateway.counters.refusal(kind);
+        if let Some(left_out) =
+            self.gateway.log_budget.take("rejected", self.gateway.clock.now_us())
+        {
+            slog::info!(self.gateway.log, "connection rejected";
+                "kind" => kind.answer().name, "left_out" => left_out);
+        }
+        C::encode_refusal(&Refusal::from(kind), &mut self.output);
+        if self.flush().await {
+            self.linger().await;
+        }
+        None
+    }
+
+    async fn serve_session(&mut self, session: &mut Session<C>) {
+        loop {
+            match self.wait(session).await {
+                Wake::End => return,
+                Wake::Nothing => (),
+                Wake::Broken(kind) => {
+                    self.reject(kind).await;
+                    return;
+                }
+                Wake::IdleInTransaction => {
+                    self.gateway.counters.refusal(ErrorKind::IdleInTransaction);
+                    let failed = SessionState::Failed(ErrorKind::IdleInTransaction);
+                    if let SessionState::Open(open) = std::mem::replace(&mut session.state, failed)
+                    {
+                        transaction::roll_back(open);
+                    }
+                }
+                Wake::Message(length) => {
+                    if !Box::pin(self.take(session, length)).await {
+                        return;
+                    }
+                }
+            }
+        }
+    }
+
+    /// Waits for the next message.
+    async fn wait(&mut self, session: &Session<C>) -> Wake {
+        if self.input.is_empty() {
+            self.input = BytesMut::new();
+            self.output = BytesMut::new();
+            if let Some(wake) = self.rest(session).await {
+                return wake;
+            }
+        }
+        match time::timeout(limits::SLOW_SENDER, self.whole_message()).await {
+            Ok(Ok(Some(length))) => Wake::Message(length),
+            Ok(Ok(None)) => Wake::End,
+            Ok(Err(kind)) => Wake::Broken(kind),
+            // The system may say that there is input where there is none.
+            Err(_) if self.input.is_empty() => Wake::Nothing,
+            Err(_) => Wake::Broken(ErrorKind::CallerTooSlow),
+        }
+    }
+
+    /// Rests until something can be read; otherwise tells why not.
+    async fn rest(&mut self, session: &Session<C>) -> Option<Wake> {
+        let until_phase = match session.state {
+            SessionState::Idle => StopPhase::ClosingIdle,
+            SessionState::Open(_) | SessionState::Failed(_) => StopPhase::Ending,
+        };
+        let holds = matches!(&session.state, SessionState::Open(open) if open.held.is_some());
+        let idle = self.gateway.transaction_idle().filter(|_| holds);
+        // Far beyond the life of a process: no bound.
+        let idle = idle.unwrap_or(Duration::from_secs(86_400));
+        let spread_ms = match session.state {
+            SessionState::Idle => {
+                session.number % CLOSING_PARTS * CLOSING_SPREAD_MS / CLOSING_PARTS
+            }
+            _ => 0,
+        };
+        let stopped = async {
+            // The sender lives as long as the process's state.
+            let _ = self.stop.wait_for(|phase| *phase >= until_phase).await;
+            time::sleep(Duration::from_millis(spread_ms)).await;
+        };
+        tokio::select! {
+            biased;
+            readable = self.stream.readable() => readable.is_err().then_some(Wake::End),
+            () = stopped => Some(Wake::End),
+            () = time::sleep(idle), if holds => Some(Wake::IdleInTransaction),
+        }
+    }
+
+    /// Reads until the input starts with a whole message; `None` at its end.
+    async fn whole_message(&mut self) -> Result<Option<usize>, ErrorKind> {
+        loop {
+            match C::message_len(&self.input, limits::MAX_MESSAGE_BYTES) {
+                Ok(Some(length)) => return Ok(Some(length)),
+                Ok(None) => (),
+                Err(CodecError::TooLong) => return Err(ErrorKind::MessageTooLarge),
+                Err(CodecError::Malformed) => return Err(ErrorKind::ProtocolViolation),
+            }
+            match socket::read_some(&self.stream, &mut self.input).await {
+                Ok(1..) => (),
+                Ok(0) | Err(_) => return Ok(None),
+            }
+        }
+    }
+
+    /// Answers one message. Returns whether the session goes on.
+    async fn take(&mut self, session: &mut Session<C>, length: usize) -> bool {
+        let arrived_us = self.gateway.clock.now_us();
+        let message = self.input.split_to(length);
+        let (id, statement) = match C::decode_caller(&message) {
+            Ok(CallerMessage::Query { id, statement }) => (id, statement),
+            Ok(CallerMessage::Goodbye) => return false,
+            Ok(CallerMessage::Startup { .. }) | Err(_) => {
+                let refusal = Refusal::from(ErrorKind::ProtocolViolation);
+                self.gateway.counters.refusal(refusal.kind);
+                C::encode_refusal(&refusal, &mut self.output);
+                self.push_ready(session.status());
+                return self.flush().await;
+            }
+        };
+        let answer = execute::run(&self.gateway, session, id, statement, arrived_us).await;
+        self.push_answer(&answer);
+        self.push_ready(session.status());
+        self.flush().await
+    }
+
+    fn push_answer(&mut self, answer: &Answer) {
+        match answer {
+            Answer::Done => {
+                C::encode_answer(&TargetMessage::Complete { proof: "-" }, &mut self.output);
+            }
+            Answer::Refused(refusal) => C::encode_refusal(refusal, &mut self.output),
+            Answer::Reply(reply) => {
+                self.output.extend_from_slice(&reply.rows);
+                let end = match &reply.end {
+                    End::Complete { proof } => TargetMessage::Complete { proof },
+                    End::Error { error, text } => TargetMessage::Error { error: *error, text },
+                };
+                C::encode_answer(&end, &mut self.output);
+            }
+        }
+    }
+
+    fn push_ready(&mut self, status: TransactionStatus) {
+        C::encode_answer(&TargetMessage::Ready { status, position: None }, &mut self.output);
+    }
+
+    async fn flush(&mut self) -> bool {
+        let written = socket::write_all(&self.stream, &self.output, limits::SLOW_READER).await;
+        self.output.clear();
+        written.is_ok()
+    }
+
+    /// Closing a socket with unread input resets the connection, and the reset overtakes the last
+    /// answer. So the write side is closed first, and the caller has a moment to close its own.
+    async fn linger(&mut self) {
+        use tokio::io::AsyncWriteExt;
+        if self.stream.shutdown().await.is_err() {
+            return;
+        }
+        let mut dropped = BytesMut::new();
+        let drained = async {
+            while let Ok(1..) = socket::read_some(&self.stream, &mut dropped).await {
+                dropped.clear();
+            }
+        };
+        // Whether the caller closed or the time ran out, the socket is closed next.
+        let _ = time::timeout(LINGER, drained).await;
+    }
+}
--- /dev/null
+++ b/crates/proxy/src/sessions/connection/link.rs
@@ -0,0 +1,401 @@
+//! A connection to a target that speaks a protocol of typed statements.
+//!
+//! The connection remembers which session values and prepared statements the target has on it, so
+//! that the next caller's are brought only where they differ.
+
+use std::fmt;
+use std::io;
+use std::marker::PhantomData;
+use std::sync::Arc;
+use std::thread;
+use std::thread::ThreadId;
+use std::time::Duration;
+use std::time::Instant;
+
+use bytes::BytesMut;
+use skylark_core::FastMap;
+use skylark_core::log_position::LogPosition;
+use skylark_core::request::retry::Failure;
+use skylark_core::request::retry::Stage;
+use skylark_core::request::statement::Prepared;
+use skylark_core::request::statement::Statement;
+use skylark_core::request::statement::TargetError;
+use skylark_core::request::statement::TransactionStatus;
+use socket2::SockRef;
+use socket2::TcpKeepalive;
+use tokio::net::TcpStream;
+use tokio::time;
+
+use crate::connection::link::Link;
+use crate::connection::socket;
+use crate::connection::target_connection::OpenError;
+use crate::sessions::codec;
+use crate::sessions::codec::Codec;
+use crate::sessions::codec::Query;
+use crate::sessions::codec::TargetMessage;
+
+/// The largest message of a target, in bytes. The protocol allows no larger ones.
+const MAX_MESSAGE_BYTES: usize = 1 << 20;
+
+/// How much room for input is kept on an idle connection, in bytes.
+const KEPT_INPUT_BYTES: usize = 4 << 10;
+
+/// How long a target may take no byte of a request. Far above a round trip, far below the time
+/// limits of statements.
+const SEND_STALL: Duration = Duration::from_millis(500);
+
+/// How long a connection without traffic stays unnoticed when the other end is silent: a connection
+/// that died without a reset would swallow the next request.
+const KEEPALIVE_TIME: Duration = Duration::from_secs(1);
+
+/// How long sent bytes may stay unacknowledged before the connection counts as broken.
+const UNACKNOWLEDGED_LIMIT: Duration = Duration::from_millis(2_000);
+
+/// How many statements are prepared on one connection before it is reset, which bounds its memory.
+const MAX_PREPARED: usize = 256;
+
+/// How a connection introduces itself.
+#[derive(Clone, PartialEq, Eq, Debug)]
+pub struct TargetLogin {
+    /// The service that the target must belong to.
+    pub service: Arc<str>,
+    /// The id that the target must have: its address may have become another's.
+    pub target_id: Arc<str>,
+    /// The name of this process's VM.
+    pub vm: Arc<str>,
+}
+
+/// How a statement ended at a target.
+#[derive(Clone, PartialEq, Eq, Debug)]
+pub enum End {
+    /// It succeeded, with the target's proof.
+    Complete {
+        /// The proof.
+        proof: Box<str>,
+    },
+    /// It was refused or failed.
+    Error {
+        /// Why.
+        error: TargetError,
+        /// The target's words.
+        text: Box<str>,
+    },
+}
+
+/// The whole answer to one statement.
+#[derive(Clone, PartialEq, Eq, Debug)]
+pub struct Reply {
+    /// The rows, encoded for a caller.
+    pub rows: BytesMut,
+    /// The first row's text; empty if there is none.
+    pub first_row: Box<str>,
+    /// How it ended.
+    pub end: End,
+    /// The transaction's status afterwards.
+    pub status: TransactionStatus,
+    /// How far the target's log went.
+    pub position: Option<LogPosition>,
+}
+
+impl Reply {
+    /// The error, if it is one.
+    pub fn error(&self) -> Option<TargetError> {
+        match self.end {
+            End::Complete { .. } => None,
+            End::Error { error, .. } => Some(error),
+        }
+    }
+}
+
+/// A statement that got no whole answer.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub struct Lost {
+    /// What was seen.
+    pub failure: Failure,
+    /// How far the statement had come.
+    pub stage: Stage,
+}
+
+/// A connection that passed its start-up.
+pub struct StatementLink<C> {
+    stream: TcpStream,
+    input: BytesMut,
+    output: BytesMut,
+    /// The transaction's status in the last complete answer.
+    status: TransactionStatus,
+    /// How many answers are still to come.
+    awaited: u32,
+    values: Vec<(Box<str>, Box<str>)>,
+    prepared: FastMap<Prepared, u32>,
+    next_prepared: u32,
+    watched_by: ThreadId,
+    codec: PhantomData<C>,
+}
+
+impl<C> fmt::Debug for StatementLink<C> {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("StatementLink")
+            .field("status", &self.status)
+            .field("awaited", &self.awaited)
+            .finish_non_exhaustive()
+    }
+}
+
+impl<C> StatementLink<C>
+where
+    C: Codec,
+{
+    /// Adds a request to what the next [`StatementLink::send`] sends.
+    pub fn push(&mut self, query: &Query<'_>) {
+        C::encode_query(query, &mut self.output);
+        self.awaited += 1;
+    }
+
+    /// Sends what was pushed. After an error the connection is of no further use.
+    pub async fn send(&mut self) -> Result<(), Lost> {
+        let sent = socket::write_all(&self.stream, &self.output, SEND_STALL).await;
+        self.output.clear();
+        // Some of it may have left, so the target may have run it.
+        sent.map_err(|error| Lost { failure: failure_of(&error), stage: Stage::Sent })
+    }
+
+    /// Takes the next answer.
+    pub async fn answer(&mut self, until: Instant) -> Result<Reply, Lost> {
+        match time::timeout_at(until.into(), self.whole_answer()).await {
+            Ok(Ok(reply)) => Ok(reply),
+            Ok(Err(error)) => Err(Lost { failure: failure_of(&error), stage: Stage::Sent }),
+            Err(_) => Err(Lost { failure: Failure::TimedOut, stage: Stage::Sent }),
+        }
+    }
+
+    /// Sends one request and takes its answer.
+    pub async fn ask(&mut self, query: &Query<'_>, until: Instant) -> Result<Reply, Lost> {
+        self.push(query);
+        self.send().await?;
+        self.answer(until).await
+    }
+
+    /// The transaction's status in the last complete answer.
+    pub fn status(&self) -> TransactionStatus {
+        self.status
+    }
+
+    /// Pushes what makes the target's session equal to the caller's, and returns how many answers
+    /// that brings. A statement must not follow before these have succeeded: it would run with
+    /// another caller's values.
+    pub fn push_session(
+        &mut self,
+        values: &[(Box<str>, Box<str>)],
+        needed: Option<&Prepared>,
+    ) -> u32 {
+        let before = self.awaited;
+        let has_foreign =
+            self.values.iter().any(|(name, _)| !values.iter().any(|(n, _)| n == name));
+        let is_full = self.prepared.len() >= MAX_PREPARED
+            && needed.is_some_and(|needed| !self.prepared.contains_key(needed));
+        // Inside a transaction the values stay: a caller only adds to its own.
+        if (has_foreign || is_full) && self.status == TransactionStatus::Idle {
+            self.push(&Query::Reset);
+            self.values.clear();
+            self.prepared.clear();
+        }
+        for (name, value) in values {
+            if !self.values.iter().any(|known| known.0 == *name && known.1 == *value) {
+                self.push_own(Statement::Set { name, value });
+                self.values.retain(|known| known.0 != *name);
+                self.values.push((name.clone(), value.clone()));
+            }
+        }
+        if let Some(needed) = needed.filter(|needed| !self.prepared.contains_key(needed)) {
+            let number = self.next_prepared;
+            self.next_prepared += 1;
+            let name = codec::shared_name(needed.as_shape(), number);
+            self.push_own(Statement::Prepare { name: &name, prepared: needed.as_shape() });
+            self.prepared.insert(needed.clone(), number);
+        }
+        self.awaited - before
+    }
+
+    /// Pushes a statement of the proxy's own.
+    pub fn push_own(&mut self, statement: Statement<'_>) {
+        self.push(&Query::Statement { id: None, at_least: None, statement });
+    }
+
+    /// The name of a prepared statement on this connection.
+    pub fn prepared_name(&self, prepared: &Prepared) -> Option<String> {
+        let number = self.prepared.get(prepared)?;
+        Some(codec::shared_name(prepared.as_shape(), *number))
+    }
+
+    /// What the target has of the session is no longer known, so the next caller's is brought anew.
+    pub fn forget_session(&mut self) {
+        // A name that no caller has makes the next use reset the target's session.
+        self.values = vec![("".into(), "".into())];
+        self.prepared.clear();
+    }
+
+    async fn whole_answer(&mut self) -> io::Result<Reply> {
+        let mut rows = BytesMut::new();
+        let mut first_row = Box::<str>::from("");
+        let mut end = None;
+        loop {
+            let message = self.next_message().await?;
+            let decoded = C::decode_target(&message).map_err(|_| io::ErrorKind::InvalidData)?;
+            match decoded {
+                TargetMessage::Row(text) => {
+                    if rows.is_empty() {
+                        first_row = text.into();
+                    }
+                    C::encode_answer(&decoded, &mut rows);
+                }
+                TargetMessage::Complete { proof } => {
+                    end = Some(End::Complete { proof: proof.into() });
+                }
+                TargetMessage::Error { error, text } => {
+                    end = Some(End::Error { error, text: text.into() });
+                }
+                TargetMessage::Ready { status, position } => {
+                    let end = end.ok_or(io::ErrorKind::InvalidData)?;
+                    self.status = status;
+                    self.awaited = self.awaited.saturating_sub(1);
+                    return Ok(Reply { rows, first_row, end, status, position });
+                }
+            }
+        }
+    }
+
+    async fn next_message(&mut self) -> io::Result<BytesMut> {
+        loop {
+            let found = C::message_len(&self.input, MAX_MESSAGE_BYTES);
+            if let Some(length) = found.map_err(|_| io::ErrorKind::InvalidData)? {
+                return Ok(self.input.split_to(length));
+            }
+            if socket::read_some(&self.stream, &mut self.input).await? == 0 {
+                return Err(io::ErrorKind::UnexpectedEof.into());
+            }
+        }
+    }
+
+    async fn begin_session(&mut self, login: &TargetLogin) -> Result<(), OpenError> {
+        let mut startup = BytesMut::new();
+        C::encode_startup(&login.service, &login.vm, &login.target_id, &mut startup);
+        socket::write_all(&self.stream, &startup, SEND_STALL).await.map_err(OpenError::Io)?;
+        let message = self.next_message().await.map_err(OpenError::Io)?;
+        match C::decode_target(&message) {
+            Ok(TargetMessage::Ready { .. }) => Ok(()),
+            Ok(TargetMessage::Error { error, .. }) => {
+                let sqlstate = String::from_utf8_lossy(&error.sqlstate()).into_owned();
+                Err(OpenError::Refused(sqlstate))
+            }
+            _ => Err(OpenError::Unsupported),
+        }
+    }
+
+    /// Reads what is awaited, and rolls an open transaction back.
+    async fn drain_and_roll_back(&mut self) -> io::Result<()> {
+        while self.awaited > 0 {
+            self.whole_answer().await?;
+        }
+        if self.status != TransactionStatus::Idle {
+            self.push_own(Statement::Rollback);
+            socket::write_all(&self.stream, &self.output, SEND_STALL).await?;
+            self.output.clear();
+            self.whole_answer().await?;
+        }
+        match self.is_idle() {
+            true => Ok(()),
+            false => Err(io::ErrorKind::InvalidData.into()),
+        }
+    }
+}
+
+impl<C> Link for StatementLink<C>
+where
+    C: Codec,
+{
+    type Login = TargetLogin;
+
+    async fn open(
+        address: &str,
+        login: &TargetLogin,
+        timeout: Duration,
+    ) -> Result<StatementLink<C>, OpenError> {
+        let opening = async {
+            let stream = TcpStream::connect(address).await.map_err(OpenError::Io)?;
+            watch_for_silence(&stream).map_err(OpenError::Io)?;
+            let mut link = StatementLink {
+                stream,
+                input: BytesMut::new(),
+                output: BytesMut::new(),
+                status: TransactionStatus::Idle,
+                awaited: 0,
+                values: Vec::new(),
+                prepared: FastMap::default(),
+                next_prepared: 0,
+                watched_by: thread::current().id(),
+                codec: PhantomData,
+            };
+            link.begin_session(login).await?;
+            Ok(link)
+        };
+        time::timeout(timeout, opening).await.unwrap_or(Err(OpenError::TimedOut))
+    }
+
+    fn is_here(&self) -> bool {
+        self.watched_by == thread::current().id()
+    }
+
+    fn brought_here(self) -> io::Result<StatementLink<C>> {
+        if self.is_here() {
+            return Ok(self);
+        }
+        let stream = TcpStream::from_std(self.stream.into_std()?)?;
+        Ok(StatementLink { stream, watched_by: thread::current().id(), ..self })
+    }
+
+    fn is_quiet(&mut self) -> bool {
+        if self.input.is_empty() && self.input.capacity() > KEPT_INPUT_BYTES {
+            self.input = BytesMut::new();
+        }
+        self.input.is_empty() && socket::is_silent(&self.stream)
+    }
+
+    fn is_idle(&self) -> bool {
+        self.status == TransactionStatus::Idle && self.awaited == 0 && self.input.is_empty()
+    }
+
+    /// Never: what the target has of a session is known, and the next caller's is brought in its
+    /// place.
+    fn needs_reset(&self) -> bool {
+        false
+    }
+
+    async fn recover(&mut self, timeout: Duration) -> io::Result<()> {
+        match time::timeout(timeout, self.drain_and_roll_back()).await {
+            Ok(done) => done,
+            Err(_) => Err(io::ErrorKind::TimedOut.into()),
+        }
+    }
+
+    async fn terminate(&mut self, timeout: Duration) -> io::Result<()> {
+        let mut goodbye = BytesMut::new();
+        C::encode_goodbye(&mut goodbye);
+        socket::write_all(&self.stream, &goodbye, timeout).await
+    }
+}
+
+/// Has the system notice an other end that went without closing.
+pub fn watch_for_silence(stream: &TcpStream) -> io::Result<()> {
+    stream.set_nodelay(true)?;
+    let socket = SockRef::from(stream);
+    let keepalive = TcpKeepalive::new().with_time(KEEPALIVE_TIME).with_interval(KEEPALIVE_TIME);
+    socket.set_tcp_keepalive(&keepalive.with_retries(2))?;
+    socket.set_tcp_user_timeout(Some(UNACKNOWLEDGED_LIMIT))
+}
+
+fn failure_of(error: &io::Error) -> Failure {
+    match error.kind() {
+        io::ErrorKind::TimedOut => Failure::TimedOut,
+        _ => Failure::Broken,
+    }
+}
--- /dev/null
+++ b/crates/proxy/src/sessions/connection/mod.rs
@@ -0,0 +1,5 @@
+//! What lives as long as one connection.
+
+pub mod caller;
+pub mod link;
+pub mod session;
--- /dev/null
+++ b/crates/proxy/src/sessions/process/control.rs
@@ -0,0 +1,52 @@
+//! The control thread: it alone holds what the process believes about the platform and drives
+//! takeovers. Traffic sees its results in the published versions.
+
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::thread;
+
+use tokio::runtime::Builder;
+use tokio::time;
+
+use crate::sessions::codec::Codec;
+use crate::sessions::process::gateway::Gateway;
+use crate::sessions::process::takeover;
+use crate::sessions::process::takeover::Takeovers;
+use crate::sessions::process::watch::Watcher;
+use crate::sessions::store::Promoter;
+use crate::sessions::store::StateStore;
+
+/// Starts the control thread, which runs until the process ends.
+pub fn start<C, S, P>(gateway: &Arc<Gateway<C>>, store: S, promoter: P) -> std::io::Result<()>
+where
+    C: Codec,
+    S: StateStore,
+    P: Promoter,
+{
+    let gateway = Arc::clone(gateway);
+    let runtime = Builder::new_current_thread().enable_all().build()?;
+    let run = move || runtime.block_on(run(gateway, store, promoter));
+    thread::Builder::new().name("control".to_owned()).spawn(run)?;
+    Ok(())
+}
+
+async fn run<C, S, P>(gateway: Arc<Gateway<C>>, store: S, promoter: P)
+where
+    C: Codec,
+    S: StateStore,
+    P: Promoter,
+{
+    let watcher = Arc::new(Watcher::new(&gateway, store.clone()));
+    let takeovers = Arc::new(Takeovers::new(&gateway, &watcher, store, promoter));
+    let (configuration, targets) = (Arc::clone(&watcher), Arc::clone(&watcher));
+    tokio::spawn(async move { configuration.follow_configuration().await });
+    tokio::spawn(async move { targets.follow_targets().await });
+    let mut looks = time::interval(takeover::LOOK_INTERVAL);
+    looks.set_missed_tick_behavior(time::MissedTickBehavior::Delay);
+    loop {
+        looks.tick().await;
+        let knows_targets = !gateway.view().services.is_empty();
+        gateway.serves.store(knows_targets, Ordering::Relaxed);
+        takeovers.look();
+    }
+}
--- /dev/null
+++ b/crates/proxy/src/sessions/process/daemon.rs
@@ -0,0 +1,165 @@
+//! The process from its start to its end.
+
+use std::fmt;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+use std::time::Instant;
+
+use tokio::net::TcpListener;
+use tokio::signal::unix;
+use tokio::signal::unix::SignalKind;
+use tokio::time;
+
+use crate::sessions::codec::Codec;
+use crate::sessions::connection::caller;
+use crate::sessions::process::control;
+use crate::sessions::process::gateway::Gateway;
+use crate::sessions::process::gateway::StopPhase;
+use crate::sessions::process::limits;
+use crate::sessions::store::Promoter;
+use crate::sessions::store::StateStore;
+
+/// The pause after a connection that could not be accepted, for instance for lack of file
+/// descriptors: trying again at once would only burn the processor.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+/// How long the balancer may go on sending new callers after the process said that it is not ready:
+/// it asks once a second and believes the second miss.
+const BALANCER_NOTICES: Duration = Duration::from_millis(2_300);
+
+/// The process is gone this long before it would be killed.
+const GRACE_MARGIN: Duration = Duration::from_millis(600);
+
+/// How often a stopping process looks whether its callers are gone.
+const STOP_LOOK: Duration = Duration::from_millis(50);
+
+/// What the process needs to know to start.
+#[derive(Clone, PartialEq, Eq, Debug)]
+pub struct SessionSettings {
+    /// The name of this process's VM.
+    pub vm: String,
+    /// Its availability zone.
+    pub zone: String,
+    /// Where callers connect.
+    pub callers_address: SocketAddr,
+    /// How long the process has between being told to stop and being killed, in milliseconds.
+    pub grace_ms: u64,
+}
+
+/// Why the process can't run.
+#[derive(Debug)]
+pub enum StartError {
+    /// The address for callers can't be listened on.
+    Listen(SocketAddr, io::Error),
+    /// The signals can't be listened for.
+    Signals(io::Error),
+    /// The control thread can't be started.
+    Control(io::Error),
+}
+
+impl fmt::Display for StartError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            StartError::Listen(address, error) => write!(f, "can't listen on {address}: {error}"),
+            StartError::Signals(error) => write!(f, "can't listen for signals: {error}"),
+            StartError::Control(error) => write!(f, "can't start the control thread: {error}"),
+        }
+    }
+}
+
+/// Runs until the process is told to stop and its callers are served.
+pub async fn run<C, S, P>(
+    gateway: Arc<Gateway<C>>,
+    settings: &SessionSettings,
+    store: S,
+    promoter: P,
+) -> Result<(), StartError>
+where
+    C: Codec,
+    S: StateStore,
+    P: Promoter,
+{
+    let mut terminate = unix::signal(SignalKind::terminate()).map_err(StartError::Signals)?;
+    let mut hangup = unix::signal(SignalKind::hangup()).map_err(StartError::Signals)?;
+    let address = settings.callers_address;
+    let listener = TcpListener::bind(address).await;
+    let listener = listener.map_err(|error| StartError::Listen(address, error))?;
+    control::start(&gateway, store, promoter).map_err(StartError::Control)?;
+    slog::info!(gateway.log, "started"; "callers_address" => address.to_string());
+    tokio::spawn(maintain(Arc::clone(&gateway)));
+    tokio::spawn(accept(Arc::clone(&gateway), listener));
+    loop {
+        tokio::select! {
+            _ = terminate.recv() => break,
+            // Nothing that the settings hold changes while a process runs but what the next start
+            // reads; without a handler the signal would end the process.
+            _ = hangup.recv() => slog::info!(gateway.log, "asked to reload; settings are read at start"),
+        }
+    }
+    stop(&gateway, Duration::from_millis(settings.grace_ms)).await;
+    Ok(())
+}
+
+async fn accept<C>(gateway: Arc<Gateway<C>>, listener: TcpListener)
+where
+    C: Codec,
+{
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                tokio::spawn(caller::serve(Arc::clone(&gateway), stream));
+            }
+            Err(error) => {
+                slog::warn!(gateway.log, "a connection could not be accepted";
+                    "reason" => error.to_string());
+                time::sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
+/// Opens and closes pooled connections as the need changes.
+async fn maintain<C>(gateway: Arc<Gateway<C>>)
+where
+    C: Codec,
+{
+    let mut ticks = time::interval(limits::MAINTENANCE_INTERVAL);
+    ticks.set_missed_tick_behavior(time::MissedTickBehavior::Delay);
+    loop {
+        ticks.tick().await;
+        for target in gateway.targets() {
+            target.pool.maintain();
+        }
+    }
+}
+
+/// Stops without cutting a request: new callers are served until the balancer has noticed, resting
+/// ones are closed one after the other, open transactions have half of the grace.
+async fn stop<C>(gateway: &Gateway<C>, grace: Duration)
+where
+    C: Codec,
+{
+    let began = Instant::now();
+    let sessions = || gateway.sessions.load(Ordering::Relaxed);
+    slog::info!(gateway.log, "stopping"; "sessions" => sessions());
+    gateway.stop.send_replace(StopPhase::NotReady);
+    let last = grace.saturating_sub(GRACE_MARGIN);
+    loop {
+        let passed = began.elapsed();
+        let phase = match () {
+            _ if passed >= grace / 2 => StopPhase::Ending,
+            _ if passed >= BALANCER_NOTICES.min(grace / 2) => StopPhase::ClosingIdle,
+            _ => StopPhase::NotReady,
+        };
+        gateway.stop.send_if_modified(|known| std::mem::replace(known, phase) != phase);
+        let is_empty = phase >= StopPhase::ClosingIdle && sessions() == 0;
+        if is_empty || passed >= last {
+            break;
+        }
+        time::sleep(STOP_LOOK).await;
+    }
+    slog::info!(gateway.log, "stopped"; "sessions_cut" => sessions());
+}
--- /dev/null
+++ b/crates/proxy/src/sessions/process/gateway.rs
@@ -0,0 +1,284 @@
+//! What all sessions of the process share.
+
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicU32;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use arc_swap::ArcSwap;
+use parking_lot::Mutex;
+use parking_lot::RwLock;
+use skylark_core::FastMap;
+use skylark_core::log_position::LogPosition;
+use skylark_core::request::primary_positions::PrimaryPositions;
+use skylark_core::version::routes::ReadRule;
+use skylark_core::version::routes::Route;
+use skylark_core::version::routes::RouteTable;
+use skylark_core::version::routes::ServiceLimits;
+use tokio::sync::watch;
+
+use crate::process::clock::MonotonicClock;
+use crate::process::counters::Counters;
+use crate::sessions::codec::Codec;
+use crate::sessions::process::leader::LeaderBelief;
+use crate::sessions::process::log_budget::LogBudget;
+use crate::sessions::process::targets::TargetState;
+use crate::sessions::version::view::View;
+
+/// The limits of a service that no configuration names: its targets are listed, and nobody is sent
+/// to them.
+const UNKNOWN_SERVICE: ServiceLimits = ServiceLimits { max_connections: 2, sync_replicas: 0 };
+
+/// How far the process has come with stopping.
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Debug)]
+pub enum StopPhase {
+    /// It serves.
+    Serving,
+    /// It says that it is not ready, and serves all that comes.
+    NotReady,
+    /// Callers that rest outside a transaction are asked to go, one after the other.
+    ClosingIdle,
+    /// Open transactions are rolled back as well.
+    Ending,
+}
+
+/// What the traffic showed of one service.
+#[derive(Debug, Default)]
+pub struct ServiceState {
+    /// Positions of the primary.
+    pub positions: Mutex<PrimaryPositions>,
+    /// Which target leads.
+    pub leader: Mutex<LeaderBelief>,
+}
+
+/// What all sessions share.
+#[derive(Debug)]
+pub struct Gateway<C>
+where
+    C: Codec,
+{
+    /// The name of this process's VM.
+    pub vm: Arc<str>,
+    /// Its availability zone.
+    pub zone: Arc<str>,
+    /// The process's clock.
+    pub clock: MonotonicClock,
+    /// The counters.
+    pub counters: Arc<Counters>,
+    /// Where this is logged.
+    pub log: slog::Logger,
+    /// The bound on log lines.
+    pub log_budget: LogBudget,
+    /// How far the process has come with stopping.
+    pub stop: watch::Sender<StopPhase>,
+    /// The number of open sessions.
+    pub sessions: AtomicU32,
+    /// Whether this process may be given new callers, as far as the control thread knows.
+    pub serves: AtomicBool,
+    next_session: AtomicU64,
+    view: ArcSwap<View>,
+    changed: watch::Sender<u64>,
+    targets: RwLock<FastMap<Arc<str>, Arc<TargetState<C>>>>,
+    services: RwLock<FastMap<Arc<str>, Arc<ServiceState>>>,
+}
+
+impl<C> Gateway<C>
+where
+    C: Codec,
+{
+    /// A process that knows nothing yet.
+    pub fn new(vm: &str, zone: &str, log: slog::Logger) -> Gateway<C> {
+        Gateway {
+            vm: vm.into(),
+            zone: zone.into(),
+            clock: MonotonicClock::start(),
+            counters: Arc::default(),
+            log,
+            log_budget: LogBudget::default(),
+            stop: watch::Sender::new(StopPhase::Serving),
+            sessions: AtomicU32::new(0),
+            serves: AtomicBool::new(false),
+            next_session: AtomicU64::new(1),
+            view: ArcSwap::default(),
+            changed: watch::Sender::new(0),
+            targets: RwLock::default(),
+            services: RwLock::default(),
+        }
+    }
+
+    /// The newest version.
+    pub fn view(&self) -> Arc<View> {
+        self.view.load_full()
+    }
+
+    /// The route of a database name in the configuration in force.
+    pub fn route(&self, database: &str) -> Option<Arc<Route>> {
+        let view = self.view.load();
+        view.routes.as_ref()?.routes.get(database).cloned()
+    }
+
+    /// Whether there is a configuration.
+    pub fn is_configured(&self) -> bool {
+        self.view.load().routes.is_some()
+    }
+
+    /// How long a caller may rest inside a transaction.
+    pub fn transaction_idle(&self) -> Option<Duration> {
+        let view = self.view.load();
+        let idle_ms = view.routes.as_ref()?.transaction_idle_ms;
+        (idle_ms > 0).then(|| Duration::from_millis(idle_ms))
+    }
+
+    /// Whether the platform may send new callers here.
+    pub fn is_ready(&self) -> bool {
+        let serves = self.serves.load(Ordering::Relaxed);
+        serves && self.is_configured() && *self.stop.borrow() == StopPhase::Serving
+    }
+
+    /// A number for a new session.
+    pub fn next_session(&self) -> u64 {
+        self.next_session.fetch_add(1, Ordering::Relaxed)
+    }
+
+    /// A target by id.
+    pub fn target(&self, id: &str) -> Option<Arc<TargetState<C>>> {
+        self.targets.read().get(id).cloned()
+    }
+
+    /// All targets.
+    pub fn targets(&self) -> Vec<Arc<TargetState<C>>> {
+        self.targets.read().values().cloned().collect()
+    }
+
+    /// The targets of a service that may be given work.
+    pub fn members(&self, service: &str) -> Vec<Arc<TargetState<C>>> {
+        let view = self.view.load();
+        let targets = self.targets.read();
+        let listed = view.members(service).iter();
+        listed.filter_map(|member| targets.get(&member.record.id).cloned()).collect()
+    }
+
+    /// What the traffic showed of a service.
+    pub fn service(&self, name: &Arc<str>) -> Arc<ServiceState> {
+        if let Some(known) = self.services.read().get(name) {
+            return Arc::clone(known);
+        }
+        Arc::clone(self.services.write().entry(Arc::clone(name)).or_default())
+    }
+
+    /// The target to ask as the primary of a service.
+    pub fn primary(&self, service: &Arc<str>) -> Option<Arc<TargetState<C>>> {
+        let state = self.service(service);
+        let view = self.view.load();
+        let listed = view.members(service).iter().map(|member| &member.record.id);
+        let id = state.leader.lock().ask(listed, self.clock.now_us())?;
+        self.target(&id)
+    }
+
+    /// Whether a target is the one believed to lead.
+    pub fn is_primary(&self, target: &TargetState<C>) -> bool {
+        let state = self.service(&target.record.service);
+        let leader = state.leader.lock();
+        leader.preferred() == Some(&target.record.id)
+    }
+
+    /// A target refused because it does not lead.
+    pub fn refused_lead(&self, target: &TargetState<C>) {
+        let state = self.service(&target.record.service);
+        state.leader.lock().refused(&target.record.id, self.clock.now_us());
+    }
+
+    /// A target proved its lead by its answer to a request sent at `sent_us`.
+    pub fn proved_lead(
+        &self,
+        target: &TargetState<C>,
+        sent_us: u64,
+        position: Option<LogPosition>,
+    ) {
+        let state = self.service(&target.record.service);
+        let is_news = state.leader.lock().proved(&target.record.id);
+        if let Some(position) = position {
+            state.positions.lock().saw(sent_us, position);
+        }
+        if is_news {
+            slog::info!(self.log, "a target proved that it leads";
+                "service" => &*target.record.service, "target" => &*target.record.id);
+            self.changed.send_modify(|number| *number += 1);
+        }
+    }
+
+    /// The position that a read must see, if its first byte arrived by `arrived_us`; none if no
+    /// position is known that is young enough.
+    pub fn position_for(
+        &self,
+        route: &Route,
+        floor: Option<LogPosition>,
+        arrived_us: u64,
+    ) -> Option<LogPosition> {
+        let max_age_us = match route.reads {
+            ReadRule::Primary => return None,
+            ReadRule::BoundedStaleness { .. } | ReadRule::ReadYourWrites { .. } => {
+                route.reads.max_age_ms() * 1_000
+            }
+        };
+        let state = self.service(&route.service);
+        let covering = state.positions.lock().covering(arrived_us.saturating_sub(max_age_us))?;
+        Some(floor.map_or(covering, |floor| covering.max(floor)))
+    }
+
+    /// Notices of new versions and of targets that proved their lead.
+    pub fn changes(&self) -> watch::Receiver<u64> {
+        self.changed.subscribe()
+    }
+
+    /// Puts a new version in force.
+    pub fn publish(&self, view: View) {
+        self.align_targets(&view);
+        for (service, members) in &view.services {
+            let state = self.service(service);
+            let mut leader = state.leader.lock();
+            if let Some(primary) = view.listed_primary(service) {
+                leader.announced(&primary.record.id, primary.role_since);
+            }
+            leader.keep(|id| members.iter().any(|member| &*member.record.id == id));
+        }
+        self.view.store(Arc::new(view));
+        self.changed.send_modify(|number| *number += 1);
+    }
+
+    /// Brings the targets to what a version lists. The connections of a target that went are closed
+    /// as they become idle.
+    fn align_targets(&self, view: &View) {
+        let mut targets = self.targets.write();
+        let listed =
+            |id: &str| view.services.values().flatten().any(|member| &*member.record.id == id);
+        targets.retain(|id, target| {
+            let keep = listed(id);
+            if !keep {
+                target.set_leaving(true);
+                target.pool.set_share(0);
+            }
+            keep
+        });
+        for (service, members) in &view.services {
+            let bounds = service_limits(view.routes.as_deref(), service);
+            for member in members {
+                let known = targets.entry(Arc::clone(&member.record.id)).or_insert_with(|| {
+                    let (clock, counters) = (self.clock, &self.counters);
+                    let connections = bounds.max_connections;
+                    let record = &member.record;
+                    Arc::new(TargetState::new(record, &self.vm, connections, clock, counters))
+                });
+                known.set_leaving(member.record.leaving);
+                known.configure(bounds.max_connections);
+            }
+        }
+    }
+}
+
+/// The limits of a service in a configuration.
+pub fn service_limits(routes: Option<&RouteTable>, service: &str) -> ServiceLimits {
+    routes.and_then(|routes| routes.services.get(service)).copied().unwrap_or(UNKNOWN_SERVICE)
+}
--- /dev/null
+++ b/crates/proxy/src/sessions/process/leader.rs
@@ -0,0 +1,89 @@
+//! Which target of a service is asked as its primary.
+//!
+//! What targets write about themselves comes late or not at all: a primary that lost its lead while
+//! it was cut off still stands there as one. So the answers of targets go first: one that refused a
+//! write is not asked again until something speaks for it, and one that proved its lead is
+//! preferred until it refuses. Asking the wrong one is safe, it only costs time: targets that don't
+//! lead refuse.
+
+use std::sync::Arc;
+
+use skylark_core::FastMap;
+
+/// How long after its refusal a target is asked again where no other is known, in microseconds. A
+/// promote takes 300 to 600 ms to take effect.
+const ASKED_AGAIN_US: u64 = 150_000;
+
+/// What is believed of the lead of one service.
+#[derive(Clone, Debug, Default)]
+pub struct LeaderBelief {
+    /// The target that last proved or announced its lead.
+    preferred: Option<Arc<str>>,
+    /// The revision of the newest announcement that was taken in.
+    announced_revision: u64,
+    /// When each target last refused for not leading.
+    refused_us: FastMap<Arc<str>, u64>,
+}
+
+impl LeaderBelief {
+    /// A target announced its lead at this revision. Returns whether that is news.
+    pub fn announced(&mut self, target: &Arc<str>, revision: u64) -> bool {
+        if revision <= self.announced_revision {
+            return false;
+        }
+        self.announced_revision = revision;
+        self.refused_us.remove(target);
+        let is_news = self.preferred.as_ref() != Some(target);
+        self.preferred = Some(Arc::clone(target));
+        is_news
+    }
+
+    /// A target proved that it leads. Returns whether that is news.
+    pub fn proved(&mut self, target: &Arc<str>) -> bool {
+        self.refused_us.remove(target);
+        if self.preferred.as_ref() == Some(target) {
+            return false;
+        }
+        self.preferred = Some(Arc::clone(target));
+        true
+    }
+
+    /// A target refused because it does not lead.
+    pub fn refused(&mut self, target: &Arc<str>, now_us: u64) {
+        self.refused_us.insert(Arc::clone(target), now_us);
+        if self.preferred.as_ref() == Some(target) {
+            self.preferred = None;
+        }
+    }
+
+    /// The target that last proved or announced its lead and did not refuse since.
+    pub fn preferred(&self) -> Option<&Arc<str>> {
+        self.preferred.as_ref()
+    }
+
+    /// The target to ask, out of the listed ones: the one that is believed to lead, otherwise the
+    /// one whose refusal is the oldest and not fresh.
+    pub fn ask<'a, I>(&self, listed: I, now_us: u64) -> Option<Arc<str>>
+    where
+        I: Iterator<Item = &'a Arc<str>> + Clone,
+    {
+        if let Some(preferred) = &self.preferred
+            && listed.clone().any(|target| target == preferred)
+        {
+            return Some(Arc::clone(preferred));
+        }
+        let refused_us = |target: &&Arc<str>| self.refused_us.get(*target).copied().unwrap_or(0);
+        let oldest = listed.min_by_key(refused_us)?;
+        let asked_us = refused_us(&oldest);
+        let may_ask = asked_us == 0 || now_us >= asked_us + ASKED_AGAIN_US;
+        may_ask.then(|| Arc::clone(oldest))
+    }
+
+    /// Forgets targets that are no longer listed.
+    pub fn keep<F>(&mut self, is_listed: F)
+    where
+        F: Fn(&str) -> bool,
+    {
+        self.refused_us.retain(|target, _| is_listed(target));
+    }
+}
--- /dev/null
+++ b/crates/proxy/src/sessions/process/limits.rs
@@ -0,0 +1,79 @@
+//! The bounds and intervals of typed sessions.
+
+use std::time::Duration;
+
+use skylark_core::process::connection_budget::BudgetPolicy;
+
+/// The largest message of a caller, in bytes. The protocol allows no larger ones.
+pub const MAX_MESSAGE_BYTES: usize = 1 << 20;
+
+/// The time that a connection has for its first message. Callers give up after 2 s without an answer.
+pub const STARTUP_LIMIT: Duration = Duration::from_millis(2_000);
+
+/// How long a caller may send nothing more of a message that it began.
+pub const SLOW_SENDER: Duration = Duration::from_millis(5_000);
+
+/// How long a caller may take no byte of an answer.
+pub const SLOW_READER: Duration = Duration::from_millis(5_000);
+
+/// The time that a new connection to a target may take. It occupies a slot for 12 to 27 ms and may
+/// wait for slots; a target that is silent must not hold a place for longer.
+pub const CONNECT_MS: u64 = 600;
+
+/// The time that an abandoned answer has to end before its connection is closed: a statement's
+/// longest run is some 110 ms.
+pub const DRAIN_MS: u64 = 500;
+
+/// How often pools are looked after.
+pub const MAINTENANCE_INTERVAL: Duration = Duration::from_millis(100);
+
+/// The part of a target's connections that one process may hold, as one part in this many. Callers
+/// are spread unevenly, so the busiest process needs far more than an even share.
+pub const CONNECTION_SHARE_DIVISOR: u32 = 2;
+
+/// How many requests wait for one target at most. At some 10 ms each on 3 at a time, more would
+/// wait for longer than the objectives allow.
+pub const QUEUED_PER_TARGET: usize = 128;
+
+/// Statements beyond a target's slots that one process lets run, so that a slot is not idle while
+/// an answer travels.
+pub const RUNNING_BEYOND_SLOTS: u32 = 1;
+
+/// The part of a request's objective, as one part in this many, within which it has to be offered to
+/// a target. After it a refusal with "not run" serves the caller better than a late answer.
+pub const OFFER_DIVISOR: u64 = 4;
+
+/// The least time that a request waits before it is refused, in microseconds: a new connection takes
+/// up to 30 ms.
+pub const LEAST_OFFER_US: u64 = 60_000;
+
+/// How long to wait before a primary that refused or was busy is asked again, in microseconds.
+pub const PRIMARY_PAUSE_US: u64 = 10_000;
+
+/// How long a read may go without an answer before another member is asked, as a part of the
+/// objective, and at least. A member that stays silent has lost the answer or its connection.
+pub const READ_PATIENCE_DIVISOR: u64 = 2;
+
+/// The least time before another member is asked, in microseconds: the slowest runs take 110 ms.
+pub const LEAST_READ_PATIENCE_US: u64 = 120_000;
+
+/// For how long a member that refused a read for lagging is passed over, in microseconds.
+pub const LAGGING_PASSED_OVER_US: u64 = 100_000;
+
+/// For how long a member that did not answer is passed over, in microseconds.
+pub const FAILING_PASSED_OVER_US: u64 = 500_000;
+
+/// How many members one read is offered to at most, the primary at the end included.
+pub const MAX_READ_TRIES: usize = 4;
+
+/// Connections are few and a new one is dear, so one is kept for a while after its last need, and
+/// none is opened ahead of need.
+pub const CONNECTION_POLICY: BudgetPolicy = BudgetPolicy {
+    spare: 0,
+    need_window_us: 6_000_000,
+    backoff_us: 40_000,
+    max_backoff_us: 400_000,
+    tries_per_second: 20,
+    burst: 8,
+    overshoot_us: 300_000,
+};
--- /dev/null
+++ b/crates/proxy/src/sessions/process/mod.rs
@@ -0,0 +1,13 @@
+//! What lives as long as the process.
+
+pub mod control;
+pub mod daemon;
+pub mod gateway;
+pub mod leader;
+pub mod limits;
+pub mod log_budget;
+pub mod metrics_text;
+pub mod takeover;
+pub mod target_calls;
+pub mod targets;
+pub mod watch;
--- /dev/null
+++ b/crates/proxy/src/sessions/process/target_calls.rs
@@ -0,0 +1,68 @@
+//! Single questions and orders to a target, each over a connection of its own.
+//!
+//! A takeover must not wait for pooled connections, which may all hang on the primary that failed.
+
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use skylark_core::version::routes::TargetRecord;
+
+use crate::connection::link::Link;
+use crate::connection::target_connection::OpenError;
+use crate::sessions::codec::Codec;
+use crate::sessions::codec::Query;
+use crate::sessions::codec::TargetStatus;
+use crate::sessions::connection::link::End;
+use crate::sessions::connection::link::StatementLink;
+use crate::sessions::connection::link::TargetLogin;
+
+/// The time for one question, the connection included. A new connection takes up to 30 ms and waits
+/// for slots that run statements of up to 110 ms; a target that needs longer is as good as gone.
+pub const CALL_LIMIT: Duration = Duration::from_millis(700);
+
+/// How often a target that is busy is asked again within the limit, and after which pause.
+const BUSY_PAUSE: Duration = Duration::from_millis(15);
+
+/// What a target said.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub enum Said {
+    /// Its state.
+    Status(TargetStatus),
+    /// It lives and refused the question.
+    Refused,
+    /// Nothing.
+    Nothing,
+}
+
+/// Asks one target.
+pub async fn ask<C>(record: &TargetRecord, vm: &Arc<str>, query: &Query<'_>) -> Said
+where
+    C: Codec,
+{
+    let until = Instant::now() + CALL_LIMIT;
+    let login = TargetLogin {
+        service: Arc::clone(&record.service),
+        target_id: Arc::clone(&record.id),
+        vm: Arc::clone(vm),
+    };
+    let address = record.address.to_string();
+    let mut link: StatementLink<C> = match StatementLink::open(&address, &login, CALL_LIMIT).await {
+        Ok(link) => link,
+        Err(OpenError::Refused(_)) => return Said::Refused,
+        Err(_) => return Said::Nothing,
+    };
+    loop {
+        let Ok(reply) = link.ask(query, until).await else { return Said::Nothing };
+        if let End::Complete { .. } = reply.end {
+            return match C::decode_status(&reply.first_row) {
+                Ok(status) => Said::Status(status),
+                Err(_) => Said::Refused,
+            };
+        }
+        if Instant::now() + BUSY_PAUSE >= until {
+            return Said::Refused;
+        }
+        tokio::time::sleep(BUSY_PAUSE).await;
+    }
+}
--- /dev/null
+++ b/crates/proxy/src/sessions/process/targets.rs
@@ -0,0 +1,216 @@
+//! What the process knows of one target and holds of it.
+
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
+
+use parking_lot::Mutex;
+use skylark_core::process::jitter;
+use skylark_core::process::sharing::ClassShare;
+use skylark_core::process::sharing::queue::QueueLimits;
+use skylark_core::version::routes::TargetRecord;
+
+use crate::connection::admission::AdmissionQueue;
+use crate::connection::pool::Pool;
+use crate::connection::pool::PoolOptions;
+use crate::process::clock::MonotonicClock;
+use crate::process::counters::Counters;
+use crate::sessions::codec::Codec;
+use crate::sessions::connection::link::StatementLink;
+use crate::sessions::connection::link::TargetLogin;
+use crate::sessions::process::limits;
+
+/// The weight of the newest answer time in the average, as one part in this many.
+const AVERAGE_DIVISOR: u64 = 8;
+
+/// The answer time that is reckoned with before any was seen, in microseconds.
+const INITIAL_ANSWER_US: u64 = 12_000;
+
+/// How many classes there are: one for each precedence, with the last for all lower ones.
+pub const CLASSES: usize = 4;
+
+/// The weight of the highest precedence; each lower one has half of the one before.
+const HIGHEST_WEIGHT: u32 = 8;
+
+/// The wait goal of a class where none is known, in microseconds.
+const DEFAULT_GOAL_US: u64 = 200_000;
+
+/// What requests showed of a target.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub struct Health {
+    /// The average time of an answer.
+    pub usual_us: u64,
+    /// How many statements are under way or waiting.
+    pub under_way: u32,
+    /// When it answered last.
+    pub answered_us: u64,
+    /// The first failure since the last answer.
+    pub failed_since_us: Option<u64>,
+    /// When it failed last.
+    pub failed_us: u64,
+    /// How many commits wait for their answer.
+    pub commits_waiting: u32,
+    /// Since when commits wait without any of them being acknowledged.
+    pub commits_stuck_since_us: Option<u64>,
+    /// When it refused a read for lagging last.
+    pub lagged_us: u64,
+}
+
+/// One target.
+#[derive(Debug)]
+pub struct TargetState<C>
+where
+    C: Codec,
+{
+    /// What it registered first. Its id, service and address never change.
+    pub record: Arc<TargetRecord>,
+    /// Whether it announced that it will stop.
+    leaving: AtomicBool,
+    /// The connections to it.
+    pub pool: Arc<Pool<StatementLink<C>>>,
+    /// The queue in front of them.
+    pub queue: Arc<AdmissionQueue>,
+    health: Mutex<Health>,
+}
+
+impl<C> TargetState<C>
+where
+    C: Codec,
+{
+    /// A target about which nothing is known yet.
+    pub fn new(
+        record: &Arc<TargetRecord>,
+        vm: &Arc<str>,
+        max_connections: u32,
+        clock: MonotonicClock,
+        counters: &Arc<Counters>,
+    ) -> TargetState<C> {
+        let login = TargetLogin {
+            service: Arc::clone(&record.service),
+            target_id: Arc::clone(&record.id),
+            vm: Arc::clone(vm),
+        };
+        let options = PoolOptions {
+            address: record.address.to_string(),
+            login,
+            connect_ms: limits::CONNECT_MS,
+            budget: limits::CONNECTION_POLICY,
+            drain_ms: limits::DRAIN_MS,
+            reset_always: false,
+            jitter_seed: jitter::seed_of(vm) ^ jitter::seed_of(&record.id),
+            clock,
+        };
+        let pool = Pool::new(options, Arc::clone(counters));
+        let queue = AdmissionQueue::new(QueueLimits::default(), &class_shares(), clock);
+        let health = Health {
+            usual_us: INITIAL_ANSWER_US,
+            under_way: 0,
+            answered_us: 0,
+            failed_since_us: None,
+            failed_us: 0,
+            commits_waiting: 0,
+            commits_stuck_since_us: None,
+            lagged_us: 0,
+        };
+        let state = TargetState {
+            record: Arc::clone(record),
+            leaving: AtomicBool::new(record.leaving),
+            pool: Arc::new(pool),
+            queue: Arc::new(queue),
+            health: Mutex::new(health),
+        };
+        state.configure(max_connections);
+        state
+    }
+
+    /// Sets this process's part of the connections.
+    pub fn configure(&self, max_connections: u32) {
+        let share = (max_connections / limits::CONNECTION_SHARE_DIVISOR).max(1);
+        let running = (self.record.slots + limits::RUNNING_BEYOND_SLOTS).min(share);
+        let queued = limits::QUEUED_PER_TARGET;
+        let bounds = QueueLimits {
+            running,
+            connections: share,
+            queued,
+            queued_per_class: queued,
+            queued_per_caller: queued,
+            ..QueueLimits::default()
+        };
+        self.pool.set_share(share);
+        self.queue.configure(bounds, &class_shares());
+    }
+
+    /// It announced that it will stop, or took that back.
+    pub fn set_leaving(&self, leaving: bool) {
+        self.leaving.store(leaving, Ordering::Relaxed);
+    }
+
+    /// Whether it announced that it will stop, so that it gets no new work.
+    pub fn is_leaving(&self) -> bool {
+        self.leaving.load(Ordering::Relaxed)
+    }
+
+    /// What requests showed.
+    pub fn health(&self) -> Health {
+        *self.health.lock()
+    }
+
+    /// A statement is on its way there or waits for a turn.
+    pub fn started(&self) {
+        self.health.lock().under_way += 1;
+    }
+
+    /// A statement is no longer under way there.
+    pub fn ended(&self) {
+        let mut health = self.health.lock();
+        health.under_way = health.under_way.saturating_sub(1);
+    }
+
+    /// It answered, after `took_us` where that tells of its speed.
+    pub fn answered(&self, now_us: u64, took_us: Option<u64>) {
+        let mut health = self.health.lock();
+        health.answered_us = now_us;
+        health.failed_since_us = None;
+        if let Some(took_us) = took_us {
+            let kept_us = health.usual_us - health.usual_us / AVERAGE_DIVISOR;
+            health.usual_us = kept_us + took_us / AVERAGE_DIVISOR;
+        }
+    }
+
+    /// It can't be reached, broke off, or did not answer in time.
+    pub fn failed(&self, now_us: u64) {
+        let mut health = self.health.lock();
+        health.failed_us = now_us;
+        health.failed_since_us.get_or_insert(now_us);
+    }
+
+    /// It refused a read because its log lacks the position.
+    pub fn lagged(&self, now_us: u64) {
+        self.health.lock().lagged_us = now_us;
+    }
+
+    /// A commit was sent.
+    pub fn commit_sent(&self, now_us: u64) {
+        let mut health = self.health.lock();
+        health.commits_waiting += 1;
+        health.commits_stuck_since_us.get_or_insert(now_us);
+    }
+
+    /// A commit got its answer, or none in time. One that was acknowledged, or refused, shows that
+    /// the others wait their turn only.
+    pub fn commit_ended(&self, now_us: u64, was_answered: bool) {
+        let mut health = self.health.lock();
+        health.commits_waiting = health.commits_waiting.saturating_sub(1);
+        if was_answered {
+            health.commits_stuck_since_us = (health.commits_waiting > 0).then_some(now_us);
+        }
+    }
+}
+
+/// The classes of requests by precedence.
+fn class_shares() -> [ClassShare; CLASSES] {
+    std::array::from_fn(|class| ClassShare {
+        weight: (HIGHEST_WEIGHT >> class).max(1),
+        goal_us: DEFAULT_GOAL_US,
+    })
+}
--- /dev/null
+++ b/crates/proxy/src/sessions/request/acquire.rs
@@ -0,0 +1,100 @@
+//! Taking a connection to a target that has the caller's session on it.
+
+use std::sync::Arc;
+
+use skylark_core::request::retry::Failure;
+
+use crate::connection::admission::TurnRequest;
+use crate::connection::pool::Lease;
+use crate::request::refusal::Refusal;
+use crate::sessions::codec::Codec;
+use crate::sessions::connection::link::Lost;
+use crate::sessions::connection::link::Reply;
+use crate::sessions::connection::link::StatementLink;
+use crate::sessions::process::targets::TargetState;
+use crate::sessions::request::call::Call;
+
+/// Why no connection was had.
+#[derive(Clone, PartialEq, Eq, Debug)]
+pub enum NotTaken {
+    /// The queue in front of the target refused or gave up.
+    Queue(Refusal),
+    /// No connection came about.
+    NotConnected(Failure),
+}
+
+/// Waits for a turn at a target and a connection to it.
+pub async fn take<C>(
+    call: &Call<'_, C>,
+    target: &Arc<TargetState<C>>,
+    until_us: u64,
+) -> Result<Lease<StatementLink<C>>, NotTaken>
+where
+    C: Codec,
+{
+    target.started();
+    let taken = take_counted(call, target, until_us).await;
+    target.ended();
+    if let Err(NotTaken::NotConnected(failure)) = &taken
+        && !is_full(*failure)
+    {
+        target.failed(call.now_us());
+    }
+    taken
+}
+
+async fn take_counted<C>(
+    call: &Call<'_, C>,
+    target: &Arc<TargetState<C>>,
+    until_us: u64,
+) -> Result<Lease<StatementLink<C>>, NotTaken>
+where
+    C: Codec,
+{
+    let (class, caller) = (call.class(), call.caller());
+    let request = TurnRequest { class, caller, deadline_us: until_us };
+    let turn = target.queue.admit(&request).await.map_err(NotTaken::Queue)?;
+    let until = call.gateway.clock.instant_at(until_us);
+    target.pool.take(Some(turn), until).await.map_err(NotTaken::NotConnected)
+}
+
+/// Whether the target has as many connections as it accepts, or none of this process's came free in
+/// time. Neither speaks against the target.
+fn is_full(failure: Failure) -> bool {
+    match failure {
+        Failure::Said { sqlstate, .. } => &sqlstate == b"53300",
+        Failure::TimedOut => true,
+        Failure::Broken => false,
+    }
+}
+
+/// Sends what was pushed and takes its answers until the first error. On an error of the session's
+/// preparation the connection's session counts as unknown.
+pub async fn settle<C>(
+    call: &Call<'_, C>,
+    link: &mut StatementLink<C>,
+    answers: u32,
+    until_us: u64,
+) -> Result<Option<Reply>, Lost>
+where
+    C: Codec,
+{
+    if answers == 0 {
+        return Ok(None);
+    }
+    let until = call.gateway.clock.instant_at(until_us);
+    link.send().await?;
+    let mut last = None;
+    let mut refused = None;
+    for _ in 0..answers {
+        let reply = link.answer(until).await?;
+        if reply.error().is_some() {
+            refused.get_or_insert_with(|| reply.clone());
+        }
+        last = Some(reply);
+    }
+    if refused.is_some() {
+        link.forget_session();
+    }
+    Ok(refused.or(last))
+}
--- /dev/null
+++ b/crates/proxy/src/sessions/request/execute.rs
@@ -0,0 +1,211 @@
+//! What becomes of one statement of a caller.
+
+use std::sync::Arc;
+
+use skylark_core::request::error_kind::ErrorKind;
+use skylark_core::request::retry::Effect;
+use skylark_core::request::statement::Statement;
+use skylark_core::version::routes::ReadRule;
+use skylark_core::version::routes::Route;
+
+use crate::process::counters::Event;
+use crate::request::refusal::Refusal;
+use crate::sessions::codec::Codec;
+use crate::sessions::connection::link::Reply;
+use crate::sessions::connection::session::Session;
+use crate::sessions::connection::session::SessionState;
+use crate::sessions::connection::session::Transaction;
+use crate::sessions::process::gateway::Gateway;
+use crate::sessions::request::at_primary;
+use crate::sessions::request::call::Call;
+use crate::sessions::request::call::Work;
+use crate::sessions::request::read;
+use crate::sessions::request::transaction;
+
+/// The answer to one statement.
+#[derive(Debug)]
+pub enum Answer {
+    /// The proxy itself answers with success.
+    Done,
+    /// A target answered.
+    Reply(Reply),
+    /// It was refused or given up.
+    Refused(Refusal),
+}
+
+/// Runs one statement whose first byte had arrived by `arrived_us`.
+pub async fn run<C>(
+    gateway: &Gateway<C>,
+    session: &mut Session<C>,
+    id: &str,
+    statement: Statement<'_>,
+    arrived_us: u64,
+) -> Answer
+where
+    C: Codec,
+{
+    gateway.counters.event(Event::Requests);
+    let result = match statement {
+        Statement::Begin { read_only } => begin(gateway, session, read_only, arrived_us),
+        Statement::Rollback => roll_back(gateway, session),
+        Statement::Set { name, value } => {
+            local(gateway, session, |session| session.set(name, value))
+        }
+        Statement::Prepare { name, prepared } => {
+            local(gateway, session, |session| session.prepare(name, prepared))
+        }
+        Statement::Close { name } => local(gateway, session, |session| {
+            session.prepared.remove(name);
+            Ok(())
+        }),
+        Statement::Execute { name, arguments } => match session.prepared.get(name).cloned() {
+            Some(prepared) => {
+                let work = Work::Execute { prepared, arguments };
+                remote(gateway, session, id, work, arrived_us).await
+            }
+            None => Err(ErrorKind::UnknownPrepared.into()),
+        },
+        Statement::Commit | Statement::Read { .. } | Statement::Write { .. } => {
+            remote(gateway, session, id, Work::Plain(statement), arrived_us).await
+        }
+    };
+    result.unwrap_or_else(|refusal| {
+        gateway.counters.refusal(refusal.kind);
+        Answer::Refused(refusal)
+    })
+}
+
+fn begin<C>(
+    gateway: &Gateway<C>,
+    session: &mut Session<C>,
+    read_only: bool,
+    arrived_us: u64,
+) -> Result<Answer, Refusal>
+where
+    C: Codec,
+{
+    if !matches!(session.state, SessionState::Idle) {
+        return Err(ErrorKind::ProtocolViolation.into());
+    }
+    let route = route(gateway, session)?;
+    let transaction =
+        Transaction { route, read_only, began_us: arrived_us, wrote: false, held: None };
+    session.state = SessionState::Open(Box::new(transaction));
+    gateway.counters.event(Event::AnsweredLocally);
+    Ok(Answer::Done)
+}
+
+fn roll_back<C>(gateway: &Gateway<C>, session: &mut Session<C>) -> Result<Answer, Refusal>
+where
+    C: Codec,
+{
+    match std::mem::take(&mut session.state) {
+        SessionState::Idle => Err(ErrorKind::ProtocolViolation.into()),
+        SessionState::Failed(_) => Ok(Answer::Done),
+        SessionState::Open(open) => {
+            transaction::roll_back(open);
+            gateway.counters.event(Event::AnsweredLocally);
+            Ok(Answer::Done)
+        }
+    }
+}
+
+/// A statement that changes the session only.
+fn local<C, F>(gateway: &Gateway<C>, session: &mut Session<C>, change: F) -> Result<Answer, Refusal>
+where
+    C: Codec,
+    F: FnOnce(&mut Session<C>) -> Result<(), ErrorKind>,
+{
+    if let SessionState::Failed(kind) = &mut session.state {
+        return Err(tell_failed(kind));
+    }
+    change(session).map_err(Refusal::from)?;
+    gateway.counters.event(Event::AnsweredLocally);
+    Ok(Answer::Done)
+}
+
+/// A statement that a target has to run.
+async fn remote<C>(
+    gateway: &Gateway<C>,
+    session: &mut Session<C>,
+    id: &str,
+    work: Work<'_>,
+    arrived_us: u64,
+) -> Result<Answer, Refusal>
+where
+    C: Codec,
+{
+    let number = session.number;
+    match std::mem::take(&mut session.state) {
+        SessionState::Failed(mut kind) => {
+            let refusal = match work.effect() {
+                // Its end is what a failed transaction waits for.
+                Effect::Commit => ErrorKind::TransactionLost.into(),
+                _ => {
+                    let refusal = tell_failed(&mut kind);
+                    session.state = SessionState::Failed(kind);
+                    refusal
+                }
+            };
+            Err(refusal)
+        }
+        SessionState::Open(open) => {
+            let route = Arc::clone(&open.route);
+            let call = Call {
+                gateway,
+                id,
+                session: number,
+                route: &route,
+                arrived_us: open.began_us,
+                began_us: arrived_us,
+            };
+            let result = transaction::run(&call, session, open, &work).await;
+            finish(&call, result)
+        }
+        SessionState::Idle => {
+            if work.effect() == Effect::Commit {
+                return Err(ErrorKind::ProtocolViolation.into());
+            }
+            let route = route(gateway, session)?;
+            let call = Call {
+                gateway,
+                id,
+                session: number,
+                route: &route,
+                arrived_us,
+                began_us: arrived_us,
+            };
+            let result = match (work.effect(), route.reads) {
+                (Effect::Read, ReadRule::Primary) => at_primary::read(&call, session, &work).await,
+                (Effect::Read, _) => read::run(&call, session, &work).await,
+                (Effect::Write | Effect::Commit, _) => {
+                    at_primary::write(&call, session, &work).await
+                }
+            };
+            finish(&call, result)
+        }
+    }
+}
+
+fn finish<C>(call: &Call<'_, C>, result: Result<Reply, Refusal>) -> Result<Answer, Refusal>
+where
+    C: Codec,
+{
+    if let Err(refusal) = &result {
+        call.log_refusal(refusal);
+    }
+    result.map(Answer::Reply)
+}
+
+fn route<C>(gateway: &Gateway<C>, session: &Session<C>) -> Result<Arc<Route>, Refusal>
+where
+    C: Codec,
+{
+    gateway.route(&session.database).ok_or_else(|| ErrorKind::UnknownGroup.into())
+}
+
+/// The first statement after a failure that the caller doesn't know of is told about it; later
+/// ones break the protocol.
+fn tell_failed(kind: &mut ErrorKind) -> Refusal {
+    std::mem::replace(kind, ErrorKind::ProtocolViolation).into()
+}
--- /dev/null
+++ b/crates/proxy/src/sessions/request/mod.rs
@@ -0,0 +1,8 @@
+//! What lives as long as one statement.
+
+pub mod acquire;
+pub mod at_primary;
+pub mod call;
+pub mod execute;
+pub mod read;
+pub mod transaction;
--- /dev/null
+++ b/crates/proxy/src/sessions/request/read.rs
@@ -0,0 +1,201 @@
+//! A single read: at any member that has what the read must see, otherwise at the primary.
+//!
+//! A read may be offered to several members, one after the other: it has no effect. The last one is
+//! the primary, whose lead is proved first by opening a transaction: an old primary that is cut off
+//! would answer a bare read from a log that lacks what its successor acknowledged.
+
+use std::sync::Arc;
+
+use skylark_core::log_position::LogPosition;
+use skylark_core::request::error_kind::ErrorKind;
+use skylark_core::request::read_choice;
+use skylark_core::request::read_choice::ReadCandidate;
+use skylark_core::request::retry::Failure;
+use skylark_core::request::statement::TargetError;
+
+use crate::process::counters::RetryReason;
+use crate::request::refusal::Refusal;
+use crate::sessions::codec::Codec;
+use crate::sessions::connection::link::Reply;
+use crate::sessions::connection::session::Session;
+use crate::sessions::process::limits;
+use crate::sessions::process::targets::TargetState;
+use crate::sessions::request::acquire;
+use crate::sessions::request::acquire::NotTaken;
+use crate::sessions::request::at_primary;
+use crate::sessions::request::call::Call;
+use crate::sessions::request::call::Work;
+
+/// What one member did with a read.
+enum Offered {
+    /// This is the caller's answer.
+    Answered(Reply),
+    /// Another member may do better.
+    TryNext(RetryReason),
+    /// It failed in a way that the caller is told if no other member does better.
+    Failed(Reply),
+    /// The queue in front of it is too long.
+    NotOffered,
+}
+
+/// Runs a single read.
+pub async fn run<C>(
+    call: &Call<'_, C>,
+    session: &Session<C>,
+    work: &Work<'_>,
+) -> Result<Reply, Refusal>
+where
+    C: Codec,
+{
+    let mut tried: Vec<Arc<str>> = Vec::new();
+    let mut last_failure = None;
+    while tried.len() + 1 < limits::MAX_READ_TRIES && call.now_us() < call.deadline_us() {
+        let floor = session.floor_of(&call.route.service);
+        let Some(at_least) = call.gateway.position_for(call.route, floor, call.arrived_us) else {
+            break;
+        };
+        let Some(target) = choose(call, &tried) else { break };
+        tried.push(Arc::clone(&target.record.id));
+        match offer(call, session, work, &target, at_least).await {
+            Offered::Answered(reply) => return Ok(reply),
+            Offered::TryNext(reason) => call.gateway.counters.retry(reason),
+            Offered::Failed(reply) => {
+                call.gateway.counters.retry(RetryReason::ReadLost);
+                last_failure = Some(reply);
+            }
+            Offered::NotOffered => call.gateway.counters.retry(RetryReason::NoRoom),
+        }
+    }
+    let at_primary = at_primary::read(call, session, work).await;
+    match (at_primary, last_failure) {
+        (Err(_), Some(reply)) => Ok(reply),
+        (result, _) => result,
+    }
+}
+
+/// The member that is expected to answer first, out of those not tried yet.
+pub fn choose<C>(call: &Call<'_, C>, tried: &[Arc<str>]) -> Option<Arc<TargetState<C>>>
+where
+    C: Codec,
+{
+    let now_us = call.now_us();
+    let members = call.gateway.members(&call.route.service);
+    let fit = members.into_iter().filter(|member| !member.is_leaving());
+    let fit: Vec<_> = fit.filter(|member| !tried.contains(&member.record.id)).collect();
+    let candidates: Vec<ReadCandidate> = fit
+        .iter()
+        .map(|member| {
+            let health = member.health();
+            let fails = health.failed_since_us.is_some()
+                && now_us < health.failed_us + limits::FAILING_PASSED_OVER_US;
+            ReadCandidate {
+                same_zone: member.record.zone == call.gateway.zone,
+                is_primary: call.gateway.is_primary(member),
+                usual_us: health.usual_us,
+                under_way: health.under_way,
+                lags: health.lagged_us > 0
+                    && now_us < health.lagged_us + limits::LAGGING_PASSED_OVER_US,
+                fails,
+            }
+        })
+        .collect();
+    let best = read_choice::choose(&candidates)?;
+    // A member that fails or lags is no better than the primary that is asked after all.
+    let is_poor = candidates[best].fails || candidates[best].lags;
+    (!is_poor || tried.is_empty()).then(|| Arc::clone(&fit[best]))
+}
+
+/// How long a read may go without an answer before another member is asked.
+pub fn patience_until_us<C>(call: &Call<'_, C>) -> u64
+where
+    C: Codec,
+{
+    let part_us = call.route.objective_ms * 1_000 / limits::READ_PATIENCE_DIVISOR;
+    let until_us = call.now_us() + part_us.max(limits::LEAST_READ_PATIENCE_US);
+    until_us.min(call.deadline_us())
+}
+
+async fn offer<C>(
+    call: &Call<'_, C>,
+    session: &Session<C>,
+    work: &Work<'_>,
+    target: &Arc<TargetState<C>>,
+    at_least: LogPosition,
+) -> Offered
+where
+    C: Codec,
+{
+    let until_us = call.offer_until_us().max(call.now_us() + limits::LEAST_OFFER_US);
+    let mut lease = match acquire::take(call, target, until_us).await {
+        Ok(lease) => lease,
+        Err(NotTaken::Queue(_)) => return Offered::NotOffered,
+        Err(NotTaken::NotConnected(_)) => return Offered::TryNext(RetryReason::ConnectFailed),
+    };
+    target.started();
+    let sent_us = call.now_us();
+    let until_us = patience_until_us(call);
+    let link = lease.connection();
+    let owed = link.push_session(&session.values, work.prepared());
+    let answered = match acquire::settle(call, link, owed, until_us).await {
+        Ok(Some(reply)) if reply.error().is_some() => Ok(reply),
+        Ok(_) => {
+            work.push(link, call.id, Some(at_least));
+            match link.send().await {
+                Ok(()) => link.answer(call.gateway.clock.instant_at(until_us)).await,
+                Err(lost) => Err(lost),
+            }
+        }
+        Err(lost) => Err(lost),
+    };
+    target.ended();
+    let now_us = call.now_us();
+    let reply = match answered {
+        Ok(reply) => reply,
+        Err(lost) => {
+            target.failed(now_us);
+            call.log_lost(&target.record.id, lost.failure);
+            return Offered::TryNext(RetryReason::ReadLost);
+        }
+    };
+    let offered = judge(target, lease.connection(), reply, sent_us, now_us);
+    lease.give_back();
+    offered
+}
+
+fn judge<C>(
+    target: &TargetState<C>,
+    link: &mut crate::sessions::connection::link::StatementLink<C>,
+    reply: Reply,
+    sent_us: u64,
+    now_us: u64,
+) -> Offered
+where
+    C: Codec,
+{
+    let took_us = now_us.saturating_sub(sent_us);
+    let Some(error) = reply.error() else {
+        target.answered(now_us, Some(took_us));
+        return Offered::Answered(reply);
+    };
+    target.answered(now_us, None);
+    match error {
+        TargetError::Lagging => {
+            target.lagged(now_us);
+            Offered::TryNext(RetryReason::Lagging)
+        }
+        TargetError::Busy => Offered::TryNext(RetryReason::Busy),
+        TargetError::UnknownPrepared => {
+            link.forget_session();
+            Offered::TryNext(RetryReason::PreparedLost)
+        }
+        _ => Offered::Failed(reply),
+    }
+}
+
+/// What a caller is told of a read that was lost on its way.
+pub fn lost_read(failure: Failure) -> Refusal {
+    match failure {
+        Failure::TimedOut => ErrorKind::AnswerTimedOut.into(),
+        _ => ErrorKind::ReadFailed.into(),
+    }
+}
--- /dev/null
+++ b/crates/proxy/src/sessions/request/transaction.rs
@@ -0,0 +1,221 @@
+//! Statements of an open transaction.
+//!
+//! The target is chosen with the first statement, not with the `BEGIN`, so that a caller that rests
+//! in between holds nothing. From then on all statements go to the one connection. If that is lost
+//! before the commit was sent, the target rolls back: nothing is kept, and the caller is told so.
+
+use std::sync::Arc;
+
+use skylark_core::request::error_kind::ErrorKind;
+use skylark_core::request::retry::Effect;
+use skylark_core::request::statement::Statement;
+use skylark_core::request::statement::TargetError;
+use skylark_core::request::statement::TransactionStatus;
+use skylark_core::version::routes::ReadRule;
+
+use crate::process::counters::RetryReason;
+use crate::request::refusal::Refusal;
+use crate::sessions::codec::Codec;
+use crate::sessions::codec::Query;
+use crate::sessions::connection::link::Reply;
+use crate::sessions::connection::session::Held;
+use crate::sessions::connection::session::Session;
+use crate::sessions::connection::session::SessionState;
+use crate::sessions::connection::session::Transaction;
+use crate::sessions::process::limits;
+use crate::sessions::request::acquire;
+use crate::sessions::request::at_primary;
+use crate::sessions::request::call::Call;
+use crate::sessions::request::call::Work;
+use crate::sessions::request::read;
+
+/// Runs one statement of the transaction, whose state is taken out of the session meanwhile.
+pub async fn run<C>(
+    call: &Call<'_, C>,
+    session: &mut Session<C>,
+    mut transaction: Box<Transaction<C>>,
+    work: &Work<'_>,
+) -> Result<Reply, Refusal>
+where
+    C: Codec,
+{
+    let held = match transaction.held.take() {
+        Some(held) => held,
+        None => match open(call, session, &transaction, work).await {
+            Ok(held) => held,
+            Err(refusal) => {
+                session.state = after_refusal(work);
+                return Err(refusal);
+            }
+        },
+    };
+    statement(call, session, transaction, held, work).await
+}
+
+/// A transaction whose first statement did not come about is over, unless it was ended by it.
+fn after_refusal<C>(work: &Work<'_>) -> SessionState<C>
+where
+    C: Codec,
+{
+    match work.effect() {
+        Effect::Commit => SessionState::Idle,
+        _ => SessionState::Failed(ErrorKind::ProtocolViolation),
+    }
+}
+
+async fn open<C>(
+    call: &Call<'_, C>,
+    session: &Session<C>,
+    transaction: &Transaction<C>,
+    work: &Work<'_>,
+) -> Result<Held<C>, Refusal>
+where
+    C: Codec,
+{
+    if transaction.read_only
+        && transaction.route.reads != ReadRule::Primary
+        && let Some(held) = open_reading(call, session, work).await
+    {
+        return Ok(held);
+    }
+    at_primary::open(call, session, work).await
+}
+
+/// Opens a transaction that only reads at a member that has what it must see.
+async fn open_reading<C>(
+    call: &Call<'_, C>,
+    session: &Session<C>,
+    work: &Work<'_>,
+) -> Option<Held<C>>
+where
+    C: Codec,
+{
+    let mut tried: Vec<Arc<str>> = Vec::new();
+    while tried.len() + 1 < limits::MAX_READ_TRIES {
+        let floor = session.floor_of(&call.route.service);
+        let at_least = call.gateway.position_for(call.route, floor, call.arrived_us)?;
+        let target = read::choose(call, &tried)?;
+        tried.push(Arc::clone(&target.record.id));
+        let until_us = call.offer_until_us().max(call.now_us() + limits::LEAST_OFFER_US);
+        let Ok(mut lease) = acquire::take(call, &target, until_us).await else {
+            call.gateway.counters.retry(RetryReason::ConnectFailed);
+            continue;
+        };
+        let link = lease.connection();
+        let owed = link.push_session(&session.values, work.prepared());
+        let statement = Statement::Begin { read_only: true };
+        link.push(&Query::Statement { id: None, at_least: Some(at_least), statement });
+        match acquire::settle(call, link, owed + 1, read::patience_until_us(call)).await {
+            Ok(Some(reply)) if reply.error().is_none() => {
+                target.answered(call.now_us(), None);
+                return Some(Held { lease, target });
+            }
+            Ok(reply) => {
+                target.answered(call.now_us(), None);
+                let error = reply.and_then(|reply| reply.error());
+                if error == Some(TargetError::Lagging) {
+                    target.lagged(call.now_us());
+                }
+                call.gateway.counters.retry(RetryReason::Lagging);
+                lease.give_back();
+            }
+            Err(lost) => {
+                target.failed(call.now_us());
+                call.gateway.counters.retry(RetryReason::ReadLost);
+                call.log_lost(&target.record.id, lost.failure);
+            }
+        }
+    }
+    None
+}
+
+async fn statement<C>(
+    call: &Call<'_, C>,
+    session: &mut Session<C>,
+    mut transaction: Box<Transaction<C>>,
+    mut held: Held<C>,
+    work: &Work<'_>,
+) -> Result<Reply, Refusal>
+where
+    C: Codec,
+{
+    let is_commit = work.effect() == Effect::Commit;
+    let until_us = call.deadline_us();
+    held.lease.statement_started();
+    held.target.started();
+    let sent_us = call.now_us();
+    let is_durable = is_commit && transaction.wrote;
+    if is_durable {
+        held.target.commit_sent(sent_us);
+    }
+    let answered = exchange(call, session, &mut held, work, until_us).await;
+    if is_durable {
+        held.target.commit_ended(call.now_us(), answered.is_ok());
+    }
+    held.target.ended();
+    held.lease.statement_ended();
+    let now_us = call.now_us();
+    let reply = match answered {
+        Ok(reply) => reply,
+        Err(lost) => {
+            held.target.failed(now_us);
+            call.log_lost(&held.target.record.id, lost.failure);
+            if is_commit {
+                session.state = SessionState::Idle;
+                return Err(at_primary::lost_commit(lost.failure));
+            }
+            session.state = SessionState::Failed(ErrorKind::ProtocolViolation);
+            return Err(ErrorKind::TransactionLost.into());
+        }
+    };
+    held.target.answered(now_us, None);
+    transaction.wrote |= work.effect() == Effect::Write;
+    if is_commit {
+        if reply.error().is_none() && transaction.wrote {
+            at_primary::acknowledged(call, session, &held.target, sent_us, &reply);
+        }
+        session.state = SessionState::Idle;
+        held.lease.give_back();
+        return Ok(reply);
+    }
+    if reply.error().is_some() && reply.status != TransactionStatus::Open {
+        session.state = SessionState::Failed(ErrorKind::ProtocolViolation);
+        held.lease.give_back();
+        return Ok(reply);
+    }
+    transaction.held = Some(held);
+    session.state = SessionState::Open(transaction);
+    Ok(reply)
+}
+
+async fn exchange<C>(
+    call: &Call<'_, C>,
+    session: &Session<C>,
+    held: &mut Held<C>,
+    work: &Work<'_>,
+    until_us: u64,
+) -> Result<Reply, crate::sessions::connection::link::Lost>
+where
+    C: Codec,
+{
+    let link = held.lease.connection();
+    let owed = link.push_session(&session.values, work.prepared());
+    if let Some(reply) = acquire::settle(call, link, owed, until_us).await?
+        && reply.error().is_some()
+    {
+        return Ok(reply);
+    }
+    work.push(link, call.id, None);
+    link.send().await?;
+    link.answer(call.gateway.clock.instant_at(until_us)).await
+}
+
+/// Rolls a transaction back; its connection goes back once that is done.
+pub fn roll_back<C>(transaction: Box<Transaction<C>>)
+where
+    C: Codec,
+{
+    if let Some(held) = transaction.held {
+        held.lease.give_back();
+    }
+}
--- /dev/null
+++ b/crates/proxy/src/sessions/store.rs
@@ -0,0 +1,135 @@
+//! What the product asks of a platform: the configuration and the targets by watch, the claims of
+//! takeovers, and the promotion of a target.
+
+use std::fmt;
+use std::future::Future;
+use std::sync::Arc;
+
+use skylark_core::process::takeover_claim::Claim;
+use skylark_core::version::routes::RouteTable;
+use skylark_core::version::routes::TargetRecord;
+
+/// Why a call to the platform gave no result.
+#[derive(Clone, PartialEq, Eq, Debug)]
+pub enum StoreError {
+    /// Another change came first.
+    Conflict,
+    /// The history that a watch asks for is gone; a fresh list tells what holds.
+    HistoryGone,
+    /// The platform refused the call and did nothing; a later try may succeed.
+    Refused(u16),
+    /// No answer came: the call may have taken effect, or may still.
+    NoAnswer(String),
+    /// The answer is not understood.
+    Malformed(String),
+}
+
+impl fmt::Display for StoreError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            StoreError::Conflict => f.write_str("another change came first"),
+            StoreError::HistoryGone => f.write_str("the history is gone"),
+            StoreError::Refused(status) => write!(f, "refused with status {status}"),
+            StoreError::NoAnswer(why) => write!(f, "no answer: {why}"),
+            StoreError::Malformed(why) => write!(f, "the answer is not understood: {why}"),
+        }
+    }
+}
+
+/// A target as the platform lists it.
+#[derive(Clone, PartialEq, Eq, Debug)]
+pub struct ListedTarget {
+    /// The platform's revision of the entry.
+    pub revision: u64,
+    /// The target.
+    pub record: Arc<TargetRecord>,
+}
+
+/// One change of the list of targets.
+#[derive(Clone, PartialEq, Eq, Debug)]
+pub enum TargetChange {
+    /// The entry is new or changed.
+    Listed(ListedTarget),
+    /// The entry went.
+    Removed(Arc<str>),
+}
+
+/// A result and the platform's revision at which it held, from which a watch goes on.
+#[derive(Clone, PartialEq, Eq, Debug)]
+pub struct At<T> {
+    /// The platform's revision.
+    pub revision: u64,
+    /// The result.
+    pub value: T,
+}
+
+/// The part of the platform that keeps what lasts.
+pub trait StateStore: Clone + Send + Sync + 'static {
+    /// Reads the configuration; none while there is none.
+    fn configuration(
+        &self,
+    ) -> impl Future<Output = Result<At<Option<RouteTable>>, StoreError>> + Send;
+
+    /// Waits for a configuration newer than `revision`; none if none came in time.
+    fn watch_configuration(
+        &self,
+        revision: u64,
+    ) -> impl Future<Output = Result<At<Option<RouteTable>>, StoreError>> + Send;
+
+    /// Lists all targets.
+    fn targets(&self) -> impl Future<Output = Result<At<Vec<ListedTarget>>, StoreError>> + Send;
+
+    /// Waits for changes of targets after `revision`; none if none came in time.
+    fn watch_targets(
+        &self,
+        revision: u64,
+    ) -> impl Future<Output = Result<At<Vec<TargetChange>>, StoreError>> + Send;
+
+    /// Reads the claim of a service and its revision; none if there never was one.
+    fn claim(
+        &self,
+        service: &str,
+    ) -> impl Future<Output = Result<Option<At<Claim>>, StoreError>> + Send;
+
+    /// Writes the claim of a service in place of the one with `revision`, or the first one if that
+    /// is none. Returns the new revision.
+    fn write_claim(
+        &self,
+        service: &str,
+        claim: &Claim,
+        revision: Option<u64>,
+    ) -> impl Future<Output = Result<u64, StoreError>> + Send;
+}
+
+/// Why a promotion was not accepted.
+#[derive(Clone, PartialEq, Eq, Debug)]
+pub enum PromoteError {
+    /// A higher token was seen, or the target does not run.
+    Refused,
+    /// The platform has too much to do; nothing was done.
+    Overloaded,
+    /// No answer came: the call may still be carried out.
+    NoAnswer(String),
+}
+
+impl fmt::Display for PromoteError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            PromoteError::Refused => f.write_str("refused"),
+            PromoteError::Overloaded => f.write_str("too many calls"),
+            PromoteError::NoAnswer(why) => write!(f, "no answer: {why}"),
+        }
+    }
+}
+
+/// The part of the platform that names primaries.
+pub trait Promoter: Clone + Send + Sync + 'static {
+    /// Has `target` lead `service`, as the holder of the claim with `token`.
+    fn promote(
+        &self,
+        service: &str,
+        target: &str,
+        holder: &str,
+        token: u64,
+    ) -> impl Future<Output = Result<(), PromoteError>> + Send;
+}
--- /dev/null
+++ b/crates/proxy/src/sessions/version/mod.rs
@@ -0,0 +1,3 @@
+//! What lives as long as one version of configuration and targets.
+
+pub mod view;
--- a/crates/standin/src/platform/api.rs
+++ b/crates/standin/src/platform/api.rs
@@ -20,9 +20,9 @@
 use axum::routing;
 use serde::Deserialize;
 use skylark_core::version::objects::ObjectKind;
-use skylark_platform::PutAnswer;
-use skylark_platform::PutRequest;
-use skylark_platform::http::ZONE_HEADER;
+use skylark_objects::PutAnswer;
+use skylark_objects::PutRequest;
+use skylark_objects::http::ZONE_HEADER;
 
 use super::Platform;
 use super::store::Conflict;
--- a/crates/standin/src/platform/store.rs
+++ b/crates/standin/src/platform/store.rs
@@ -9,7 +9,7 @@
 use skylark_core::version::objects::Snapshot;
 use skylark_core::version::objects::StoredObject;
 use skylark_core::version::objects::VmRecord;
-use skylark_platform::WatchAnswer;
+use skylark_objects::WatchAnswer;
 use tokio::sync::watch;
 
 /// Another version than the one expected: the object has this one, zero for none.
