Let stopping processes see their callers go

Cause: a resting caller woke by stale readiness and then waited for the rest of a message that had not begun, seeing neither a stop nor its own idle limit; others put their leaving off with every request. Both were cut at the end of the grace. Change: a caller reads before it counts as awake; the time to leave counts from when closing began; nobody is accepted in the last 1.5 s.

--- a/crates/proxy/src/sessions/connection/caller.rs
+++ b/crates/proxy/src/sessions/connection/caller.rs
@@ -3,9 +3,11 @@
 //! While nothing is under way the task waits for the socket and holds no buffer, so that thousands
 //! of resting sessions cost little memory.
 
+use std::io;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
+use std::time::Instant;
 
 use bytes::BytesMut;
 use skylark_core::request::error_kind::ErrorKind;
@@ -26,6 +28,7 @@
 use crate::sessions::connection::session::SessionState;
 use crate::sessions::process::gateway::Gateway;
 use crate::sessions::process::gateway::StopPhase;
+use crate::sessions::process::gateway::StopState;
 use crate::sessions::process::limits;
 use crate::sessions::request::execute;
 use crate::sessions::request::execute::Answer;
@@ -49,8 +52,6 @@
     Broken(ErrorKind),
     /// It rested inside a transaction for too long.
     IdleInTransaction,
-    /// Nothing came after all.
-    Nothing,
     /// It left, or has to leave.
     End,
 }
@@ -64,7 +65,30 @@
     stream: TcpStream,
     input: BytesMut,
     output: BytesMut,
-    stop: watch::Receiver<StopPhase>,
+    began: Instant,
+    stop: watch::Receiver<StopState>,
+}
+
+/// When a resting caller has to go; never while the process serves.
+///
+/// The time of a caller outside a transaction is counted from the moment at which closing began, or
+/// its session did, not from its last request: a caller that never rests for long would otherwise be
+/// there still when the process has to end.
+fn leave_at(state: StopState, is_idle: bool, began: Instant, spread: Duration) -> Option<Instant> {
+    let closing_since = state.closing_since?;
+    match state.phase {
+        StopPhase::Serving | StopPhase::NotReady => None,
+        StopPhase::Last => Some(closing_since),
+        StopPhase::Ending if !is_idle => Some(closing_since),
+        StopPhase::ClosingIdle | StopPhase::Ending => {
+            is_idle.then(|| closing_since.max(began) + spread)
+        }
+    }
+}
+
+/// How long after the beginning of closing a session is closed.
+fn closing_spread(session: u64) -> Duration {
+    Duration::from_millis(session % CLOSING_PARTS * CLOSING_SPREAD_MS / CLOSING_PARTS)
 }
 
 /// Serves one caller until it ends.
@@ -79,7 +103,7 @@
     let (input, output) = (BytesMut::new(), BytesMut::new());
     gateway.sessions.fetch_add(1, Ordering::Relaxed);
     gateway.counters.event(Event::CallersAccepted);
-    let mut caller = Caller { gateway, stream, input, output, stop };
+    let mut caller = Caller { gateway, stream, input, output, began: Instant::now(), stop };
     if let Some(mut session) = caller.welcome().await {
         caller.serve_session(&mut session).await;
         if let SessionState::Open(open) = session.state {
@@ -137,7 +161,6 @@
         loop {
             match self.wait(session).await {
                 Wake::End => return,
-                Wake::Nothing => (),
                 Wake::Broken(kind) => {
                     self.reject(kind).await;
                     return;
@@ -172,36 +195,49 @@
             Ok(Ok(Some(length))) => Wake::Message(length),
             Ok(Ok(None)) => Wake::End,
             Ok(Err(kind)) => Wake::Broken(kind),
-            // The system may say that there is input where there is none.
-            Err(_) if self.input.is_empty() => Wake::Nothing,
             Err(_) => Wake::Broken(ErrorKind::CallerTooSlow),
         }
     }
 
     /// Rests until something can be read; otherwise tells why not.
     async fn rest(&mut self, session: &Session<C>) -> Option<Wake> {
-        let until_phase = match session.state {
-            SessionState::Idle => StopPhase::ClosingIdle,
-            SessionState::Open(_) | SessionState::Failed(_) => StopPhase::Ending,
-        };
         let holds = matches!(&session.state, SessionState::Open(open) if open.held.is_some());
         let idle = self.gateway.transaction_idle().filter(|_| holds);
         // Far beyond the life of a process: no bound.
         let idle = idle.unwrap_or(Duration::from_secs(86_400));
-        let spread_ms = match session.state {
-            SessionState::Idle => {
-                session.number % CLOSING_PARTS * CLOSING_SPREAD_MS / CLOSING_PARTS
+        let is_idle = matches!(session.state, SessionState::Idle);
+        let stop = &mut self.stop;
+        let (began, spread) = (self.began, closing_spread(session.number));
+        let stopped = async {
+            loop {
+                let state = *stop.borrow_and_update();
+                let change = stop.changed();
+                match leave_at(state, is_idle, began, spread) {
+                    // The sender lives as long as the process's state, so a change is one.
+                    None => drop(change.await),
+                    Some(at) => tokio::select! {
+                        () = time::sleep_until(at.into()) => return,
+                        _ = change => (),
+                    },
+                }
             }
-            _ => 0,
         };
-        let stopped = async {
-            // The sender lives as long as the process's state.
-            let _ = self.stop.wait_for(|phase| *phase >= until_phase).await;
-            time::sleep(Duration::from_millis(spread_ms)).await;
+        let read = async {
+            loop {
+                self.stream.readable().await?;
+                // The system may say that there is input where there is none, and waiting for the
+                // rest of a message would notice neither a stop nor a transaction that rests.
+                if let Some(count) = socket::read_now(&self.stream, &mut self.input)? {
+                    return io::Result::Ok(count);
+                }
+            }
         };
         tokio::select! {
             biased;
-            readable = self.stream.readable() => readable.is_err().then_some(Wake::End),
+            read = read => match read {
+                Ok(1..) => None,
+                Ok(0) | Err(_) => Some(Wake::End),
+            },
             () = stopped => Some(Wake::End),
             () = time::sleep(idle), if holds => Some(Wake::IdleInTransaction),
         }
--- a/crates/proxy/src/sessions/process/daemon.rs
+++ b/crates/proxy/src/sessions/process/daemon.rs
@@ -11,6 +11,7 @@
 use tokio::net::TcpListener;
 use tokio::signal::unix;
 use tokio::signal::unix::SignalKind;
+use tokio::task::JoinHandle;
 use tokio::time;
 
 use crate::sessions::codec::Codec;
@@ -30,8 +31,12 @@
 /// it asks once a second and believes the second miss.
 const BALANCER_NOTICES: Duration = Duration::from_millis(2_300);
 
+/// Nobody is accepted any more this long before the process would be killed: a statement that is
+/// taken later may not be answered in time.
+const LAST_MARGIN: Duration = Duration::from_millis(1_500);
+
 /// The process is gone this long before it would be killed.
-const GRACE_MARGIN: Duration = Duration::from_millis(600);
+const GRACE_MARGIN: Duration = Duration::from_millis(250);
 
 /// How often a stopping process looks whether its callers are gone.
 const STOP_LOOK: Duration = Duration::from_millis(50);
@@ -90,7 +95,7 @@
     control::start(&gateway, store, promoter).map_err(StartError::Control)?;
     slog::info!(gateway.log, "started"; "callers_address" => address.to_string());
     tokio::spawn(maintain(Arc::clone(&gateway)));
-    tokio::spawn(accept(Arc::clone(&gateway), listener));
+    let accepting = tokio::spawn(accept(Arc::clone(&gateway), listener));
     loop {
         tokio::select! {
             _ = terminate.recv() => break,
@@ -99,7 +104,7 @@
             _ = hangup.recv() => slog::info!(gateway.log, "asked to reload; settings are read at start"),
         }
     }
-    stop(&gateway, Duration::from_millis(settings.grace_ms)).await;
+    stop(&gateway, &accepting, Duration::from_millis(settings.grace_ms)).await;
     Ok(())
 }
 
@@ -138,23 +143,27 @@
 
 /// Stops without cutting a request: new callers are served until the balancer has noticed, resting
 /// ones are closed one after the other, open transactions have half of the grace.
-async fn stop<C>(gateway: &Gateway<C>, grace: Duration)
+async fn stop<C>(gateway: &Gateway<C>, accepting: &JoinHandle<()>, grace: Duration)
 where
     C: Codec,
 {
     let began = Instant::now();
     let sessions = || gateway.sessions.load(Ordering::Relaxed);
     slog::info!(gateway.log, "stopping"; "sessions" => sessions());
-    gateway.stop.send_replace(StopPhase::NotReady);
+    enter(gateway, StopPhase::NotReady);
     let last = grace.saturating_sub(GRACE_MARGIN);
     loop {
         let passed = began.elapsed();
         let phase = match () {
+            _ if passed >= grace.saturating_sub(LAST_MARGIN) => StopPhase::Last,
             _ if passed >= grace / 2 => StopPhase::Ending,
             _ if passed >= BALANCER_NOTICES.min(grace / 2) => StopPhase::ClosingIdle,
             _ => StopPhase::NotReady,
         };
-        gateway.stop.send_if_modified(|known| std::mem::replace(known, phase) != phase);
+        if phase == StopPhase::Last {
+            accepting.abort();
+        }
+        enter(gateway, phase);
         let is_empty = phase >= StopPhase::ClosingIdle && sessions() == 0;
         if is_empty || passed >= last {
             break;
@@ -163,3 +172,13 @@
     }
     slog::info!(gateway.log, "stopped"; "sessions_cut" => sessions());
 }
+
+fn enter<C>(gateway: &Gateway<C>, phase: StopPhase)
+where
+    C: Codec,
+{
+    gateway.stop.send_if_modified(|known| {
+        let next = known.in_phase(phase);
+        std::mem::replace(known, next) != next
+    });
+}
--- a/crates/proxy/src/sessions/process/gateway.rs
+++ b/crates/proxy/src/sessions/process/gateway.rs
@@ -6,6 +6,7 @@
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
+use std::time::Instant;
 
 use arc_swap::ArcSwap;
 use parking_lot::Mutex;
@@ -42,6 +43,29 @@
     ClosingIdle,
     /// Open transactions are rolled back as well.
     Ending,
+    /// Nobody is accepted any more, and each caller goes after the statement that is under way.
+    Last,
+}
+
+/// How far the process has come with stopping, and since when.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub struct StopState {
+    /// How far.
+    pub phase: StopPhase,
+    /// When resting callers began to be closed; none before.
+    pub closing_since: Option<Instant>,
+}
+
+impl StopState {
+    /// A process that serves.
+    pub const SERVING: StopState = StopState { phase: StopPhase::Serving, closing_since: None };
+
+    /// The state in another phase.
+    pub fn in_phase(self, phase: StopPhase) -> StopState {
+        let is_closing = phase >= StopPhase::ClosingIdle;
+        let closing_since = self.closing_since.or(Some(Instant::now())).filter(|_| is_closing);
+        StopState { phase, closing_since }
+    }
 }
 
 /// What the traffic showed of one service.
@@ -72,7 +96,7 @@
     /// The bound on log lines.
     pub log_budget: LogBudget,
     /// How far the process has come with stopping.
-    pub stop: watch::Sender<StopPhase>,
+    pub stop: watch::Sender<StopState>,
     /// The number of open sessions.
     pub sessions: AtomicU32,
     /// Whether this process may be given new callers, as far as the control thread knows.
@@ -97,7 +121,7 @@
             counters: Arc::default(),
             log,
             log_budget: LogBudget::default(),
-            stop: watch::Sender::new(StopPhase::Serving),
+            stop: watch::Sender::new(StopState::SERVING),
             sessions: AtomicU32::new(0),
             serves: AtomicBool::new(false),
             next_session: AtomicU64::new(1),
@@ -134,7 +158,7 @@
     /// Whether the platform may send new callers here.
     pub fn is_ready(&self) -> bool {
         let serves = self.serves.load(Ordering::Relaxed);
-        serves && self.is_configured() && *self.stop.borrow() == StopPhase::Serving
+        serves && self.is_configured() && self.stop.borrow().phase == StopPhase::Serving
     }
 
     /// A number for a new session.
