Promote nothing without departed replicas until the primary led on after them

Change: core::process::departures; a promotion waits for departed replicas unless a position of the primary from after their departure is covered.

--- a/crates/core/src/process/takeover.rs
+++ b/crates/core/src/process/takeover.rs
@@ -55,13 +55,21 @@
     NoReplica,
     /// This replica does not answer and may be the only one that holds a commit.
     ReplicaSilent(usize),
+    /// No replica has what a departed one may have been alone with.
+    LogIncomplete,
 }
 
 /// Decides the next step over all replicas of the group.
 ///
+/// `floor` is what the new primary must have received to do without members that are gone.
 /// `primary_answers` tells whether the old primary may still be sending its log, and `waited_us` how
 /// long the chosen replica has been waited for.
-pub fn next_step(replicas: &[ReplicaView], primary_answers: bool, waited_us: u64) -> TakeoverStep {
+pub fn next_step(
+    replicas: &[ReplicaView],
+    floor: LogPosition,
+    primary_answers: bool,
+    waited_us: u64,
+) -> TakeoverStep {
     if let Some(silent) = replicas.iter().position(|replica| !replica.reachable) {
         return TakeoverStep::Wait(WaitReason::ReplicaSilent(silent));
     }
@@ -72,18 +80,26 @@
     if let Some(running) = others().find(|other| !replicas[*other].paused) {
         return TakeoverStep::Pause(running);
     }
-    if others().all(|other| replicas[chosen].received >= replicas[other].received) {
+    let has_all = |index: usize| {
+        let received = replicas[index].received;
+        received >= floor && replicas.iter().all(|other| received >= other.received)
+    };
+    if has_all(chosen) {
         return TakeoverStep::Promote(chosen);
     }
     // Only the old primary can send what is missing.
     if primary_answers && !replicas[chosen].paused && waited_us < CATCH_UP_LIMIT_US {
         return TakeoverStep::AskAgain(chosen);
     }
-    match replicas[chosen].paused {
-        false => TakeoverStep::Pause(chosen),
-        // All are paused, so nothing more is acknowledged and the longest log is final. Only a
-        // replica that is leaving has it, and it is better led by that one than losing commits.
-        true => TakeoverStep::Promote(longest(replicas)),
+    if !replicas[chosen].paused {
+        return TakeoverStep::Pause(chosen);
+    }
+    // All are paused, so nothing more is acknowledged and the longest log is final. If only a
+    // replica that is leaving has it, the group is better led by that one than losing commits.
+    let longest = longest(replicas);
+    match has_all(longest) {
+        true => TakeoverStep::Promote(longest),
+        false => TakeoverStep::Wait(WaitReason::LogIncomplete),
     }
 }
 
--- a/crates/proxy/src/sessions/process/takeover.rs
+++ b/crates/proxy/src/sessions/process/takeover.rs
@@ -18,6 +18,7 @@
 use skylark_core::process::takeover_claim::ClaimState;
 use skylark_core::process::takeover_claim::ClaimStep;
 use skylark_core::process::takeover_claim::SeenClaim;
+use skylark_core::version::routes::TargetRecord;
 use tokio::time;
 
 use crate::sessions::codec::Codec;
@@ -49,6 +50,10 @@
 /// How long a service may be listed without a primary before one is promoted, in microseconds.
 const UNLED_US: u64 = 400_000;
 
+/// The same for a process that never saw the service led: it does not know which replicas left
+/// before it started, and has to give a primary that is cut off time to come back.
+const UNLED_AT_START_US: u64 = 8_000_000;
+
 /// The pause between two looks at what a driver waits for.
 const STEP_PAUSE: Duration = Duration::from_millis(15);
 
@@ -116,6 +121,7 @@
 
     /// Looks at all services, and starts to drive what needs it.
     pub fn look(self: &Arc<Self>) {
+        self.watcher.settle_departures();
         let view = self.gateway.view();
         for service in view.services.keys() {
             let Some(need) = self.need(service) else { continue };
@@ -137,7 +143,9 @@
         let Some(primary) = self.present_primary(service) else {
             let mut unled = self.unled_since_us.lock();
             let since_us = *unled.entry(Arc::clone(service)).or_insert(now_us);
-            let is_unled = now_us >= since_us + UNLED_US && self.watcher.list_is_settled();
+            let was_led = self.gateway.service(service).leader.lock().was_led();
+            let limit_us = if was_led { UNLED_US } else { UNLED_AT_START_US };
+            let is_unled = now_us >= since_us + limit_us && self.watcher.list_is_settled();
             return (is_unled && view.routes.is_some()).then_some(Need::Unled);
         };
         self.unled_since_us.lock().remove(service);
@@ -294,7 +302,10 @@
             }
             let primary = self.present_primary(service);
             let primary_id = primary.as_ref().map(|primary| Arc::clone(&primary.record.id));
-            let (replicas, views, term) = self.ask_replicas(service, primary_id.as_ref()).await;
+            let (departed, floor) = self.watcher.departed(service);
+            let mut replicas = self.listed_replicas(service, primary_id.as_ref());
+            replicas.extend(departed);
+            let (views, term) = self.ask_all(&replicas).await;
             let answers = match &primary {
                 Some(primary) => self
                     .gateway
@@ -303,13 +314,14 @@
                 None => false,
             };
             let since_us = *waiting_since_us.get_or_insert(now_us);
-            let step = takeover::next_step(&views, answers, now_us.saturating_sub(since_us));
+            let step = takeover::next_step(&views, floor, answers, now_us.saturating_sub(since_us));
             slog::info!(self.gateway.log, "takeover step";
-                "service" => &**service, "step" => ?step, "replicas" => ?views, "term" => term);
+                "service" => &**service, "step" => ?step, "replicas" => ?views, "floor" => floor.to_string(),
+                "term" => term);
             match step {
                 TakeoverStep::Pause(index) => {
                     let query = Query::Pause { term: term + 1 };
-                    let record = &replicas[index].record;
+                    let record = &replicas[index];
                     let said = target_calls::ask::<C>(record, &self.gateway.vm, &query).await;
                     if !matches!(said, Said::Status(_)) {
                         time::sleep(STEP_PAUSE).await;
@@ -318,9 +330,12 @@
                 TakeoverStep::AskAgain(_) => time::sleep(STEP_PAUSE).await,
                 TakeoverStep::Wait(_) => time::sleep(RETRY_PAUSE).await,
                 TakeoverStep::Promote(index) => {
-                    let id = Arc::clone(&replicas[index].record.id);
+                    let id = Arc::clone(&replicas[index].id);
                     match self.promote(service, &id, claim).await {
-                        Ok(()) => return "promoted",
+                        Ok(()) => {
+                            self.watcher.forget_departed(service);
+                            return "promoted";
+                        }
                         Err(()) => time::sleep(RETRY_PAUSE).await,
                     }
                 }
@@ -328,19 +343,22 @@
         }
     }
 
-    /// Asks all replicas how far they are; also tells the highest term that they know of.
-    async fn ask_replicas(
+    /// The listed targets of a service but its primary.
+    fn listed_replicas(
         &self,
         service: &Arc<str>,
         primary: Option<&Arc<str>>,
-    ) -> (Vec<Member>, Vec<ReplicaView>, u64) {
+    ) -> Vec<Arc<TargetRecord>> {
         let view = self.gateway.view();
-        let members = view.members(service).iter();
-        let replicas: Vec<Member> =
-            members.filter(|member| Some(&member.record.id) != primary).cloned().collect();
+        let records = view.members(service).iter().map(|member| &member.record);
+        records.filter(|record| Some(&record.id) != primary).cloned().collect()
+    }
+
+    /// Asks replicas how far they are; also tells the highest term that they know of.
+    async fn ask_all(&self, replicas: &[Arc<TargetRecord>]) -> (Vec<ReplicaView>, u64) {
         let mut asked = Vec::new();
-        for replica in &replicas {
-            let (record, vm) = (Arc::clone(&replica.record), Arc::clone(&self.gateway.vm));
+        for replica in replicas {
+            let (record, vm) = (Arc::clone(replica), Arc::clone(&self.gateway.vm));
             asked.push(tokio::spawn(async move {
                 target_calls::ask::<C>(&record, &vm, &Query::Status).await
             }));
@@ -348,8 +366,7 @@
         let mut views = Vec::new();
         let mut term = 0;
         for (replica, asked) in replicas.iter().zip(asked) {
-            let mut seen =
-                ReplicaView { leaving: replica.record.leaving, ..ReplicaView::default() };
+            let mut seen = ReplicaView { leaving: replica.leaving, ..ReplicaView::default() };
             // A question that was broken off by the runtime's end counts as unanswered.
             if let Ok(Said::Status(status)) = asked.await {
                 seen.reachable = true;
@@ -359,7 +376,7 @@
             }
             views.push(seen);
         }
-        (replicas, views, term)
+        (views, term)
     }
 
     async fn promote(
@@ -406,13 +423,14 @@
 
     /// Lets all paused replicas receive again.
     async fn resume_all(&self, service: &Arc<str>) {
-        let (replicas, views, term) = self.ask_replicas(service, None).await;
+        let replicas = self.listed_replicas(service, None);
+        let (views, term) = self.ask_all(&replicas).await;
         for (replica, view) in replicas.iter().zip(&views) {
             if view.paused {
                 let query = Query::Resume { term };
-                let said = target_calls::ask::<C>(&replica.record, &self.gateway.vm, &query).await;
+                let said = target_calls::ask::<C>(replica, &self.gateway.vm, &query).await;
                 slog::info!(self.gateway.log, "resumed a replica";
-                    "target" => &*replica.record.id, "said" => ?said);
+                    "target" => &*replica.id, "said" => ?said);
             }
         }
     }
--- a/crates/proxy/src/sessions/process/watch.rs
+++ b/crates/proxy/src/sessions/process/watch.rs
@@ -8,7 +8,10 @@
 
 use parking_lot::Mutex;
 use skylark_core::FastMap;
+use skylark_core::log_position::LogPosition;
+use skylark_core::process::departures::Departures;
 use skylark_core::version::routes::RouteTable;
+use skylark_core::version::routes::TargetRecord;
 use skylark_core::version::routes::TargetRole;
 use tokio::time;
 
@@ -41,8 +44,8 @@
     number: u64,
     routes: Option<Arc<RouteTable>>,
     targets: FastMap<Arc<str>, Member>,
-    /// When targets went from the list, for those that lapsed.
-    lapsed_us: FastMap<Arc<str>, u64>,
+    /// Replicas that left the list, by service. A primary that left is what a takeover replaces.
+    departures: FastMap<Arc<str>, Departures<Arc<TargetRecord>>>,
     /// When the store answered last after it had not.
     store_back_us: u64,
     /// When the store answered last.
@@ -81,6 +84,32 @@
         self.gateway.clock.now_us() >= known.store_back_us + LAPSED_BACK_US
     }
 
+    /// Takes in what the traffic showed of the primaries since replicas left.
+    pub fn settle_departures(&self) {
+        let now_us = self.gateway.clock.now_us();
+        for (service, departures) in &mut self.known.lock().departures {
+            let state = self.gateway.service(service);
+            let positions = state.positions.lock();
+            departures.settle(|left_us| positions.covering(left_us), now_us);
+        }
+    }
+
+    /// The departed replicas of a service that a promotion can't do without, and what it has to
+    /// cover for the others.
+    pub fn departed(&self, service: &str) -> (Vec<Arc<TargetRecord>>, LogPosition) {
+        let known = self.known.lock();
+        let Some(departures) = known.departures.get(service) else {
+            return (Vec::new(), LogPosition::default());
+        };
+        let needed = departures.needed().map(|(_, record)| Arc::clone(record)).collect();
+        (needed, departures.floor())
+    }
+
+    /// A target was promoted: what departed replicas had is in its log or lost.
+    pub fn forget_departed(&self, service: &str) {
+        self.known.lock().departures.remove(service);
+    }
+
     /// Follows the configuration for ever.
     pub async fn follow_configuration(&self) {
         let mut revision = None;
@@ -184,6 +213,9 @@
         for target in listed {
             let before = previous.remove(&target.record.id);
             let member = member_of(target, before.as_ref());
+            if let Some(departures) = known.departures.get_mut(&member.record.service) {
+                departures.returned(&member.record.id);
+            }
             known.targets.insert(Arc::clone(&member.record.id), member);
         }
         let now_us = self.gateway.clock.now_us();
@@ -207,7 +239,9 @@
                     if before.as_ref() != Some(&member) {
                         self.log_member(&member);
                     }
-                    known.lapsed_us.remove(&member.record.id);
+                    if let Some(departures) = known.departures.get_mut(&member.record.service) {
+                        departures.returned(&member.record.id);
+                    }
                     known.targets.insert(Arc::clone(&member.record.id), member);
                 }
                 TargetChange::Removed(id) => {
@@ -224,8 +258,10 @@
         slog::info!(self.gateway.log, "target no longer listed";
             "target" => &**id, "service" => &*member.record.service,
             "leaving" => member.record.leaving);
-        if !member.record.leaving {
-            known.lapsed_us.insert(Arc::clone(id), now_us);
+        if !member.is_primary() {
+            let service = Arc::clone(&member.record.service);
+            let departures = known.departures.entry(service).or_default();
+            departures.left(id, Arc::clone(&member.record), now_us);
         }
     }
 
