Open connections a few at a time, sample positions once, let leaving targets rest in time

Change: a target that leaves gets no work from 1.5 s before its time is up; two connections at once, then 15 a second; one read brings a position for all.

--- a/crates/proxy/src/sessions/process/daemon.rs
+++ b/crates/proxy/src/sessions/process/daemon.rs
@@ -50,6 +50,8 @@
     pub zone: String,
     /// Where callers connect.
     pub callers_address: SocketAddr,
+    /// How long a target that announced its stop may be given work, in milliseconds.
+    pub drain_ms: u64,
     /// How long the process has between being told to stop and being killed, in milliseconds.
     pub grace_ms: u64,
 }
--- a/crates/proxy/src/sessions/process/gateway.rs
+++ b/crates/proxy/src/sessions/process/gateway.rs
@@ -18,12 +18,15 @@
 use skylark_core::version::routes::Route;
 use skylark_core::version::routes::RouteTable;
 use skylark_core::version::routes::ServiceLimits;
+use tokio::sync::Notify;
 use tokio::sync::watch;
 
 use crate::process::clock::MonotonicClock;
 use crate::process::counters::Counters;
 use crate::sessions::codec::Codec;
+use crate::sessions::process::daemon::SessionSettings;
 use crate::sessions::process::leader::LeaderBelief;
+use crate::sessions::process::limits;
 use crate::sessions::process::log_budget::LogBudget;
 use crate::sessions::process::targets::TargetState;
 use crate::sessions::version::view::View;
@@ -75,6 +78,34 @@
     pub positions: Mutex<PrimaryPositions>,
     /// Which target leads.
     pub leader: Mutex<LeaderBelief>,
+    /// Whether a read is under way that will bring a position.
+    sampling: AtomicBool,
+    /// Tells those who wait for a position that one came, or that the read for it ended.
+    sampled: Notify,
+}
+
+/// A read that will bring a position of the primary.
+#[derive(Debug)]
+pub struct Sampling<'a>(&'a ServiceState);
+
+impl Drop for Sampling<'_> {
+    fn drop(&mut self) {
+        self.0.sampling.store(false, Ordering::Relaxed);
+        self.0.sampled.notify_waiters();
+    }
+}
+
+impl ServiceState {
+    /// Takes on to bring a position, unless another read does so already.
+    pub fn begin_sampling(&self) -> Option<Sampling<'_>> {
+        let was_sampling = self.sampling.swap(true, Ordering::Relaxed);
+        (!was_sampling).then(|| Sampling(self))
+    }
+
+    /// Waits until a read that brings a position has ended.
+    pub async fn sampled(&self) {
+        self.sampled.notified().await;
+    }
 }
 
 /// What all sessions share.
@@ -101,6 +132,8 @@
     pub sessions: AtomicU32,
     /// Whether this process may be given new callers, as far as the control thread knows.
     pub serves: AtomicBool,
+    /// How long a leaving target may be given work, in microseconds.
+    drain_us: u64,
     next_session: AtomicU64,
     view: ArcSwap<View>,
     changed: watch::Sender<u64>,
@@ -113,10 +146,11 @@
     C: Codec,
 {
     /// A process that knows nothing yet.
-    pub fn new(vm: &str, zone: &str, log: slog::Logger) -> Gateway<C> {
+    pub fn new(settings: &SessionSettings, log: slog::Logger) -> Gateway<C> {
         Gateway {
-            vm: vm.into(),
-            zone: zone.into(),
+            vm: settings.vm.as_str().into(),
+            zone: settings.zone.as_str().into(),
+            drain_us: settings.drain_ms * 1_000,
             clock: MonotonicClock::start(),
             counters: Arc::default(),
             log,
@@ -176,7 +210,7 @@
         self.targets.read().values().cloned().collect()
     }
 
-    /// The targets of a service that may be given work.
+    /// The listed targets of a service.
     pub fn members(&self, service: &str) -> Vec<Arc<TargetState<C>>> {
         let view = self.view.load();
         let targets = self.targets.read();
@@ -196,8 +230,12 @@
     pub fn primary(&self, service: &Arc<str>) -> Option<Arc<TargetState<C>>> {
         let state = self.service(service);
         let view = self.view.load();
-        let listed = view.members(service).iter().map(|member| &member.record.id);
-        let id = state.leader.lock().ask(listed, self.clock.now_us())?;
+        let now_us = self.clock.now_us();
+        let may_ask = |id: &&Arc<str>| self.target(id).is_some_and(|t| !t.must_rest(now_us));
+        let members = view.members(service).iter();
+        let ids: Vec<&Arc<str>> = members.map(|member| &member.record.id).filter(may_ask).collect();
+        let leaving = |id: &str| self.target(id).is_none_or(|target| target.is_leaving());
+        let id = state.leader.lock().ask(&ids, leaving, now_us)?;
         self.target(&id)
     }
 
@@ -225,6 +263,7 @@
         let is_news = state.leader.lock().proved(&target.record.id);
         if let Some(position) = position {
             state.positions.lock().saw(sent_us, position);
+            state.sampled.notify_waiters();
         }
         if is_news {
             slog::info!(self.log, "a target proved that it leads";
@@ -281,7 +320,7 @@
         targets.retain(|id, target| {
             let keep = listed(id);
             if !keep {
-                target.set_leaving(true);
+                target.set_leaving(Some(self.clock.now_us()));
                 target.pool.set_share(0);
             }
             keep
@@ -295,7 +334,9 @@
                     let record = &member.record;
                     Arc::new(TargetState::new(record, &self.vm, connections, clock, counters))
                 });
-                known.set_leaving(member.record.leaving);
+                let now_us = self.clock.now_us();
+                let rest_us = now_us + self.drain_us.saturating_sub(limits::LEAVING_MARGIN_US);
+                known.set_leaving(member.record.leaving.then_some(rest_us));
                 known.configure(bounds.max_connections);
             }
         }
--- a/crates/proxy/src/sessions/process/leader.rs
+++ b/crates/proxy/src/sessions/process/leader.rs
@@ -67,18 +67,20 @@
     }
 
     /// The target to ask, out of the listed ones: the one that is believed to lead, otherwise the
-    /// one whose refusal is the oldest and not fresh.
-    pub fn ask<'a, I>(&self, listed: I, now_us: u64) -> Option<Arc<str>>
+    /// one whose refusal is the oldest and not fresh. One that is leaving is asked only if it is
+    /// believed to lead.
+    pub fn ask<F>(&self, listed: &[&Arc<str>], is_leaving: F, now_us: u64) -> Option<Arc<str>>
     where
-        I: Iterator<Item = &'a Arc<str>> + Clone,
+        F: Fn(&str) -> bool,
     {
         if let Some(preferred) = &self.preferred
-            && listed.clone().any(|target| target == preferred)
+            && listed.contains(&preferred)
         {
             return Some(Arc::clone(preferred));
         }
         let refused_us = |target: &&Arc<str>| self.refused_us.get(*target).copied().unwrap_or(0);
-        let oldest = listed.min_by_key(refused_us)?;
+        let staying = listed.iter().copied().filter(|target| !is_leaving(target));
+        let oldest = staying.min_by_key(refused_us)?;
         let asked_us = refused_us(&oldest);
         let may_ask = asked_us == 0 || now_us >= asked_us + ASKED_AGAIN_US;
         may_ask.then(|| Arc::clone(oldest))
--- a/crates/proxy/src/sessions/process/limits.rs
+++ b/crates/proxy/src/sessions/process/limits.rs
@@ -47,6 +47,10 @@
 /// up to 30 ms.
 pub const LEAST_OFFER_US: u64 = 60_000;
 
+/// A target that is leaving is given no new work this long before its time to leave is up, in
+/// microseconds: what was sent to it has to arrive in time.
+pub const LEAVING_MARGIN_US: u64 = 1_500_000;
+
 /// How long to wait before a primary that refused or was busy is asked again, in microseconds.
 pub const PRIMARY_PAUSE_US: u64 = 10_000;
 
@@ -73,7 +77,10 @@
     need_window_us: 6_000_000,
     backoff_us: 40_000,
     max_backoff_us: 400_000,
-    tries_per_second: 20,
-    burst: 8,
+    // All processes that start at once, or that find a new primary, open connections at the same
+    // target: more than a few at a time would pass its limit, and each try takes a slot for 12 to
+    // 27 ms.
+    tries_per_second: 15,
+    burst: 2,
     overshoot_us: 300_000,
 };
--- a/crates/proxy/src/sessions/process/takeover.rs
+++ b/crates/proxy/src/sessions/process/takeover.rs
@@ -35,10 +35,15 @@
 /// How often the primaries are looked at.
 pub const LOOK_INTERVAL: Duration = Duration::from_millis(50);
 
-/// How long a primary has to fail requests before it is asked itself, in microseconds. A lost packet
-/// is sent again after some 200 ms.
+/// How long a primary has to fail requests before it is asked itself, in microseconds. The question
+/// decides; this only keeps single failures from causing one.
 const SUSPECT_US: u64 = 200_000;
 
+/// The time that a primary has to say that it lives. Its slots are busy for some 10 ms at a time, and
+/// what waits is bounded by 16 statements; each 100 ms more are 100 ms of writes refused when it is
+/// gone.
+const PRIMARY_LIMIT: Duration = Duration::from_millis(700);
+
 /// How old the last failure may be for a suspicion to stand, in microseconds: without requests to
 /// the primary there is no evidence.
 const EVIDENCE_US: u64 = 1_500_000;
@@ -173,10 +178,10 @@
     }
 
     async fn drive(&self, service: &Arc<str>, need: Need) {
+        let began_us = self.gateway.clock.now_us();
         if need == Need::Silent && self.primary_answers(service).await {
             return;
         }
-        let began_us = self.gateway.clock.now_us();
         slog::warn!(self.gateway.log, "the primary has to be replaced";
             "service" => &**service,
             "primary" => self.present_primary(service).map(|p| p.record.id.to_string()),
@@ -197,7 +202,8 @@
     /// Asks the primary whether it lives and leads.
     async fn primary_answers(&self, service: &Arc<str>) -> bool {
         let Some(primary) = self.present_primary(service) else { return false };
-        let said = target_calls::ask::<C>(&primary.record, &self.gateway.vm, &Query::Status).await;
+        let (record, vm) = (&primary.record, &self.gateway.vm);
+        let said = target_calls::ask_within::<C>(record, vm, &Query::Status, PRIMARY_LIMIT).await;
         match said {
             Said::Status(status) if !status.is_primary => {
                 if let Some(target) = self.gateway.target(&primary.record.id) {
--- a/crates/proxy/src/sessions/process/target_calls.rs
+++ b/crates/proxy/src/sessions/process/target_calls.rs
@@ -40,14 +40,27 @@
 where
     C: Codec,
 {
-    let until = Instant::now() + CALL_LIMIT;
+    ask_within::<C>(record, vm, query, CALL_LIMIT).await
+}
+
+/// Asks one target that has this long to answer.
+pub async fn ask_within<C>(
+    record: &TargetRecord,
+    vm: &Arc<str>,
+    query: &Query<'_>,
+    limit: Duration,
+) -> Said
+where
+    C: Codec,
+{
+    let until = Instant::now() + limit;
     let login = TargetLogin {
         service: Arc::clone(&record.service),
         target_id: Arc::clone(&record.id),
         vm: Arc::clone(vm),
     };
     let address = record.address.to_string();
-    let mut link: StatementLink<C> = match StatementLink::open(&address, &login, CALL_LIMIT).await {
+    let mut link: StatementLink<C> = match StatementLink::open(&address, &login, limit).await {
         Ok(link) => link,
         Err(OpenError::Refused(_)) => return Said::Refused,
         Err(_) => return Said::Nothing,
--- a/crates/proxy/src/sessions/process/targets.rs
+++ b/crates/proxy/src/sessions/process/targets.rs
@@ -1,7 +1,7 @@
 //! What the process knows of one target and holds of it.
 
 use std::sync::Arc;
-use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 
 use parking_lot::Mutex;
@@ -64,8 +64,8 @@
 {
     /// What it registered first. Its id, service and address never change.
     pub record: Arc<TargetRecord>,
-    /// Whether it announced that it will stop.
-    leaving: AtomicBool,
+    /// When it may be given no more work because it leaves; zero while it stays.
+    rest_from_us: AtomicU64,
     /// The connections to it.
     pub pool: Arc<Pool<StatementLink<C>>>,
     /// The queue in front of them.
@@ -114,7 +114,7 @@
         };
         let state = TargetState {
             record: Arc::clone(record),
-            leaving: AtomicBool::new(record.leaving),
+            rest_from_us: AtomicU64::new(0),
             pool: Arc::new(pool),
             queue: Arc::new(queue),
             health: Mutex::new(health),
@@ -140,14 +140,29 @@
         self.queue.configure(bounds, &class_shares());
     }
 
-    /// It announced that it will stop, or took that back.
-    pub fn set_leaving(&self, leaving: bool) {
-        self.leaving.store(leaving, Ordering::Relaxed);
+    /// It announced that it will stop and may be given no work from this time on, or took that back.
+    /// The first announcement counts.
+    pub fn set_leaving(&self, rest_from_us: Option<u64>) {
+        match rest_from_us {
+            None => self.rest_from_us.store(0, Ordering::Relaxed),
+            Some(rest_from_us) => {
+                let known_us = self.rest_from_us.load(Ordering::Relaxed);
+                let first_us =
+                    if known_us == 0 { rest_from_us } else { known_us.min(rest_from_us) };
+                self.rest_from_us.store(first_us, Ordering::Relaxed);
+            }
+        }
     }
 
-    /// Whether it announced that it will stop, so that it gets no new work.
+    /// Whether it announced that it will stop: new work goes elsewhere where that is possible.
     pub fn is_leaving(&self) -> bool {
-        self.leaving.load(Ordering::Relaxed)
+        self.rest_from_us.load(Ordering::Relaxed) > 0
+    }
+
+    /// Whether it may not be given any work, even if nobody else can do it.
+    pub fn must_rest(&self, now_us: u64) -> bool {
+        let rest_from_us = self.rest_from_us.load(Ordering::Relaxed);
+        rest_from_us > 0 && now_us >= rest_from_us
     }
 
     /// What requests showed.
--- a/crates/proxy/src/sessions/request/at_primary.rs
+++ b/crates/proxy/src/sessions/request/at_primary.rs
@@ -41,7 +41,7 @@
 where
     C: Codec,
 {
-    let mut held = open(call, session, work).await?;
+    let mut held = open(call, session, Some(work)).await?;
     let target = Arc::clone(&held.target);
     target.started();
     let sent_us = call.now_us();
@@ -76,6 +76,17 @@
     }
 }
 
+/// Brings a position of the primary by opening a transaction there and ending it at once.
+pub async fn sample<C>(call: &Call<'_, C>, session: &Session<C>) -> Option<()>
+where
+    C: Codec,
+{
+    // The opening takes the position in; giving the connection back rolls back.
+    let held = open(call, session, None).await.ok()?;
+    held.lease.give_back();
+    Some(())
+}
+
 /// Runs a single write, which commits by itself.
 pub async fn write<C>(
     call: &Call<'_, C>,
@@ -149,7 +160,7 @@
 pub async fn open<C>(
     call: &Call<'_, C>,
     session: &Session<C>,
-    work: &Work<'_>,
+    work: Option<&Work<'_>>,
 ) -> Result<Held<C>, Refusal>
 where
     C: Codec,
@@ -159,7 +170,10 @@
         let until_us = read::patience_until_us(call);
         let sent_us = call.now_us();
         let link = lease.connection();
-        let owed = link.push_session(&session.values, work.prepared());
+        let owed = match work {
+            Some(work) => link.push_session(&session.values, work.prepared()),
+            None => 0,
+        };
         link.push_own(Statement::Begin { read_only: false });
         let refusal = match acquire::settle(call, link, owed + 1, until_us).await {
             Ok(Some(reply)) if reply.error().is_none() => {
--- a/crates/proxy/src/sessions/request/read.rs
+++ b/crates/proxy/src/sessions/request/read.rs
@@ -5,6 +5,7 @@
 //! would answer a bare read from a log that lacks what its successor acknowledged.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use skylark_core::log_position::LogPosition;
 use skylark_core::request::error_kind::ErrorKind;
@@ -12,6 +13,8 @@
 use skylark_core::request::read_choice::ReadCandidate;
 use skylark_core::request::retry::Failure;
 use skylark_core::request::statement::TargetError;
+use skylark_core::version::routes::ReadRule;
+use tokio::time;
 
 use crate::process::counters::RetryReason;
 use crate::request::refusal::Refusal;
@@ -50,10 +53,7 @@
     let mut tried: Vec<Arc<str>> = Vec::new();
     let mut last_failure = None;
     while tried.len() + 1 < limits::MAX_READ_TRIES && call.now_us() < call.deadline_us() {
-        let floor = session.floor_of(&call.route.service);
-        let Some(at_least) = call.gateway.position_for(call.route, floor, call.arrived_us) else {
-            break;
-        };
+        let Some(at_least) = position(call, session).await else { break };
         let Some(target) = choose(call, &tried) else { break };
         tried.push(Arc::clone(&target.record.id));
         match offer(call, session, work, &target, at_least).await {
@@ -73,6 +73,35 @@
     }
 }
 
+/// The position that the read must see. Where none is young enough one request goes to the primary
+/// for it and the others wait: all of them together would overrun the primary's few connections,
+/// as after a start of all processes.
+pub async fn position<C>(call: &Call<'_, C>, session: &Session<C>) -> Option<LogPosition>
+where
+    C: Codec,
+{
+    let floor = session.floor_of(&call.route.service);
+    let known = || call.gateway.position_for(call.route, floor, call.arrived_us);
+    let state = call.gateway.service(&call.route.service);
+    loop {
+        let sampled = state.sampled();
+        if let Some(position) = known() {
+            return Some(position);
+        }
+        if call.route.reads == ReadRule::Primary {
+            return None;
+        }
+        let Some(_sampling) = state.begin_sampling() else {
+            let left_us = call.offer_until_us().saturating_sub(call.now_us());
+            if time::timeout(Duration::from_micros(left_us), sampled).await.is_err() {
+                return None;
+            }
+            continue;
+        };
+        return at_primary::sample(call, session).await.and_then(|()| known());
+    }
+}
+
 /// The member that is expected to answer first, out of those not tried yet.
 pub fn choose<C>(call: &Call<'_, C>, tried: &[Arc<str>]) -> Option<Arc<TargetState<C>>>
 where
--- a/crates/proxy/src/sessions/request/transaction.rs
+++ b/crates/proxy/src/sessions/request/transaction.rs
@@ -78,7 +78,7 @@
     {
         return Ok(held);
     }
-    at_primary::open(call, session, work).await
+    at_primary::open(call, session, Some(work)).await
 }
 
 /// Opens a transaction that only reads at a member that has what it must see.
@@ -92,8 +92,7 @@
 {
     let mut tried: Vec<Arc<str>> = Vec::new();
     while tried.len() + 1 < limits::MAX_READ_TRIES {
-        let floor = session.floor_of(&call.route.service);
-        let at_least = call.gateway.position_for(call.route, floor, call.arrived_us)?;
+        let at_least = read::position(call, session).await?;
         let target = read::choose(call, &tried)?;
         tried.push(Arc::clone(&target.record.id));
         let until_us = call.offer_until_us().max(call.now_us() + limits::LEAST_OFFER_US);
