Let requests wait for half of their objective to be offered

Cause: refusals after a quarter used up the callers' three tries while connections were being opened.

--- a/crates/proxy/src/sessions/process/limits.rs
+++ b/crates/proxy/src/sessions/process/limits.rs
@@ -41,7 +41,7 @@
 
 /// The part of a request's objective, as one part in this many, within which it has to be offered to
 /// a target. After it a refusal with "not run" serves the caller better than a late answer.
-pub const OFFER_DIVISOR: u64 = 4;
+pub const OFFER_DIVISOR: u64 = 2;
 
 /// The least time that a request waits before it is refused, in microseconds: a new connection takes
 /// up to 30 ms.
