--- a/crates/proxy/src/sessions/process/daemon.rs
+++ b/crates/proxy/src/sessions/process/daemon.rs
@@ -137,9 +137,7 @@
     ticks.set_missed_tick_behavior(time::MissedTickBehavior::Delay);
     loop {
         ticks.tick().await;
-        for target in gateway.targets() {
-            target.pool.maintain();
-        }
+        gateway.maintain_pools();
     }
 }
 
--- a/crates/proxy/src/sessions/process/gateway.rs
+++ b/crates/proxy/src/sessions/process/gateway.rs
@@ -291,6 +291,19 @@
         Some(floor.map_or(covering, |floor| covering.max(floor)))
     }
 
+    /// Brings the pools to what is believed of the primaries, and lets each open and close
+    /// connections.
+    pub fn maintain_pools(&self) {
+        let view = self.view.load();
+        for target in self.targets() {
+            let bounds = service_limits(view.routes.as_deref(), &target.record.service);
+            if !target.is_leaving() {
+                target.configure(bounds.max_connections, self.is_primary(&target));
+            }
+            target.pool.maintain();
+        }
+    }
+
     /// Notices of new versions and of targets that proved their lead.
     pub fn changes(&self) -> watch::Receiver<u64> {
         self.changed.subscribe()
@@ -337,7 +350,6 @@
                 let now_us = self.clock.now_us();
                 let rest_us = now_us + self.drain_us.saturating_sub(limits::LEAVING_MARGIN_US);
                 known.set_leaving(member.record.leaving.then_some(rest_us));
-                known.configure(bounds.max_connections);
             }
         }
     }
--- a/crates/proxy/src/sessions/process/limits.rs
+++ b/crates/proxy/src/sessions/process/limits.rs
@@ -27,9 +27,15 @@
 /// How often pools are looked after.
 pub const MAINTENANCE_INTERVAL: Duration = Duration::from_millis(100);
 
-/// The part of a target's connections that one process may hold, as one part in this many. Callers
-/// are spread unevenly, so the busiest process needs far more than an even share.
-pub const CONNECTION_SHARE_DIVISOR: u32 = 2;
+/// The part of a primary's connections that one process may hold, as one part in this many. Callers
+/// are spread unevenly and transactions rest, so the busiest process needs more than an even share.
+///
+/// Fewer than a target accepts should be open: when all VMs lose power, it counts their connections
+/// for 3 s more, and processes that are back sooner find no room.
+pub const PRIMARY_SHARE_DIVISOR: u32 = 4;
+
+/// The same for replicas. Reads hold a connection for some 10 ms only.
+pub const REPLICA_SHARE_DIVISOR: u32 = 8;
 
 /// How many requests wait for one target at most. At some 10 ms each on 3 at a time, more would
 /// wait for longer than the objectives allow.
@@ -74,13 +80,13 @@
 /// none is opened ahead of need.
 pub const CONNECTION_POLICY: BudgetPolicy = BudgetPolicy {
     spare: 0,
-    need_window_us: 6_000_000,
+    need_window_us: 2_500_000,
     backoff_us: 40_000,
     max_backoff_us: 400_000,
     // All processes that start at once, or that find a new primary, open connections at the same
     // target: more than a few at a time would pass its limit, and each try takes a slot for 12 to
     // 27 ms.
     tries_per_second: 15,
-    burst: 2,
+    burst: 1,
     overshoot_us: 300_000,
 };
--- a/crates/proxy/src/sessions/process/takeover.rs
+++ b/crates/proxy/src/sessions/process/takeover.rs
@@ -37,12 +37,12 @@
 
 /// How long a primary has to fail requests before it is asked itself, in microseconds. The question
 /// decides; this only keeps single failures from causing one.
-const SUSPECT_US: u64 = 200_000;
+const SUSPECT_US: u64 = 100_000;
 
 /// The time that a primary has to say that it lives. Its slots are busy for some 10 ms at a time, and
 /// what waits is bounded by 16 statements; each 100 ms more are 100 ms of writes refused when it is
 /// gone.
-const PRIMARY_LIMIT: Duration = Duration::from_millis(700);
+const PRIMARY_LIMIT: Duration = Duration::from_millis(250);
 
 /// How old the last failure may be for a suspicion to stand, in microseconds: without requests to
 /// the primary there is no evidence.
@@ -50,7 +50,7 @@
 
 /// How long commits may wait without any being acknowledged, in microseconds. They take 10 to 60 ms;
 /// a primary whose replicas don't receive acknowledges none.
-const COMMITS_STUCK_US: u64 = 700_000;
+const COMMITS_STUCK_US: u64 = 400_000;
 
 /// How long a service may be listed without a primary before one is promoted, in microseconds.
 const UNLED_US: u64 = 400_000;
--- a/crates/proxy/src/sessions/process/targets.rs
+++ b/crates/proxy/src/sessions/process/targets.rs
@@ -119,13 +119,17 @@
             queue: Arc::new(queue),
             health: Mutex::new(health),
         };
-        state.configure(max_connections);
+        state.configure(max_connections, false);
         state
     }
 
     /// Sets this process's part of the connections.
-    pub fn configure(&self, max_connections: u32) {
-        let share = (max_connections / limits::CONNECTION_SHARE_DIVISOR).max(1);
+    pub fn configure(&self, max_connections: u32, is_primary: bool) {
+        let divisor = match is_primary {
+            true => limits::PRIMARY_SHARE_DIVISOR,
+            false => limits::REPLICA_SHARE_DIVISOR,
+        };
+        let share = (max_connections / divisor).max(1);
         let running = (self.record.slots + limits::RUNNING_BEYOND_SLOTS).min(share);
         let queued = limits::QUEUED_PER_TARGET;
         let bounds = QueueLimits {
