Send callers elsewhere while cut off from the other zones

Change: core::process::isolation; such a process says it is not ready and lets resting callers go once the balancer has noticed.

--- a/crates/core/src/process/mod.rs
+++ b/crates/core/src/process/mod.rs
@@ -7,6 +7,7 @@
 pub mod detection;
 pub mod failover;
 pub mod homes;
+pub mod isolation;
 pub mod jitter;
 pub mod member_set;
 pub mod membership;
--- a/crates/proxy/src/sessions/process/control.rs
+++ b/crates/proxy/src/sessions/process/control.rs
@@ -10,6 +10,7 @@
 
 use crate::sessions::codec::Codec;
 use crate::sessions::process::gateway::Gateway;
+use crate::sessions::process::isolation::Isolation;
 use crate::sessions::process::takeover;
 use crate::sessions::process::takeover::Takeovers;
 use crate::sessions::process::watch::Watcher;
@@ -41,6 +42,7 @@
     let (configuration, targets) = (Arc::clone(&watcher), Arc::clone(&watcher));
     tokio::spawn(async move { configuration.follow_configuration().await });
     tokio::spawn(async move { targets.follow_targets().await });
+    let mut isolation = Isolation::new(&gateway);
     let mut looks = time::interval(takeover::LOOK_INTERVAL);
     looks.set_missed_tick_behavior(time::MissedTickBehavior::Delay);
     loop {
@@ -48,5 +50,6 @@
         let knows_targets = !gateway.view().services.is_empty();
         gateway.serves.store(knows_targets, Ordering::Relaxed);
         takeovers.look();
+        isolation.look();
     }
 }
--- a/crates/proxy/src/sessions/process/daemon.rs
+++ b/crates/proxy/src/sessions/process/daemon.rs
@@ -29,7 +29,7 @@
 
 /// How long the balancer may go on sending new callers after the process said that it is not ready:
 /// it asks once a second and believes the second miss.
-const BALANCER_NOTICES: Duration = Duration::from_millis(2_300);
+pub const BALANCER_NOTICES: Duration = Duration::from_millis(2_300);
 
 /// Nobody is accepted any more this long before the process would be killed: a statement that is
 /// taken later may not be answered in time.
@@ -150,7 +150,7 @@
     let began = Instant::now();
     let sessions = || gateway.sessions.load(Ordering::Relaxed);
     slog::info!(gateway.log, "stopping"; "sessions" => sessions());
-    enter(gateway, StopPhase::NotReady);
+    gateway.begin_stop();
     let last = grace.saturating_sub(GRACE_MARGIN);
     loop {
         let passed = began.elapsed();
@@ -163,7 +163,7 @@
         if phase == StopPhase::Last {
             accepting.abort();
         }
-        enter(gateway, phase);
+        gateway.enter(phase);
         let is_empty = phase >= StopPhase::ClosingIdle && sessions() == 0;
         if is_empty || passed >= last {
             break;
@@ -172,13 +172,3 @@
     }
     slog::info!(gateway.log, "stopped"; "sessions_cut" => sessions());
 }
-
-fn enter<C>(gateway: &Gateway<C>, phase: StopPhase)
-where
-    C: Codec,
-{
-    gateway.stop.send_if_modified(|known| {
-        let next = known.in_phase(phase);
-        std::mem::replace(known, next) != next
-    });
-}
--- a/crates/proxy/src/sessions/process/gateway.rs
+++ b/crates/proxy/src/sessions/process/gateway.rs
@@ -132,6 +132,8 @@
     pub sessions: AtomicU32,
     /// Whether this process may be given new callers, as far as the control thread knows.
     pub serves: AtomicBool,
+    /// Whether the process was told to stop.
+    stopping: AtomicBool,
     /// How long a leaving target may be given work, in microseconds.
     drain_us: u64,
     next_session: AtomicU64,
@@ -158,6 +160,7 @@
             stop: watch::Sender::new(StopState::SERVING),
             sessions: AtomicU32::new(0),
             serves: AtomicBool::new(false),
+            stopping: AtomicBool::new(false),
             next_session: AtomicU64::new(1),
             view: ArcSwap::default(),
             changed: watch::Sender::new(0),
@@ -195,6 +198,27 @@
         serves && self.is_configured() && self.stop.borrow().phase == StopPhase::Serving
     }
 
+    /// The process stops: it says that it is not ready from now on.
+    pub fn begin_stop(&self) {
+        self.stopping.store(true, Ordering::Relaxed);
+        self.enter(StopPhase::NotReady);
+    }
+
+    /// Comes into another phase, unless the process stops, which has phases of its own.
+    pub fn enter_unless_stopping(&self, phase: StopPhase) {
+        if !self.stopping.load(Ordering::Relaxed) {
+            self.enter(phase);
+        }
+    }
+
+    /// Comes into another phase.
+    pub fn enter(&self, phase: StopPhase) {
+        self.stop.send_if_modified(|known| {
+            let next = known.in_phase(phase);
+            std::mem::replace(known, next) != next
+        });
+    }
+
     /// A number for a new session.
     pub fn next_session(&self) -> u64 {
         self.next_session.fetch_add(1, Ordering::Relaxed)
