Count targets that let connections hang as failing, and meet the platform in tests

Cause, shown by the first tests against the new stand-ins: a primary that accepts connections and says nothing was never suspected, since a wait for a connection that ran out looked like a full pool; a read was refused where the log was empty; a read lost at the primary was not tried again though it has no effect.

--- a/crates/proxy/src/connection/pool.rs
+++ b/crates/proxy/src/connection/pool.rs
@@ -120,6 +120,11 @@
         self.state.lock().failing.is_some()
     }
 
+    /// Why the last try to connect failed; none if it succeeded.
+    pub fn failing(&self) -> Option<Failure> {
+        self.state.lock().failing
+    }
+
     /// Changes how many connections the pool may have.
     pub fn set_share(&self, share: u32) {
         self.state.lock().budget.set_share(share);
--- a/crates/proxy/src/sessions/process/control.rs
+++ b/crates/proxy/src/sessions/process/control.rs
@@ -6,6 +6,7 @@
 use std::thread;
 
 use tokio::runtime::Builder;
+use tokio::sync::oneshot;
 use tokio::time;
 
 use crate::sessions::codec::Codec;
@@ -17,8 +18,18 @@
 use crate::sessions::store::Promoter;
 use crate::sessions::store::StateStore;
 
-/// Starts the control thread, which runs until the process ends.
-pub fn start<C, S, P>(gateway: &Arc<Gateway<C>>, store: S, promoter: P) -> std::io::Result<()>
+/// The control thread, which ends when this is dropped.
+#[derive(Debug)]
+pub struct ControlThread {
+    _ends: oneshot::Sender<()>,
+}
+
+/// Starts the control thread.
+pub fn start<C, S, P>(
+    gateway: &Arc<Gateway<C>>,
+    store: S,
+    promoter: P,
+) -> std::io::Result<ControlThread>
 where
     C: Codec,
     S: StateStore,
@@ -26,9 +37,18 @@
 {
     let gateway = Arc::clone(gateway);
     let runtime = Builder::new_current_thread().enable_all().build()?;
-    let run = move || runtime.block_on(run(gateway, store, promoter));
+    let (ends, ended) = oneshot::channel::<()>();
+    let run = move || {
+        runtime.block_on(async {
+            tokio::select! {
+                () = run(gateway, store, promoter) => (),
+                // The sender says nothing; it is dropped.
+                _ = ended => (),
+            }
+        });
+    };
     thread::Builder::new().name("control".to_owned()).spawn(run)?;
-    Ok(())
+    Ok(ControlThread { _ends: ends })
 }
 
 async fn run<C, S, P>(gateway: Arc<Gateway<C>>, store: S, promoter: P)
--- a/crates/proxy/src/sessions/process/daemon.rs
+++ b/crates/proxy/src/sessions/process/daemon.rs
@@ -17,6 +17,7 @@
 use crate::sessions::codec::Codec;
 use crate::sessions::connection::caller;
 use crate::sessions::process::control;
+use crate::sessions::process::control::ControlThread;
 use crate::sessions::process::gateway::Gateway;
 use crate::sessions::process::gateway::StopPhase;
 use crate::sessions::process::limits;
@@ -77,6 +78,18 @@
     }
 }
 
+/// A process that serves.
+#[derive(Debug)]
+pub struct Running<C>
+where
+    C: Codec,
+{
+    gateway: Arc<Gateway<C>>,
+    accepting: JoinHandle<()>,
+    maintaining: JoinHandle<()>,
+    _control: ControlThread,
+}
+
 /// Runs until the process is told to stop and its callers are served.
 pub async fn run<C, S, P>(
     gateway: Arc<Gateway<C>>,
@@ -91,25 +104,92 @@
 {
     let mut terminate = unix::signal(SignalKind::terminate()).map_err(StartError::Signals)?;
     let mut hangup = unix::signal(SignalKind::hangup()).map_err(StartError::Signals)?;
-    let address = settings.callers_address;
-    let listener = TcpListener::bind(address).await;
-    let listener = listener.map_err(|error| StartError::Listen(address, error))?;
-    control::start(&gateway, store, promoter).map_err(StartError::Control)?;
-    slog::info!(gateway.log, "started"; "callers_address" => address.to_string());
-    tokio::spawn(maintain(Arc::clone(&gateway)));
-    let accepting = tokio::spawn(accept(Arc::clone(&gateway), listener));
+    let log = gateway.log.clone();
+    let running = start(gateway, settings, store, promoter).await?;
     loop {
         tokio::select! {
             _ = terminate.recv() => break,
             // Nothing that the settings hold changes while a process runs but what the next start
             // reads; without a handler the signal would end the process.
-            _ = hangup.recv() => slog::info!(gateway.log, "asked to reload; settings are read at start"),
+            _ = hangup.recv() => slog::info!(log, "asked to reload; settings are read at start"),
         }
     }
-    stop(&gateway, &accepting, Duration::from_millis(settings.grace_ms)).await;
+    running.stop(Duration::from_millis(settings.grace_ms)).await;
     Ok(())
 }
 
+/// Listens for callers and starts the control thread.
+pub async fn start<C, S, P>(
+    gateway: Arc<Gateway<C>>,
+    settings: &SessionSettings,
+    store: S,
+    promoter: P,
+) -> Result<Running<C>, StartError>
+where
+    C: Codec,
+    S: StateStore,
+    P: Promoter,
+{
+    let address = settings.callers_address;
+    let listener = TcpListener::bind(address).await;
+    let listener = listener.map_err(|error| StartError::Listen(address, error))?;
+    let control = control::start(&gateway, store, promoter).map_err(StartError::Control)?;
+    slog::info!(gateway.log, "started"; "callers_address" => address.to_string());
+    let maintaining = tokio::spawn(maintain(Arc::clone(&gateway)));
+    let accepting = tokio::spawn(accept(Arc::clone(&gateway), listener));
+    Ok(Running { gateway, accepting, maintaining, _control: control })
+}
+
+impl<C> Running<C>
+where
+    C: Codec,
+{
+    /// Stops without cutting a request: new callers are served until the balancer has noticed,
+    /// resting ones are closed one after the other, open transactions have half of the grace.
+    pub async fn stop(self, grace: Duration) {
+        let gateway = &self.gateway;
+        let began = Instant::now();
+        let sessions = || gateway.sessions.load(Ordering::Relaxed);
+        slog::info!(gateway.log, "stopping"; "sessions" => sessions());
+        gateway.begin_stop();
+        let last = grace.saturating_sub(GRACE_MARGIN);
+        loop {
+            let passed = began.elapsed();
+            let phase = phase_after(passed, grace);
+            if phase == StopPhase::Last {
+                self.accepting.abort();
+            }
+            gateway.enter(phase);
+            let is_empty = phase >= StopPhase::ClosingIdle && sessions() == 0;
+            if is_empty || passed >= last {
+                break;
+            }
+            time::sleep(STOP_LOOK).await;
+        }
+        slog::info!(gateway.log, "stopped"; "sessions_cut" => sessions());
+    }
+}
+
+impl<C> Drop for Running<C>
+where
+    C: Codec,
+{
+    fn drop(&mut self) {
+        self.accepting.abort();
+        self.maintaining.abort();
+    }
+}
+
+/// How far a process is that began to stop this long ago.
+fn phase_after(passed: Duration, grace: Duration) -> StopPhase {
+    match () {
+        _ if passed >= grace.saturating_sub(LAST_MARGIN) => StopPhase::Last,
+        _ if passed >= grace / 2 => StopPhase::Ending,
+        _ if passed >= BALANCER_NOTICES.min(grace / 2) => StopPhase::ClosingIdle,
+        _ => StopPhase::NotReady,
+    }
+}
+
 async fn accept<C>(gateway: Arc<Gateway<C>>, listener: TcpListener)
 where
     C: Codec,
@@ -140,35 +220,3 @@
         gateway.maintain_pools();
     }
 }
-
-/// Stops without cutting a request: new callers are served until the balancer has noticed, resting
-/// ones are closed one after the other, open transactions have half of the grace.
-async fn stop<C>(gateway: &Gateway<C>, accepting: &JoinHandle<()>, grace: Duration)
-where
-    C: Codec,
-{
-    let began = Instant::now();
-    let sessions = || gateway.sessions.load(Ordering::Relaxed);
-    slog::info!(gateway.log, "stopping"; "sessions" => sessions());
-    gateway.begin_stop();
-    let last = grace.saturating_sub(GRACE_MARGIN);
-    loop {
-        let passed = began.elapsed();
-        let phase = match () {
-            _ if passed >= grace.saturating_sub(LAST_MARGIN) => StopPhase::Last,
-            _ if passed >= grace / 2 => StopPhase::Ending,
-            _ if passed >= BALANCER_NOTICES.min(grace / 2) => StopPhase::ClosingIdle,
-            _ => StopPhase::NotReady,
-        };
-        if phase == StopPhase::Last {
-            accepting.abort();
-        }
-        gateway.enter(phase);
-        let is_empty = phase >= StopPhase::ClosingIdle && sessions() == 0;
-        if is_empty || passed >= last {
-            break;
-        }
-        time::sleep(STOP_LOOK).await;
-    }
-    slog::info!(gateway.log, "stopped"; "sessions_cut" => sessions());
-}
--- a/crates/proxy/src/sessions/process/gateway.rs
+++ b/crates/proxy/src/sessions/process/gateway.rs
@@ -285,10 +285,9 @@
     ) {
         let state = self.service(&target.record.service);
         let is_news = state.leader.lock().proved(&target.record.id);
-        if let Some(position) = position {
-            state.positions.lock().saw(sent_us, position);
-            state.sampled.notify_waiters();
-        }
+        // A primary without a position has an empty log, which every member covers.
+        state.positions.lock().saw(sent_us, position.unwrap_or_default());
+        state.sampled.notify_waiters();
         if is_news {
             slog::info!(self.log, "a target proved that it leads";
                 "service" => &*target.record.service, "target" => &*target.record.id);
--- a/crates/proxy/src/sessions/process/limits.rs
+++ b/crates/proxy/src/sessions/process/limits.rs
@@ -17,7 +17,8 @@
 pub const SLOW_READER: Duration = Duration::from_millis(5_000);
 
 /// The time that a new connection to a target may take. It occupies a slot for 12 to 27 ms and may
-/// wait for slots; a target that is silent must not hold a place for longer.
+/// wait for 16 statements of some 10 ms on two slots; a target that is silent must not hide that for
+/// longer.
 pub const CONNECT_MS: u64 = 600;
 
 /// The time that an abandoned answer has to end before its connection is closed: a statement's
@@ -73,6 +74,10 @@
 /// For how long a member that did not answer is passed over, in microseconds.
 pub const FAILING_PASSED_OVER_US: u64 = 500_000;
 
+/// How often a read is sent to the primary at most. It has no effect, so an answer that was lost
+/// costs the caller time only.
+pub const MAX_PRIMARY_READS: u32 = 2;
+
 /// How many members one read is offered to at most, the primary at the end included.
 pub const MAX_READ_TRIES: usize = 4;
 
--- a/crates/proxy/src/sessions/request/acquire.rs
+++ b/crates/proxy/src/sessions/request/acquire.rs
@@ -35,10 +35,15 @@
     target.started();
     let taken = take_counted(call, target, until_us).await;
     target.ended();
-    if let Err(NotTaken::NotConnected(failure)) = &taken
-        && !is_full(*failure)
-    {
-        target.failed(call.now_us());
+    if let Err(NotTaken::NotConnected(failure)) = &taken {
+        // A wait that ran out says nothing of the target, but the last try to connect may.
+        let seen = match failure {
+            Failure::TimedOut => target.pool.failing(),
+            other => Some(*other),
+        };
+        if seen.is_some_and(|failure| !is_full(failure)) {
+            target.failed(call.now_us());
+        }
     }
     taken
 }
@@ -58,14 +63,9 @@
     target.pool.take(Some(turn), until).await.map_err(NotTaken::NotConnected)
 }
 
-/// Whether the target has as many connections as it accepts, or none of this process's came free in
-/// time. Neither speaks against the target.
+/// Whether the target has as many connections as it accepts, which does not speak against it.
 fn is_full(failure: Failure) -> bool {
-    match failure {
-        Failure::Said { sqlstate, .. } => &sqlstate == b"53300",
-        Failure::TimedOut => true,
-        Failure::Broken => false,
-    }
+    matches!(failure, Failure::Said { sqlstate, .. } if &sqlstate == b"53300")
 }
 
 /// Sends what was pushed and takes its answers until the first error. On an error of the session's
--- a/crates/proxy/src/sessions/request/at_primary.rs
+++ b/crates/proxy/src/sessions/request/at_primary.rs
@@ -19,6 +19,7 @@
 use crate::process::counters::RetryReason;
 use crate::request::refusal::Refusal;
 use crate::sessions::codec::Codec;
+use crate::sessions::connection::link::Lost;
 use crate::sessions::connection::link::Reply;
 use crate::sessions::connection::link::StatementLink;
 use crate::sessions::connection::session::Held;
@@ -32,7 +33,7 @@
 use crate::sessions::request::call::no_primary;
 use crate::sessions::request::read;
 
-/// Runs a single read at the primary, inside a transaction whose opening proves the lead.
+/// Runs a single read at the primary.
 pub async fn read<C>(
     call: &Call<'_, C>,
     session: &Session<C>,
@@ -41,7 +42,29 @@
 where
     C: Codec,
 {
-    let mut held = open(call, session, Some(work)).await?;
+    let mut tries = 0;
+    loop {
+        tries += 1;
+        let held = open(call, session, Some(work)).await?;
+        match read_once(call, held, work).await {
+            Ok(reply) => return Ok(reply),
+            Err(lost) => {
+                let may_repeat = tries < limits::MAX_PRIMARY_READS
+                    && call.now_us() + limits::PRIMARY_PAUSE_US < call.offer_until_us();
+                if !may_repeat {
+                    return Err(read::lost_read(lost.failure));
+                }
+                call.gateway.counters.retry(RetryReason::ReadLost);
+            }
+        }
+    }
+}
+
+/// Runs a read in the transaction whose opening proved the lead.
+async fn read_once<C>(call: &Call<'_, C>, mut held: Held<C>, work: &Work<'_>) -> Result<Reply, Lost>
+where
+    C: Codec,
+{
     let target = Arc::clone(&held.target);
     target.started();
     let sent_us = call.now_us();
@@ -71,7 +94,7 @@
         Err(lost) => {
             target.failed(now_us);
             call.log_lost(&target.record.id, lost.failure);
-            Err(read::lost_read(lost.failure))
+            Err(lost)
         }
     }
 }
--- a/crates/proxy/src/sessions/request/call.rs
+++ b/crates/proxy/src/sessions/request/call.rs
@@ -58,6 +58,7 @@
         C: Codec,
     {
         let id = Some(id);
+        let at_least = at_least.filter(|position| *position > LogPosition::default());
         match self {
             Work::Plain(statement) => {
                 link.push(&Query::Statement { id, at_least, statement: *statement });
--- a/crates/proxy/src/sessions/request/transaction.rs
+++ b/crates/proxy/src/sessions/request/transaction.rs
@@ -6,6 +6,7 @@
 
 use std::sync::Arc;
 
+use skylark_core::log_position::LogPosition;
 use skylark_core::request::error_kind::ErrorKind;
 use skylark_core::request::retry::Effect;
 use skylark_core::request::statement::Statement;
@@ -103,7 +104,8 @@
         let link = lease.connection();
         let owed = link.push_session(&session.values, work.prepared());
         let statement = Statement::Begin { read_only: true };
-        link.push(&Query::Statement { id: None, at_least: Some(at_least), statement });
+        let at_least = Some(at_least).filter(|position| *position > LogPosition::default());
+        link.push(&Query::Statement { id: None, at_least, statement });
         match acquire::settle(call, link, owed + 1, read::patience_until_us(call)).await {
             Ok(Some(reply)) if reply.error().is_none() => {
                 target.answered(call.now_us(), None);
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -16,3 +16,4 @@
 pub mod platform;
 pub mod target;
 pub mod timer;
+pub mod typed;
--- /dev/null
+++ b/crates/standin/src/typed/database.rs
@@ -0,0 +1,429 @@
+//! One target's connections.
+
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use bytes::BytesMut;
+use skylark_core::FastMap;
+use skylark_core::log_position::LogPosition;
+use skylark_core::request::retry::Effect;
+use skylark_core::request::statement::Statement;
+use skylark_core::request::statement::TargetError;
+use skylark_core::request::statement::TransactionStatus;
+use skylark_platform::lines;
+use skylark_platform::lines::Lines;
+use skylark_platform::lines::TargetRequest;
+use skylark_proxy::sessions::codec::Codec;
+use skylark_proxy::sessions::codec::Query;
+use skylark_proxy::sessions::codec::TargetMessage;
+use skylark_proxy::sessions::codec::TargetStatus;
+use tokio::io::AsyncReadExt;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+
+use crate::typed::group::Committed;
+use crate::typed::group::Group;
+use crate::typed::group::Run;
+
+/// The largest message, in bytes.
+const MAX_MESSAGE_BYTES: usize = 1 << 20;
+
+/// One target.
+#[derive(Clone, Debug)]
+pub struct Database {
+    /// Its group.
+    pub group: Arc<Group>,
+    /// Its place in the group.
+    pub member: usize,
+    /// Where it listens.
+    pub address: SocketAddr,
+}
+
+impl Database {
+    /// Starts a target on a free port of loopback.
+    pub async fn start(group: &Arc<Group>, member: usize) -> io::Result<Database> {
+        let listener = TcpListener::bind("127.0.0.1:0").await?;
+        let address = listener.local_addr()?;
+        let database = Database { group: Arc::clone(group), member, address };
+        tokio::spawn(database.clone().accept(listener));
+        Ok(database)
+    }
+
+    /// Its id.
+    pub fn id(&self) -> Arc<str> {
+        Arc::clone(&self.group.options.members[self.member].0)
+    }
+
+    async fn accept(self, listener: TcpListener) {
+        while let Ok((stream, _)) = listener.accept().await {
+            if !self.group.member(self.member).alive {
+                // Dropping the stream is as good as a port that nobody listens on.
+                continue;
+            }
+            let connection = Connection::new(self.clone(), stream);
+            tokio::spawn(connection.serve());
+        }
+    }
+}
+
+/// What a connection is in the middle of.
+#[derive(Clone, Debug)]
+enum Open {
+    Nothing,
+    Transaction { plain_term: Option<u64>, writes: Vec<(String, String)> },
+    Failed,
+}
+
+struct Connection {
+    database: Database,
+    stream: TcpStream,
+    input: BytesMut,
+    output: BytesMut,
+    open: Open,
+    values: FastMap<String, String>,
+    prepared: FastMap<String, (Effect, String)>,
+    start: u32,
+}
+
+/// Why a connection ends.
+enum Ended {
+    Closed,
+    AnswerLost,
+}
+
+type Outcome = Result<Answer, TargetError>;
+
+/// The success of a statement.
+struct Answer {
+    rows: Vec<String>,
+    proof: String,
+}
+
+impl Answer {
+    fn empty() -> Answer {
+        Answer { rows: Vec::new(), proof: "-".to_owned() }
+    }
+}
+
+impl Connection {
+    fn new(database: Database, stream: TcpStream) -> Connection {
+        let start = database.group.member(database.member).start;
+        Connection {
+            database,
+            stream,
+            input: BytesMut::new(),
+            output: BytesMut::new(),
+            open: Open::Nothing,
+            values: FastMap::default(),
+            prepared: FastMap::default(),
+            start,
+        }
+    }
+
+    async fn serve(mut self) {
+        let (group, member) = (Arc::clone(&self.database.group), self.database.member);
+        group.change(member, |state| state.connections += 1);
+        let mut changes = group.changes();
+        let start = self.start;
+        let gone = async {
+            loop {
+                let state = group.member(member);
+                if !state.alive || state.start != start {
+                    return;
+                }
+                // The sender lives as long as the group.
+                let _ = changes.changed().await;
+            }
+        };
+        tokio::select! {
+            // However it ended, the stream is dropped, which rolls back.
+            _ = self.talk() => (),
+            () = gone => (),
+        }
+        group.change(member, |state| state.connections = state.connections.saturating_sub(1));
+    }
+
+    async fn talk(&mut self) -> Result<(), Ended> {
+        self.startup().await?;
+        loop {
+            let message = self.message().await?;
+            let request = lines::decode_target_request(&message).map_err(|_| Ended::Closed)?;
+            match request {
+                TargetRequest::Goodbye | TargetRequest::Startup { .. } => {
+                    return Err(Ended::Closed);
+                }
+                TargetRequest::StepDown { .. } => self.answer(Ok(Answer::empty())).await?,
+                TargetRequest::Query(query) => {
+                    let outcome = self.run(&query).await?;
+                    self.answer(outcome).await?;
+                }
+            }
+        }
+    }
+
+    async fn startup(&mut self) -> Result<(), Ended> {
+        let message = self.message().await?;
+        let Ok(TargetRequest::Startup { service, target_id, .. }) =
+            lines::decode_target_request(&message)
+        else {
+            return Err(Ended::Closed);
+        };
+        let group = &self.database.group;
+        let is_meant = service == &*group.options.service
+            && (target_id.is_empty() || target_id == &*self.database.id());
+        let too_many =
+            group.member(self.database.member).connections > group.options.max_connections;
+        let error = match () {
+            _ if !is_meant => Some(TargetError::Misrouted),
+            _ if too_many => Some(TargetError::TooManyConnections),
+            _ => None,
+        };
+        if let Some(error) = error {
+            self.push_error(error);
+            self.flush().await?;
+            return Err(Ended::Closed);
+        }
+        self.push_ready();
+        self.flush().await
+    }
+
+    async fn run(&mut self, query: &Query<'_>) -> Result<Outcome, Ended> {
+        let group = Arc::clone(&self.database.group);
+        let member = self.database.member;
+        match query {
+            Query::Reset => {
+                self.values.clear();
+                self.prepared.clear();
+                Ok(Ok(Answer::empty()))
+            }
+            Query::Status => Ok(Ok(self.status())),
+            Query::Pause { term } => {
+                group.pause(member, *term);
+                Ok(Ok(self.status()))
+            }
+            Query::Resume { .. } => {
+                group.change(member, |state| state.paused_term = 0);
+                Ok(Ok(self.status()))
+            }
+            Query::Statement { id, at_least, statement } => {
+                if at_least.is_some_and(|position| group.applied(member) < position) {
+                    return Ok(Err(TargetError::Lagging));
+                }
+                self.statement(id.unwrap_or(""), statement).await
+            }
+        }
+    }
+
+    async fn statement(&mut self, id: &str, statement: &Statement<'_>) -> Result<Outcome, Ended> {
+        if matches!(self.open, Open::Failed) && *statement != Statement::Rollback {
+            return Ok(Err(TargetError::Malformed));
+        }
+        match statement {
+            Statement::Begin { read_only } => Ok(self.begin(*read_only)),
+            Statement::Rollback => {
+                self.open = Open::Nothing;
+                Ok(Ok(Answer::empty()))
+            }
+            Statement::Commit => self.commit(id).await,
+            Statement::Read { item } => self.read(id, format!("READ {item}"), item),
+            Statement::Write { arguments } => {
+                self.write(id, format!("WRITE {arguments}"), arguments).await
+            }
+            Statement::Set { name, value } => {
+                self.values.insert((*name).to_owned(), (*value).to_owned());
+                Ok(Ok(Answer::empty()))
+            }
+            Statement::Prepare { name, prepared } => {
+                let shape = (prepared.effect, prepared.shape.to_owned());
+                self.prepared.insert((*name).to_owned(), shape);
+                Ok(Ok(Answer::empty()))
+            }
+            Statement::Close { name } => {
+                self.prepared.remove(*name);
+                Ok(Ok(Answer::empty()))
+            }
+            Statement::Execute { name, arguments } => {
+                let Some((effect, shape)) = self.prepared.get(*name).cloned() else {
+                    return Ok(Err(TargetError::UnknownPrepared));
+                };
+                let text = format!("EXECUTE {shape} {arguments}");
+                match effect {
+                    Effect::Read => self.read(id, text, arguments),
+                    Effect::Write | Effect::Commit => self.write(id, text, arguments).await,
+                }
+            }
+        }
+    }
+
+    fn begin(&mut self, read_only: bool) -> Outcome {
+        let group = &self.database.group;
+        let leads = group.leader() == Some(self.database.member);
+        if !read_only && !leads {
+            return Err(TargetError::ReadOnly);
+        }
+        let plain_term = (!read_only).then(|| group.term());
+        self.open = Open::Transaction { plain_term, writes: Vec::new() };
+        Ok(Answer::empty())
+    }
+
+    /// Whether the lead under which the open transaction began is lost.
+    fn lost_lead(&self) -> bool {
+        let group = &self.database.group;
+        match &self.open {
+            Open::Transaction { plain_term: Some(term), .. } => {
+                group.leader() != Some(self.database.member) || group.term() != *term
+            }
+            _ => false,
+        }
+    }
+
+    fn read(&mut self, id: &str, text: String, item: &str) -> Result<Outcome, Ended> {
+        if self.lost_lead() {
+            self.open = Open::Failed;
+            return Ok(Err(TargetError::ReadOnly));
+        }
+        let row = self.database.group.read(self.database.member, item);
+        self.ran(id, text)?;
+        Ok(Ok(Answer { rows: vec![row], proof: self.proof(id) }))
+    }
+
+    async fn write(&mut self, id: &str, text: String, arguments: &str) -> Result<Outcome, Ended> {
+        let (item, data) = arguments.split_once(' ').unwrap_or((arguments, ""));
+        let write = (item.to_owned(), data.to_owned());
+        if self.lost_lead() {
+            self.open = Open::Failed;
+            return Ok(Err(TargetError::ReadOnly));
+        }
+        match &mut self.open {
+            Open::Transaction { plain_term: None, .. } => {
+                self.open = Open::Failed;
+                Ok(Err(TargetError::ReadOnly))
+            }
+            Open::Transaction { writes, .. } => {
+                writes.push(write);
+                self.ran(id, text)?;
+                Ok(Ok(Answer { rows: Vec::new(), proof: self.proof(id) }))
+            }
+            Open::Nothing | Open::Failed => {
+                let committed = self.commit_writes(vec![write]).await;
+                if committed.is_ok() {
+                    self.ran(id, text)?;
+                }
+                Ok(committed.map(|()| Answer { rows: Vec::new(), proof: self.proof(id) }))
+            }
+        }
+    }
+
+    async fn commit(&mut self, id: &str) -> Result<Outcome, Ended> {
+        let open = std::mem::replace(&mut self.open, Open::Nothing);
+        let Open::Transaction { writes, .. } = open else { return Ok(Err(TargetError::Malformed)) };
+        let committed = match writes.is_empty() {
+            true => Ok(()),
+            false => self.commit_writes(writes).await,
+        };
+        if committed.is_ok() {
+            self.ran(id, "COMMIT".to_owned())?;
+        }
+        Ok(committed.map(|()| Answer { rows: Vec::new(), proof: self.proof(id) }))
+    }
+
+    async fn commit_writes(&self, writes: Vec<(String, String)>) -> Result<(), TargetError> {
+        match self.database.group.commit(self.database.member, writes).await {
+            Committed::Acknowledged(_) => Ok(()),
+            Committed::NotLeading => Err(TargetError::ReadOnly),
+        }
+    }
+
+    fn proof(&self, id: &str) -> String {
+        format!("{}.{id}", self.database.id())
+    }
+
+    fn ran(&self, id: &str, text: String) -> Result<(), Ended> {
+        let values = self.values.iter().map(|(name, value)| (name.clone(), value.clone()));
+        let mut values: Vec<(String, String)> = values.collect();
+        values.sort();
+        let run = Run { target: self.database.id(), id: id.to_owned(), text, values };
+        match self.database.group.ran(self.database.member, run) {
+            true => Ok(()),
+            false => Err(Ended::AnswerLost),
+        }
+    }
+
+    fn status(&self) -> Answer {
+        let (group, member) = (&self.database.group, self.database.member);
+        let status = TargetStatus {
+            is_primary: group.leader() == Some(member),
+            term: group.term(),
+            received: group.received(member),
+            paused_term: group.member(member).paused_term,
+        };
+        Answer { rows: vec![lines::encode_status(&status)], proof: "-".to_owned() }
+    }
+
+    async fn answer(&mut self, outcome: Outcome) -> Result<(), Ended> {
+        match outcome {
+            Ok(answer) => {
+                for row in &answer.rows {
+                    Lines::encode_answer(&TargetMessage::Row(row), &mut self.output);
+                }
+                let complete = TargetMessage::Complete { proof: &answer.proof };
+                Lines::encode_answer(&complete, &mut self.output);
+            }
+            Err(error) => {
+                if !matches!(self.open, Open::Nothing) {
+                    self.open = Open::Failed;
+                }
+                self.push_error(error);
+            }
+        }
+        self.push_ready();
+        self.flush().await
+    }
+
+    fn push_error(&mut self, error: TargetError) {
+        let text = format!("{} {}", lines::encode_error(error), self.database.id());
+        Lines::encode_answer(&TargetMessage::Error { error, text: &text }, &mut self.output);
+    }
+
+    fn push_ready(&mut self) {
+        let status = match self.open {
+            Open::Nothing => TransactionStatus::Idle,
+            Open::Transaction { .. } => TransactionStatus::Open,
+            Open::Failed => TransactionStatus::Failed,
+        };
+        let applied = self.database.group.applied(self.database.member);
+        let position = (applied != LogPosition::default()).then_some(applied);
+        Lines::encode_answer(&TargetMessage::Ready { status, position }, &mut self.output);
+    }
+
+    async fn message(&mut self) -> Result<BytesMut, Ended> {
+        loop {
+            let found = Lines::message_len(&self.input, MAX_MESSAGE_BYTES);
+            if let Some(length) = found.map_err(|_| Ended::Closed)? {
+                self.heard().await;
+                return Ok(self.input.split_to(length));
+            }
+            if self.stream.read_buf(&mut self.input).await.map_err(|_| Ended::Closed)? == 0 {
+                return Err(Ended::Closed);
+            }
+        }
+    }
+
+    async fn flush(&mut self) -> Result<(), Ended> {
+        self.heard().await;
+        let written = self.stream.write_all(&self.output).await;
+        self.output.clear();
+        written.map_err(|_| Ended::Closed)
+    }
+
+    /// Waits while the target is silent.
+    async fn heard(&self) {
+        let mut changes = self.database.group.changes();
+        while self.database.group.member(self.database.member).silent {
+            // The sender lives as long as the group.
+            let _ = changes.changed().await;
+        }
+    }
+}
--- /dev/null
+++ b/crates/standin/src/typed/deployment.rs
@@ -0,0 +1,94 @@
+//! The platform and the targets of several groups together, on loopback.
+
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use skylark_core::version::routes::RouteTable;
+use skylark_core::version::routes::TargetRecord;
+use skylark_core::version::routes::TargetRole;
+use skylark_platform::objects;
+use skylark_platform::store;
+
+use crate::typed::database::Database;
+use crate::typed::group::Group;
+use crate::typed::group::GroupOptions;
+use crate::typed::platform::Platform;
+
+/// How many statements a target says it runs at once.
+const SLOTS: u32 = 2;
+
+/// A running deployment.
+#[derive(Debug)]
+pub struct Deployment {
+    /// The platform.
+    pub platform: Arc<Platform>,
+    /// Where the platform is called.
+    pub platform_address: SocketAddr,
+    /// The targets by group.
+    pub groups: Vec<(Arc<Group>, Vec<Database>)>,
+}
+
+impl Deployment {
+    /// Starts the platform and all targets, which register themselves and go on doing so.
+    pub async fn start(groups: Vec<GroupOptions>) -> io::Result<Deployment> {
+        let platform = Arc::new(Platform::default());
+        let platform_address = platform.start().await?;
+        let mut started = Vec::new();
+        for options in groups {
+            let group = Arc::new(Group::new(options));
+            platform.add_group(&group);
+            let mut databases = Vec::new();
+            for member in 0..group.options.members.len() {
+                databases.push(Database::start(&group, member).await?);
+            }
+            register(&platform, &databases);
+            tokio::spawn(keep_registered(Arc::clone(&platform), databases.clone()));
+            started.push((group, databases));
+        }
+        Ok(Deployment { platform, platform_address, groups: started })
+    }
+
+    /// Puts a configuration in force, as an operator does.
+    pub fn configure(&self, table: &RouteTable) {
+        let (kind, name) = store::CONFIGURATION;
+        self.platform.objects.put(kind, name, objects::body_of(table));
+    }
+}
+
+/// Writes the entries of the targets that run, and removes those of the others.
+fn register(platform: &Platform, databases: &[Database]) {
+    for database in databases {
+        let (group, member) = (&database.group, database.member);
+        let state = group.member(member);
+        let id = database.id();
+        if !state.alive {
+            platform.objects.remove(store::TARGETS, &id);
+            continue;
+        }
+        // One that is cut off can't write its entry.
+        if state.cut {
+            continue;
+        }
+        let leads = group.leader() == Some(member);
+        let record = TargetRecord {
+            service: Arc::clone(&group.options.service),
+            address: database.address,
+            zone: Arc::clone(&group.options.members[member].1),
+            slots: SLOTS,
+            leaving: state.leaving,
+            role: if leads { TargetRole::Primary } else { TargetRole::Replica },
+            id,
+        };
+        platform.objects.put(store::TARGETS, &record.id, objects::entry_of(&record));
+    }
+}
+
+async fn keep_registered(platform: Arc<Platform>, databases: Vec<Database>) {
+    let Some(mut changes) = databases.first().map(|database| database.group.changes()) else {
+        return;
+    };
+    while changes.changed().await.is_ok() {
+        register(&platform, &databases);
+    }
+}
--- /dev/null
+++ b/crates/standin/src/typed/platform.rs
@@ -0,0 +1,216 @@
+//! The platform's HTTP side: the store, and the call that names a primary.
+
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use axum::Json;
+use axum::Router;
+use axum::extract::Path;
+use axum::extract::Query;
+use axum::extract::Request;
+use axum::extract::State;
+use axum::http::HeaderMap;
+use axum::http::StatusCode;
+use axum::middleware;
+use axum::middleware::Next;
+use axum::response::IntoResponse;
+use axum::response::Response;
+use axum::routing;
+use parking_lot::Mutex;
+use serde::Serialize;
+use skylark_core::FastMap;
+use skylark_platform::objects::Object;
+use skylark_platform::promote;
+use skylark_platform::store;
+use tokio::net::TcpListener;
+use tokio::time;
+
+use crate::typed::group::Group;
+use crate::typed::object_store::ObjectStore;
+use crate::typed::object_store::Refused;
+
+/// How the platform treats calls.
+#[derive(Clone, Copy, PartialEq, Eq, Debug, Default)]
+pub enum Mood {
+    /// It serves.
+    #[default]
+    Serving,
+    /// It takes calls and never answers, not even after it serves again.
+    Silent,
+    /// It refuses with 503 and does nothing.
+    Busy,
+    /// It does what is asked and loses the answers to writes.
+    LosesAnswers,
+}
+
+/// The platform.
+#[derive(Debug, Default)]
+pub struct Platform {
+    /// The objects.
+    pub objects: ObjectStore,
+    mood: Mutex<Mood>,
+    groups: Mutex<Vec<Arc<Group>>>,
+    /// The highest token of each service.
+    tokens: Mutex<FastMap<String, u64>>,
+    /// How many promotions were accepted.
+    pub promotions: AtomicU64,
+    /// How many calls came.
+    pub calls: AtomicU64,
+}
+
+impl Platform {
+    /// Starts the platform on a free port of loopback.
+    pub async fn start(self: &Arc<Self>) -> io::Result<SocketAddr> {
+        let listener = TcpListener::bind("127.0.0.1:0").await?;
+        let address = listener.local_addr()?;
+        let kinds = format!("{}/{{kind}}", store::OBJECTS);
+        let names = format!("{}/{{kind}}/{{name}}", store::OBJECTS);
+        let router = Router::new()
+            .route(&kinds, routing::get(list).post(create))
+            .route(&names, routing::get(get).put(replace).delete(remove))
+            .route(promote::PATH, routing::post(name_primary))
+            .layer(middleware::from_fn_with_state(Arc::clone(self), treat))
+            .with_state(Arc::clone(self));
+        // It ends with the runtime that it is started on.
+        tokio::spawn(async move { axum::serve(listener, router).await });
+        Ok(address)
+    }
+
+    /// Changes how calls are treated.
+    pub fn set_mood(&self, mood: Mood) {
+        *self.mood.lock() = mood;
+    }
+
+    /// Adds a group whose primary can be named.
+    pub fn add_group(&self, group: &Arc<Group>) {
+        self.groups.lock().push(Arc::clone(group));
+    }
+}
+
+async fn treat(State(platform): State<Arc<Platform>>, request: Request, next: Next) -> Response {
+    platform.calls.fetch_add(1, Ordering::Relaxed);
+    let is_write = !request.method().is_safe();
+    let mood = *platform.mood.lock();
+    match mood {
+        Mood::Silent => std::future::pending().await,
+        Mood::Busy => StatusCode::SERVICE_UNAVAILABLE.into_response(),
+        Mood::LosesAnswers if is_write => {
+            next.run(request).await;
+            std::future::pending().await
+        }
+        Mood::Serving | Mood::LosesAnswers => next.run(request).await,
+    }
+}
+
+fn answer<T>(result: Result<T, Refused>) -> Response
+where
+    T: Serialize,
+{
+    match result {
+        Ok(value) => Json(value).into_response(),
+        Err(Refused::Conflict(object)) => (StatusCode::CONFLICT, Json(object)).into_response(),
+        Err(Refused::NotFound) => StatusCode::NOT_FOUND.into_response(),
+        Err(Refused::HistoryGone) => StatusCode::GONE.into_response(),
+    }
+}
+
+async fn list(
+    State(platform): State<Arc<Platform>>,
+    Path(kind): Path<String>,
+    Query(query): Query<FastMap<String, String>>,
+) -> Response {
+    let number = |name: &str| query.get(name).and_then(|text| text.parse::<u64>().ok());
+    let Some(revision) = number(store::WATCH) else {
+        let after = query.get(store::AFTER).map_or("", String::as_str);
+        return answer(Ok(platform.objects.list(&kind, after)));
+    };
+    let wait = Duration::from_millis(number(store::WAIT).unwrap_or(0));
+    answer(watch(&platform, &kind, revision, wait).await)
+}
+
+async fn watch(
+    platform: &Platform,
+    kind: &str,
+    revision: u64,
+    wait: Duration,
+) -> Result<skylark_platform::objects::Events, Refused> {
+    let mut changes = platform.objects.changes();
+    let until = time::Instant::now() + wait;
+    loop {
+        let found = platform.objects.events(kind, revision)?;
+        if !found.events.is_empty() {
+            return Ok(found);
+        }
+        // Either something changed, which is looked at next, or the time is over.
+        if time::timeout_at(until, changes.changed()).await.is_err() {
+            return Ok(found);
+        }
+    }
+}
+
+async fn get(
+    State(platform): State<Arc<Platform>>,
+    Path((kind, name)): Path<(String, String)>,
+) -> Response {
+    answer(platform.objects.get(&kind, &name))
+}
+
+async fn create(
+    State(platform): State<Arc<Platform>>,
+    Path(kind): Path<String>,
+    Json(object): Json<Object>,
+) -> Response {
+    answer(platform.objects.create(&kind, &object.meta.name, object.spec))
+}
+
+async fn replace(
+    State(platform): State<Arc<Platform>>,
+    Path((kind, name)): Path<(String, String)>,
+    Json(object): Json<Object>,
+) -> Response {
+    answer(platform.objects.replace(&kind, &name, object.spec, object.meta.rev))
+}
+
+async fn remove(
+    State(platform): State<Arc<Platform>>,
+    Path((kind, name)): Path<(String, String)>,
+) -> Response {
+    platform.objects.remove(&kind, &name);
+    StatusCode::OK.into_response()
+}
+
+async fn name_primary(
+    State(platform): State<Arc<Platform>>,
+    headers: HeaderMap,
+    Json(body): Json<promote::Body>,
+) -> Response {
+    let token = headers.get(promote::TOKEN).and_then(|token| token.to_str().ok());
+    let Some(token) = token.and_then(|token| token.parse::<u64>().ok()) else {
+        return StatusCode::BAD_REQUEST.into_response();
+    };
+    {
+        let mut tokens = platform.tokens.lock();
+        let highest = tokens.entry(body.service.clone()).or_default();
+        if token < *highest {
+            return StatusCode::CONFLICT.into_response();
+        }
+        *highest = token;
+    }
+    let groups = platform.groups.lock();
+    let group = groups.iter().find(|group| *group.options.service == *body.service);
+    let Some(group) = group.map(Arc::clone) else { return StatusCode::NOT_FOUND.into_response() };
+    let member = group.options.members.iter().position(|(id, _)| **id == *body.id);
+    let Some(member) = member.filter(|member| group.member(*member).alive) else {
+        return StatusCode::CONFLICT.into_response();
+    };
+    platform.promotions.fetch_add(1, Ordering::Relaxed);
+    tokio::spawn(async move {
+        time::sleep(group.options.promote_takes).await;
+        group.promote(member);
+    });
+    StatusCode::OK.into_response()
+}
