--- a/crates/proxy/src/sessions/process/limits.rs
+++ b/crates/proxy/src/sessions/process/limits.rs
@@ -33,10 +33,10 @@
 ///
 /// Fewer than a target accepts should be open: when all VMs lose power, it counts their connections
 /// for 3 s more, and processes that are back sooner find no room.
-pub const PRIMARY_SHARE_DIVISOR: u32 = 4;
+pub const PRIMARY_SHARE_DIVISOR: u32 = 8;
 
 /// The same for replicas. Reads hold a connection for some 10 ms only.
-pub const REPLICA_SHARE_DIVISOR: u32 = 8;
+pub const REPLICA_SHARE_DIVISOR: u32 = 16;
 
 /// How many requests wait for one target at most. At some 10 ms each on 3 at a time, more would
 /// wait for longer than the objectives allow.
