--- a/crates/standin/src/typed/group.rs
+++ b/crates/standin/src/typed/group.rs
@@ -202,11 +202,8 @@
         let applied = self.applied(member);
         let state = self.state.lock();
         let seen = state.members[member].log.iter().filter(|record| record.position <= applied);
-        let writes = seen.flat_map(|record| &record.writes);
-        writes
-            .filter(|(name, _)| name == item)
-            .last()
-            .map_or(String::new(), |(_, data)| data.clone())
+        let mut writes = seen.flat_map(|record| &record.writes);
+        writes.rfind(|(name, _)| name == item).map_or(String::new(), |(_, data)| data.clone())
     }
 
     /// Commits at a member, and waits until enough replicas received it or the lead is lost.
