--- a/crates/proxy/src/sessions/process/gateway.rs
+++ b/crates/proxy/src/sessions/process/gateway.rs
@@ -25,6 +25,7 @@
 use crate::process::counters::Counters;
 use crate::sessions::codec::Codec;
 use crate::sessions::process::daemon::SessionSettings;
+use crate::sessions::process::latencies::Latencies;
 use crate::sessions::process::leader::LeaderBelief;
 use crate::sessions::process::limits;
 use crate::sessions::process::log_budget::LogBudget;
@@ -122,6 +123,8 @@
     pub clock: MonotonicClock,
     /// The counters.
     pub counters: Arc<Counters>,
+    /// How long statements take.
+    pub latencies: Latencies,
     /// Where this is logged.
     pub log: slog::Logger,
     /// The bound on log lines.
@@ -155,6 +158,7 @@
             drain_us: settings.drain_ms * 1_000,
             clock: MonotonicClock::start(),
             counters: Arc::default(),
+            latencies: Latencies::default(),
             log,
             log_budget: LogBudget::default(),
             stop: watch::Sender::new(StopState::SERVING),
--- /dev/null
+++ b/crates/proxy/src/sessions/process/latencies.rs
@@ -0,0 +1,80 @@
+//! How long statements take, by class and stage.
+
+use std::fmt::Write;
+
+use hdrhistogram::Histogram;
+use parking_lot::Mutex;
+
+use crate::sessions::process::targets::CLASSES;
+
+/// The longest time that is told apart, in microseconds: beyond every time limit of the users.
+const LONGEST_US: u64 = 20_000_000;
+
+/// One significant digit keeps a histogram below 2 KB and tells times apart to a tenth.
+const SIGNIFICANT_DIGITS: u8 = 1;
+
+/// The upper bounds that are told, in milliseconds.
+const BOUNDS_MS: [u64; 11] = [1, 2, 5, 10, 20, 50, 100, 200, 500, 1_000, 2_000];
+
+/// Where time goes.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub enum Stage {
+    /// From the statement's arrival to its answer.
+    Whole,
+    /// Waiting for a turn and a connection.
+    Queue,
+    /// From sending it to a target to the target's answer.
+    Target,
+}
+
+/// The stages in the order of their index.
+const STAGES: [(Stage, &str); 3] =
+    [(Stage::Whole, "whole"), (Stage::Queue, "queue"), (Stage::Target, "target")];
+
+/// The histograms of all stages and classes.
+#[derive(Debug)]
+pub struct Latencies {
+    histograms: Vec<Mutex<Histogram<u32>>>,
+}
+
+impl Default for Latencies {
+    fn default() -> Latencies {
+        let new = |_| {
+            let histogram = Histogram::new_with_max(LONGEST_US, SIGNIFICANT_DIGITS);
+            Mutex::new(histogram.expect("the bounds are valid"))
+        };
+        Latencies { histograms: (0..STAGES.len() * CLASSES).map(new).collect() }
+    }
+}
+
+impl Latencies {
+    /// Counts one statement of a class.
+    pub fn record(&self, stage: Stage, class: usize, took_us: u64) {
+        let index = stage as usize * CLASSES + class.min(CLASSES - 1);
+        self.histograms[index].lock().saturating_record(took_us);
+    }
+
+    /// All histograms that hold anything, as cumulative counts.
+    pub fn render(&self, out: &mut String) {
+        for (stage, name) in STAGES {
+            for class in 0..CLASSES {
+                let histogram = self.histograms[stage as usize * CLASSES + class].lock();
+                if !histogram.is_empty() {
+                    render(&histogram, name, class, out);
+                }
+            }
+        }
+    }
+}
+
+fn render(histogram: &Histogram<u32>, stage: &str, class: usize, out: &mut String) {
+    let labels = format!("stage=\"{stage}\",class=\"{class}\"");
+    // Writing to a string does not fail.
+    for bound_ms in BOUNDS_MS {
+        let count = histogram.count_between(0, bound_ms * 1_000);
+        let _ = writeln!(out, "skylark_statement_ms_bucket{{{labels},le=\"{bound_ms}\"}} {count}");
+    }
+    let count = histogram.len();
+    let _ = writeln!(out, "skylark_statement_ms_bucket{{{labels},le=\"+Inf\"}} {count}");
+    let _ = writeln!(out, "skylark_statement_ms_count{{{labels}}} {count}");
+}
--- a/crates/proxy/src/sessions/process/metrics_text.rs
+++ b/crates/proxy/src/sessions/process/metrics_text.rs
@@ -30,6 +30,7 @@
             line(&mut out, "primary_position_age_ms", &labels, age_ms);
         }
     }
+    gateway.latencies.render(&mut out);
     for target in gateway.targets() {
         let health = target.health();
         let labels =
--- a/crates/proxy/src/sessions/process/mod.rs
+++ b/crates/proxy/src/sessions/process/mod.rs
@@ -4,6 +4,7 @@
 pub mod daemon;
 pub mod gateway;
 pub mod isolation;
+pub mod latencies;
 pub mod leader;
 pub mod limits;
 pub mod log_budget;
--- a/crates/proxy/src/sessions/request/acquire.rs
+++ b/crates/proxy/src/sessions/request/acquire.rs
@@ -11,6 +11,7 @@
 use crate::sessions::connection::link::Lost;
 use crate::sessions::connection::link::Reply;
 use crate::sessions::connection::link::StatementLink;
+use crate::sessions::process::latencies::Stage;
 use crate::sessions::process::targets::TargetState;
 use crate::sessions::request::call::Call;
 
@@ -33,8 +34,10 @@
     C: Codec,
 {
     target.started();
+    let asked_us = call.now_us();
     let taken = take_counted(call, target, until_us).await;
     target.ended();
+    call.took(Stage::Queue, asked_us);
     if let Err(NotTaken::NotConnected(failure)) = &taken {
         // A wait that ran out says nothing of the target, but the last try to connect may.
         let seen = match failure {
--- a/crates/proxy/src/sessions/request/at_primary.rs
+++ b/crates/proxy/src/sessions/request/at_primary.rs
@@ -24,6 +24,7 @@
 use crate::sessions::connection::link::StatementLink;
 use crate::sessions::connection::session::Held;
 use crate::sessions::connection::session::Session;
+use crate::sessions::process::latencies::Stage;
 use crate::sessions::process::limits;
 use crate::sessions::process::targets::TargetState;
 use crate::sessions::request::acquire;
@@ -80,6 +81,7 @@
         Err(lost) => Err(lost),
     };
     target.ended();
+    call.took(Stage::Target, sent_us);
     let now_us = call.now_us();
     match answered {
         Ok(reply) => {
@@ -148,6 +150,7 @@
             Err(lost) => Err(lost),
         };
         target.ended();
+        call.took(Stage::Target, sent_us);
         let now_us = call.now_us();
         target.commit_ended(now_us, answered.is_ok());
         let reply = match answered {
--- a/crates/proxy/src/sessions/request/call.rs
+++ b/crates/proxy/src/sessions/request/call.rs
@@ -16,6 +16,7 @@
 use crate::sessions::codec::Query;
 use crate::sessions::connection::link::StatementLink;
 use crate::sessions::process::gateway::Gateway;
+use crate::sessions::process::latencies::Stage;
 use crate::sessions::process::limits;
 use crate::sessions::process::targets::CLASSES;
 
@@ -122,6 +123,12 @@
         CallerId(self.session)
     }
 
+    /// Counts the time that a stage took which began at `since_us`.
+    pub fn took(&self, stage: Stage, since_us: u64) {
+        let took_us = self.now_us().saturating_sub(since_us);
+        self.gateway.latencies.record(stage, self.class().index(), took_us);
+    }
+
     /// Logs a refusal with what decided it, unless many of its kind were logged just now.
     pub fn log_refusal(&self, refusal: &Refusal) {
         let name = refusal.kind.answer().name;
--- a/crates/proxy/src/sessions/request/execute.rs
+++ b/crates/proxy/src/sessions/request/execute.rs
@@ -16,6 +16,7 @@
 use crate::sessions::connection::session::SessionState;
 use crate::sessions::connection::session::Transaction;
 use crate::sessions::process::gateway::Gateway;
+use crate::sessions::process::latencies::Stage;
 use crate::sessions::request::at_primary;
 use crate::sessions::request::call::Call;
 use crate::sessions::request::call::Work;
@@ -191,6 +192,7 @@
 where
     C: Codec,
 {
+    call.took(Stage::Whole, call.began_us);
     if let Err(refusal) = &result {
         call.log_refusal(refusal);
     }
--- a/crates/proxy/src/sessions/request/read.rs
+++ b/crates/proxy/src/sessions/request/read.rs
@@ -21,6 +21,7 @@
 use crate::sessions::codec::Codec;
 use crate::sessions::connection::link::Reply;
 use crate::sessions::connection::session::Session;
+use crate::sessions::process::latencies::Stage;
 use crate::sessions::process::limits;
 use crate::sessions::process::targets::TargetState;
 use crate::sessions::request::acquire;
@@ -177,6 +178,7 @@
         Err(lost) => Err(lost),
     };
     target.ended();
+    call.took(Stage::Target, sent_us);
     let now_us = call.now_us();
     let reply = match answered {
         Ok(reply) => reply,
--- a/crates/proxy/src/sessions/request/transaction.rs
+++ b/crates/proxy/src/sessions/request/transaction.rs
@@ -23,6 +23,7 @@
 use crate::sessions::connection::session::Session;
 use crate::sessions::connection::session::SessionState;
 use crate::sessions::connection::session::Transaction;
+use crate::sessions::process::latencies::Stage;
 use crate::sessions::process::limits;
 use crate::sessions::request::acquire;
 use crate::sessions::request::at_primary;
@@ -155,6 +156,7 @@
     }
     held.target.ended();
     held.lease.statement_ended();
+    call.took(Stage::Target, sent_us);
     let now_us = call.now_us();
     let reply = match answered {
         Ok(reply) => reply,
