Send statements through homes where a target's connections are too few for all VMs

Change: core::process::connection_plan decides by the number of VMs; VMs register in the store and list each other cheaply; a home keeps a share of the target's connections and serves other proxies as the target would.

--- /dev/null
+++ b/crates/core/src/process/connection_plan.rs
@@ -0,0 +1,51 @@
+//! Whether each VM connects to each target, or a few homes do so for all.
+//!
+//! A target accepts a few connections from all VMs together. While there are few VMs, each has some
+//! of its own: no hop, and a target is reached as long as anybody reaches it. With many VMs the parts
+//! become too small to be of use, and together they pass the limit: at 86 VMs before targets of 26
+//! connections a third of the requests were served. Then each target has a few homes that divide its
+//! connections, and the other VMs send their statements through one of them.
+
+/// How many homes a target has: one that is lost leaves enough, and each has several connections.
+pub const HOMES: usize = 4;
+
+/// The part of a target's connections that homes keep open, in hundredths. The rest is for the
+/// questions of takeovers, and for homes that see the list of VMs differently for a moment.
+const USABLE_PERCENT: u32 = 75;
+
+/// The connections that each VM needs at a primary of its own accord: one for a transaction that
+/// rests, and one beside it.
+const NEEDED: u32 = 2;
+
+/// By how much the needs of all VMs together may pass a target's limit, in hundredths: not all of
+/// them need theirs at once.
+const OVERSUBSCRIBED_PERCENT: u32 = 125;
+
+/// How one VM comes to a target's connections.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub enum ConnectionPlan {
+    /// Each VM connects, with at most so many connections to a primary and to a replica.
+    Direct {
+        /// To a primary.
+        primary: u32,
+        /// To a replica.
+        replica: u32,
+    },
+    /// [`HOMES`] VMs connect, each with at most so many connections.
+    Homes {
+        /// Of each home.
+        share: u32,
+    },
+}
+
+/// The plan for targets that accept so many connections from so many VMs.
+pub fn plan(max_connections: u32, vms: usize) -> ConnectionPlan {
+    let vms = vms.max(1) as u32;
+    let needed = vms.saturating_mul(NEEDED);
+    if needed.saturating_mul(100) <= max_connections.saturating_mul(OVERSUBSCRIBED_PERCENT) {
+        let primary = (max_connections / 8).max(NEEDED);
+        return ConnectionPlan::Direct { primary, replica: (primary / 2).max(1) };
+    }
+    let usable = max_connections * USABLE_PERCENT / 100;
+    ConnectionPlan::Homes { share: (usable / HOMES as u32).max(1) }
+}
--- a/crates/core/src/process/homes.rs
+++ b/crates/core/src/process/homes.rs
@@ -230,6 +230,20 @@
     }
 }
 
+/// The VMs that rank highest for a target, by name: the ranking of [`Homes`] where there is no
+/// topology. Returns their places in `vms`, the best first.
+pub fn rank_names(target: &str, vms: &[&str], count: usize) -> Vec<usize> {
+    let key = hash_name(target, TARGET_SEED);
+    let rank = |place: &usize| {
+        let vm_hash = hash_name(vms[*place], VM_SEED);
+        std::cmp::Reverse((score(key, vm_hash), vm_hash))
+    };
+    let mut places: Vec<usize> = (0..vms.len()).collect();
+    places.sort_by_key(rank);
+    places.truncate(count);
+    places
+}
+
 fn hash_name(name: &str, seed: u64) -> u64 {
     xxh3::xxh3_64_with_seed(name.as_bytes(), seed)
 }
--- a/crates/core/src/process/mod.rs
+++ b/crates/core/src/process/mod.rs
@@ -3,6 +3,7 @@
 mod accounted;
 pub mod acknowledgement;
 pub mod connection_budget;
+pub mod connection_plan;
 pub mod departures;
 pub mod detection;
 pub mod failover;
--- a/crates/proxy/src/sessions/codec.rs
+++ b/crates/proxy/src/sessions/codec.rs
@@ -98,6 +98,29 @@
     },
 }
 
+/// A message to a target, or to another proxy in a target's place.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub enum TargetRequest<'a> {
+    /// The first message.
+    Startup {
+        /// The service that the target must belong to.
+        service: &'a str,
+        /// Who connects.
+        user: &'a str,
+        /// The id that the target must have; empty for any.
+        target_id: &'a str,
+    },
+    /// A request.
+    Query(Query<'a>),
+    /// Make a primary of a lower term a replica.
+    StepDown {
+        /// The term.
+        term: u64,
+    },
+    /// The last message.
+    Goodbye,
+}
+
 /// What a target says of itself.
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
 pub struct TargetStatus {
@@ -119,6 +142,9 @@
     /// Decodes one message of a caller, its framing included.
     fn decode_caller(message: &[u8]) -> Result<CallerMessage<'_>, CodecError>;
 
+    /// Decodes one message to a target, its framing included.
+    fn decode_request(message: &[u8]) -> Result<TargetRequest<'_>, CodecError>;
+
     /// Decodes one message of a target, its framing included.
     fn decode_target(message: &[u8]) -> Result<TargetMessage<'_>, CodecError>;
 
--- a/crates/proxy/src/sessions/connection/mod.rs
+++ b/crates/proxy/src/sessions/connection/mod.rs
@@ -2,4 +2,5 @@
 
 pub mod caller;
 pub mod link;
+pub mod peer;
 pub mod session;
--- /dev/null
+++ b/crates/proxy/src/sessions/connection/peer.rs
@@ -0,0 +1,322 @@
+//! Another proxy's connection that stands for a connection to a target of which this VM is a home.
+//!
+//! The other proxy speaks as it would to the target. Its session's values and prepared statements are
+//! kept here; a connection to the target is held only while a statement or a transaction runs. What
+//! the target answers goes back unchanged, with status and position, so that the other proxy judges it
+//! as if it had come straight.
+
+use std::sync::Arc;
+
+use bytes::BytesMut;
+use skylark_core::FastMap;
+use skylark_core::log_position::LogPosition;
+use skylark_core::request::error_kind::ErrorKind;
+use skylark_core::request::statement::Prepared;
+use skylark_core::request::statement::Statement;
+use skylark_core::request::statement::TransactionStatus;
+use skylark_core::version::routes::ReadRule;
+use skylark_core::version::routes::Route;
+use tokio::net::TcpStream;
+use tokio::time;
+
+use crate::connection::pool::Lease;
+use crate::connection::socket;
+use crate::process::counters::Event;
+use crate::request::refusal::Refusal;
+use crate::sessions::codec::Codec;
+use crate::sessions::codec::Query;
+use crate::sessions::codec::TargetMessage;
+use crate::sessions::codec::TargetRequest;
+use crate::sessions::connection::link;
+use crate::sessions::connection::link::End;
+use crate::sessions::connection::link::Lost;
+use crate::sessions::connection::link::Reply;
+use crate::sessions::connection::link::StatementLink;
+use crate::sessions::process::gateway::Gateway;
+use crate::sessions::process::limits;
+use crate::sessions::process::targets::TargetState;
+use crate::sessions::request::acquire;
+use crate::sessions::request::call::Call;
+use crate::sessions::request::call::Work;
+
+/// The time limit of a forwarded statement. The other proxy gives up by its own route's limit; this
+/// one only bounds what a connection that was given up can hold.
+const TIMEOUT_MS: u64 = 5_000;
+
+/// The objective that bounds how long a forwarded statement waits for a connection.
+const OBJECTIVE_MS: u64 = 200;
+
+/// The precedence of forwarded statements. The other proxies have sorted theirs already.
+const PRIORITY: u32 = 1;
+
+/// Another proxy's connection.
+struct Peer<C>
+where
+    C: Codec,
+{
+    gateway: Arc<Gateway<C>>,
+    stream: TcpStream,
+    input: BytesMut,
+    output: BytesMut,
+    number: u64,
+    route: Arc<Route>,
+    target: Arc<TargetState<C>>,
+    values: Vec<(Box<str>, Box<str>)>,
+    prepared: FastMap<Box<str>, Prepared>,
+    /// The connection of the open transaction.
+    held: Option<Lease<StatementLink<C>>>,
+    /// The transaction's status as the other proxy was told.
+    status: TransactionStatus,
+}
+
+/// Serves another proxy until it ends.
+pub async fn serve<C>(gateway: Arc<Gateway<C>>, stream: TcpStream)
+where
+    C: Codec,
+{
+    if link::watch_for_silence(&stream).is_err() {
+        return;
+    }
+    let mut input = BytesMut::new();
+    let first = next_message::<C>(&stream, &mut input);
+    let Ok(Some(message)) = time::timeout(limits::STARTUP_LIMIT, first).await else { return };
+    let Ok(TargetRequest::Startup { service, target_id, .. }) = C::decode_request(&message) else {
+        return;
+    };
+    let mut output = BytesMut::new();
+    let known = gateway.target(target_id).filter(|target| &*target.record.service == service);
+    // A proxy that is no home itself would send it on, perhaps in a circle.
+    let Some(target) = known.filter(|target| target.via().is_none()) else {
+        C::encode_refusal(&Refusal::from(ErrorKind::TargetUnreachable), &mut output);
+        // The other proxy takes a broken connection for the same.
+        let _ = socket::write_all(&stream, &output, limits::SLOW_READER).await;
+        return;
+    };
+    let route = Route {
+        database: Arc::from(""),
+        service: Arc::clone(&target.record.service),
+        reads: ReadRule::Primary,
+        timeout_ms: TIMEOUT_MS,
+        objective_ms: OBJECTIVE_MS,
+        priority: PRIORITY,
+    };
+    let number = gateway.next_session();
+    let mut peer = Peer {
+        gateway,
+        stream,
+        input,
+        output,
+        number,
+        route: Arc::new(route),
+        target,
+        values: Vec::new(),
+        prepared: FastMap::default(),
+        held: None,
+        status: TransactionStatus::Idle,
+    };
+    peer.push_ready(None);
+    if peer.flush().await {
+        while peer.serve_one().await {}
+    }
+    if let Some(held) = peer.held.take() {
+        held.give_back();
+    }
+}
+
+async fn next_message<C>(stream: &TcpStream, input: &mut BytesMut) -> Option<BytesMut>
+where
+    C: Codec,
+{
+    loop {
+        if let Some(length) = C::message_len(input, limits::MAX_MESSAGE_BYTES).ok()? {
+            return Some(input.split_to(length));
+        }
+        match socket::read_some(stream, input).await {
+            Ok(1..) => (),
+            Ok(0) | Err(_) => return None,
+        }
+    }
+}
+
+impl<C> Peer<C>
+where
+    C: Codec,
+{
+    /// Answers one request. Returns whether the connection goes on.
+    async fn serve_one(&mut self) -> bool {
+        if self.input.is_empty() {
+            self.input = BytesMut::new();
+        }
+        let Some(message) = next_message::<C>(&self.stream, &mut self.input).await else {
+            return false;
+        };
+        let Ok(TargetRequest::Query(query)) = C::decode_request(&message) else { return false };
+        self.gateway.counters.event(Event::ForwardsReceived);
+        match self.run(&query).await {
+            Ok(Some(reply)) => self.push_reply(&reply),
+            Ok(None) => {
+                C::encode_answer(&TargetMessage::Complete { proof: "-" }, &mut self.output);
+                self.push_ready(None);
+            }
+            Err(Forwarded::Refused(refusal)) => {
+                self.gateway.counters.refusal(refusal.kind);
+                C::encode_refusal(&refusal, &mut self.output);
+                self.push_ready(None);
+            }
+            // The other proxy can't know how far it came, so it sees what this one saw.
+            Err(Forwarded::Lost) => return false,
+        }
+        // A batch that came in one piece is answered in one.
+        let has_more =
+            matches!(C::message_len(&self.input, limits::MAX_MESSAGE_BYTES), Ok(Some(_)));
+        has_more || self.flush().await
+    }
+
+    /// Runs one request; none where this proxy answers by itself.
+    async fn run(&mut self, query: &Query<'_>) -> Result<Option<Reply>, Forwarded> {
+        let Query::Statement { id, at_least, statement } = query else {
+            if *query == Query::Reset {
+                self.values.clear();
+                self.prepared.clear();
+                return Ok(None);
+            }
+            return Err(Forwarded::Refused(ErrorKind::Unsupported.into()));
+        };
+        match statement {
+            Statement::Set { name, value } => {
+                self.values.retain(|known| &*known.0 != *name);
+                self.values.push(((*name).into(), (*value).into()));
+                Ok(None)
+            }
+            Statement::Prepare { name, prepared } => {
+                let shape = Arc::from(prepared.shape);
+                let prepared = Prepared { effect: prepared.effect, shape };
+                self.prepared.insert((*name).into(), prepared);
+                Ok(None)
+            }
+            Statement::Close { name } => {
+                self.prepared.remove(*name);
+                Ok(None)
+            }
+            Statement::Rollback => {
+                if let Some(held) = self.held.take() {
+                    held.give_back();
+                }
+                self.status = TransactionStatus::Idle;
+                Ok(None)
+            }
+            Statement::Execute { name, arguments } => {
+                let Some(prepared) = self.prepared.get(*name).cloned() else {
+                    return Err(Forwarded::Refused(ErrorKind::UnknownPrepared.into()));
+                };
+                let work = Work::Execute { prepared, arguments };
+                self.forward(*id, *at_least, &work).await.map(Some)
+            }
+            Statement::Begin { .. }
+            | Statement::Commit
+            | Statement::Read { .. }
+            | Statement::Write { .. } => {
+                self.forward(*id, *at_least, &Work::Plain(*statement)).await.map(Some)
+            }
+        }
+    }
+
+    /// Sends a statement to the target.
+    async fn forward(
+        &mut self,
+        id: Option<&str>,
+        at_least: Option<LogPosition>,
+        work: &Work<'_>,
+    ) -> Result<Reply, Forwarded> {
+        let gateway = Arc::clone(&self.gateway);
+        let (route, now_us) = (Arc::clone(&self.route), gateway.clock.now_us());
+        let call = Call {
+            gateway: &gateway,
+            id: id.unwrap_or("-"),
+            session: self.number,
+            route: &route,
+            arrived_us: now_us,
+            began_us: now_us,
+        };
+        let mut lease = match self.held.take() {
+            Some(mut held) => {
+                held.statement_started();
+                held
+            }
+            None => acquire::take(&call, &self.target, call.offer_until_us())
+                .await
+                .map_err(|_| Forwarded::Refused(ErrorKind::TargetBusy.into()))?,
+        };
+        self.target.started();
+        let answered = self.exchange(&call, &mut lease, at_least, work).await;
+        self.target.ended();
+        match answered {
+            Ok(reply) => {
+                self.target.answered(call.now_us(), None);
+                self.status = reply.status;
+                match reply.status {
+                    TransactionStatus::Idle => lease.give_back(),
+                    TransactionStatus::Open | TransactionStatus::Failed => {
+                        lease.statement_ended();
+                        self.held = Some(lease);
+                    }
+                }
+                Ok(reply)
+            }
+            Err(lost) => {
+                self.target.failed(call.now_us());
+                call.log_lost(&self.target.record.id, lost.failure);
+                Err(Forwarded::Lost)
+            }
+        }
+    }
+
+    async fn exchange(
+        &self,
+        call: &Call<'_, C>,
+        lease: &mut Lease<StatementLink<C>>,
+        at_least: Option<LogPosition>,
+        work: &Work<'_>,
+    ) -> Result<Reply, Lost> {
+        let until_us = call.deadline_us();
+        let link = lease.connection();
+        let owed = link.push_session(&self.values, work.prepared());
+        if let Some(reply) = acquire::settle(call, link, owed, until_us).await?
+            && reply.error().is_some()
+        {
+            return Ok(reply);
+        }
+        work.push(link, call.id, at_least);
+        link.send().await?;
+        link.answer(call.gateway.clock.instant_at(until_us)).await
+    }
+
+    fn push_reply(&mut self, reply: &Reply) {
+        self.output.extend_from_slice(&reply.rows);
+        let end = match &reply.end {
+            End::Complete { proof } => TargetMessage::Complete { proof },
+            End::Error { error, text } => TargetMessage::Error { error: *error, text },
+        };
+        C::encode_answer(&end, &mut self.output);
+        self.push_ready(reply.position);
+    }
+
+    fn push_ready(&mut self, position: Option<LogPosition>) {
+        let ready = TargetMessage::Ready { status: self.status, position };
+        C::encode_answer(&ready, &mut self.output);
+    }
+
+    async fn flush(&mut self) -> bool {
+        let written = socket::write_all(&self.stream, &self.output, limits::SLOW_READER).await;
+        self.output.clear();
+        written.is_ok()
+    }
+}
+
+/// Why a forwarded statement has no answer of the target.
+enum Forwarded {
+    /// It was not sent.
+    Refused(Refusal),
+    /// It was sent, and no whole answer came.
+    Lost,
+}
--- a/crates/proxy/src/sessions/process/control.rs
+++ b/crates/proxy/src/sessions/process/control.rs
@@ -15,8 +15,10 @@
 use crate::sessions::process::takeover;
 use crate::sessions::process::takeover::Takeovers;
 use crate::sessions::process::watch::Watcher;
+use crate::sessions::process::ways;
 use crate::sessions::store::Promoter;
 use crate::sessions::store::StateStore;
+use crate::sessions::store::VmAddress;
 
 /// The control thread, which ends when this is dropped.
 #[derive(Debug)]
@@ -27,6 +29,7 @@
 /// Starts the control thread.
 pub fn start<C, S, P>(
     gateway: &Arc<Gateway<C>>,
+    own: VmAddress,
     store: S,
     promoter: P,
 ) -> std::io::Result<ControlThread>
@@ -41,7 +44,7 @@
     let run = move || {
         runtime.block_on(async {
             tokio::select! {
-                () = run(gateway, store, promoter) => (),
+                () = run(gateway, own, store, promoter) => (),
                 // The sender says nothing; it is dropped.
                 _ = ended => (),
             }
@@ -51,13 +54,14 @@
     Ok(ControlThread { _ends: ends })
 }
 
-async fn run<C, S, P>(gateway: Arc<Gateway<C>>, store: S, promoter: P)
+async fn run<C, S, P>(gateway: Arc<Gateway<C>>, own: VmAddress, store: S, promoter: P)
 where
     C: Codec,
     S: StateStore,
     P: Promoter,
 {
     let watcher = Arc::new(Watcher::new(&gateway, store.clone()));
+    tokio::spawn(ways::follow_vms(Arc::clone(&gateway), own, store.clone()));
     let takeovers = Arc::new(Takeovers::new(&gateway, &watcher, store, promoter));
     let (configuration, targets) = (Arc::clone(&watcher), Arc::clone(&watcher));
     tokio::spawn(async move { configuration.follow_configuration().await });
@@ -67,7 +71,7 @@
     looks.set_missed_tick_behavior(time::MissedTickBehavior::Delay);
     loop {
         looks.tick().await;
-        let knows_targets = !gateway.view().services.is_empty();
+        let knows_targets = !gateway.view().services.is_empty() && gateway.knows_vms();
         gateway.serves.store(knows_targets, Ordering::Relaxed);
         takeovers.look();
         isolation.look();
--- a/crates/proxy/src/sessions/process/daemon.rs
+++ b/crates/proxy/src/sessions/process/daemon.rs
@@ -1,6 +1,7 @@
 //! The process from its start to its end.
 
 use std::fmt;
+use std::future::Future;
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -9,6 +10,7 @@
 use std::time::Instant;
 
 use tokio::net::TcpListener;
+use tokio::net::TcpStream;
 use tokio::signal::unix;
 use tokio::signal::unix::SignalKind;
 use tokio::task::JoinHandle;
@@ -16,6 +18,7 @@
 
 use crate::sessions::codec::Codec;
 use crate::sessions::connection::caller;
+use crate::sessions::connection::peer;
 use crate::sessions::process::control;
 use crate::sessions::process::control::ControlThread;
 use crate::sessions::process::gateway::Gateway;
@@ -23,6 +26,7 @@
 use crate::sessions::process::limits;
 use crate::sessions::store::Promoter;
 use crate::sessions::store::StateStore;
+use crate::sessions::store::VmAddress;
 
 /// The pause after a connection that could not be accepted, for instance for lack of file
 /// descriptors: trying again at once would only burn the processor.
@@ -51,6 +55,8 @@
     pub zone: String,
     /// Where callers connect.
     pub callers_address: SocketAddr,
+    /// Where other proxies send statements for targets that this VM is home to.
+    pub peer_address: SocketAddr,
     /// How long a target that announced its stop may be given work, in milliseconds.
     pub drain_ms: u64,
     /// How long the process has between being told to stop and being killed, in milliseconds.
@@ -86,6 +92,7 @@
 {
     gateway: Arc<Gateway<C>>,
     accepting: JoinHandle<()>,
+    peers: JoinHandle<()>,
     maintaining: JoinHandle<()>,
     _control: ControlThread,
 }
@@ -133,11 +140,20 @@
     let address = settings.callers_address;
     let listener = TcpListener::bind(address).await;
     let listener = listener.map_err(|error| StartError::Listen(address, error))?;
-    let control = control::start(&gateway, store, promoter).map_err(StartError::Control)?;
+    let peers = settings.peer_address;
+    let peer_listener = TcpListener::bind(peers).await;
+    let peer_listener = peer_listener.map_err(|error| StartError::Listen(peers, error))?;
+    let own = VmAddress {
+        name: Arc::clone(&gateway.vm),
+        zone: Arc::clone(&gateway.zone),
+        peer_address: peers,
+    };
+    let control = control::start(&gateway, own, store, promoter).map_err(StartError::Control)?;
     slog::info!(gateway.log, "started"; "callers_address" => address.to_string());
     let maintaining = tokio::spawn(maintain(Arc::clone(&gateway)));
-    let accepting = tokio::spawn(accept(Arc::clone(&gateway), listener));
-    Ok(Running { gateway, accepting, maintaining, _control: control })
+    let accepting = tokio::spawn(accept(Arc::clone(&gateway), listener, caller::serve));
+    let peers = tokio::spawn(accept(Arc::clone(&gateway), peer_listener, peer::serve));
+    Ok(Running { gateway, accepting, peers, maintaining, _control: control })
 }
 
 impl<C> Running<C>
@@ -176,6 +192,7 @@
 {
     fn drop(&mut self) {
         self.accepting.abort();
+        self.peers.abort();
         self.maintaining.abort();
     }
 }
@@ -190,14 +207,17 @@
     }
 }
 
-async fn accept<C>(gateway: Arc<Gateway<C>>, listener: TcpListener)
+/// Serves each connection by a task of its own.
+async fn accept<C, S, F>(gateway: Arc<Gateway<C>>, listener: TcpListener, serve: S)
 where
     C: Codec,
+    S: Fn(Arc<Gateway<C>>, TcpStream) -> F,
+    F: Future<Output = ()> + Send + 'static,
 {
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
-                tokio::spawn(caller::serve(Arc::clone(&gateway), stream));
+                tokio::spawn(serve(Arc::clone(&gateway), stream));
             }
             Err(error) => {
                 slog::warn!(gateway.log, "a connection could not be accepted";
--- a/crates/proxy/src/sessions/process/gateway.rs
+++ b/crates/proxy/src/sessions/process/gateway.rs
@@ -30,6 +30,8 @@
 use crate::sessions::process::limits;
 use crate::sessions::process::log_budget::LogBudget;
 use crate::sessions::process::targets::TargetState;
+use crate::sessions::process::ways::Ways;
+use crate::sessions::store::VmAddress;
 use crate::sessions::version::view::View;
 
 /// The limits of a service that no configuration names: its targets are listed, and nobody is sent
@@ -137,6 +139,8 @@
     pub serves: AtomicBool,
     /// Whether the process was told to stop.
     stopping: AtomicBool,
+    /// The VMs, and the ways to targets that follow from them.
+    ways: ArcSwap<Ways>,
     /// How long a leaving target may be given work, in microseconds.
     drain_us: u64,
     next_session: AtomicU64,
@@ -165,6 +169,7 @@
             sessions: AtomicU32::new(0),
             serves: AtomicBool::new(false),
             stopping: AtomicBool::new(false),
+            ways: ArcSwap::default(),
             next_session: AtomicU64::new(1),
             view: ArcSwap::default(),
             changed: watch::Sender::new(0),
@@ -321,16 +326,32 @@
     /// Brings the pools to what is believed of the primaries, and lets each open and close
     /// connections.
     pub fn maintain_pools(&self) {
-        let view = self.view.load();
+        let (view, ways, now_us) = (self.view.load(), self.ways.load(), self.clock.now_us());
         for target in self.targets() {
             let bounds = service_limits(view.routes.as_deref(), &target.record.service);
-            if !target.is_leaving() {
-                target.configure(bounds.max_connections, self.is_primary(&target));
+            if !target.must_rest(now_us) {
+                ways.lead(&target, bounds.max_connections, self.is_primary(&target), now_us);
             }
-            target.pool.maintain();
+            target.pool().maintain();
         }
     }
 
+    /// Takes in the list of VMs.
+    pub fn set_vms(&self, vms: Vec<VmAddress>) {
+        self.ways.store(Arc::new(Ways::new(&self.vm, vms)));
+    }
+
+    /// Whether the list of VMs is known.
+    pub fn knows_vms(&self) -> bool {
+        self.ways.load().is_known()
+    }
+
+    /// Whether this process looks after the primary of a service: where it has connections of its own
+    /// to a member, so that not all VMs ask a primary that is in trouble.
+    pub fn drives(&self, service: &str) -> bool {
+        self.members(service).iter().any(|member| member.via().is_none())
+    }
+
     /// Notices of new versions and of targets that proved their lead.
     pub fn changes(&self) -> watch::Receiver<u64> {
         self.changed.subscribe()
@@ -361,23 +382,18 @@
             let keep = listed(id);
             if !keep {
                 target.set_leaving(Some(self.clock.now_us()));
-                target.pool.set_share(0);
+                target.pool().set_share(0);
             }
             keep
         });
-        for (service, members) in &view.services {
-            let bounds = service_limits(view.routes.as_deref(), service);
-            for member in members {
-                let known = targets.entry(Arc::clone(&member.record.id)).or_insert_with(|| {
-                    let (clock, counters) = (self.clock, &self.counters);
-                    let connections = bounds.max_connections;
-                    let record = &member.record;
-                    Arc::new(TargetState::new(record, &self.vm, connections, clock, counters))
-                });
-                let now_us = self.clock.now_us();
-                let rest_us = now_us + self.drain_us.saturating_sub(limits::LEAVING_MARGIN_US);
-                known.set_leaving(member.record.leaving.then_some(rest_us));
-            }
+        for member in view.services.values().flatten() {
+            let known = targets.entry(Arc::clone(&member.record.id)).or_insert_with(|| {
+                let (clock, counters) = (self.clock, &self.counters);
+                Arc::new(TargetState::new(&member.record, &self.vm, clock, counters))
+            });
+            let now_us = self.clock.now_us();
+            let rest_us = now_us + self.drain_us.saturating_sub(limits::LEAVING_MARGIN_US);
+            known.set_leaving(member.record.leaving.then_some(rest_us));
         }
     }
 }
--- a/crates/proxy/src/sessions/process/limits.rs
+++ b/crates/proxy/src/sessions/process/limits.rs
@@ -28,15 +28,13 @@
 /// How often pools are looked after.
 pub const MAINTENANCE_INTERVAL: Duration = Duration::from_millis(100);
 
-/// The part of a primary's connections that one process may hold, as one part in this many. Callers
-/// are spread unevenly and transactions rest, so the busiest process needs more than an even share.
-///
-/// Fewer than a target accepts should be open: when all VMs lose power, it counts their connections
-/// for 3 s more, and processes that are back sooner find no room.
-pub const PRIMARY_SHARE_DIVISOR: u32 = 8;
-
-/// The same for replicas. Reads hold a connection for some 10 ms only.
-pub const REPLICA_SHARE_DIVISOR: u32 = 16;
+/// How many connections one process has to a home of a target that it is no home of. They cost the
+/// target nothing.
+pub const PEER_CONNECTIONS: u32 = 8;
+
+/// For how long a home that can't be reached is passed over, in microseconds. A VM that lost power is
+/// back after a second or two.
+pub const HOME_PASSED_OVER_US: u64 = 2_000_000;
 
 /// How many requests wait for one target at most. At some 10 ms each on 3 at a time, more would
 /// wait for longer than the objectives allow.
--- a/crates/proxy/src/sessions/process/metrics_text.rs
+++ b/crates/proxy/src/sessions/process/metrics_text.rs
@@ -36,7 +36,7 @@
         let labels =
             format!("{{service=\"{}\",target=\"{}\"}}", target.record.service, target.record.id);
         line(&mut out, "target_usual_answer_us", &labels, health.usual_us);
-        line(&mut out, "target_connections", &labels, u64::from(target.pool.total()));
+        line(&mut out, "target_connections", &labels, u64::from(target.pool().total()));
     }
     out
 }
--- a/crates/proxy/src/sessions/process/mod.rs
+++ b/crates/proxy/src/sessions/process/mod.rs
@@ -13,3 +13,4 @@
 pub mod target_calls;
 pub mod targets;
 pub mod watch;
+pub mod ways;
--- a/crates/proxy/src/sessions/process/takeover.rs
+++ b/crates/proxy/src/sessions/process/takeover.rs
@@ -143,6 +143,9 @@
 
     /// Whether the primary of a service has to be replaced.
     fn need(&self, service: &Arc<str>) -> Option<Need> {
+        if !self.gateway.drives(service) {
+            return None;
+        }
         let now_us = self.gateway.clock.now_us();
         let view = self.gateway.view();
         let Some(primary) = self.present_primary(service) else {
--- a/crates/proxy/src/sessions/process/targets.rs
+++ b/crates/proxy/src/sessions/process/targets.rs
@@ -1,9 +1,11 @@
 //! What the process knows of one target and holds of it.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 
+use arc_swap::ArcSwap;
 use parking_lot::Mutex;
 use skylark_core::process::jitter;
 use skylark_core::process::sharing::ClassShare;
@@ -19,6 +21,7 @@
 use crate::sessions::connection::link::StatementLink;
 use crate::sessions::connection::link::TargetLogin;
 use crate::sessions::process::limits;
+use crate::sessions::store::VmAddress;
 
 /// The weight of the newest answer time in the average, as one part in this many.
 const AVERAGE_DIVISOR: u64 = 8;
@@ -56,6 +59,46 @@
     pub lagged_us: u64,
 }
 
+/// How this process comes to a target.
+#[derive(Debug)]
+pub struct Way<C>
+where
+    C: Codec,
+{
+    /// The VM that the statements go through; none if this process has connections of its own.
+    pub via: Option<Arc<str>>,
+    /// The connections to the target, or to that VM.
+    pub pool: Arc<Pool<StatementLink<C>>>,
+}
+
+/// What the connections to a target need to know.
+#[derive(Clone, Debug)]
+struct PoolParts {
+    login: TargetLogin,
+    clock: MonotonicClock,
+    counters: Arc<Counters>,
+}
+
+impl PoolParts {
+    fn pool<C>(&self, address: SocketAddr) -> Arc<Pool<StatementLink<C>>>
+    where
+        C: Codec,
+    {
+        let (vm, target) = (&self.login.vm, &self.login.target_id);
+        let options = PoolOptions {
+            address: address.to_string(),
+            login: self.login.clone(),
+            connect_ms: limits::CONNECT_MS,
+            budget: limits::CONNECTION_POLICY,
+            drain_ms: limits::DRAIN_MS,
+            reset_always: false,
+            jitter_seed: jitter::seed_of(vm) ^ jitter::seed_of(target),
+            clock: self.clock,
+        };
+        Arc::new(Pool::new(options, Arc::clone(&self.counters)))
+    }
+}
+
 /// One target.
 #[derive(Debug)]
 pub struct TargetState<C>
@@ -66,9 +109,10 @@
     pub record: Arc<TargetRecord>,
     /// When it may be given no more work because it leaves; zero while it stays.
     rest_from_us: AtomicU64,
-    /// The connections to it.
-    pub pool: Arc<Pool<StatementLink<C>>>,
-    /// The queue in front of them.
+    /// The way to it.
+    way: ArcSwap<Way<C>>,
+    parts: PoolParts,
+    /// The queue in front of the connections.
     pub queue: Arc<AdmissionQueue>,
     health: Mutex<Health>,
 }
@@ -81,7 +125,6 @@
     pub fn new(
         record: &Arc<TargetRecord>,
         vm: &Arc<str>,
-        max_connections: u32,
         clock: MonotonicClock,
         counters: &Arc<Counters>,
     ) -> TargetState<C> {
@@ -90,17 +133,8 @@
             target_id: Arc::clone(&record.id),
             vm: Arc::clone(vm),
         };
-        let options = PoolOptions {
-            address: record.address.to_string(),
-            login,
-            connect_ms: limits::CONNECT_MS,
-            budget: limits::CONNECTION_POLICY,
-            drain_ms: limits::DRAIN_MS,
-            reset_always: false,
-            jitter_seed: jitter::seed_of(vm) ^ jitter::seed_of(&record.id),
-            clock,
-        };
-        let pool = Pool::new(options, Arc::clone(counters));
+        let parts = PoolParts { login, clock, counters: Arc::clone(counters) };
+        let way = Way { via: None, pool: parts.pool(record.address) };
         let queue = AdmissionQueue::new(QueueLimits::default(), &class_shares(), clock);
         let health = Health {
             usual_us: INITIAL_ANSWER_US,
@@ -115,21 +149,40 @@
         let state = TargetState {
             record: Arc::clone(record),
             rest_from_us: AtomicU64::new(0),
-            pool: Arc::new(pool),
+            way: ArcSwap::from_pointee(way),
+            parts,
             queue: Arc::new(queue),
             health: Mutex::new(health),
         };
-        state.configure(max_connections, false);
+        state.configure(1);
         state
     }
 
+    /// The connections to it.
+    pub fn pool(&self) -> Arc<Pool<StatementLink<C>>> {
+        Arc::clone(&self.way.load().pool)
+    }
+
+    /// The VM that statements go through; none if this process has connections of its own.
+    pub fn via(&self) -> Option<Arc<str>> {
+        self.way.load().via.clone()
+    }
+
+    /// Goes through another VM from now on, or straight. The connections of the old way are closed
+    /// as they become idle.
+    pub fn go_via(&self, vm: Option<&VmAddress>) {
+        let via = vm.map(|vm| Arc::clone(&vm.name));
+        if self.way.load().via == via {
+            return;
+        }
+        let address = vm.map_or(self.record.address, |vm| vm.peer_address);
+        let old = self.way.swap(Arc::new(Way { via, pool: self.parts.pool(address) }));
+        old.pool.set_share(0);
+        old.pool.maintain();
+    }
+
     /// Sets this process's part of the connections.
-    pub fn configure(&self, max_connections: u32, is_primary: bool) {
-        let divisor = match is_primary {
-            true => limits::PRIMARY_SHARE_DIVISOR,
-            false => limits::REPLICA_SHARE_DIVISOR,
-        };
-        let share = (max_connections / divisor).max(1);
+    pub fn configure(&self, share: u32) {
         let running = (self.record.slots + limits::RUNNING_BEYOND_SLOTS).min(share);
         let queued = limits::QUEUED_PER_TARGET;
         let bounds = QueueLimits {
@@ -140,7 +193,7 @@
             queued_per_caller: queued,
             ..QueueLimits::default()
         };
-        self.pool.set_share(share);
+        self.pool().set_share(share);
         self.queue.configure(bounds, &class_shares());
     }
 
--- a/crates/proxy/src/sessions/request/acquire.rs
+++ b/crates/proxy/src/sessions/request/acquire.rs
@@ -41,10 +41,11 @@
     if let Err(NotTaken::NotConnected(failure)) = &taken {
         // A wait that ran out says nothing of the target, but the last try to connect may.
         let seen = match failure {
-            Failure::TimedOut => target.pool.failing(),
+            Failure::TimedOut => target.pool().failing(),
             other => Some(*other),
         };
-        if seen.is_some_and(|failure| !is_full(failure)) {
+        // A home that can't be reached says nothing of the target.
+        if target.via().is_none() && seen.is_some_and(|failure| !is_full(failure)) {
             target.failed(call.now_us());
         }
     }
@@ -63,7 +64,7 @@
     let request = TurnRequest { class, caller, deadline_us: until_us };
     let turn = target.queue.admit(&request).await.map_err(NotTaken::Queue)?;
     let until = call.gateway.clock.instant_at(until_us);
-    target.pool.take(Some(turn), until).await.map_err(NotTaken::NotConnected)
+    target.pool().take(Some(turn), until).await.map_err(NotTaken::NotConnected)
 }
 
 /// Whether the target has as many connections as it accepts, which does not speak against it.
--- a/crates/proxy/src/sessions/store.rs
+++ b/crates/proxy/src/sessions/store.rs
@@ -3,6 +3,7 @@
 
 use std::fmt;
 use std::future::Future;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -55,6 +56,17 @@
     Removed(Arc<str>),
 }
 
+/// Where a VM of this system is reached by the others.
+#[derive(Clone, PartialEq, Eq, Debug)]
+pub struct VmAddress {
+    /// Its name.
+    pub name: Arc<str>,
+    /// Its availability zone.
+    pub zone: Arc<str>,
+    /// Where it takes other proxies' statements.
+    pub peer_address: SocketAddr,
+}
+
 /// A result and the platform's revision at which it held, from which a watch goes on.
 #[derive(Clone, PartialEq, Eq, Debug)]
 pub struct At<T> {
@@ -88,6 +100,12 @@
         wait: Duration,
     ) -> impl Future<Output = Result<At<Vec<TargetChange>>, StoreError>> + Send;
 
+    /// Writes down where this VM is reached by the others.
+    fn register_vm(&self, vm: &VmAddress) -> impl Future<Output = Result<(), StoreError>> + Send;
+
+    /// Lists all VMs that ever registered, possibly some seconds late.
+    fn vms(&self) -> impl Future<Output = Result<Vec<VmAddress>, StoreError>> + Send;
+
     /// Reads the claim of a service and its revision; none if there never was one.
     fn claim(
         &self,
--- a/crates/standin/src/typed/database.rs
+++ b/crates/standin/src/typed/database.rs
@@ -13,10 +13,10 @@
 use skylark_core::request::statement::TransactionStatus;
 use skylark_platform::lines;
 use skylark_platform::lines::Lines;
-use skylark_platform::lines::TargetRequest;
 use skylark_proxy::sessions::codec::Codec;
 use skylark_proxy::sessions::codec::Query;
 use skylark_proxy::sessions::codec::TargetMessage;
+use skylark_proxy::sessions::codec::TargetRequest;
 use skylark_proxy::sessions::codec::TargetStatus;
 use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
@@ -149,7 +149,7 @@
         self.startup().await?;
         loop {
             let message = self.message().await?;
-            let request = lines::decode_target_request(&message).map_err(|_| Ended::Closed)?;
+            let request = Lines::decode_request(&message).map_err(|_| Ended::Closed)?;
             match request {
                 TargetRequest::Goodbye | TargetRequest::Startup { .. } => {
                     return Err(Ended::Closed);
@@ -165,8 +165,7 @@
 
     async fn startup(&mut self) -> Result<(), Ended> {
         let message = self.message().await?;
-        let Ok(TargetRequest::Startup { service, target_id, .. }) =
-            lines::decode_target_request(&message)
+        let Ok(TargetRequest::Startup { service, target_id, .. }) = Lines::decode_request(&message)
         else {
             return Err(Ended::Closed);
         };
