--- a/crates/core/src/version/routes.rs
+++ b/crates/core/src/version/routes.rs
@@ -7,10 +7,13 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
+use serde::Deserialize;
+use serde::Serialize;
+
 use crate::FastMap;
 
 /// The rule for the reads of a route.
-#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+#[derive(Clone, Copy, PartialEq, Eq, Debug, Serialize, Deserialize)]
 pub enum ReadRule {
     /// A read sees all that was acknowledged before it.
     Primary,
@@ -39,7 +42,7 @@
 }
 
 /// What callers of one database name get.
-#[derive(Clone, PartialEq, Eq, Debug)]
+#[derive(Clone, PartialEq, Eq, Debug, Serialize, Deserialize)]
 pub struct Route {
     /// The name that callers connect to.
     pub database: Arc<str>,
@@ -56,7 +59,7 @@
 }
 
 /// What holds for all targets of one service.
-#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+#[derive(Clone, Copy, PartialEq, Eq, Debug, Serialize, Deserialize)]
 pub struct ServiceLimits {
     /// How many connections a target accepts from all callers together.
     pub max_connections: u32,
@@ -65,7 +68,7 @@
 }
 
 /// One version of the configuration.
-#[derive(Clone, PartialEq, Eq, Debug, Default)]
+#[derive(Clone, PartialEq, Eq, Debug, Default, Serialize, Deserialize)]
 pub struct RouteTable {
     /// Grows with each version.
     pub version: u64,
@@ -78,7 +81,7 @@
 }
 
 /// What a target believes it is.
-#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+#[derive(Clone, Copy, PartialEq, Eq, Debug, Serialize, Deserialize)]
 pub enum TargetRole {
     /// It leads its service.
     Primary,
@@ -87,7 +90,7 @@
 }
 
 /// One registered target.
-#[derive(Clone, PartialEq, Eq, Debug)]
+#[derive(Clone, PartialEq, Eq, Debug, Serialize, Deserialize)]
 pub struct TargetRecord {
     /// Names this start of the target and no other.
     pub id: Arc<str>,
--- a/crates/proxy/src/sessions/connection/peer.rs
+++ b/crates/proxy/src/sessions/connection/peer.rs
@@ -32,6 +32,7 @@
 use crate::sessions::connection::link::Lost;
 use crate::sessions::connection::link::Reply;
 use crate::sessions::connection::link::StatementLink;
+use crate::sessions::process::feed;
 use crate::sessions::process::gateway::Gateway;
 use crate::sessions::process::limits;
 use crate::sessions::process::targets::TargetState;
@@ -80,6 +81,9 @@
     let mut input = BytesMut::new();
     let first = next_message::<C>(&stream, &mut input);
     let Ok(Some(message)) = time::timeout(limits::STARTUP_LIMIT, first).await else { return };
+    if message == feed::SUBSCRIBE {
+        return feed::tell(gateway, stream).await;
+    }
     let Ok(TargetRequest::Startup { service, target_id, .. }) = C::decode_request(&message) else {
         return;
     };
--- a/crates/proxy/src/sessions/process/control.rs
+++ b/crates/proxy/src/sessions/process/control.rs
@@ -10,6 +10,7 @@
 use tokio::time;
 
 use crate::sessions::codec::Codec;
+use crate::sessions::process::feed;
 use crate::sessions::process::gateway::Gateway;
 use crate::sessions::process::isolation::Isolation;
 use crate::sessions::process::takeover;
@@ -66,6 +67,7 @@
     let (configuration, targets) = (Arc::clone(&watcher), Arc::clone(&watcher));
     tokio::spawn(async move { configuration.follow_configuration().await });
     tokio::spawn(async move { targets.follow_targets().await });
+    tokio::spawn(feed::listen(Arc::clone(&watcher), Arc::clone(&gateway)));
     let mut isolation = Isolation::new(&gateway);
     let mut looks = time::interval(takeover::LOOK_INTERVAL);
     looks.set_missed_tick_behavior(time::MissedTickBehavior::Delay);
@@ -73,6 +75,7 @@
         looks.tick().await;
         let knows_targets = !gateway.view().services.is_empty() && gateway.knows_vms();
         gateway.serves.store(knows_targets, Ordering::Relaxed);
+        watcher.tell_state();
         takeovers.look();
         isolation.look();
     }
--- a/crates/proxy/src/sessions/process/gateway.rs
+++ b/crates/proxy/src/sessions/process/gateway.rs
@@ -25,6 +25,7 @@
 use crate::process::counters::Counters;
 use crate::sessions::codec::Codec;
 use crate::sessions::process::daemon::SessionSettings;
+use crate::sessions::process::feed::Bulletin;
 use crate::sessions::process::latencies::Latencies;
 use crate::sessions::process::leader::LeaderBelief;
 use crate::sessions::process::limits;
@@ -135,6 +136,8 @@
     pub stop: watch::Sender<StopState>,
     /// The number of open sessions.
     pub sessions: AtomicU32,
+    /// What this process tells those that do not watch the store.
+    pub bulletin: watch::Sender<Bulletin>,
     /// Whether this process may be given new callers, as far as the control thread knows.
     pub serves: AtomicBool,
     /// Whether the process was told to stop.
@@ -167,6 +170,7 @@
             log_budget: LogBudget::default(),
             stop: watch::Sender::new(StopState::SERVING),
             sessions: AtomicU32::new(0),
+            bulletin: watch::Sender::new(Bulletin::default()),
             serves: AtomicBool::new(false),
             stopping: AtomicBool::new(false),
             ways: ArcSwap::default(),
@@ -346,6 +350,17 @@
         self.ways.load().is_known()
     }
 
+    /// The VMs that tell this one; none if it watches the store by itself.
+    pub fn watchers(&self) -> Vec<VmAddress> {
+        self.ways.load().watchers(&self.zone)
+    }
+
+    /// Whether this process watches the store for others.
+    pub fn is_watcher(&self) -> bool {
+        let ways = self.ways.load();
+        ways.has_many() && ways.watchers(&self.zone).is_empty()
+    }
+
     /// Whether this process looks after the primary of a service: where it has connections of its own
     /// to a member, so that not all VMs ask a primary that is in trouble.
     pub fn drives(&self, service: &str) -> bool {
--- a/crates/proxy/src/sessions/process/limits.rs
+++ b/crates/proxy/src/sessions/process/limits.rs
@@ -32,6 +32,10 @@
 /// target nothing.
 pub const PEER_CONNECTIONS: u32 = 8;
 
+/// Up to how many VMs each watches the store by itself. The calls of 8 VMs cost 0.3% of a day, and
+/// nothing stands between a VM and the store.
+pub const WATCH_ALONE: usize = 16;
+
 /// For how long a home that can't be reached is passed over, in microseconds. A VM that lost power is
 /// back after a second or two.
 pub const HOME_PASSED_OVER_US: u64 = 2_000_000;
--- a/crates/proxy/src/sessions/process/mod.rs
+++ b/crates/proxy/src/sessions/process/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod control;
 pub mod daemon;
+pub mod feed;
 pub mod gateway;
 pub mod isolation;
 pub mod latencies;
--- a/crates/proxy/src/sessions/process/watch.rs
+++ b/crates/proxy/src/sessions/process/watch.rs
@@ -13,9 +13,12 @@
 use skylark_core::version::routes::RouteTable;
 use skylark_core::version::routes::TargetRecord;
 use skylark_core::version::routes::TargetRole;
+use tokio::sync::watch;
 use tokio::time;
 
 use crate::sessions::codec::Codec;
+use crate::sessions::process::feed;
+use crate::sessions::process::feed::Message;
 use crate::sessions::process::gateway::Gateway;
 use crate::sessions::store::ListedTarget;
 use crate::sessions::store::StateStore;
@@ -54,6 +57,12 @@
     targets: FastMap<Arc<str>, Member>,
     /// Replicas that left the list, by service. A primary that left is what a takeover replaces.
     departures: FastMap<Arc<str>, Departures<Arc<TargetRecord>>>,
+    /// The store's revision of the list of targets.
+    targets_revision: u64,
+    /// Whether the store did not answer the last call of either watch.
+    is_failing: bool,
+    /// Whether another process that tells this one says that the list is settled.
+    told_settled: bool,
     /// When the store answered last after it had not.
     store_back_us: u64,
     /// When the store answered last.
@@ -69,6 +78,8 @@
     gateway: Arc<Gateway<C>>,
     store: S,
     known: Mutex<Known>,
+    /// Whether another process tells this one.
+    fed: watch::Sender<bool>,
 }
 
 impl<C, S> Watcher<C, S>
@@ -78,7 +89,8 @@
 {
     /// A watcher that knows nothing yet.
     pub fn new(gateway: &Arc<Gateway<C>>, store: S) -> Watcher<C, S> {
-        Watcher { gateway: Arc::clone(gateway), store, known: Mutex::default() }
+        let (gateway, fed) = (Arc::clone(gateway), watch::Sender::new(false));
+        Watcher { gateway, store, known: Mutex::default(), fed }
     }
 
     /// How long the store has not answered, in microseconds.
@@ -89,9 +101,31 @@
     /// Whether a target that is not listed is gone, and did not only lapse while the store was away.
     pub fn list_is_settled(&self) -> bool {
         let known = self.known.lock();
+        if *self.fed.borrow() {
+            return known.told_settled;
+        }
         self.gateway.clock.now_us() >= known.store_back_us + LAPSED_BACK_US
     }
 
+    /// Another process tells this one now, or does so no longer.
+    pub fn set_fed(&self, is_fed: bool) {
+        self.fed.send_if_modified(|known| std::mem::replace(known, is_fed) != is_fed);
+    }
+
+    /// What the process that tells this one says of its list.
+    pub fn set_told_settled(&self, is_settled: bool) {
+        self.known.lock().told_settled = is_settled;
+    }
+
+    /// Waits while another process tells this one. Returns whether it did.
+    async fn while_fed(&self) -> bool {
+        let mut fed = self.fed.subscribe();
+        let was_fed = *fed.borrow();
+        // The sender lives as long as this.
+        let _ = fed.wait_for(|is_fed| !is_fed).await;
+        was_fed
+    }
+
     /// Takes in what the traffic showed of the primaries since replicas left.
     pub fn settle_departures(&self) {
         let now_us = self.gateway.clock.now_us();
@@ -123,6 +157,9 @@
         let mut revision = None;
         let mut failures = 0;
         loop {
+            if revision.is_some() && self.while_fed().await {
+                revision = None;
+            }
             let result = match revision {
                 None => self.store.configuration().await,
                 Some(revision) => self.store.watch_configuration(revision, wait_of(failures)).await,
@@ -132,7 +169,7 @@
                     self.answered(&mut failures, "configuration");
                     revision = Some(found.revision);
                     if let Some(routes) = found.value {
-                        self.take_routes(routes);
+                        self.take_routes(Arc::new(routes));
                     }
                 }
                 Err(error) => {
@@ -147,12 +184,15 @@
         let mut revision = None;
         let mut failures = 0;
         loop {
+            if revision.is_some() && self.while_fed().await {
+                revision = None;
+            }
             let error = match revision {
                 None => match self.store.targets().await {
                     Ok(found) => {
                         self.answered(&mut failures, "targets");
                         revision = Some(found.revision);
-                        self.take_list(found.value);
+                        self.take_list(found.revision, found.value);
                         continue;
                     }
                     Err(error) => error,
@@ -161,7 +201,7 @@
                     Ok(found) => {
                         self.answered(&mut failures, "targets");
                         revision = Some(found.revision);
-                        self.take_changes(found.value);
+                        self.take_changes(found.revision, found.value);
                         continue;
                     }
                     Err(error) => error,
@@ -175,6 +215,7 @@
         let now_us = self.gateway.clock.now_us();
         let mut known = self.known.lock();
         known.store_answered_us = now_us;
+        known.is_failing = false;
         if std::mem::take(failures) > 0 {
             known.store_back_us = now_us;
             slog::info!(self.gateway.log, "the store answers again"; "watch" => what);
@@ -198,12 +239,15 @@
                 "watch" => what, "reason" => error.to_string());
         }
         *failures += 1;
+        self.known.lock().is_failing = true;
+        self.gateway.bulletin.send_modify(|bulletin| bulletin.store_answers = false);
         let pause = if *failures <= QUICK_RETRIES { FIRST_RETRY_PAUSE } else { RETRY_PAUSE };
         time::sleep(pause).await;
         revision
     }
 
-    fn take_routes(&self, routes: RouteTable) {
+    /// Takes in a configuration.
+    pub fn take_routes(&self, routes: Arc<RouteTable>) {
         let mut known = self.known.lock();
         // A stale answer must not bring back what was changed.
         if known.routes.as_ref().is_some_and(|present| present.version >= routes.version) {
@@ -211,12 +255,13 @@
         }
         slog::info!(self.gateway.log, "configuration in force";
             "version" => routes.version, "routes" => routes.routes.len());
-        known.routes = Some(Arc::new(routes));
+        known.routes = Some(routes);
         self.publish(&mut known);
     }
 
-    fn take_list(&self, listed: Vec<ListedTarget>) {
+    fn take_list(&self, revision: u64, listed: Vec<ListedTarget>) {
         let mut known = self.known.lock();
+        known.targets_revision = revision;
         let mut previous = std::mem::take(&mut known.targets);
         for target in listed {
             let before = previous.remove(&target.record.id);
@@ -233,11 +278,12 @@
         self.publish(&mut known);
     }
 
-    fn take_changes(&self, changes: Vec<TargetChange>) {
+    fn take_changes(&self, revision: u64, changes: Vec<TargetChange>) {
+        let mut known = self.known.lock();
+        known.targets_revision = revision;
         if changes.is_empty() {
             return;
         }
-        let mut known = self.known.lock();
         let now_us = self.gateway.clock.now_us();
         for change in changes {
             match change {
@@ -262,6 +308,28 @@
         self.publish(&mut known);
     }
 
+    /// Takes in all targets as another process knows them, unless they are older than what is known.
+    pub fn take_members(&self, revision: u64, members: Vec<Member>) {
+        let mut known = self.known.lock();
+        if revision < known.targets_revision {
+            return;
+        }
+        known.targets_revision = revision;
+        let mut previous = std::mem::take(&mut known.targets);
+        for member in members {
+            previous.remove(&member.record.id);
+            if let Some(departures) = known.departures.get_mut(&member.record.service) {
+                departures.returned(&member.record.id);
+            }
+            known.targets.insert(Arc::clone(&member.record.id), member);
+        }
+        let now_us = self.gateway.clock.now_us();
+        for (id, member) in previous {
+            self.missing(&mut known, &id, &member, now_us);
+        }
+        self.publish(&mut known);
+    }
+
     fn missing(&self, known: &mut Known, id: &Arc<str>, member: &Member, now_us: u64) {
         slog::info!(self.gateway.log, "target no longer listed";
             "target" => &**id, "service" => &*member.record.service,
@@ -294,6 +362,42 @@
         }
         let view = View { number: known.number, routes: known.routes.clone(), services };
         self.gateway.publish(view);
+        self.tell(known);
+    }
+
+    /// Puts what is known where those that this process tells find it. Encoding it costs processor
+    /// time, so that is left out where nobody would be told.
+    fn tell(&self, known: &Known) {
+        if !self.gateway.is_watcher() {
+            return;
+        }
+        let routes = known.routes.as_ref();
+        let routes = routes.map(|routes| feed::encode(&Message::Routes(Arc::clone(routes))));
+        let members = known.targets.values().cloned().collect();
+        let revision = known.targets_revision;
+        let targets = feed::encode(&Message::Targets { revision, members });
+        self.gateway.bulletin.send_modify(|bulletin| {
+            bulletin.routes = routes.unwrap_or_default();
+            bulletin.targets = targets;
+        });
+    }
+
+    /// Brings what others are told of the store up to date.
+    pub fn tell_state(&self) {
+        let is_settled = self.list_is_settled();
+        let known = self.known.lock();
+        let is_untold = self.gateway.bulletin.borrow().targets.is_empty();
+        if is_untold && !known.targets.is_empty() {
+            self.tell(&known);
+        }
+        let store_answers = !known.is_failing;
+        self.gateway.bulletin.send_if_modified(|bulletin| {
+            let changes =
+                bulletin.store_answers != store_answers || bulletin.is_settled != is_settled;
+            bulletin.store_answers = store_answers;
+            bulletin.is_settled = is_settled;
+            changes
+        });
     }
 }
 
--- a/crates/proxy/src/sessions/process/ways.rs
+++ b/crates/proxy/src/sessions/process/ways.rs
@@ -47,6 +47,28 @@
         Ways { own: Arc::clone(own), vms, passed_over_us: Mutex::default() }
     }
 
+    /// The VMs of an availability zone that watch the store for the others; none if this VM is one of
+    /// them, or if there are so few VMs that each watches by itself.
+    pub fn watchers(&self, zone: &str) -> Vec<VmAddress> {
+        if !self.has_many() {
+            return Vec::new();
+        }
+        let near: Vec<&VmAddress> = self.vms.iter().filter(|vm| &*vm.zone == zone).collect();
+        let names: Vec<&str> = near.iter().map(|vm| &*vm.name).collect();
+        let places = homes::rank_names(zone, &names, homes::WATCHERS_PER_ZONE);
+        let watchers = places.into_iter().map(|place| near[place].clone());
+        let watchers: Vec<VmAddress> = watchers.collect();
+        match watchers.iter().any(|vm| vm.name == self.own) {
+            true => Vec::new(),
+            false => watchers,
+        }
+    }
+
+    /// Whether there are so many VMs that some watch the store for the others.
+    pub fn has_many(&self) -> bool {
+        self.vms.len() > limits::WATCH_ALONE
+    }
+
     /// Whether the VMs are known.
     pub fn is_known(&self) -> bool {
         !self.vms.is_empty()
--- a/crates/proxy/src/sessions/version/view.rs
+++ b/crates/proxy/src/sessions/version/view.rs
@@ -2,13 +2,15 @@
 
 use std::sync::Arc;
 
+use serde::Deserialize;
+use serde::Serialize;
 use skylark_core::FastMap;
 use skylark_core::version::routes::RouteTable;
 use skylark_core::version::routes::TargetRecord;
 use skylark_core::version::routes::TargetRole;
 
 /// A listed target.
-#[derive(Clone, PartialEq, Eq, Debug)]
+#[derive(Clone, PartialEq, Eq, Debug, Serialize, Deserialize)]
 pub struct Member {
     /// What the target registered.
     pub record: Arc<TargetRecord>,
