Bring a position every half second, past the queue, and from homes

Cause: at 86 VMs a process asked a primary only when a read had no position left; that one was new, replicas lagged behind it, and the read went to the primary.

--- a/crates/core/src/request/primary_positions.rs
+++ b/crates/core/src/request/primary_positions.rs
@@ -51,6 +51,11 @@
         self.samples.get(first).map(|sample| sample.position)
     }
 
+    /// The newest sample.
+    pub fn newest(&self) -> Option<Sample> {
+        self.samples.back().copied()
+    }
+
     /// When the newest sample was taken.
     pub fn newest_us(&self) -> Option<u64> {
         self.samples.back().map(|sample| sample.taken_us)
--- a/crates/proxy/src/sessions/codec.rs
+++ b/crates/proxy/src/sessions/codec.rs
@@ -86,6 +86,8 @@
     Reset,
     /// Tell role and positions.
     Status,
+    /// Tell the newest position of the service's primary and its age. Only proxies understand it.
+    Position,
     /// Receive nothing more, under this term.
     Pause {
         /// The term.
@@ -151,6 +153,12 @@
     /// Decodes the row that answers [`Query::Status`], [`Query::Pause`] and [`Query::Resume`].
     fn decode_status(row: &str) -> Result<TargetStatus, CodecError>;
 
+    /// Decodes the row that answers [`Query::Position`]: the position, and its age in microseconds.
+    fn decode_position(row: &str) -> Result<(LogPosition, u64), CodecError>;
+
+    /// Encodes the row that answers [`Query::Position`].
+    fn encode_position(position: LogPosition, age_us: u64) -> String;
+
     /// Writes an answer to a caller.
     fn encode_answer(message: &TargetMessage<'_>, out: &mut BytesMut);
 
--- a/crates/proxy/src/sessions/connection/peer.rs
+++ b/crates/proxy/src/sessions/connection/peer.rs
@@ -39,6 +39,7 @@
 use crate::sessions::request::acquire;
 use crate::sessions::request::call::Call;
 use crate::sessions::request::call::Work;
+use crate::sessions::request::sample;
 
 /// The time limit of a forwarded statement. The other proxy gives up by its own route's limit; this
 /// one only bounds what a connection that was given up can hold.
@@ -47,6 +48,9 @@
 /// The objective that bounds how long a forwarded statement waits for a connection.
 const OBJECTIVE_MS: u64 = 200;
 
+/// How old a position may be that another proxy is told, in microseconds. It asks every half second.
+const POSITION_AGE_US: u64 = 250_000;
+
 /// The precedence of forwarded statements. The other proxies have sorted theirs already.
 const PRIORITY: u32 = 1;
 
@@ -179,12 +183,15 @@
     /// Runs one request; none where this proxy answers by itself.
     async fn run(&mut self, query: &Query<'_>) -> Result<Option<Reply>, Forwarded> {
         let Query::Statement { id, at_least, statement } = query else {
-            if *query == Query::Reset {
-                self.values.clear();
-                self.prepared.clear();
-                return Ok(None);
-            }
-            return Err(Forwarded::Refused(ErrorKind::Unsupported.into()));
+            return match query {
+                Query::Reset => {
+                    self.values.clear();
+                    self.prepared.clear();
+                    Ok(None)
+                }
+                Query::Position => self.position().await.map(Some),
+                _ => Err(Forwarded::Refused(ErrorKind::Unsupported.into())),
+            };
         };
         match statement {
             Statement::Set { name, value } => {
@@ -225,6 +232,31 @@
         }
     }
 
+    /// Tells the newest position of the service's primary.
+    async fn position(&mut self) -> Result<Reply, Forwarded> {
+        let (gateway, service) = (&self.gateway, &self.target.record.service);
+        let now_us = gateway.clock.now_us();
+        let newest = gateway.newest_position(service);
+        let is_old = newest.is_none_or(|newest| now_us >= newest.taken_us + POSITION_AGE_US);
+        if is_old && let Some(_sampling) = gateway.service(service).begin_sampling() {
+            // Whatever comes of it, the newest position is told.
+            let _ = sample::sample(gateway, service).await;
+        }
+        let newest = gateway.newest_position(service);
+        let newest = newest.ok_or(Forwarded::Refused(ErrorKind::NoPrimary.into()))?;
+        let age_us = gateway.clock.now_us().saturating_sub(newest.taken_us);
+        let row = C::encode_position(newest.position, age_us);
+        let mut rows = BytesMut::new();
+        C::encode_answer(&TargetMessage::Row(&row), &mut rows);
+        Ok(Reply {
+            rows,
+            first_row: row.into(),
+            end: End::Complete { proof: "-".into() },
+            status: self.status,
+            position: None,
+        })
+    }
+
     /// Sends a statement to the target.
     async fn forward(
         &mut self,
--- a/crates/proxy/src/sessions/process/daemon.rs
+++ b/crates/proxy/src/sessions/process/daemon.rs
@@ -24,6 +24,7 @@
 use crate::sessions::process::gateway::Gateway;
 use crate::sessions::process::gateway::StopPhase;
 use crate::sessions::process::limits;
+use crate::sessions::process::sampler;
 use crate::sessions::store::Promoter;
 use crate::sessions::store::StateStore;
 use crate::sessions::store::VmAddress;
@@ -94,6 +95,7 @@
     accepting: JoinHandle<()>,
     peers: JoinHandle<()>,
     maintaining: JoinHandle<()>,
+    sampling: JoinHandle<()>,
     _control: ControlThread,
 }
 
@@ -151,9 +153,10 @@
     let control = control::start(&gateway, own, store, promoter).map_err(StartError::Control)?;
     slog::info!(gateway.log, "started"; "callers_address" => address.to_string());
     let maintaining = tokio::spawn(maintain(Arc::clone(&gateway)));
+    let sampling = tokio::spawn(sampler::run(Arc::clone(&gateway)));
     let accepting = tokio::spawn(accept(Arc::clone(&gateway), listener, caller::serve));
     let peers = tokio::spawn(accept(Arc::clone(&gateway), peer_listener, peer::serve));
-    Ok(Running { gateway, accepting, peers, maintaining, _control: control })
+    Ok(Running { gateway, accepting, peers, maintaining, sampling, _control: control })
 }
 
 impl<C> Running<C>
@@ -194,6 +197,7 @@
         self.accepting.abort();
         self.peers.abort();
         self.maintaining.abort();
+        self.sampling.abort();
     }
 }
 
--- a/crates/proxy/src/sessions/process/gateway.rs
+++ b/crates/proxy/src/sessions/process/gateway.rs
@@ -13,6 +13,7 @@
 use parking_lot::RwLock;
 use skylark_core::FastMap;
 use skylark_core::log_position::LogPosition;
+use skylark_core::process::read_age::Sample;
 use skylark_core::request::primary_positions::PrimaryPositions;
 use skylark_core::version::routes::ReadRule;
 use skylark_core::version::routes::Route;
@@ -82,6 +83,8 @@
     pub positions: Mutex<PrimaryPositions>,
     /// Which target leads.
     pub leader: Mutex<LeaderBelief>,
+    /// When a read last needed a position.
+    read_us: AtomicU64,
     /// Whether a read is under way that will bring a position.
     sampling: AtomicBool,
     /// Tells those who wait for a position that one came, or that the read for it ended.
@@ -106,6 +109,16 @@
         (!was_sampling).then(|| Sampling(self))
     }
 
+    /// A read needs a position.
+    pub fn needs_position(&self, now_us: u64) {
+        self.read_us.store(now_us, Ordering::Relaxed);
+    }
+
+    /// When a read last needed a position.
+    pub fn read_us(&self) -> u64 {
+        self.read_us.load(Ordering::Relaxed)
+    }
+
     /// Waits until a read that brings a position has ended.
     pub async fn sampled(&self) {
         self.sampled.notified().await;
@@ -263,6 +276,12 @@
         Arc::clone(self.services.write().entry(Arc::clone(name)).or_default())
     }
 
+    /// What the traffic showed of all services.
+    pub fn services(&self) -> Vec<(Arc<str>, Arc<ServiceState>)> {
+        let services = self.services.read();
+        services.iter().map(|(name, state)| (Arc::clone(name), Arc::clone(state))).collect()
+    }
+
     /// The target to ask as the primary of a service.
     pub fn primary(&self, service: &Arc<str>) -> Option<Arc<TargetState<C>>> {
         let state = self.service(service);
@@ -299,8 +318,7 @@
         let state = self.service(&target.record.service);
         let is_news = state.leader.lock().proved(&target.record.id);
         // A primary without a position has an empty log, which every member covers.
-        state.positions.lock().saw(sent_us, position.unwrap_or_default());
-        state.sampled.notify_waiters();
+        self.learn_position(&target.record.service, sent_us, position.unwrap_or_default());
         if is_news {
             slog::info!(self.log, "a target proved that it leads";
                 "service" => &*target.record.service, "target" => &*target.record.id);
@@ -308,6 +326,18 @@
         }
     }
 
+    /// A primary that proved its lead at `taken_us` or later had this position then.
+    pub fn learn_position(&self, service: &Arc<str>, taken_us: u64, position: LogPosition) {
+        let state = self.service(service);
+        state.positions.lock().saw(taken_us, position);
+        state.sampled.notify_waiters();
+    }
+
+    /// The newest known position of a service's primary, and when it was taken.
+    pub fn newest_position(&self, service: &Arc<str>) -> Option<Sample> {
+        self.service(service).positions.lock().newest()
+    }
+
     /// The position that a read must see, if its first byte arrived by `arrived_us`; none if no
     /// position is known that is young enough.
     pub fn position_for(
--- a/crates/proxy/src/sessions/process/mod.rs
+++ b/crates/proxy/src/sessions/process/mod.rs
@@ -10,6 +10,7 @@
 pub mod limits;
 pub mod log_budget;
 pub mod metrics_text;
+pub mod sampler;
 pub mod takeover;
 pub mod target_calls;
 pub mod targets;
--- a/crates/proxy/src/sessions/process/targets.rs
+++ b/crates/proxy/src/sessions/process/targets.rs
@@ -193,7 +193,9 @@
             queued_per_caller: queued,
             ..QueueLimits::default()
         };
-        self.pool().set_share(share);
+        // One more than the queue gives out, for the question for a position: it takes no slot, and
+        // must not wait behind the statements of an overloaded primary.
+        self.pool().set_share(share + 1);
         self.queue.configure(bounds, &class_shares());
     }
 
--- a/crates/proxy/src/sessions/request/at_primary.rs
+++ b/crates/proxy/src/sessions/request/at_primary.rs
@@ -46,7 +46,7 @@
     let mut tries = 0;
     loop {
         tries += 1;
-        let held = open(call, session, Some(work)).await?;
+        let held = open(call, Some((session, work))).await?;
         match read_once(call, held, work).await {
             Ok(reply) => return Ok(reply),
             Err(lost) => {
@@ -101,17 +101,6 @@
     }
 }
 
-/// Brings a position of the primary by opening a transaction there and ending it at once.
-pub async fn sample<C>(call: &Call<'_, C>, session: &Session<C>) -> Option<()>
-where
-    C: Codec,
-{
-    // The opening takes the position in; giving the connection back rolls back.
-    let held = open(call, session, None).await.ok()?;
-    held.lease.give_back();
-    Some(())
-}
-
 /// Runs a single write, which commits by itself.
 pub async fn write<C>(
     call: &Call<'_, C>,
@@ -183,10 +172,11 @@
 }
 
 /// Opens a transaction that may write, and with it proves the lead of its target.
+///
+/// `purpose` is the first statement with its session; none where only the lead is of interest.
 pub async fn open<C>(
     call: &Call<'_, C>,
-    session: &Session<C>,
-    work: Option<&Work<'_>>,
+    purpose: Option<(&Session<C>, &Work<'_>)>,
 ) -> Result<Held<C>, Refusal>
 where
     C: Codec,
@@ -196,8 +186,8 @@
         let until_us = read::patience_until_us(call);
         let sent_us = call.now_us();
         let link = lease.connection();
-        let owed = match work {
-            Some(work) => link.push_session(&session.values, work.prepared()),
+        let owed = match purpose {
+            Some((session, work)) => link.push_session(&session.values, work.prepared()),
             None => 0,
         };
         link.push_own(Statement::Begin { read_only: false });
--- a/crates/proxy/src/sessions/request/mod.rs
+++ b/crates/proxy/src/sessions/request/mod.rs
@@ -5,4 +5,5 @@
 pub mod call;
 pub mod execute;
 pub mod read;
+pub mod sample;
 pub mod transaction;
--- a/crates/proxy/src/sessions/request/read.rs
+++ b/crates/proxy/src/sessions/request/read.rs
@@ -29,6 +29,7 @@
 use crate::sessions::request::at_primary;
 use crate::sessions::request::call::Call;
 use crate::sessions::request::call::Work;
+use crate::sessions::request::sample;
 
 /// What one member did with a read.
 enum Offered {
@@ -84,6 +85,7 @@
     let floor = session.floor_of(&call.route.service);
     let known = || call.gateway.position_for(call.route, floor, call.arrived_us);
     let state = call.gateway.service(&call.route.service);
+    state.needs_position(call.now_us());
     loop {
         let sampled = state.sampled();
         if let Some(position) = known() {
@@ -99,7 +101,7 @@
             }
             continue;
         };
-        return at_primary::sample(call, session).await.and_then(|()| known());
+        return sample::sample(call.gateway, &call.route.service).await.and_then(|()| known());
     }
 }
 
--- /dev/null
+++ b/crates/proxy/src/sessions/request/sample.rs
@@ -0,0 +1,102 @@
+//! Bringing a position of a service's primary.
+//!
+//! A process with connections of its own opens a transaction at the primary and ends it at once: its
+//! success proves the lead, and takes no slot. Another process asks a home of the primary, which
+//! tells what it has and how old that is. The question passes the queue by: when a primary is
+//! overrun, reads without a position that replicas have reached would go to it as well.
+
+use std::sync::Arc;
+
+use skylark_core::request::statement::Statement;
+use skylark_core::request::statement::TargetError;
+
+use crate::connection::pool::Lease;
+use crate::sessions::codec::Codec;
+use crate::sessions::codec::Query;
+use crate::sessions::connection::link::End;
+use crate::sessions::connection::link::StatementLink;
+use crate::sessions::process::gateway::Gateway;
+use crate::sessions::process::targets::TargetState;
+
+/// The time for the question, in microseconds. Most reads have a position from before meanwhile.
+const LIMIT_US: u64 = 250_000;
+
+/// Brings a position. None if the primary is not known, or did not prove its lead.
+pub async fn sample<C>(gateway: &Gateway<C>, service: &Arc<str>) -> Option<()>
+where
+    C: Codec,
+{
+    let target = gateway.primary(service)?;
+    let until = gateway.clock.instant_at(gateway.clock.now_us() + LIMIT_US);
+    let lease = match target.pool().take(None, until).await {
+        Ok(lease) => lease,
+        Err(failure) => {
+            slog::debug!(gateway.log, "no connection for a position";
+                "target" => &*target.record.id, "failure" => ?failure);
+            return None;
+        }
+    };
+    match target.via() {
+        None => by_transaction(gateway, &target, lease).await,
+        Some(_) => from_home(gateway, &target, lease).await,
+    }
+}
+
+async fn by_transaction<C>(
+    gateway: &Gateway<C>,
+    target: &TargetState<C>,
+    mut lease: Lease<StatementLink<C>>,
+) -> Option<()>
+where
+    C: Codec,
+{
+    let sent_us = gateway.clock.now_us();
+    let until = gateway.clock.instant_at(sent_us + LIMIT_US);
+    let link = lease.connection();
+    link.push_own(Statement::Begin { read_only: false });
+    // Whether it was opened or refused, it is over.
+    link.push_own(Statement::Rollback);
+    if link.send().await.is_err() {
+        target.failed(gateway.clock.now_us());
+        return None;
+    }
+    let Ok(reply) = link.answer(until).await else {
+        target.failed(gateway.clock.now_us());
+        return None;
+    };
+    lease.give_back();
+    target.answered(gateway.clock.now_us(), None);
+    match reply.error() {
+        None => {
+            gateway.proved_lead(target, sent_us, reply.position);
+            Some(())
+        }
+        Some(TargetError::ReadOnly) => {
+            gateway.refused_lead(target);
+            None
+        }
+        Some(_) => None,
+    }
+}
+
+async fn from_home<C>(
+    gateway: &Gateway<C>,
+    target: &TargetState<C>,
+    mut lease: Lease<StatementLink<C>>,
+) -> Option<()>
+where
+    C: Codec,
+{
+    let sent_us = gateway.clock.now_us();
+    let until = gateway.clock.instant_at(sent_us + LIMIT_US);
+    let reply = lease.connection().ask(&Query::Position, until).await.ok()?;
+    lease.give_back();
+    if !matches!(reply.end, End::Complete { .. }) {
+        return None;
+    }
+    let (position, age_us) = C::decode_position(&reply.first_row).ok()?;
+    // The home measured the age after the question was sent, so the primary led at this time or
+    // later.
+    gateway.learn_position(&target.record.service, sent_us.saturating_sub(age_us), position);
+    Some(())
+}
--- a/crates/proxy/src/sessions/request/transaction.rs
+++ b/crates/proxy/src/sessions/request/transaction.rs
@@ -80,7 +80,7 @@
     {
         return Ok(held);
     }
-    at_primary::open(call, session, Some(work)).await
+    at_primary::open(call, Some((session, work))).await
 }
 
 /// Opens a transaction that only reads at a member that has what it must see.
--- a/crates/standin/src/typed/database.rs
+++ b/crates/standin/src/typed/database.rs
@@ -198,6 +198,7 @@
                 Ok(Ok(Answer::empty()))
             }
             Query::Status => Ok(Ok(self.status())),
+            Query::Position => Ok(Err(TargetError::Malformed)),
             Query::Pause { term } => {
                 group.pause(member, *term);
                 Ok(Ok(self.status()))
