--- a/crates/core/src/request/read_choice.rs
+++ b/crates/core/src/request/read_choice.rs
@@ -11,7 +11,7 @@
 
 /// What a read at the primary costs beyond its answer time: the primary's slots are the only ones
 /// that can run writes.
-pub const PRIMARY_US: u64 = 6_000;
+pub const PRIMARY_US: u64 = 20_000;
 
 /// One member that may serve the read.
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
