--- a/crates/proxy/src/sessions/connection/link.rs
+++ b/crates/proxy/src/sessions/connection/link.rs
@@ -116,6 +116,13 @@
     pub stage: Stage,
 }
 
+impl Lost {
+    /// Whether the other end was silent for too long.
+    pub fn timed_out(&self) -> bool {
+        self.failure == Failure::TimedOut
+    }
+}
+
 /// A connection that passed its start-up.
 pub struct StatementLink<C> {
     stream: TcpStream,
--- a/crates/proxy/src/sessions/process/targets.rs
+++ b/crates/proxy/src/sessions/process/targets.rs
@@ -270,12 +270,12 @@
         health.commits_stuck_since_us.get_or_insert(now_us);
     }
 
-    /// A commit got its answer, or none in time. One that was acknowledged, or refused, shows that
-    /// the others wait their turn only.
-    pub fn commit_ended(&self, now_us: u64, was_answered: bool) {
+    /// A commit got its answer, or its connection broke, or nothing came in time. Only the last speaks
+    /// for commits that are stuck: a target that loses some answers acknowledges the others.
+    pub fn commit_ended(&self, now_us: u64, timed_out: bool) {
         let mut health = self.health.lock();
         health.commits_waiting = health.commits_waiting.saturating_sub(1);
-        if was_answered {
+        if !timed_out {
             health.commits_stuck_since_us = (health.commits_waiting > 0).then_some(now_us);
         }
     }
--- a/crates/proxy/src/sessions/request/at_primary.rs
+++ b/crates/proxy/src/sessions/request/at_primary.rs
@@ -141,7 +141,7 @@
         target.ended();
         call.took(Stage::Target, sent_us);
         let now_us = call.now_us();
-        target.commit_ended(now_us, answered.is_ok());
+        target.commit_ended(now_us, answered.as_ref().is_err_and(Lost::timed_out));
         let reply = match answered {
             Ok(reply) => reply,
             Err(lost) => {
--- a/crates/proxy/src/sessions/request/transaction.rs
+++ b/crates/proxy/src/sessions/request/transaction.rs
@@ -18,6 +18,7 @@
 use crate::request::refusal::Refusal;
 use crate::sessions::codec::Codec;
 use crate::sessions::codec::Query;
+use crate::sessions::connection::link::Lost;
 use crate::sessions::connection::link::Reply;
 use crate::sessions::connection::session::Held;
 use crate::sessions::connection::session::Session;
@@ -152,7 +153,8 @@
     }
     let answered = exchange(call, session, &mut held, work, until_us).await;
     if is_durable {
-        held.target.commit_ended(call.now_us(), answered.is_ok());
+        let timed_out = answered.as_ref().is_err_and(Lost::timed_out);
+        held.target.commit_ended(call.now_us(), timed_out);
     }
     held.target.ended();
     held.lease.statement_ended();
@@ -197,7 +199,7 @@
     held: &mut Held<C>,
     work: &Work<'_>,
     until_us: u64,
-) -> Result<Reply, crate::sessions::connection::link::Lost>
+) -> Result<Reply, Lost>
 where
     C: Codec,
 {
