Ask a primary itself once it leaves all statements unanswered for 250 ms

Cause: few connections may all hang on a primary that went silent; the others then wait for a connection, which is no evidence.

--- a/crates/proxy/src/sessions/connection/peer.rs
+++ b/crates/proxy/src/sessions/connection/peer.rs
@@ -283,7 +283,7 @@
                 .await
                 .map_err(|_| Forwarded::Refused(ErrorKind::TargetBusy.into()))?,
         };
-        self.target.started();
+        self.target.started(now_us);
         let answered = self.exchange(&call, &mut lease, at_least, work).await;
         self.target.ended();
         match answered {
--- a/crates/proxy/src/sessions/process/takeover.rs
+++ b/crates/proxy/src/sessions/process/takeover.rs
@@ -44,6 +44,11 @@
 /// gone.
 const PRIMARY_LIMIT: Duration = Duration::from_millis(250);
 
+/// How long statements may wait without any being answered before the primary is asked itself, in
+/// microseconds. The slowest run takes 110 ms. Few connections may all hang on a primary that went
+/// silent, and nobody else would get one and fail: it took two seconds to notice.
+const UNANSWERED_US: u64 = 250_000;
+
 /// How old the last failure may be for a suspicion to stand, in microseconds: without requests to
 /// the primary there is no evidence.
 const EVIDENCE_US: u64 = 1_500_000;
@@ -165,6 +170,10 @@
         if stuck_since_us.is_some_and(|since_us| now_us >= since_us + COMMITS_STUCK_US) {
             return Some(Need::CommitsStuck);
         }
+        let unanswered_since_us = health.unanswered_since_us.filter(|_| health.in_flight > 0);
+        if unanswered_since_us.is_some_and(|since_us| now_us >= since_us + UNANSWERED_US) {
+            return Some(Need::Silent);
+        }
         let is_fresh = now_us < health.failed_us + EVIDENCE_US;
         let failed_since_us = health.failed_since_us.filter(|_| is_fresh)?;
         (now_us >= failed_since_us + SUSPECT_US).then_some(Need::Silent)
--- a/crates/proxy/src/sessions/process/targets.rs
+++ b/crates/proxy/src/sessions/process/targets.rs
@@ -43,8 +43,12 @@
 pub struct Health {
     /// The average time of an answer.
     pub usual_us: u64,
-    /// How many statements are under way or waiting.
-    pub under_way: u32,
+    /// How many statements wait for a turn or a connection.
+    pub queued: u32,
+    /// How many statements were sent and wait for their answer.
+    pub in_flight: u32,
+    /// Since when statements wait for their answer without any being answered.
+    pub unanswered_since_us: Option<u64>,
     /// When it answered last.
     pub answered_us: u64,
     /// The first failure since the last answer.
@@ -138,7 +142,9 @@
         let queue = AdmissionQueue::new(QueueLimits::default(), &class_shares(), clock);
         let health = Health {
             usual_us: INITIAL_ANSWER_US,
-            under_way: 0,
+            queued: 0,
+            in_flight: 0,
+            unanswered_since_us: None,
             answered_us: 0,
             failed_since_us: None,
             failed_us: 0,
@@ -229,15 +235,31 @@
         *self.health.lock()
     }
 
-    /// A statement is on its way there or waits for a turn.
-    pub fn started(&self) {
-        self.health.lock().under_way += 1;
+    /// A statement waits for a turn or a connection.
+    pub fn queued(&self) {
+        self.health.lock().queued += 1;
     }
 
-    /// A statement is no longer under way there.
+    /// A statement waits no longer.
+    pub fn unqueued(&self) {
+        let mut health = self.health.lock();
+        health.queued = health.queued.saturating_sub(1);
+    }
+
+    /// A statement is sent.
+    pub fn started(&self, now_us: u64) {
+        let mut health = self.health.lock();
+        health.in_flight += 1;
+        health.unanswered_since_us.get_or_insert(now_us);
+    }
+
+    /// A statement was answered, or is waited for no longer.
     pub fn ended(&self) {
         let mut health = self.health.lock();
-        health.under_way = health.under_way.saturating_sub(1);
+        health.in_flight = health.in_flight.saturating_sub(1);
+        if health.in_flight == 0 {
+            health.unanswered_since_us = None;
+        }
     }
 
     /// It answered, after `took_us` where that tells of its speed.
@@ -245,6 +267,7 @@
         let mut health = self.health.lock();
         health.answered_us = now_us;
         health.failed_since_us = None;
+        health.unanswered_since_us = (health.in_flight > 0).then_some(now_us);
         if let Some(took_us) = took_us {
             let kept_us = health.usual_us - health.usual_us / AVERAGE_DIVISOR;
             health.usual_us = kept_us + took_us / AVERAGE_DIVISOR;
--- a/crates/proxy/src/sessions/request/acquire.rs
+++ b/crates/proxy/src/sessions/request/acquire.rs
@@ -33,10 +33,10 @@
 where
     C: Codec,
 {
-    target.started();
+    target.queued();
     let asked_us = call.now_us();
     let taken = take_counted(call, target, until_us).await;
-    target.ended();
+    target.unqueued();
     call.took(Stage::Queue, asked_us);
     if let Err(NotTaken::NotConnected(failure)) = &taken {
         // A wait that ran out says nothing of the target, but the last try to connect may.
--- a/crates/proxy/src/sessions/request/at_primary.rs
+++ b/crates/proxy/src/sessions/request/at_primary.rs
@@ -67,8 +67,8 @@
     C: Codec,
 {
     let target = Arc::clone(&held.target);
-    target.started();
     let sent_us = call.now_us();
+    target.started(sent_us);
     let link = held.lease.connection();
     work.push(link, call.id, None);
     // Sent along: whatever becomes of the read, its transaction ends.
@@ -130,8 +130,8 @@
                 continue;
             }
         }
-        target.started();
         let sent_us = call.now_us();
+        target.started(sent_us);
         target.commit_sent(sent_us);
         work.push(link, call.id, None);
         let answered = match link.send().await {
@@ -191,7 +191,10 @@
             None => 0,
         };
         link.push_own(Statement::Begin { read_only: false });
-        let refusal = match acquire::settle(call, link, owed + 1, until_us).await {
+        target.started(sent_us);
+        let settled = acquire::settle(call, link, owed + 1, until_us).await;
+        target.ended();
+        let refusal = match settled {
             Ok(Some(reply)) if reply.error().is_none() => {
                 target.answered(call.now_us(), None);
                 call.gateway.proved_lead(&target, sent_us, reply.position);
--- a/crates/proxy/src/sessions/request/read.rs
+++ b/crates/proxy/src/sessions/request/read.rs
@@ -124,7 +124,7 @@
                 same_zone: member.record.zone == call.gateway.zone,
                 is_primary: call.gateway.is_primary(member),
                 usual_us: health.usual_us,
-                under_way: health.under_way,
+                under_way: health.queued + health.in_flight,
                 lags: health.lagged_us > 0
                     && now_us < health.lagged_us + limits::LAGGING_PASSED_OVER_US,
                 fails,
@@ -163,8 +163,8 @@
         Err(NotTaken::Queue(_)) => return Offered::QueueTooLong,
         Err(NotTaken::NotConnected(_)) => return Offered::TryNext(RetryReason::ConnectFailed),
     };
-    target.started();
     let sent_us = call.now_us();
+    target.started(sent_us);
     let until_us = patience_until_us(call);
     let link = lease.connection();
     let owed = link.push_session(&session.values, work.prepared());
--- a/crates/proxy/src/sessions/request/transaction.rs
+++ b/crates/proxy/src/sessions/request/transaction.rs
@@ -145,8 +145,8 @@
     let is_commit = work.effect() == Effect::Commit;
     let until_us = call.deadline_us();
     held.lease.statement_started();
-    held.target.started();
     let sent_us = call.now_us();
+    held.target.started(sent_us);
     let is_durable = is_commit && transaction.wrote;
     if is_durable {
         held.target.commit_sent(sent_us);
