--- /dev/null
+++ b/crates/soak/src/faults.rs
@@ -0,0 +1,158 @@
+//! A series of overlapping faults out of a seed.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use nix::sys::signal::Signal;
+use rand::RngExt;
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+use skylark_standin::typed::group::Group;
+use skylark_standin::typed::platform::Mood;
+use skylark_standin::typed::platform::Platform;
+use tokio::sync::Mutex;
+use tokio::time;
+
+use crate::process::Proxy;
+use crate::relay::Relay;
+use crate::relay::Treatment;
+
+/// What faults are done to.
+#[derive(Clone, Debug)]
+pub struct Victims {
+    /// The proxies.
+    pub proxies: Vec<Arc<Mutex<Proxy>>>,
+    /// The way of each proxy to the platform.
+    pub to_platform: Vec<Relay>,
+    /// The way to each target.
+    pub to_targets: Vec<Relay>,
+    /// The targets.
+    pub group: Arc<Group>,
+    /// The platform.
+    pub platform: Arc<Platform>,
+}
+
+/// One kind of fault.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+enum Fault {
+    Pause,
+    Kill,
+    Stop,
+    Hangup,
+    PlatformWay(Treatment),
+    TargetWay(Treatment),
+    ResetTargets,
+    TargetDies,
+    TargetCut,
+    TargetLeaves,
+    LosesAnswers,
+    Platform(Mood),
+    ForgetHistory,
+}
+
+const FAULTS: [Fault; 18] = [
+    Fault::Pause,
+    Fault::Kill,
+    Fault::Stop,
+    Fault::Hangup,
+    Fault::PlatformWay(Treatment::Silent),
+    Fault::PlatformWay(Treatment::OneWay),
+    Fault::PlatformWay(Treatment::Delay(150)),
+    Fault::TargetWay(Treatment::Silent),
+    Fault::TargetWay(Treatment::OneWay),
+    Fault::TargetWay(Treatment::Delay(40)),
+    Fault::ResetTargets,
+    Fault::TargetDies,
+    Fault::TargetCut,
+    Fault::TargetLeaves,
+    Fault::LosesAnswers,
+    Fault::Platform(Mood::Silent),
+    Fault::Platform(Mood::LosesAnswers),
+    Fault::ForgetHistory,
+];
+
+/// Brings faults about, each for a while, until the time is over; returns once all have ended.
+pub async fn series(victims: Victims, seed: u64, length: Duration) {
+    let mut rng = StdRng::seed_from_u64(seed);
+    let until = time::Instant::now() + length;
+    let mut under_way = Vec::new();
+    while time::Instant::now() < until {
+        let fault = FAULTS[rng.random_range(0..FAULTS.len())];
+        let lasts = Duration::from_millis(rng.random_range(200..2_500));
+        let (victims, which) = (victims.clone(), rng.random_range(0..usize::MAX));
+        under_way.push(tokio::spawn(async move { bring(&victims, fault, which, lasts).await }));
+        time::sleep(Duration::from_millis(rng.random_range(150..1_200))).await;
+    }
+    for fault in under_way {
+        // One that was broken off has ended.
+        let _ = fault.await;
+    }
+}
+
+async fn bring(victims: &Victims, fault: Fault, which: usize, lasts: Duration) {
+    let proxy = &victims.proxies[which % victims.proxies.len()];
+    let target = which % victims.to_targets.len();
+    let group = &victims.group;
+    match fault {
+        Fault::Pause => {
+            proxy.lock().await.signal(Signal::SIGSTOP);
+            time::sleep(lasts).await;
+            proxy.lock().await.signal(Signal::SIGCONT);
+        }
+        Fault::Kill => end_and_start(proxy, Signal::SIGKILL, lasts).await,
+        Fault::Stop => end_and_start(proxy, Signal::SIGTERM, lasts).await,
+        Fault::Hangup => proxy.lock().await.signal(Signal::SIGHUP),
+        Fault::PlatformWay(treatment) => {
+            let relay = &victims.to_platform[which % victims.to_platform.len()];
+            treat_for(relay, treatment, lasts).await;
+        }
+        Fault::TargetWay(treatment) => {
+            treat_for(&victims.to_targets[target], treatment, lasts).await;
+        }
+        Fault::ResetTargets => victims.to_targets.iter().for_each(Relay::reset),
+        Fault::TargetDies => {
+            group.change(target, |member| member.alive = false);
+            time::sleep(lasts).await;
+            group.change(target, |member| {
+                member.alive = true;
+                member.paused_term = 0;
+                member.start += 1;
+            });
+        }
+        Fault::TargetCut => {
+            group.change(target, |member| member.cut = true);
+            time::sleep(lasts).await;
+            group.change(target, |member| member.cut = false);
+        }
+        Fault::TargetLeaves => {
+            group.change(target, |member| member.leaving = true);
+            time::sleep(lasts).await;
+            group.change(target, |member| member.leaving = false);
+        }
+        Fault::LosesAnswers => {
+            group.change(target, |member| member.lose_answers += which as u32 % 5 + 1);
+        }
+        Fault::Platform(mood) => {
+            victims.platform.set_mood(mood);
+            time::sleep(lasts).await;
+            victims.platform.set_mood(Mood::Serving);
+        }
+        Fault::ForgetHistory => victims.platform.objects.forget_history(),
+    }
+}
+
+async fn end_and_start(proxy: &Mutex<Proxy>, signal: Signal, pause: Duration) {
+    let mut proxy = proxy.lock().await;
+    // One that stands still would not notice a request to stop.
+    proxy.signal(Signal::SIGCONT);
+    proxy.signal(signal);
+    proxy.wait().await;
+    time::sleep(pause / 4).await;
+    proxy.start_again().expect("the program was started before");
+}
+
+async fn treat_for(relay: &Relay, treatment: Treatment, lasts: Duration) {
+    relay.treat(treatment);
+    time::sleep(lasts).await;
+    relay.treat(Treatment::Pass);
+}
--- /dev/null
+++ b/crates/soak/src/main.rs
@@ -0,0 +1,81 @@
+//! Runs the soak by hand: `skylark-soak --program target/release/skylark-platform --seeds 50`.
+
+use std::path::PathBuf;
+use std::process::ExitCode;
+use std::time::Duration;
+
+use clap::Arg;
+use clap::Command;
+use clap::value_parser;
+use skylark_soak::run;
+use skylark_soak::run::SoakOptions;
+
+fn command() -> Command {
+    let number = |name: &'static str, default: &'static str, help: &'static str| {
+        Arg::new(name)
+            .long(name)
+            .value_name("N")
+            .default_value(default)
+            .value_parser(value_parser!(u64))
+            .help(help)
+    };
+    clap::command!()
+        .about("Randomized fault soak of the real proxy processes")
+        .arg(
+            Arg::new("program")
+                .long("program")
+                .value_name("FILE")
+                .required(true)
+                .value_parser(value_parser!(PathBuf))
+                .help("The proxy's program"),
+        )
+        .arg(number("first", "1", "The first seed"))
+        .arg(number("seeds", "10", "How many seeds"))
+        .arg(number("proxies", "4", "How many proxies"))
+        .arg(number("callers", "12", "How many callers"))
+        .arg(number("seconds", "8", "How long faults come, in seconds"))
+}
+
+#[tokio::main]
+#[expect(clippy::print_stdout, reason = "the verdicts are what the command is for")]
+async fn main() -> ExitCode {
+    let arguments = command().get_matches();
+    let number = |name: &str| *arguments.get_one::<u64>(name).expect("it has a default");
+    let program: &PathBuf = arguments.get_one("program").expect("the argument is required");
+    let mut failed = 0;
+    for seed in number("first")..number("first") + number("seeds") {
+        let options = SoakOptions {
+            program: program.clone(),
+            folder: run::folder_of(seed),
+            proxies: number("proxies") as usize,
+            callers: number("callers") as usize,
+            length: Duration::from_secs(number("seconds")),
+        };
+        match run::run(&options, seed).await {
+            Ok(verdict) => {
+                let (acknowledged, denied, reads) =
+                    (verdict.acknowledged, verdict.denied, verdict.reads);
+                println!(
+                    "seed {seed}: {acknowledged} acknowledged, {denied} denied, {reads} reads"
+                );
+                for violation in &verdict.violations {
+                    println!("  {violation}");
+                }
+                match verdict.violations.is_empty() {
+                    // The logs of a seed that failed are kept.
+                    true => drop(std::fs::remove_dir_all(&options.folder)),
+                    false => {
+                        println!("  logs: {}", options.folder.display());
+                        failed += 1;
+                    }
+                }
+            }
+            Err(error) => {
+                println!("seed {seed}: not run: {error}");
+                failed += 1;
+            }
+        }
+    }
+    println!("{failed} seeds failed");
+    if failed == 0 { ExitCode::SUCCESS } else { ExitCode::FAILURE }
+}
--- /dev/null
+++ b/crates/soak/src/process.rs
@@ -0,0 +1,109 @@
+//! The proxies as child processes.
+
+use std::io;
+use std::net::SocketAddr;
+use std::path::Path;
+use std::path::PathBuf;
+use std::process::Stdio;
+
+use nix::sys::signal;
+use nix::sys::signal::Signal;
+use nix::unistd::Pid;
+use tokio::process::Child;
+use tokio::process::Command;
+
+/// What a proxy is started with.
+#[derive(Clone, Debug)]
+pub struct ProxySetup {
+    /// The program.
+    pub program: PathBuf,
+    /// The folder for its settings and logs.
+    pub folder: PathBuf,
+    /// Its number.
+    pub number: usize,
+    /// Where callers connect.
+    pub callers: SocketAddr,
+    /// Where it is asked whether it is ready.
+    pub ready: SocketAddr,
+    /// Where other proxies connect.
+    pub peers: SocketAddr,
+    /// The platform, behind a relay of its own.
+    pub platform: SocketAddr,
+}
+
+/// One proxy.
+#[derive(Debug)]
+pub struct Proxy {
+    /// What it is started with.
+    pub setup: ProxySetup,
+    child: Option<Child>,
+}
+
+impl Proxy {
+    /// Starts a proxy.
+    pub fn start(setup: ProxySetup) -> io::Result<Proxy> {
+        let mut proxy = Proxy { setup, child: None };
+        proxy.start_again()?;
+        Ok(proxy)
+    }
+
+    /// Starts it again after its end.
+    pub fn start_again(&mut self) -> io::Result<()> {
+        let file = self.setup.folder.join(format!("vm-{}.toml", self.setup.number));
+        std::fs::write(&file, settings(&self.setup))?;
+        let log = self.setup.folder.join(format!("vm-{}.log", self.setup.number));
+        let log = std::fs::OpenOptions::new().create(true).append(true).open(log)?;
+        let child = Command::new(&self.setup.program)
+            .arg("--settings")
+            .arg(&file)
+            .stdin(Stdio::null())
+            .stdout(log)
+            .kill_on_drop(true)
+            .spawn()?;
+        self.child = Some(child);
+        Ok(())
+    }
+
+    /// Sends it a signal. Nothing happens if it has ended.
+    pub fn signal(&self, signal: Signal) {
+        let id = self.child.as_ref().and_then(Child::id);
+        if let Some(id) = id.and_then(|id| i32::try_from(id).ok()) {
+            // It may end at this moment; its number is not given out again before it is waited for.
+            let _ = signal::kill(Pid::from_raw(id), signal);
+        }
+    }
+
+    /// Waits for its end after a signal that ends it.
+    pub async fn wait(&mut self) {
+        if let Some(child) = &mut self.child {
+            // A process that can't be waited for has been.
+            let _ = child.wait().await;
+        }
+        self.child = None;
+    }
+
+    /// Whether it ended without having been told to.
+    pub fn ended_by_itself(&mut self) -> bool {
+        let Some(child) = &mut self.child else { return false };
+        matches!(child.try_wait(), Ok(Some(_)))
+    }
+
+    /// The folder of its logs.
+    pub fn folder(&self) -> &Path {
+        &self.setup.folder
+    }
+}
+
+fn settings(setup: &ProxySetup) -> String {
+    let (number, zone) = (setup.number, setup.number % 3 + 1);
+    let ProxySetup { callers, ready, peers, platform, .. } = setup;
+    format!(
+        "Node = \"vm-{number}\"\nZone = \"zone-{zone}\"\nIp = \"{}\"\nInternalPorts = [{}, {}]\n\
+         [Listen]\nFront = \"{callers}\"\nReady = \"{ready}\"\n\
+         [Bounds]\nGraceS = 4\nDrainMs = 7000\n\
+         [platform]\nAddress = \"{platform}\"\n[Cloud]\nAddress = \"{platform}\"\n",
+        peers.ip(),
+        peers.port(),
+        peers.port(),
+    )
+}
--- /dev/null
+++ b/crates/soak/src/run.rs
@@ -0,0 +1,218 @@
+//! One seed from start to verdict.
+
+use std::collections::BTreeMap;
+use std::io;
+use std::net::SocketAddr;
+use std::path::Path;
+use std::path::PathBuf;
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use parking_lot::Mutex;
+use skylark_core::FastMap;
+use skylark_core::version::routes::ReadRule;
+use skylark_core::version::routes::Route;
+use skylark_core::version::routes::RouteTable;
+use skylark_core::version::routes::ServiceLimits;
+use skylark_standin::typed::deployment::Deployment;
+use skylark_standin::typed::group::GroupOptions;
+use tokio::net::TcpListener;
+use tokio::sync::watch;
+use tokio::time;
+
+use crate::callers::Caller;
+use crate::callers::Told;
+use crate::faults;
+use crate::faults::Victims;
+use crate::process::Proxy;
+use crate::process::ProxySetup;
+use crate::relay::Relay;
+
+/// How long a healed deployment has until it serves again. The users allow 12 s; a busy machine needs
+/// longer and must not change the verdict.
+const HEALED: Duration = Duration::from_secs(40);
+
+/// The service of the soak.
+const SERVICE: &str = "soak";
+
+/// How a soak is set up.
+#[derive(Clone, Debug)]
+pub struct SoakOptions {
+    /// The proxy's program.
+    pub program: PathBuf,
+    /// A folder for settings and logs.
+    pub folder: PathBuf,
+    /// How many proxies.
+    pub proxies: usize,
+    /// How many callers.
+    pub callers: usize,
+    /// How long faults come.
+    pub length: Duration,
+}
+
+/// What a soak found.
+#[derive(Clone, PartialEq, Eq, Debug)]
+pub struct Verdict {
+    /// Acknowledged writes.
+    pub acknowledged: usize,
+    /// Writes that were said not to have run.
+    pub denied: usize,
+    /// Answered reads.
+    pub reads: u64,
+    /// Promises that were broken.
+    pub violations: Vec<String>,
+}
+
+/// Runs one seed.
+pub async fn run(options: &SoakOptions, seed: u64) -> io::Result<Verdict> {
+    std::fs::create_dir_all(&options.folder)?;
+    let to_targets = Arc::new(Mutex::new(Vec::new()));
+    let relays = Arc::clone(&to_targets);
+    let deployment = Deployment::start_behind(vec![group_options()], async move |address| {
+        let relay = Relay::start(address).await?;
+        relays.lock().push(relay.clone());
+        Ok(relay.address)
+    })
+    .await?;
+    deployment.configure(&routes());
+    let (mut proxies, mut to_platform, mut addresses) = (Vec::new(), Vec::new(), Vec::new());
+    for number in 1..=options.proxies {
+        let relay = Relay::start(deployment.platform_address).await?;
+        let setup = ProxySetup {
+            program: options.program.clone(),
+            folder: options.folder.clone(),
+            number,
+            callers: free_address().await?,
+            ready: free_address().await?,
+            peers: free_address().await?,
+            platform: relay.address,
+        };
+        addresses.push(setup.callers);
+        proxies.push(Arc::new(tokio::sync::Mutex::new(Proxy::start(setup)?)));
+        to_platform.push(relay);
+    }
+    let told = Arc::new(Mutex::new(Told::default()));
+    let (goes_on, _) = watch::channel(true);
+    let mut callers = Vec::new();
+    for number in 0..options.callers {
+        let caller = Caller {
+            number,
+            proxies: addresses.clone(),
+            told: Arc::clone(&told),
+            goes_on: goes_on.subscribe(),
+        };
+        let caller_seed = seed.wrapping_mul(1_000).wrapping_add(number as u64);
+        callers.push(tokio::spawn(caller.run(caller_seed)));
+    }
+    let group = Arc::clone(&deployment.groups[0].0);
+    let victims = Victims {
+        proxies: proxies.clone(),
+        to_platform,
+        to_targets: to_targets.lock().clone(),
+        group: Arc::clone(&group),
+        platform: Arc::clone(&deployment.platform),
+    };
+    faults::series(victims, seed, options.length).await;
+    let mut violations = serves_again(&told).await;
+    goes_on.send_replace(false);
+    for caller in callers {
+        // A caller that panicked would have failed an assertion, and there is none.
+        let _ = caller.await;
+    }
+    for proxy in &proxies {
+        if proxy.lock().await.ended_by_itself() {
+            violations.push("a proxy ended by itself".to_owned());
+        }
+    }
+    let told = told.lock();
+    violations.extend(told.violations.iter().cloned());
+    violations.extend(compare(&told, &written(&group.leaders_log())));
+    if !group.lost().is_empty() {
+        violations.push(format!("{} commits lost by promotions", group.lost().len()));
+    }
+    Ok(Verdict {
+        acknowledged: told.acknowledged.len(),
+        denied: told.denied.len(),
+        reads: told.reads,
+        violations,
+    })
+}
+
+/// Waits until writes are acknowledged after the last fault.
+async fn serves_again(told: &Mutex<Told>) -> Vec<String> {
+    let before = told.lock().acknowledged.len();
+    let until = Instant::now() + HEALED;
+    while told.lock().acknowledged.len() < before + 20 {
+        if Instant::now() >= until {
+            return vec!["writes are not acknowledged after the faults".to_owned()];
+        }
+        time::sleep(Duration::from_millis(50)).await;
+    }
+    Vec::new()
+}
+
+/// How often each data was written.
+fn written(log: &[skylark_standin::typed::group::Record]) -> BTreeMap<String, usize> {
+    let mut counts = BTreeMap::new();
+    for (_, data) in log.iter().flat_map(|record| &record.writes) {
+        *counts.entry(data.clone()).or_default() += 1;
+    }
+    counts
+}
+
+fn compare(told: &Told, written: &BTreeMap<String, usize>) -> Vec<String> {
+    let lost = told.acknowledged.iter().filter(|data| !written.contains_key(*data));
+    let lost = lost.map(|data| format!("lost: {data} was acknowledged"));
+    let doubled = written.iter().filter(|(_, count)| **count > 1);
+    let doubled = doubled.map(|(data, count)| format!("doubled: {data} is there {count} times"));
+    let untrue = told.denied.iter().filter(|data| written.contains_key(*data));
+    let untrue = untrue.map(|data| format!("untrue refusal: {data} is there"));
+    lost.chain(doubled).chain(untrue).collect()
+}
+
+fn group_options() -> GroupOptions {
+    let member = |number: u32| (format!("i-{number}").into(), format!("zone-{number}").into());
+    GroupOptions {
+        service: SERVICE.into(),
+        members: (1..=3).map(member).collect(),
+        sync_replicas: 1,
+        apply_lag: Duration::from_millis(20),
+        promote_takes: Duration::from_millis(200),
+        max_connections: 24,
+    }
+}
+
+fn routes() -> RouteTable {
+    let max_age_ms = 1_500;
+    let rules =
+        [("primary-db", ReadRule::Primary), ("own-db", ReadRule::ReadYourWrites { max_age_ms })];
+    let route = |(database, reads): (&str, ReadRule)| {
+        let route = Route {
+            database: database.into(),
+            service: SERVICE.into(),
+            reads,
+            timeout_ms: 1_000,
+            objective_ms: 400,
+            priority: 1,
+        };
+        (Arc::from(database), Arc::new(route))
+    };
+    let limits = ServiceLimits { max_connections: 24, sync_replicas: 1 };
+    RouteTable {
+        version: 1,
+        routes: rules.into_iter().map(route).collect(),
+        services: FastMap::from_iter([(Arc::from(SERVICE), limits)]),
+        transaction_idle_ms: 3_000,
+    }
+}
+
+async fn free_address() -> io::Result<SocketAddr> {
+    TcpListener::bind("127.0.0.1:0").await?.local_addr()
+}
+
+/// A folder for one seed below the system's folder for passing files.
+pub fn folder_of(seed: u64) -> PathBuf {
+    let name = format!("skylark-soak-{}-{seed}", std::process::id());
+    Path::new(&std::env::temp_dir()).join(name)
+}
--- a/crates/standin/src/typed/database.rs
+++ b/crates/standin/src/typed/database.rs
@@ -39,6 +39,8 @@
     pub member: usize,
     /// Where it listens.
     pub address: SocketAddr,
+    /// Where it says that it listens: a relay in front of it, or itself.
+    pub announced: SocketAddr,
 }
 
 impl Database {
@@ -46,7 +48,8 @@
     pub async fn start(group: &Arc<Group>, member: usize) -> io::Result<Database> {
         let listener = TcpListener::bind("127.0.0.1:0").await?;
         let address = listener.local_addr()?;
-        let database = Database { group: Arc::clone(group), member, address };
+        let group = Arc::clone(group);
+        let database = Database { group, member, address, announced: address };
         tokio::spawn(database.clone().accept(listener));
         Ok(database)
     }
--- a/crates/standin/src/typed/deployment.rs
+++ b/crates/standin/src/typed/deployment.rs
@@ -32,6 +32,15 @@
 impl Deployment {
     /// Starts the platform and all targets, which register themselves and go on doing so.
     pub async fn start(groups: Vec<GroupOptions>) -> io::Result<Deployment> {
+        Deployment::start_behind(groups, async |address| Ok(address)).await
+    }
+
+    /// The same, with something in front of each target: `relay` is given the target's address and
+    /// returns the one that is announced.
+    pub async fn start_behind<F>(groups: Vec<GroupOptions>, relay: F) -> io::Result<Deployment>
+    where
+        F: AsyncFn(SocketAddr) -> io::Result<SocketAddr>,
+    {
         let platform = Arc::new(Platform::default());
         let platform_address = platform.start().await?;
         let mut started = Vec::new();
@@ -40,7 +49,9 @@
             platform.add_group(&group);
             let mut databases = Vec::new();
             for member in 0..group.options.members.len() {
-                databases.push(Database::start(&group, member).await?);
+                let mut database = Database::start(&group, member).await?;
+                database.announced = relay(database.address).await?;
+                databases.push(database);
             }
             register(&platform, &databases);
             tokio::spawn(keep_registered(Arc::clone(&platform), databases.clone()));
@@ -73,7 +84,7 @@
         let leads = group.leader() == Some(member);
         let record = TargetRecord {
             service: Arc::clone(&group.options.service),
-            address: database.address,
+            address: database.announced,
             zone: Arc::clone(&group.options.members[member].1),
             slots: SLOTS,
             leaving: state.leaving,
--- a/crates/standin/src/typed/group.rs
+++ b/crates/standin/src/typed/group.rs
@@ -160,6 +160,12 @@
         self.changed.subscribe()
     }
 
+    /// What the member that leads has in its log.
+    pub fn leaders_log(&self) -> Vec<Record> {
+        let state = self.state.lock();
+        state.leader.map_or_else(Vec::new, |leader| state.members[leader].log.clone())
+    }
+
     /// The acknowledged commits that a promotion lost.
     pub fn lost(&self) -> Vec<Record> {
         self.state.lock().lost.clone()
