--- a/crates/proxy/src/sessions/process/feed.rs
+++ b/crates/proxy/src/sessions/process/feed.rs
@@ -2,7 +2,7 @@
 //!
 //! Each change wakes every watch at the store, and each answer is paid for: with 68 VMs that was the
 //! largest price of a day. So with many VMs only a few in each availability zone watch the store, and
-//! tell the others there as soon as they know. One that is not told within [`SILENCE`] turns to the
+//! tell the others there as soon as they know. One that is not told for a while turns to the
 //! next watcher, and watches the store by itself while it finds none.
 //!
 //! The messages are JSON lines: what is known as a whole whenever it changes, and a sign of life
