--- a/crates/proxy/src/sessions/connection/caller.rs
+++ b/crates/proxy/src/sessions/connection/caller.rs
@@ -23,13 +23,12 @@
 use crate::sessions::codec::Codec;
 use crate::sessions::codec::CodecError;
 use crate::sessions::codec::TargetMessage;
-use crate::sessions::connection::link::End;
 use crate::sessions::connection::session::Session;
 use crate::sessions::connection::session::SessionState;
 use crate::sessions::process::gateway::Gateway;
-use crate::sessions::process::gateway::StopPhase;
-use crate::sessions::process::gateway::StopState;
 use crate::sessions::process::limits;
+use crate::sessions::process::stop::StopPhase;
+use crate::sessions::process::stop::StopState;
 use crate::sessions::request::execute;
 use crate::sessions::request::execute::Answer;
 use crate::sessions::request::transaction;
@@ -286,14 +285,7 @@
                 C::encode_answer(&TargetMessage::Complete { proof: "-" }, &mut self.output);
             }
             Answer::Refused(refusal) => C::encode_refusal(refusal, &mut self.output),
-            Answer::Reply(reply) => {
-                self.output.extend_from_slice(&reply.rows);
-                let end = match &reply.end {
-                    End::Complete { proof } => TargetMessage::Complete { proof },
-                    End::Error { error, text } => TargetMessage::Error { error: *error, text },
-                };
-                C::encode_answer(&end, &mut self.output);
-            }
+            Answer::Reply(reply) => reply.encode::<C>(&mut self.output),
         }
     }
 
--- a/crates/proxy/src/sessions/connection/link.rs
+++ b/crates/proxy/src/sessions/connection/link.rs
@@ -14,12 +14,10 @@
 
 use bytes::BytesMut;
 use skylark_core::FastMap;
-use skylark_core::log_position::LogPosition;
 use skylark_core::request::retry::Failure;
 use skylark_core::request::retry::Stage;
 use skylark_core::request::statement::Prepared;
 use skylark_core::request::statement::Statement;
-use skylark_core::request::statement::TargetError;
 use skylark_core::request::statement::TransactionStatus;
 use socket2::SockRef;
 use socket2::TcpKeepalive;
@@ -33,6 +31,9 @@
 use crate::sessions::codec::Codec;
 use crate::sessions::codec::Query;
 use crate::sessions::codec::TargetMessage;
+use crate::sessions::connection::reply::End;
+use crate::sessions::connection::reply::Lost;
+use crate::sessions::connection::reply::Reply;
 
 /// The largest message of a target, in bytes. The protocol allows no larger ones.
 const MAX_MESSAGE_BYTES: usize = 1 << 20;
@@ -65,64 +66,6 @@
     pub vm: Arc<str>,
 }
 
-/// How a statement ended at a target.
-#[derive(Clone, PartialEq, Eq, Debug)]
-pub enum End {
-    /// It succeeded, with the target's proof.
-    Complete {
-        /// The proof.
-        proof: Box<str>,
-    },
-    /// It was refused or failed.
-    Error {
-        /// Why.
-        error: TargetError,
-        /// The target's words.
-        text: Box<str>,
-    },
-}
-
-/// The whole answer to one statement.
-#[derive(Clone, PartialEq, Eq, Debug)]
-pub struct Reply {
-    /// The rows, encoded for a caller.
-    pub rows: BytesMut,
-    /// The first row's text; empty if there is none.
-    pub first_row: Box<str>,
-    /// How it ended.
-    pub end: End,
-    /// The transaction's status afterwards.
-    pub status: TransactionStatus,
-    /// How far the target's log went.
-    pub position: Option<LogPosition>,
-}
-
-impl Reply {
-    /// The error, if it is one.
-    pub fn error(&self) -> Option<TargetError> {
-        match self.end {
-            End::Complete { .. } => None,
-            End::Error { error, .. } => Some(error),
-        }
-    }
-}
-
-/// A statement that got no whole answer.
-#[derive(Clone, Copy, PartialEq, Eq, Debug)]
-pub struct Lost {
-    /// What was seen.
-    pub failure: Failure,
-    /// How far the statement had come.
-    pub stage: Stage,
-}
-
-impl Lost {
-    /// Whether the other end was silent for too long.
-    pub fn timed_out(&self) -> bool {
-        self.failure == Failure::TimedOut
-    }
-}
-
 /// A connection that passed its start-up.
 pub struct StatementLink<C> {
     stream: TcpStream,
--- a/crates/proxy/src/sessions/connection/mod.rs
+++ b/crates/proxy/src/sessions/connection/mod.rs
@@ -3,4 +3,5 @@
 pub mod caller;
 pub mod link;
 pub mod peer;
+pub mod reply;
 pub mod session;
--- a/crates/proxy/src/sessions/connection/peer.rs
+++ b/crates/proxy/src/sessions/connection/peer.rs
@@ -28,10 +28,10 @@
 use crate::sessions::codec::TargetMessage;
 use crate::sessions::codec::TargetRequest;
 use crate::sessions::connection::link;
-use crate::sessions::connection::link::End;
-use crate::sessions::connection::link::Lost;
-use crate::sessions::connection::link::Reply;
 use crate::sessions::connection::link::StatementLink;
+use crate::sessions::connection::reply::End;
+use crate::sessions::connection::reply::Lost;
+use crate::sessions::connection::reply::Reply;
 use crate::sessions::process::feed;
 use crate::sessions::process::gateway::Gateway;
 use crate::sessions::process::limits;
@@ -328,12 +328,7 @@
     }
 
     fn push_reply(&mut self, reply: &Reply) {
-        self.output.extend_from_slice(&reply.rows);
-        let end = match &reply.end {
-            End::Complete { proof } => TargetMessage::Complete { proof },
-            End::Error { error, text } => TargetMessage::Error { error: *error, text },
-        };
-        C::encode_answer(&end, &mut self.output);
+        reply.encode::<C>(&mut self.output);
         self.push_ready(reply.position);
     }
 
--- a/crates/proxy/src/sessions/process/control.rs
+++ b/crates/proxy/src/sessions/process/control.rs
@@ -75,6 +75,7 @@
         looks.tick().await;
         let knows_targets = !gateway.view().services.is_empty() && gateway.knows_vms();
         gateway.serves.store(knows_targets, Ordering::Relaxed);
+        watcher.drop_lapsed();
         watcher.tell_state();
         takeovers.look();
         isolation.look();
--- a/crates/proxy/src/sessions/process/daemon.rs
+++ b/crates/proxy/src/sessions/process/daemon.rs
@@ -12,6 +12,7 @@
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
 use tokio::signal::unix;
+use tokio::signal::unix::Signal;
 use tokio::signal::unix::SignalKind;
 use tokio::task::JoinHandle;
 use tokio::time;
@@ -22,9 +23,9 @@
 use crate::sessions::process::control;
 use crate::sessions::process::control::ControlThread;
 use crate::sessions::process::gateway::Gateway;
-use crate::sessions::process::gateway::StopPhase;
 use crate::sessions::process::limits;
 use crate::sessions::process::sampler;
+use crate::sessions::process::stop::StopPhase;
 use crate::sessions::store::Promoter;
 use crate::sessions::store::StateStore;
 use crate::sessions::store::VmAddress;
@@ -99,28 +100,43 @@
     _control: ControlThread,
 }
 
+/// The signals that a process is told by.
+#[derive(Debug)]
+pub struct Signals {
+    terminate: Signal,
+    hangup: Signal,
+}
+
+impl Signals {
+    /// Listens for them. Without that they would end the process.
+    pub fn listen() -> Result<Signals, StartError> {
+        let terminate = unix::signal(SignalKind::terminate()).map_err(StartError::Signals)?;
+        let hangup = unix::signal(SignalKind::hangup()).map_err(StartError::Signals)?;
+        Ok(Signals { terminate, hangup })
+    }
+}
+
 /// Runs until the process is told to stop and its callers are served.
 pub async fn run<C, S, P>(
     gateway: Arc<Gateway<C>>,
     settings: &SessionSettings,
     store: S,
     promoter: P,
+    mut signals: Signals,
 ) -> Result<(), StartError>
 where
     C: Codec,
     S: StateStore,
     P: Promoter,
 {
-    let mut terminate = unix::signal(SignalKind::terminate()).map_err(StartError::Signals)?;
-    let mut hangup = unix::signal(SignalKind::hangup()).map_err(StartError::Signals)?;
     let log = gateway.log.clone();
     let running = start(gateway, settings, store, promoter).await?;
     loop {
         tokio::select! {
-            _ = terminate.recv() => break,
+            _ = signals.terminate.recv() => break,
             // Nothing that the settings hold changes while a process runs but what the next start
-            // reads; without a handler the signal would end the process.
-            _ = hangup.recv() => slog::info!(log, "asked to reload; settings are read at start"),
+            // reads.
+            _ = signals.hangup.recv() => slog::info!(log, "asked to reload; settings are read at start"),
         }
     }
     running.stop(Duration::from_millis(settings.grace_ms)).await;
--- a/crates/proxy/src/sessions/process/gateway.rs
+++ b/crates/proxy/src/sessions/process/gateway.rs
@@ -6,20 +6,16 @@
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
-use std::time::Instant;
 
 use arc_swap::ArcSwap;
-use parking_lot::Mutex;
 use parking_lot::RwLock;
 use skylark_core::FastMap;
 use skylark_core::log_position::LogPosition;
 use skylark_core::process::read_age::Sample;
-use skylark_core::request::primary_positions::PrimaryPositions;
 use skylark_core::version::routes::ReadRule;
 use skylark_core::version::routes::Route;
 use skylark_core::version::routes::RouteTable;
 use skylark_core::version::routes::ServiceLimits;
-use tokio::sync::Notify;
 use tokio::sync::watch;
 
 use crate::process::clock::MonotonicClock;
@@ -28,9 +24,11 @@
 use crate::sessions::process::daemon::SessionSettings;
 use crate::sessions::process::feed::Bulletin;
 use crate::sessions::process::latencies::Latencies;
-use crate::sessions::process::leader::LeaderBelief;
 use crate::sessions::process::limits;
 use crate::sessions::process::log_budget::LogBudget;
+use crate::sessions::process::services::ServiceState;
+use crate::sessions::process::stop::StopPhase;
+use crate::sessions::process::stop::StopState;
 use crate::sessions::process::targets::TargetState;
 use crate::sessions::process::ways::Ways;
 use crate::sessions::store::VmAddress;
@@ -40,91 +38,6 @@
 /// to them.
 const UNKNOWN_SERVICE: ServiceLimits = ServiceLimits { max_connections: 2, sync_replicas: 0 };
 
-/// How far the process has come with stopping.
-#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Debug)]
-pub enum StopPhase {
-    /// It serves.
-    Serving,
-    /// It says that it is not ready, and serves all that comes.
-    NotReady,
-    /// Callers that rest outside a transaction are asked to go, one after the other.
-    ClosingIdle,
-    /// Open transactions are rolled back as well.
-    Ending,
-    /// Nobody is accepted any more, and each caller goes after the statement that is under way.
-    Last,
-}
-
-/// How far the process has come with stopping, and since when.
-#[derive(Clone, Copy, PartialEq, Eq, Debug)]
-pub struct StopState {
-    /// How far.
-    pub phase: StopPhase,
-    /// When resting callers began to be closed; none before.
-    pub closing_since: Option<Instant>,
-}
-
-impl StopState {
-    /// A process that serves.
-    pub const SERVING: StopState = StopState { phase: StopPhase::Serving, closing_since: None };
-
-    /// The state in another phase.
-    pub fn in_phase(self, phase: StopPhase) -> StopState {
-        let is_closing = phase >= StopPhase::ClosingIdle;
-        let closing_since = self.closing_since.or(Some(Instant::now())).filter(|_| is_closing);
-        StopState { phase, closing_since }
-    }
-}
-
-/// What the traffic showed of one service.
-#[derive(Debug, Default)]
-pub struct ServiceState {
-    /// Positions of the primary.
-    pub positions: Mutex<PrimaryPositions>,
-    /// Which target leads.
-    pub leader: Mutex<LeaderBelief>,
-    /// When a read last needed a position.
-    read_us: AtomicU64,
-    /// Whether a read is under way that will bring a position.
-    sampling: AtomicBool,
-    /// Tells those who wait for a position that one came, or that the read for it ended.
-    sampled: Notify,
-}
-
-/// A read that will bring a position of the primary.
-#[derive(Debug)]
-pub struct Sampling<'a>(&'a ServiceState);
-
-impl Drop for Sampling<'_> {
-    fn drop(&mut self) {
-        self.0.sampling.store(false, Ordering::Relaxed);
-        self.0.sampled.notify_waiters();
-    }
-}
-
-impl ServiceState {
-    /// Takes on to bring a position, unless another read does so already.
-    pub fn begin_sampling(&self) -> Option<Sampling<'_>> {
-        let was_sampling = self.sampling.swap(true, Ordering::Relaxed);
-        (!was_sampling).then(|| Sampling(self))
-    }
-
-    /// A read needs a position.
-    pub fn needs_position(&self, now_us: u64) {
-        self.read_us.store(now_us, Ordering::Relaxed);
-    }
-
-    /// When a read last needed a position.
-    pub fn read_us(&self) -> u64 {
-        self.read_us.load(Ordering::Relaxed)
-    }
-
-    /// Waits until a read that brings a position has ended.
-    pub async fn sampled(&self) {
-        self.sampled.notified().await;
-    }
-}
-
 /// What all sessions share.
 #[derive(Debug)]
 pub struct Gateway<C>
@@ -330,7 +243,7 @@
     pub fn learn_position(&self, service: &Arc<str>, taken_us: u64, position: LogPosition) {
         let state = self.service(service);
         state.positions.lock().saw(taken_us, position);
-        state.sampled.notify_waiters();
+        state.position_came();
     }
 
     /// The newest known position of a service's primary, and when it was taken.
--- a/crates/proxy/src/sessions/process/isolation.rs
+++ b/crates/proxy/src/sessions/process/isolation.rs
@@ -11,7 +11,7 @@
 use crate::sessions::codec::Query;
 use crate::sessions::process::daemon::BALANCER_NOTICES;
 use crate::sessions::process::gateway::Gateway;
-use crate::sessions::process::gateway::StopPhase;
+use crate::sessions::process::stop::StopPhase;
 use crate::sessions::process::target_calls;
 use crate::sessions::process::target_calls::Said;
 use crate::sessions::process::targets::TargetState;
--- /dev/null
+++ b/crates/proxy/src/sessions/process/known.rs
@@ -0,0 +1,219 @@
+//! What the watches, or another process, brought, put together and published.
+//!
+//! Versions of the configuration only rise, and a list of targets that is older than what is known
+//! changes nothing.
+
+use std::sync::Arc;
+
+use skylark_core::FastMap;
+use skylark_core::version::routes::RouteTable;
+
+use crate::sessions::codec::Codec;
+use crate::sessions::process::feed;
+use crate::sessions::process::feed::Message;
+use crate::sessions::process::watch::Known;
+use crate::sessions::process::watch::Watcher;
+use crate::sessions::store::ListedTarget;
+use crate::sessions::store::StateStore;
+use crate::sessions::store::TargetChange;
+use crate::sessions::version::view::Member;
+use crate::sessions::version::view::View;
+
+impl Known {
+    /// A target is listed.
+    fn list(&mut self, member: Member) {
+        let id = Arc::clone(&member.record.id);
+        self.lapsed.remove(&id);
+        if let Some(departures) = self.departures.get_mut(&member.record.service) {
+            departures.returned(&id);
+        }
+        self.targets.insert(id, member);
+    }
+}
+
+impl<C, S> Watcher<C, S>
+where
+    C: Codec,
+    S: StateStore,
+{
+    /// Takes in a configuration.
+    pub fn take_routes(&self, routes: Arc<RouteTable>) {
+        let mut known = self.known.lock();
+        // A stale answer must not bring back what was changed.
+        if known.routes.as_ref().is_some_and(|present| present.version >= routes.version) {
+            return;
+        }
+        slog::info!(self.gateway.log, "configuration in force";
+            "version" => routes.version, "routes" => routes.routes.len());
+        known.routes = Some(routes);
+        self.publish(&mut known);
+    }
+
+    pub(super) fn take_list(&self, revision: u64, listed: Vec<ListedTarget>) {
+        let mut known = self.known.lock();
+        let member = |target: ListedTarget| {
+            let before = known.targets.get(&target.record.id);
+            member_of(target, before)
+        };
+        let members = listed.into_iter().map(member).collect();
+        self.replace_all(&mut known, revision, members);
+    }
+
+    /// Takes in all targets as another process knows them, unless they are older than what is known.
+    pub fn take_members(&self, revision: u64, members: Vec<Member>) {
+        let mut known = self.known.lock();
+        if revision >= known.targets_revision {
+            self.replace_all(&mut known, revision, members);
+        }
+    }
+
+    fn replace_all(&self, known: &mut Known, revision: u64, members: Vec<Member>) {
+        known.targets_revision = revision;
+        let mut previous = std::mem::take(&mut known.targets);
+        for member in members {
+            previous.remove(&member.record.id);
+            known.list(member);
+        }
+        for (_, member) in previous {
+            self.missing(known, member);
+        }
+        self.publish(known);
+    }
+
+    pub(super) fn take_changes(&self, revision: u64, changes: Vec<TargetChange>) {
+        let mut known = self.known.lock();
+        known.targets_revision = revision;
+        if changes.is_empty() {
+            return;
+        }
+        for change in changes {
+            match change {
+                TargetChange::Listed(target) => {
+                    let before = known.targets.remove(&target.record.id);
+                    let member = member_of(target, before.as_ref());
+                    if before.as_ref() != Some(&member) {
+                        self.log_member(&member);
+                    }
+                    known.list(member);
+                }
+                TargetChange::Removed(id) => {
+                    if let Some(member) = known.targets.remove(&id) {
+                        self.missing(&mut known, member);
+                    }
+                }
+            }
+        }
+        self.publish(&mut known);
+    }
+
+    /// Gives up the targets that lapsed while the store was away and did not come back.
+    pub fn drop_lapsed(&self) {
+        if !self.list_is_settled() {
+            return;
+        }
+        let mut known = self.known.lock();
+        let lapsed = std::mem::take(&mut known.lapsed);
+        let gone: Vec<Member> = lapsed.iter().filter_map(|id| known.targets.remove(id)).collect();
+        if gone.is_empty() {
+            return;
+        }
+        for member in gone {
+            self.leave(&mut known, &member);
+        }
+        self.publish(&mut known);
+    }
+
+    /// A target is no longer listed. One that may have lapsed only because the store was away is kept
+    /// until the list is settled: the targets that live are back within 2 s, and without them all
+    /// requests of their services would be refused until then.
+    fn missing(&self, known: &mut Known, member: Member) {
+        let may_be_back = !member.record.leaving && !self.is_settled(known);
+        if may_be_back {
+            slog::info!(self.gateway.log, "target lapsed, perhaps for a moment";
+                "target" => &*member.record.id);
+            known.lapsed.insert(Arc::clone(&member.record.id));
+            known.targets.insert(Arc::clone(&member.record.id), member);
+        } else {
+            self.leave(known, &member);
+        }
+    }
+
+    fn leave(&self, known: &mut Known, member: &Member) {
+        slog::info!(self.gateway.log, "target no longer listed";
+            "target" => &*member.record.id,
+            "service" => &*member.record.service,
+            "leaving" => member.record.leaving);
+        if !member.is_primary() {
+            let now_us = self.gateway.clock.now_us();
+            let service = Arc::clone(&member.record.service);
+            let departures = known.departures.entry(service).or_default();
+            departures.left(&member.record.id, Arc::clone(&member.record), now_us);
+        }
+    }
+
+    fn log_member(&self, member: &Member) {
+        slog::info!(self.gateway.log, "target listed";
+            "target" => &*member.record.id,
+            "service" => &*member.record.service,
+            "zone" => &*member.record.zone,
+            "primary" => member.is_primary(),
+            "leaving" => member.record.leaving,
+            "role_since" => member.role_since);
+    }
+
+    fn publish(&self, known: &mut Known) {
+        known.number += 1;
+        let mut services: FastMap<Arc<str>, Vec<Member>> = FastMap::default();
+        for member in known.targets.values() {
+            services.entry(Arc::clone(&member.record.service)).or_default().push(member.clone());
+        }
+        for members in services.values_mut() {
+            members.sort_by(|a, b| a.record.id.cmp(&b.record.id));
+        }
+        let view = View { number: known.number, routes: known.routes.clone(), services };
+        self.gateway.publish(view);
+        self.tell(known);
+    }
+
+    /// Puts what is known where those that this process tells find it. Encoding it costs processor
+    /// time, so that is left out where nobody would be told.
+    fn tell(&self, known: &Known) {
+        if !self.gateway.is_watcher() {
+            return;
+        }
+        let routes = known.routes.as_ref();
+        let routes = routes.map(|routes| feed::encode(&Message::Routes(Arc::clone(routes))));
+        let members = known.targets.values().cloned().collect();
+        let revision = known.targets_revision;
+        let targets = feed::encode(&Message::Targets { revision, members });
+        self.gateway.bulletin.send_modify(|bulletin| {
+            bulletin.routes = routes.unwrap_or_default();
+            bulletin.targets = targets;
+        });
+    }
+
+    /// Brings what others are told of the store up to date.
+    pub fn tell_state(&self) {
+        let is_settled = self.list_is_settled();
+        let known = self.known.lock();
+        let is_untold = self.gateway.bulletin.borrow().targets.is_empty();
+        if is_untold && !known.targets.is_empty() {
+            self.tell(&known);
+        }
+        let store_answers = !known.is_failing;
+        self.gateway.bulletin.send_if_modified(|bulletin| {
+            let changes =
+                bulletin.store_answers != store_answers || bulletin.is_settled != is_settled;
+            bulletin.store_answers = store_answers;
+            bulletin.is_settled = is_settled;
+            changes
+        });
+    }
+}
+
+/// A member as listed now, given how it was listed before.
+fn member_of(target: ListedTarget, before: Option<&Member>) -> Member {
+    let kept = before.filter(|before| before.record.role == target.record.role);
+    let role_since = kept.map_or(target.revision, |before| before.role_since);
+    Member { record: target.record, role_since }
+}
--- /dev/null
+++ b/crates/proxy/src/sessions/process/need.rs
@@ -0,0 +1,151 @@
+//! Whether the primary of a service has to be replaced.
+//!
+//! What this process's own traffic shows of a primary comes first; one question to the primary itself
+//! confirms a suspicion.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use parking_lot::Mutex;
+use skylark_core::FastMap;
+
+use crate::sessions::codec::Codec;
+use crate::sessions::codec::Query;
+use crate::sessions::process::gateway::Gateway;
+use crate::sessions::process::target_calls;
+use crate::sessions::process::target_calls::Said;
+use crate::sessions::process::watch::Watcher;
+use crate::sessions::store::StateStore;
+use crate::sessions::version::view::Member;
+
+/// How long a primary has to fail requests before it is asked itself, in microseconds. The question
+/// decides; this only keeps single failures from causing one.
+const SUSPECT_US: u64 = 100_000;
+
+/// The time that a primary has to say that it lives. Its slots are busy for some 10 ms at a time, and
+/// what waits is bounded by 16 statements; each 100 ms more are 100 ms of writes refused when it is
+/// gone.
+const PRIMARY_LIMIT: Duration = Duration::from_millis(250);
+
+/// How long statements may wait without any being answered before the primary is asked itself, in
+/// microseconds. The slowest run takes 110 ms. Few connections may all hang on a primary that went
+/// silent, and nobody else would get one and fail: it took two seconds to notice.
+const UNANSWERED_US: u64 = 250_000;
+
+/// How old the last failure may be for a suspicion to stand, in microseconds: without requests to
+/// the primary there is no evidence.
+const EVIDENCE_US: u64 = 1_500_000;
+
+/// How long commits may wait without any being acknowledged, in microseconds. They take 10 to 60 ms;
+/// a primary whose replicas don't receive acknowledges none.
+const COMMITS_STUCK_US: u64 = 400_000;
+
+/// How long a service may be listed without a primary before one is promoted, in microseconds.
+const UNLED_US: u64 = 400_000;
+
+/// The same for a process that never saw the service led: it does not know which replicas left
+/// before it started, and has to give a primary that is cut off time to come back.
+const UNLED_AT_START_US: u64 = 8_000_000;
+
+/// Why a primary has to be replaced.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub enum Need {
+    /// It announced that it will stop.
+    Leaving,
+    /// It does not answer.
+    Silent,
+    /// It acknowledges no commits.
+    CommitsStuck,
+    /// No target is listed as primary.
+    Unled,
+}
+
+/// The needs of all services.
+#[derive(Debug)]
+pub struct Needs<C, S>
+where
+    C: Codec,
+{
+    gateway: Arc<Gateway<C>>,
+    watcher: Arc<Watcher<C, S>>,
+    /// Since when services are listed without a primary.
+    unled_since_us: Mutex<FastMap<Arc<str>, u64>>,
+}
+
+impl<C, S> Needs<C, S>
+where
+    C: Codec,
+    S: StateStore,
+{
+    /// Nothing was looked at yet.
+    pub fn new(gateway: &Arc<Gateway<C>>, watcher: &Arc<Watcher<C, S>>) -> Needs<C, S> {
+        let (gateway, watcher) = (Arc::clone(gateway), Arc::clone(watcher));
+        Needs { gateway, watcher, unled_since_us: Mutex::default() }
+    }
+
+    /// Whether the primary of a service has to be replaced.
+    pub fn of(&self, service: &Arc<str>) -> Option<Need> {
+        if !self.gateway.drives(service) {
+            return None;
+        }
+        let now_us = self.gateway.clock.now_us();
+        let view = self.gateway.view();
+        let Some(primary) = self.present_primary(service) else {
+            let mut unled = self.unled_since_us.lock();
+            let since_us = *unled.entry(Arc::clone(service)).or_insert(now_us);
+            let was_led = self.gateway.service(service).leader.lock().was_led();
+            let limit_us = if was_led { UNLED_US } else { UNLED_AT_START_US };
+            let is_unled = now_us >= since_us + limit_us && self.watcher.list_is_settled();
+            return (is_unled && view.routes.is_some()).then_some(Need::Unled);
+        };
+        self.unled_since_us.lock().remove(service);
+        if primary.record.leaving {
+            return Some(Need::Leaving);
+        }
+        let health = self.gateway.target(&primary.record.id)?.health();
+        let stuck_since_us = health.commits_stuck_since_us.filter(|_| health.commits_waiting > 0);
+        if stuck_since_us.is_some_and(|since_us| now_us >= since_us + COMMITS_STUCK_US) {
+            return Some(Need::CommitsStuck);
+        }
+        let unanswered_since_us = health.unanswered_since_us.filter(|_| health.in_flight > 0);
+        if unanswered_since_us.is_some_and(|since_us| now_us >= since_us + UNANSWERED_US) {
+            return Some(Need::Silent);
+        }
+        let is_fresh = now_us < health.failed_us + EVIDENCE_US;
+        let failed_since_us = health.failed_since_us.filter(|_| is_fresh)?;
+        (now_us >= failed_since_us + SUSPECT_US).then_some(Need::Silent)
+    }
+
+    /// The target that leads as far as is known, if it is listed.
+    pub fn present_primary(&self, service: &Arc<str>) -> Option<Member> {
+        let view = self.gateway.view();
+        let state = self.gateway.service(service);
+        let preferred = state.leader.lock().preferred().cloned();
+        let members = view.members(service);
+        let believed = members.iter().find(|member| Some(&member.record.id) == preferred.as_ref());
+        believed.or(view.listed_primary(service)).cloned()
+    }
+
+    /// Asks the primary whether it lives and leads.
+    pub async fn primary_answers(&self, service: &Arc<str>) -> bool {
+        let Some(primary) = self.present_primary(service) else { return false };
+        let (record, vm) = (&primary.record, &self.gateway.vm);
+        let said = target_calls::ask_within::<C>(record, vm, &Query::Status, PRIMARY_LIMIT).await;
+        match said {
+            Said::Status(status) if !status.is_primary => {
+                if let Some(target) = self.gateway.target(&primary.record.id) {
+                    target.answered(self.gateway.clock.now_us(), None);
+                    self.gateway.refused_lead(&target);
+                }
+                true
+            }
+            Said::Status(_) | Said::Refused => {
+                if let Some(target) = self.gateway.target(&primary.record.id) {
+                    target.answered(self.gateway.clock.now_us(), None);
+                }
+                true
+            }
+            Said::Nothing => false,
+        }
+    }
+}
--- a/crates/proxy/src/sessions/process/takeover.rs
+++ b/crates/proxy/src/sessions/process/takeover.rs
@@ -24,46 +24,18 @@
 use crate::sessions::codec::Codec;
 use crate::sessions::codec::Query;
 use crate::sessions::process::gateway::Gateway;
+use crate::sessions::process::need::Need;
+use crate::sessions::process::need::Needs;
 use crate::sessions::process::target_calls;
 use crate::sessions::process::target_calls::Said;
 use crate::sessions::process::watch::Watcher;
 use crate::sessions::store::PromoteError;
 use crate::sessions::store::Promoter;
 use crate::sessions::store::StateStore;
-use crate::sessions::version::view::Member;
 
 /// How often the primaries are looked at.
 pub const LOOK_INTERVAL: Duration = Duration::from_millis(50);
 
-/// How long a primary has to fail requests before it is asked itself, in microseconds. The question
-/// decides; this only keeps single failures from causing one.
-const SUSPECT_US: u64 = 100_000;
-
-/// The time that a primary has to say that it lives. Its slots are busy for some 10 ms at a time, and
-/// what waits is bounded by 16 statements; each 100 ms more are 100 ms of writes refused when it is
-/// gone.
-const PRIMARY_LIMIT: Duration = Duration::from_millis(250);
-
-/// How long statements may wait without any being answered before the primary is asked itself, in
-/// microseconds. The slowest run takes 110 ms. Few connections may all hang on a primary that went
-/// silent, and nobody else would get one and fail: it took two seconds to notice.
-const UNANSWERED_US: u64 = 250_000;
-
-/// How old the last failure may be for a suspicion to stand, in microseconds: without requests to
-/// the primary there is no evidence.
-const EVIDENCE_US: u64 = 1_500_000;
-
-/// How long commits may wait without any being acknowledged, in microseconds. They take 10 to 60 ms;
-/// a primary whose replicas don't receive acknowledges none.
-const COMMITS_STUCK_US: u64 = 400_000;
-
-/// How long a service may be listed without a primary before one is promoted, in microseconds.
-const UNLED_US: u64 = 400_000;
-
-/// The same for a process that never saw the service led: it does not know which replicas left
-/// before it started, and has to give a primary that is cut off time to come back.
-const UNLED_AT_START_US: u64 = 8_000_000;
-
 /// The pause between two looks at what a driver waits for.
 const STEP_PAUSE: Duration = Duration::from_millis(15);
 
@@ -77,19 +49,6 @@
 /// How long a promoted target may take until it leads, in microseconds: 300 to 600 ms are usual.
 const EFFECT_LIMIT_US: u64 = 2_000_000;
 
-/// Why a primary has to be replaced.
-#[derive(Clone, Copy, PartialEq, Eq, Debug)]
-enum Need {
-    /// It announced that it will stop.
-    Leaving,
-    /// It does not answer.
-    Silent,
-    /// It acknowledges no commits.
-    CommitsStuck,
-    /// No target is listed as primary.
-    Unled,
-}
-
 /// The takeovers of all services.
 #[derive(Debug)]
 pub struct Takeovers<C, S, P>
@@ -102,8 +61,7 @@
     promoter: P,
     /// The services that this process works at.
     driven: Mutex<FastMap<Arc<str>, ()>>,
-    /// Since when services are listed without a primary.
-    unled_since_us: Mutex<FastMap<Arc<str>, u64>>,
+    needs: Needs<C, S>,
 }
 
 impl<C, S, P> Takeovers<C, S, P>
@@ -125,7 +83,7 @@
             store,
             promoter,
             driven: Mutex::default(),
-            unled_since_us: Mutex::default(),
+            needs: Needs::new(gateway, watcher),
         }
     }
 
@@ -134,7 +92,7 @@
         self.watcher.settle_departures();
         let view = self.gateway.view();
         for service in view.services.keys() {
-            let Some(need) = self.need(service) else { continue };
+            let Some(need) = self.needs.of(service) else { continue };
             if self.driven.lock().insert(Arc::clone(service), ()).is_some() {
                 continue;
             }
@@ -146,57 +104,14 @@
         }
     }
 
-    /// Whether the primary of a service has to be replaced.
-    fn need(&self, service: &Arc<str>) -> Option<Need> {
-        if !self.gateway.drives(service) {
-            return None;
-        }
-        let now_us = self.gateway.clock.now_us();
-        let view = self.gateway.view();
-        let Some(primary) = self.present_primary(service) else {
-            let mut unled = self.unled_since_us.lock();
-            let since_us = *unled.entry(Arc::clone(service)).or_insert(now_us);
-            let was_led = self.gateway.service(service).leader.lock().was_led();
-            let limit_us = if was_led { UNLED_US } else { UNLED_AT_START_US };
-            let is_unled = now_us >= since_us + limit_us && self.watcher.list_is_settled();
-            return (is_unled && view.routes.is_some()).then_some(Need::Unled);
-        };
-        self.unled_since_us.lock().remove(service);
-        if primary.record.leaving {
-            return Some(Need::Leaving);
-        }
-        let health = self.gateway.target(&primary.record.id)?.health();
-        let stuck_since_us = health.commits_stuck_since_us.filter(|_| health.commits_waiting > 0);
-        if stuck_since_us.is_some_and(|since_us| now_us >= since_us + COMMITS_STUCK_US) {
-            return Some(Need::CommitsStuck);
-        }
-        let unanswered_since_us = health.unanswered_since_us.filter(|_| health.in_flight > 0);
-        if unanswered_since_us.is_some_and(|since_us| now_us >= since_us + UNANSWERED_US) {
-            return Some(Need::Silent);
-        }
-        let is_fresh = now_us < health.failed_us + EVIDENCE_US;
-        let failed_since_us = health.failed_since_us.filter(|_| is_fresh)?;
-        (now_us >= failed_since_us + SUSPECT_US).then_some(Need::Silent)
-    }
-
-    /// The target that leads as far as is known, if it is listed.
-    fn present_primary(&self, service: &Arc<str>) -> Option<Member> {
-        let view = self.gateway.view();
-        let state = self.gateway.service(service);
-        let preferred = state.leader.lock().preferred().cloned();
-        let members = view.members(service);
-        let believed = members.iter().find(|member| Some(&member.record.id) == preferred.as_ref());
-        believed.or(view.listed_primary(service)).cloned()
-    }
-
     async fn drive(&self, service: &Arc<str>, need: Need) {
         let began_us = self.gateway.clock.now_us();
-        if need == Need::Silent && self.primary_answers(service).await {
+        if need == Need::Silent && self.needs.primary_answers(service).await {
             return;
         }
         slog::warn!(self.gateway.log, "the primary has to be replaced";
             "service" => &**service,
-            "primary" => self.present_primary(service).map(|p| p.record.id.to_string()),
+            "primary" => self.needs.present_primary(service).map(|p| p.record.id.to_string()),
             "need" => ?need);
         let Some(mut claim) = self.claim(service, began_us).await else { return };
         let outcome = self.carry_out(service, began_us, &mut claim).await;
@@ -211,29 +126,6 @@
             "settled" => settled.is_ok());
     }
 
-    /// Asks the primary whether it lives and leads.
-    async fn primary_answers(&self, service: &Arc<str>) -> bool {
-        let Some(primary) = self.present_primary(service) else { return false };
-        let (record, vm) = (&primary.record, &self.gateway.vm);
-        let said = target_calls::ask_within::<C>(record, vm, &Query::Status, PRIMARY_LIMIT).await;
-        match said {
-            Said::Status(status) if !status.is_primary => {
-                if let Some(target) = self.gateway.target(&primary.record.id) {
-                    target.answered(self.gateway.clock.now_us(), None);
-                    self.gateway.refused_lead(&target);
-                }
-                true
-            }
-            Said::Status(_) | Said::Refused => {
-                if let Some(target) = self.gateway.target(&primary.record.id) {
-                    target.answered(self.gateway.clock.now_us(), None);
-                }
-                true
-            }
-            Said::Nothing => false,
-        }
-    }
-
     /// Gets hold of the service's claim. `None` if the need went before that.
     async fn claim(&self, service: &Arc<str>, wanted_us: u64) -> Option<SeenClaim> {
         let mut seen: Option<SeenClaim> = None;
@@ -252,7 +144,7 @@
                     slog::info!(self.gateway.log, "the claim can't be read";
                         "service" => &**service, "reason" => error.to_string());
                     time::sleep(RETRY_PAUSE).await;
-                    self.need(service)?;
+                    self.needs.of(service)?;
                     continue;
                 }
             }
@@ -269,7 +161,7 @@
                     time::sleep(Duration::from_micros(wait_us.max(1))).await;
                 }
             }
-            self.need(service)?;
+            self.needs.of(service)?;
         }
     }
 
@@ -315,10 +207,10 @@
             if now_us >= began_us + DRIVE_LIMIT_US {
                 return "gave up";
             }
-            if self.need(service).is_none() {
+            if self.needs.of(service).is_none() {
                 return "no longer needed";
             }
-            let primary = self.present_primary(service);
+            let primary = self.needs.present_primary(service);
             let primary_id = primary.as_ref().map(|primary| Arc::clone(&primary.record.id));
             let (departed, floor) = self.watcher.departed(service);
             let mut replicas = self.listed_replicas(service, primary_id.as_ref());
@@ -389,7 +281,7 @@
             if let Ok(Said::Status(status)) = asked.await {
                 seen.reachable = true;
                 seen.received = status.received;
-                seen.paused = status.paused_term > status.term;
+                seen.paused = status.paused_term > 0;
                 term = term.max(status.term).max(status.paused_term);
             }
             views.push(seen);
--- a/crates/proxy/src/sessions/process/target_calls.rs
+++ b/crates/proxy/src/sessions/process/target_calls.rs
@@ -13,9 +13,9 @@
 use crate::sessions::codec::Codec;
 use crate::sessions::codec::Query;
 use crate::sessions::codec::TargetStatus;
-use crate::sessions::connection::link::End;
 use crate::sessions::connection::link::StatementLink;
 use crate::sessions::connection::link::TargetLogin;
+use crate::sessions::connection::reply::End;
 
 /// The time for one question, the connection included. A new connection takes up to 30 ms and waits
 /// for slots that run statements of up to 110 ms; a target that needs longer is as good as gone.
--- a/crates/proxy/src/sessions/process/watch.rs
+++ b/crates/proxy/src/sessions/process/watch.rs
@@ -1,31 +1,26 @@
 //! Keeping up with the platform's configuration and its list of targets.
 //!
 //! Each process watches both by itself: a waiting watch is one call. What a watch brings is put
-//! together into one [`View`] and published. Versions of the configuration only rise.
+//! together into one version and published (`known.rs`). Versions of the configuration only rise.
 
 use std::sync::Arc;
 use std::time::Duration;
 
 use parking_lot::Mutex;
 use skylark_core::FastMap;
+use skylark_core::FastSet;
 use skylark_core::log_position::LogPosition;
 use skylark_core::process::departures::Departures;
 use skylark_core::version::routes::RouteTable;
 use skylark_core::version::routes::TargetRecord;
-use skylark_core::version::routes::TargetRole;
 use tokio::sync::watch;
 use tokio::time;
 
 use crate::sessions::codec::Codec;
-use crate::sessions::process::feed;
-use crate::sessions::process::feed::Message;
 use crate::sessions::process::gateway::Gateway;
-use crate::sessions::store::ListedTarget;
 use crate::sessions::store::StateStore;
 use crate::sessions::store::StoreError;
-use crate::sessions::store::TargetChange;
 use crate::sessions::version::view::Member;
-use crate::sessions::version::view::View;
 
 /// The pause after a call without a result. Calls are paid for, refused ones too, and a change must
 /// be known within 3 s of its confirmation.
@@ -52,21 +47,21 @@
 /// What the watches brought so far.
 #[derive(Debug, Default)]
 pub struct Known {
-    number: u64,
-    routes: Option<Arc<RouteTable>>,
-    targets: FastMap<Arc<str>, Member>,
+    pub(super) number: u64,
+    pub(super) routes: Option<Arc<RouteTable>>,
+    pub(super) targets: FastMap<Arc<str>, Member>,
     /// Replicas that left the list, by service. A primary that left is what a takeover replaces.
-    departures: FastMap<Arc<str>, Departures<Arc<TargetRecord>>>,
+    pub(super) departures: FastMap<Arc<str>, Departures<Arc<TargetRecord>>>,
+    /// Those of them that are no longer listed, but may be back.
+    pub(super) lapsed: FastSet<Arc<str>>,
     /// The store's revision of the list of targets.
-    targets_revision: u64,
+    pub(super) targets_revision: u64,
     /// Whether the store did not answer the last call of either watch.
-    is_failing: bool,
+    pub(super) is_failing: bool,
     /// Whether another process that tells this one says that the list is settled.
-    told_settled: bool,
+    pub(super) told_settled: bool,
     /// When the store answered last after it had not.
-    store_back_us: u64,
-    /// When the store answered last.
-    store_answered_us: u64,
+    pub(super) store_back_us: u64,
 }
 
 /// The platform as this process sees it.
@@ -75,9 +70,9 @@
 where
     C: Codec,
 {
-    gateway: Arc<Gateway<C>>,
+    pub(super) gateway: Arc<Gateway<C>>,
     store: S,
-    known: Mutex<Known>,
+    pub(super) known: Mutex<Known>,
     /// Whether another process tells this one.
     fed: watch::Sender<bool>,
 }
@@ -93,18 +88,16 @@
         Watcher { gateway, store, known: Mutex::default(), fed }
     }
 
-    /// How long the store has not answered, in microseconds.
-    pub fn store_silent_us(&self) -> u64 {
-        self.gateway.clock.now_us().saturating_sub(self.known.lock().store_answered_us)
-    }
-
     /// Whether a target that is not listed is gone, and did not only lapse while the store was away.
     pub fn list_is_settled(&self) -> bool {
-        let known = self.known.lock();
+        self.is_settled(&self.known.lock())
+    }
+
+    pub(super) fn is_settled(&self, known: &Known) -> bool {
         if *self.fed.borrow() {
             return known.told_settled;
         }
-        self.gateway.clock.now_us() >= known.store_back_us + LAPSED_BACK_US
+        !known.is_failing && self.gateway.clock.now_us() >= known.store_back_us + LAPSED_BACK_US
     }
 
     /// Another process tells this one now, or does so no longer.
@@ -214,7 +207,6 @@
     fn answered(&self, failures: &mut u32, what: &'static str) {
         let now_us = self.gateway.clock.now_us();
         let mut known = self.known.lock();
-        known.store_answered_us = now_us;
         known.is_failing = false;
         if std::mem::take(failures) > 0 {
             known.store_back_us = now_us;
@@ -245,172 +237,8 @@
         time::sleep(pause).await;
         revision
     }
-
-    /// Takes in a configuration.
-    pub fn take_routes(&self, routes: Arc<RouteTable>) {
-        let mut known = self.known.lock();
-        // A stale answer must not bring back what was changed.
-        if known.routes.as_ref().is_some_and(|present| present.version >= routes.version) {
-            return;
-        }
-        slog::info!(self.gateway.log, "configuration in force";
-            "version" => routes.version, "routes" => routes.routes.len());
-        known.routes = Some(routes);
-        self.publish(&mut known);
-    }
-
-    fn take_list(&self, revision: u64, listed: Vec<ListedTarget>) {
-        let mut known = self.known.lock();
-        known.targets_revision = revision;
-        let mut previous = std::mem::take(&mut known.targets);
-        for target in listed {
-            let before = previous.remove(&target.record.id);
-            let member = member_of(target, before.as_ref());
-            if let Some(departures) = known.departures.get_mut(&member.record.service) {
-                departures.returned(&member.record.id);
-            }
-            known.targets.insert(Arc::clone(&member.record.id), member);
-        }
-        let now_us = self.gateway.clock.now_us();
-        for (id, member) in previous {
-            self.missing(&mut known, &id, &member, now_us);
-        }
-        self.publish(&mut known);
-    }
-
-    fn take_changes(&self, revision: u64, changes: Vec<TargetChange>) {
-        let mut known = self.known.lock();
-        known.targets_revision = revision;
-        if changes.is_empty() {
-            return;
-        }
-        let now_us = self.gateway.clock.now_us();
-        for change in changes {
-            match change {
-                TargetChange::Listed(target) => {
-                    let before = known.targets.remove(&target.record.id);
-                    let member = member_of(target, before.as_ref());
-                    if before.as_ref() != Some(&member) {
-                        self.log_member(&member);
-                    }
-                    if let Some(departures) = known.departures.get_mut(&member.record.service) {
-                        departures.returned(&member.record.id);
-                    }
-                    known.targets.insert(Arc::clone(&member.record.id), member);
-                }
-                TargetChange::Removed(id) => {
-                    if let Some(member) = known.targets.remove(&id) {
-                        self.missing(&mut known, &id, &member, now_us);
-                    }
-                }
-            }
-        }
-        self.publish(&mut known);
-    }
-
-    /// Takes in all targets as another process knows them, unless they are older than what is known.
-    pub fn take_members(&self, revision: u64, members: Vec<Member>) {
-        let mut known = self.known.lock();
-        if revision < known.targets_revision {
-            return;
-        }
-        known.targets_revision = revision;
-        let mut previous = std::mem::take(&mut known.targets);
-        for member in members {
-            previous.remove(&member.record.id);
-            if let Some(departures) = known.departures.get_mut(&member.record.service) {
-                departures.returned(&member.record.id);
-            }
-            known.targets.insert(Arc::clone(&member.record.id), member);
-        }
-        let now_us = self.gateway.clock.now_us();
-        for (id, member) in previous {
-            self.missing(&mut known, &id, &member, now_us);
-        }
-        self.publish(&mut known);
-    }
-
-    fn missing(&self, known: &mut Known, id: &Arc<str>, member: &Member, now_us: u64) {
-        slog::info!(self.gateway.log, "target no longer listed";
-            "target" => &**id, "service" => &*member.record.service,
-            "leaving" => member.record.leaving);
-        if !member.is_primary() {
-            let service = Arc::clone(&member.record.service);
-            let departures = known.departures.entry(service).or_default();
-            departures.left(id, Arc::clone(&member.record), now_us);
-        }
-    }
-
-    fn log_member(&self, member: &Member) {
-        slog::info!(self.gateway.log, "target listed";
-            "target" => &*member.record.id,
-            "service" => &*member.record.service,
-            "zone" => &*member.record.zone,
-            "primary" => member.is_primary(),
-            "leaving" => member.record.leaving,
-            "role_since" => member.role_since);
-    }
-
-    fn publish(&self, known: &mut Known) {
-        known.number += 1;
-        let mut services: FastMap<Arc<str>, Vec<Member>> = FastMap::default();
-        for member in known.targets.values() {
-            services.entry(Arc::clone(&member.record.service)).or_default().push(member.clone());
-        }
-        for members in services.values_mut() {
-            members.sort_by(|a, b| a.record.id.cmp(&b.record.id));
-        }
-        let view = View { number: known.number, routes: known.routes.clone(), services };
-        self.gateway.publish(view);
-        self.tell(known);
-    }
-
-    /// Puts what is known where those that this process tells find it. Encoding it costs processor
-    /// time, so that is left out where nobody would be told.
-    fn tell(&self, known: &Known) {
-        if !self.gateway.is_watcher() {
-            return;
-        }
-        let routes = known.routes.as_ref();
-        let routes = routes.map(|routes| feed::encode(&Message::Routes(Arc::clone(routes))));
-        let members = known.targets.values().cloned().collect();
-        let revision = known.targets_revision;
-        let targets = feed::encode(&Message::Targets { revision, members });
-        self.gateway.bulletin.send_modify(|bulletin| {
-            bulletin.routes = routes.unwrap_or_default();
-            bulletin.targets = targets;
-        });
-    }
-
-    /// Brings what others are told of the store up to date.
-    pub fn tell_state(&self) {
-        let is_settled = self.list_is_settled();
-        let known = self.known.lock();
-        let is_untold = self.gateway.bulletin.borrow().targets.is_empty();
-        if is_untold && !known.targets.is_empty() {
-            self.tell(&known);
-        }
-        let store_answers = !known.is_failing;
-        self.gateway.bulletin.send_if_modified(|bulletin| {
-            let changes =
-                bulletin.store_answers != store_answers || bulletin.is_settled != is_settled;
-            bulletin.store_answers = store_answers;
-            bulletin.is_settled = is_settled;
-            changes
-        });
-    }
 }
 
 fn wait_of(failures: u32) -> Duration {
     if failures > 0 { FAILING_WAIT } else { WATCH_WAIT }
 }
-
-/// A member as listed now, given how it was listed before.
-fn member_of(target: ListedTarget, before: Option<&Member>) -> Member {
-    let kept = before.filter(|before| before.record.role == target.record.role);
-    let role_since = match (kept, target.record.role) {
-        (Some(before), _) => before.role_since,
-        (None, TargetRole::Primary | TargetRole::Replica) => target.revision,
-    };
-    Member { record: target.record, role_since }
-}
--- a/crates/proxy/src/sessions/request/execute.rs
+++ b/crates/proxy/src/sessions/request/execute.rs
@@ -11,7 +11,7 @@
 use crate::process::counters::Event;
 use crate::request::refusal::Refusal;
 use crate::sessions::codec::Codec;
-use crate::sessions::connection::link::Reply;
+use crate::sessions::connection::reply::Reply;
 use crate::sessions::connection::session::Session;
 use crate::sessions::connection::session::SessionState;
 use crate::sessions::connection::session::Transaction;
--- a/crates/proxy/src/sessions/request/read.rs
+++ b/crates/proxy/src/sessions/request/read.rs
@@ -19,7 +19,7 @@
 use crate::process::counters::RetryReason;
 use crate::request::refusal::Refusal;
 use crate::sessions::codec::Codec;
-use crate::sessions::connection::link::Reply;
+use crate::sessions::connection::reply::Reply;
 use crate::sessions::connection::session::Session;
 use crate::sessions::process::latencies::Stage;
 use crate::sessions::process::limits;
--- a/crates/proxy/src/sessions/request/sample.rs
+++ b/crates/proxy/src/sessions/request/sample.rs
@@ -13,8 +13,8 @@
 use crate::connection::pool::Lease;
 use crate::sessions::codec::Codec;
 use crate::sessions::codec::Query;
-use crate::sessions::connection::link::End;
 use crate::sessions::connection::link::StatementLink;
+use crate::sessions::connection::reply::End;
 use crate::sessions::process::gateway::Gateway;
 use crate::sessions::process::targets::TargetState;
 
--- a/crates/soak/src/callers.rs
+++ b/crates/soak/src/callers.rs
@@ -61,6 +61,17 @@
     Lost,
 }
 
+/// What a caller remembers of its writes.
+#[derive(Debug, Default)]
+struct Memory {
+    /// The number of its last write.
+    sequence: u64,
+    /// The last write that was acknowledged.
+    acknowledged: u64,
+    /// Writes whose outcome is unknown. They may take effect late, after later ones.
+    in_doubt: BTreeSet<u64>,
+}
+
 struct Connection {
     stream: BufReader<TcpStream>,
     /// The data of the last write that was acknowledged on it.
@@ -71,8 +82,7 @@
     /// Writes and reads until it is told to end.
     pub async fn run(self, seed: u64) {
         let mut rng = StdRng::seed_from_u64(seed);
-        let mut sequence = 0;
-        let mut acknowledged = 0;
+        let mut memory = Memory::default();
         while *self.goes_on.borrow() {
             let database = if rng.random_bool(0.5) { "primary-db" } else { "own-db" };
             let proxy = self.proxies[rng.random_range(0..self.proxies.len())];
@@ -82,16 +92,14 @@
             };
             for _ in 0..rng.random_range(1..40) {
                 let went_on = match rng.random_range(0..10) {
-                    0..3 => self.write(&mut connection, &mut sequence, &mut acknowledged).await,
-                    3..5 => {
-                        self.transaction(&mut connection, &mut sequence, &mut acknowledged).await
-                    }
+                    0..3 => self.write(&mut connection, &mut memory).await,
+                    3..5 => self.transaction(&mut connection, &mut memory).await,
                     _ => {
                         let floor = match database {
-                            "primary-db" => acknowledged,
+                            "primary-db" => memory.acknowledged,
                             _ => connection.floor,
                         };
-                        self.read(&mut connection, floor).await
+                        self.read(&mut connection, floor, &memory).await
                     }
                 };
                 if !went_on || !*self.goes_on.borrow() {
@@ -105,27 +113,19 @@
         format!("c{}-{sequence}", self.number)
     }
 
-    async fn write(
-        &self,
-        connection: &mut Connection,
-        sequence: &mut u64,
-        acknowledged: &mut u64,
-    ) -> bool {
-        *sequence += 1;
-        let (number, data) = (self.number, self.data(*sequence));
+    async fn write(&self, connection: &mut Connection, memory: &mut Memory) -> bool {
+        memory.sequence += 1;
+        let sequence = memory.sequence;
+        let (number, data) = (self.number, self.data(sequence));
         let id = format!("w{number}x{sequence}");
         let outcome = connection.run(&id, &format!("WRITE item{number} {data}")).await;
-        self.account(outcome, connection, *sequence, acknowledged, true).await
+        self.account(outcome, connection, memory, true).await
     }
 
-    async fn transaction(
-        &self,
-        connection: &mut Connection,
-        sequence: &mut u64,
-        acknowledged: &mut u64,
-    ) -> bool {
-        *sequence += 1;
-        let (number, data) = (self.number, self.data(*sequence));
+    async fn transaction(&self, connection: &mut Connection, memory: &mut Memory) -> bool {
+        memory.sequence += 1;
+        let sequence = memory.sequence;
+        let (number, data) = (self.number, self.data(sequence));
         let id = format!("t{number}x{sequence}");
         if !matches!(connection.run(&id, "BEGIN").await, Outcome::Done(_)) {
             return false;
@@ -138,7 +138,7 @@
             return matches!(ended, Outcome::Done(_));
         }
         let outcome = connection.run(&id, "COMMIT").await;
-        self.account(outcome, connection, *sequence, acknowledged, false).await
+        self.account(outcome, connection, memory, false).await
     }
 
     /// Writes down what a commit was told. Returns whether the connection goes on.
@@ -146,34 +146,39 @@
         &self,
         outcome: Outcome,
         connection: &mut Connection,
-        sequence: u64,
-        acknowledged: &mut u64,
+        memory: &mut Memory,
         is_single: bool,
     ) -> bool {
+        let sequence = memory.sequence;
         let data = self.data(sequence);
         match outcome {
             Outcome::Done(_) => {
                 self.told.lock().acknowledged.insert(data);
-                *acknowledged = sequence;
+                memory.acknowledged = sequence;
                 connection.floor = sequence;
                 true
             }
             Outcome::Failed(code) => {
                 if PROMISES.contains(&code.as_str()) {
                     self.told.lock().denied.insert(data);
+                } else {
+                    memory.in_doubt.insert(sequence);
                 }
                 time::sleep(PAUSE).await;
                 is_single
             }
-            Outcome::Lost => false,
+            Outcome::Lost => {
+                memory.in_doubt.insert(sequence);
+                false
+            }
         }
     }
 
-    async fn read(&self, connection: &mut Connection, floor: u64) -> bool {
+    async fn read(&self, connection: &mut Connection, floor: u64, memory: &Memory) -> bool {
         let number = self.number;
         match connection.run("r", &format!("READ item{number}")).await {
             Outcome::Done(row) => {
-                self.check(&row.unwrap_or_default(), floor);
+                self.check(&row.unwrap_or_default(), floor, memory);
                 true
             }
             Outcome::Failed(_) => {
@@ -185,7 +190,7 @@
     }
 
     /// A read shows the caller's own item, no older than it has to see.
-    fn check(&self, row: &str, floor: u64) {
+    fn check(&self, row: &str, floor: u64, memory: &Memory) {
         let mut told = self.told.lock();
         told.reads += 1;
         let own = format!("c{}-", self.number);
@@ -195,7 +200,7 @@
         };
         match seen {
             None => told.violations.push(format!("crossed: caller {} read {row}", self.number)),
-            Some(seen) if seen < floor => {
+            Some(seen) if seen < floor && !memory.in_doubt.contains(&seen) => {
                 let number = self.number;
                 told.violations.push(format!("stale: caller {number} read {seen} after {floor}"));
             }
--- a/crates/soak/src/process.rs
+++ b/crates/soak/src/process.rs
@@ -4,6 +4,7 @@
 use std::net::SocketAddr;
 use std::path::Path;
 use std::path::PathBuf;
+use std::process::ExitStatus;
 use std::process::Stdio;
 
 use nix::sys::signal;
@@ -57,7 +58,8 @@
             .arg("--settings")
             .arg(&file)
             .stdin(Stdio::null())
-            .stdout(log)
+            .stdout(log.try_clone()?)
+            .stderr(log)
             .kill_on_drop(true)
             .spawn()?;
         self.child = Some(child);
@@ -82,10 +84,9 @@
         self.child = None;
     }
 
-    /// Whether it ended without having been told to.
-    pub fn ended_by_itself(&mut self) -> bool {
-        let Some(child) = &mut self.child else { return false };
-        matches!(child.try_wait(), Ok(Some(_)))
+    /// How it ended without having been told to; none while it runs.
+    pub fn ended_by_itself(&mut self) -> Option<ExitStatus> {
+        self.child.as_mut().and_then(|child| child.try_wait().ok().flatten())
     }
 
     /// The folder of its logs.
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -121,8 +121,9 @@
         let _ = caller.await;
     }
     for proxy in &proxies {
-        if proxy.lock().await.ended_by_itself() {
-            violations.push("a proxy ended by itself".to_owned());
+        let mut proxy = proxy.lock().await;
+        if let Some(status) = proxy.ended_by_itself() {
+            violations.push(format!("vm-{} ended by itself: {status}", proxy.setup.number));
         }
     }
     let told = told.lock();
--- a/crates/standin/src/typed/group.rs
+++ b/crates/standin/src/typed/group.rs
@@ -51,6 +51,8 @@
     pub silent: bool,
     /// Whether it receives nothing from the primary, and sends nothing.
     pub cut: bool,
+    /// Whether its entry lapsed and it does not reach the store to write it again.
+    pub unlisted: bool,
     /// Whether it announced its stop.
     pub leaving: bool,
     /// How many of the next statements it runs without an answer getting out.
@@ -111,6 +113,7 @@
             alive: true,
             silent: false,
             cut: false,
+            unlisted: false,
             leaving: false,
             lose_answers: 0,
             connections: 0,
@@ -242,7 +245,16 @@
         let mut state = self.state.lock();
         let holds = |log: &[Record]| log.iter().any(|record| record.position == position);
         if state.leader != Some(member) {
-            return Some(Committed::NotLeading);
+            // A promise that nothing is kept must be true: what the new primary had received stays.
+            let leader = state.leader.map(|leader| &state.members[leader].log);
+            let record = leader.and_then(|log| log.iter().find(|kept| kept.position == position));
+            return match record.cloned() {
+                None => Some(Committed::NotLeading),
+                Some(record) => {
+                    state.acknowledged.push(record);
+                    Some(Committed::Acknowledged(position))
+                }
+            };
         }
         let holders = state.members.iter().enumerate();
         let replicas = holders.filter(|(other, held)| *other != member && holds(&held.log)).count();
