--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -45,12 +45,14 @@
     TargetDies,
     TargetCut,
     TargetLeaves,
+    /// A replica receives nothing while the primary is to be replaced.
+    LaggingHandover,
     LosesAnswers,
     Platform(Mood),
     ForgetHistory,
 }
 
-const FAULTS: [Fault; 18] = [
+const FAULTS: [Fault; 20] = [
     Fault::Pause,
     Fault::Kill,
     Fault::Stop,
@@ -65,6 +67,8 @@
     Fault::TargetDies,
     Fault::TargetCut,
     Fault::TargetLeaves,
+    Fault::LaggingHandover,
+    Fault::LaggingHandover,
     Fault::LosesAnswers,
     Fault::Platform(Mood::Silent),
     Fault::Platform(Mood::LosesAnswers),
@@ -101,7 +105,7 @@
         }
         Fault::Kill => end_and_start(proxy, Signal::SIGKILL, lasts).await,
         Fault::Stop => end_and_start(proxy, Signal::SIGTERM, lasts).await,
-        Fault::Hangup => proxy.lock().await.signal(Signal::SIGHUP),
+        Fault::Hangup => proxy.lock().await.hang_up(),
         Fault::PlatformWay(treatment) => {
             let relay = &victims.to_platform[which % victims.to_platform.len()];
             treat_for(relay, treatment, lasts).await;
@@ -129,6 +133,16 @@
             time::sleep(lasts).await;
             group.change(target, |member| member.leaving = false);
         }
+        Fault::LaggingHandover => {
+            let Some(leader) = group.leader() else { return };
+            let replica = (leader + 1 + which % 2) % victims.to_targets.len();
+            group.change(replica, |member| member.cut = true);
+            time::sleep(lasts / 2).await;
+            group.change(leader, |member| member.leaving = true);
+            time::sleep(lasts).await;
+            group.change(replica, |member| member.cut = false);
+            group.change(leader, |member| member.leaving = false);
+        }
         Fault::LosesAnswers => {
             group.change(target, |member| member.lose_answers += which as u32 % 5 + 1);
         }
--- a/crates/soak/src/process.rs
+++ b/crates/soak/src/process.rs
@@ -6,6 +6,8 @@
 use std::path::PathBuf;
 use std::process::ExitStatus;
 use std::process::Stdio;
+use std::time::Duration;
+use std::time::Instant;
 
 use nix::sys::signal;
 use nix::sys::signal::Signal;
@@ -13,6 +15,9 @@
 use tokio::process::Child;
 use tokio::process::Command;
 
+/// After this time a started program runs, on a busy machine too.
+const PROGRAM_RUNS: Duration = Duration::from_millis(500);
+
 /// What a proxy is started with.
 #[derive(Clone, Debug)]
 pub struct ProxySetup {
@@ -38,12 +43,13 @@
     /// What it is started with.
     pub setup: ProxySetup,
     child: Option<Child>,
+    started: Instant,
 }
 
 impl Proxy {
     /// Starts a proxy.
     pub fn start(setup: ProxySetup) -> io::Result<Proxy> {
-        let mut proxy = Proxy { setup, child: None };
+        let mut proxy = Proxy { setup, child: None, started: Instant::now() };
         proxy.start_again()?;
         Ok(proxy)
     }
@@ -63,6 +69,7 @@
             .kill_on_drop(true)
             .spawn()?;
         self.child = Some(child);
+        self.started = Instant::now();
         Ok(())
     }
 
@@ -75,6 +82,14 @@
         }
     }
 
+    /// Asks it to reload, unless it was started a moment ago: until its program runs, nothing of it could
+    /// hold the signal back, and the system would end it.
+    pub fn hang_up(&self) {
+        if self.started.elapsed() >= PROGRAM_RUNS {
+            self.signal(Signal::SIGHUP);
+        }
+    }
+
     /// Waits for its end after a signal that ends it.
     pub async fn wait(&mut self) {
         if let Some(child) = &mut self.child {
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -2,7 +2,6 @@
 
 use std::collections::BTreeMap;
 use std::io;
-use std::net::SocketAddr;
 use std::path::Path;
 use std::path::PathBuf;
 use std::sync::Arc;
@@ -17,7 +16,7 @@
 use skylark_core::version::routes::ServiceLimits;
 use skylark_standin::typed::deployment::Deployment;
 use skylark_standin::typed::group::GroupOptions;
-use tokio::net::TcpListener;
+use skylark_standin::typed::ports;
 use tokio::sync::watch;
 use tokio::time;
 
@@ -83,9 +82,9 @@
             program: options.program.clone(),
             folder: options.folder.clone(),
             number,
-            callers: free_address().await?,
-            ready: free_address().await?,
-            peers: free_address().await?,
+            callers: ports::free_address().await?,
+            ready: ports::free_address().await?,
+            peers: ports::free_address().await?,
             platform: relay.address,
         };
         addresses.push(setup.callers);
@@ -208,10 +207,6 @@
     }
 }
 
-async fn free_address() -> io::Result<SocketAddr> {
-    TcpListener::bind("127.0.0.1:0").await?.local_addr()
-}
-
 /// A folder for one seed below the system's folder for passing files.
 pub fn folder_of(seed: u64) -> PathBuf {
     let name = format!("skylark-soak-{}-{seed}", std::process::id());
--- a/crates/standin/src/typed/mod.rs
+++ b/crates/standin/src/typed/mod.rs
@@ -8,10 +8,11 @@
 //! - [`group`]: the replicated log of one group, and what its members did
 //! - [`database`]: one target's connections
 //! - [`object_store`]: the store's state; [`platform`]: its HTTP side and the promotions
-//! - [`deployment`]: all of it together on loopback
+//! - [`deployment`]: all of it together on loopback; [`ports`]: free addresses there
 
 pub mod database;
 pub mod deployment;
 pub mod group;
 pub mod object_store;
 pub mod platform;
+pub mod ports;
--- /dev/null
+++ b/crates/standin/src/typed/ports.rs
@@ -0,0 +1,32 @@
+//! Addresses that stay free until they are listened on.
+//!
+//! A port that the system gave out and took back may be given to any connection that is opened
+//! meanwhile, and a process that starts again would not get its port back. So ports are taken from below
+//! the range that systems give out by themselves.
+
+use std::io;
+use std::net::SocketAddr;
+use std::sync::atomic::AtomicU32;
+use std::sync::atomic::Ordering;
+
+use tokio::net::TcpListener;
+
+/// The ports to choose from: below 32,768, where the system's own range begins.
+const FIRST_PORT: u32 = 12_000;
+const PORTS: u32 = 20_000;
+
+static NEXT: AtomicU32 = AtomicU32::new(0);
+
+/// A free address of loopback. Processes that run side by side begin at different ports.
+pub async fn free_address() -> io::Result<SocketAddr> {
+    let start = std::process::id().wrapping_mul(613);
+    for _ in 0..PORTS {
+        let step = NEXT.fetch_add(1, Ordering::Relaxed);
+        let port = FIRST_PORT + start.wrapping_add(step) % PORTS;
+        let address = SocketAddr::from(([127, 0, 0, 1], port as u16));
+        if TcpListener::bind(address).await.is_ok() {
+            return Ok(address);
+        }
+    }
+    Err(io::ErrorKind::AddrNotAvailable.into())
+}
