--- a/crates/proxy/src/sessions/process/takeover.rs
+++ b/crates/proxy/src/sessions/process/takeover.rs
@@ -1,15 +1,14 @@
-//! Drives a change of primary: notices that one is needed, claims it, and carries the steps of
+//! Drives a change of primary where `need.rs` sees one: claims it, and carries the steps of
 //! `skylark_core::process::takeover` out.
 //!
-//! What this process's own traffic shows of a primary is asked for first; one question to the primary
-//! itself confirms a suspicion. A process that is cut off by itself reaches neither the store nor the
-//! replicas, so it can't harm a primary that serves the others.
+//! A process that is cut off by itself reaches neither the store nor the replicas, so it can't harm a
+//! primary that serves the others.
 
 use std::sync::Arc;
 use std::time::Duration;
 
 use parking_lot::Mutex;
-use skylark_core::FastMap;
+use skylark_core::FastSet;
 use skylark_core::process::takeover;
 use skylark_core::process::takeover::ReplicaView;
 use skylark_core::process::takeover::TakeoverStep;
@@ -60,7 +59,7 @@
     store: S,
     promoter: P,
     /// The services that this process works at.
-    driven: Mutex<FastMap<Arc<str>, ()>>,
+    driven: Mutex<FastSet<Arc<str>>>,
     needs: Needs<C, S>,
 }
 
@@ -93,7 +92,7 @@
         let view = self.gateway.view();
         for service in view.services.keys() {
             let Some(need) = self.needs.of(service) else { continue };
-            if self.driven.lock().insert(Arc::clone(service), ()).is_some() {
+            if !self.driven.lock().insert(Arc::clone(service)) {
                 continue;
             }
             let (takeovers, service) = (Arc::clone(self), Arc::clone(service));
--- a/crates/soak/src/callers.rs
+++ b/crates/soak/src/callers.rs
@@ -7,13 +7,19 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use bytes::BytesMut;
 use parking_lot::Mutex;
 use rand::RngExt;
 use rand::SeedableRng;
 use rand::rngs::StdRng;
-use tokio::io::AsyncBufReadExt;
+use skylark_core::request::statement::Statement;
+use skylark_core::request::statement::TargetError;
+use skylark_platform::lines::Lines;
+use skylark_proxy::sessions::codec::Codec;
+use skylark_proxy::sessions::codec::Query;
+use skylark_proxy::sessions::codec::TargetMessage;
+use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
-use tokio::io::BufReader;
 use tokio::net::TcpStream;
 use tokio::sync::watch;
 use tokio::time;
@@ -24,8 +30,18 @@
 /// The pause after a refusal or a lost connection.
 const PAUSE: Duration = Duration::from_millis(50);
 
-/// The codes that promise that nothing is kept.
-const PROMISES: [&str; 6] = ["BUSY", "ABORTED", "LAGGING", "READONLY", "MISROUTED", "CONNLIMIT"];
+/// The largest message, in bytes.
+const MAX_MESSAGE_BYTES: usize = 1 << 20;
+
+/// The errors that promise that nothing is kept.
+const PROMISES: [TargetError; 6] = [
+    TargetError::Busy,
+    TargetError::Aborted,
+    TargetError::Lagging,
+    TargetError::ReadOnly,
+    TargetError::Misrouted,
+    TargetError::TooManyConnections,
+];
 
 /// What callers were told.
 #[derive(Debug, Default)]
@@ -56,7 +72,7 @@
 /// What became of one statement.
 enum Outcome {
     Done(Option<String>),
-    Failed(String),
+    Failed(TargetError),
     /// No whole answer.
     Lost,
 }
@@ -73,7 +89,8 @@
 }
 
 struct Connection {
-    stream: BufReader<TcpStream>,
+    stream: TcpStream,
+    input: BytesMut,
     /// The data of the last write that was acknowledged on it.
     floor: u64,
 }
@@ -117,8 +134,9 @@
         memory.sequence += 1;
         let sequence = memory.sequence;
         let (number, data) = (self.number, self.data(sequence));
+        let arguments = format!("item{number} {data}");
         let id = format!("w{number}x{sequence}");
-        let outcome = connection.run(&id, &format!("WRITE item{number} {data}")).await;
+        let outcome = connection.run(&id, Statement::Write { arguments: &arguments }).await;
         self.account(outcome, connection, memory, true).await
     }
 
@@ -126,18 +144,22 @@
         memory.sequence += 1;
         let sequence = memory.sequence;
         let (number, data) = (self.number, self.data(sequence));
+        let arguments = format!("item{number} {data}");
         let id = format!("t{number}x{sequence}");
-        if !matches!(connection.run(&id, "BEGIN").await, Outcome::Done(_)) {
+        if !matches!(
+            connection.run(&id, Statement::Begin { read_only: false }).await,
+            Outcome::Done(_)
+        ) {
             return false;
         }
-        let wrote = connection.run(&id, &format!("WRITE item{number} {data}")).await;
+        let wrote = connection.run(&id, Statement::Write { arguments: &arguments }).await;
         if !matches!(wrote, Outcome::Done(_)) {
             // Its commit was never sent, so nothing may be kept, whatever was said.
             self.told.lock().denied.insert(data);
-            let ended = connection.run(&id, "ROLLBACK").await;
+            let ended = connection.run(&id, Statement::Rollback).await;
             return matches!(ended, Outcome::Done(_));
         }
-        let outcome = connection.run(&id, "COMMIT").await;
+        let outcome = connection.run(&id, Statement::Commit).await;
         self.account(outcome, connection, memory, false).await
     }
 
@@ -158,8 +180,8 @@
                 connection.floor = sequence;
                 true
             }
-            Outcome::Failed(code) => {
-                if PROMISES.contains(&code.as_str()) {
+            Outcome::Failed(error) => {
+                if PROMISES.contains(&error) {
                     self.told.lock().denied.insert(data);
                 } else {
                     memory.in_doubt.insert(sequence);
@@ -175,8 +197,8 @@
     }
 
     async fn read(&self, connection: &mut Connection, floor: u64, memory: &Memory) -> bool {
-        let number = self.number;
-        match connection.run("r", &format!("READ item{number}")).await {
+        let item = format!("item{}", self.number);
+        match connection.run("r", Statement::Read { item: &item }).await {
             Outcome::Done(row) => {
                 self.check(&row.unwrap_or_default(), floor, memory);
                 true
@@ -211,39 +233,53 @@
 
 async fn open(proxy: SocketAddr, database: &str) -> Option<Connection> {
     let stream = time::timeout(PATIENCE, TcpStream::connect(proxy)).await.ok()?.ok()?;
-    let mut connection = Connection { stream: BufReader::new(stream), floor: 0 };
-    match connection.exchange(&format!("STARTUP {database} soak")).await {
+    let mut connection = Connection { stream, input: BytesMut::new(), floor: 0 };
+    let mut startup = BytesMut::new();
+    Lines::encode_startup(database, "soak", "", &mut startup);
+    match connection.exchange(&startup).await {
         Outcome::Done(_) => Some(connection),
         Outcome::Failed(_) | Outcome::Lost => None,
     }
 }
 
 impl Connection {
-    async fn run(&mut self, id: &str, text: &str) -> Outcome {
-        self.exchange(&format!("QUERY {id} {text}")).await
+    async fn run(&mut self, id: &str, statement: Statement<'_>) -> Outcome {
+        let query = Query::Statement { id: Some(id), at_least: None, statement };
+        let mut request = BytesMut::new();
+        Lines::encode_query(&query, &mut request);
+        self.exchange(&request).await
     }
 
-    async fn exchange(&mut self, line: &str) -> Outcome {
-        match time::timeout(PATIENCE, self.try_exchange(line)).await {
+    async fn exchange(&mut self, request: &[u8]) -> Outcome {
+        match time::timeout(PATIENCE, self.try_exchange(request)).await {
             Ok(Some(outcome)) => outcome,
             Ok(None) | Err(_) => Outcome::Lost,
         }
     }
 
-    async fn try_exchange(&mut self, line: &str) -> Option<Outcome> {
-        self.stream.write_all(format!("{line}\r\n").as_bytes()).await.ok()?;
-        let (mut row, mut code) = (None, None);
+    async fn try_exchange(&mut self, request: &[u8]) -> Option<Outcome> {
+        self.stream.write_all(request).await.ok()?;
+        let (mut row, mut failed) = (None, None);
         loop {
-            let mut line = String::new();
-            if self.stream.read_line(&mut line).await.ok()? == 0 {
-                return None;
+            let message = self.message().await?;
+            match Lines::decode_target(&message).ok()? {
+                TargetMessage::Row(text) => row = Some(text.to_owned()),
+                TargetMessage::Error { error, .. } => failed = Some(error),
+                TargetMessage::Complete { .. } => (),
+                TargetMessage::Ready { .. } => {
+                    return Some(failed.map_or(Outcome::Done(row), Outcome::Failed));
+                }
             }
-            let (word, rest) = line.trim_end().split_once(' ').unwrap_or((line.trim_end(), ""));
-            match word {
-                "ROW" => row = Some(rest.to_owned()),
-                "ERROR" => code = Some(rest.split(' ').next().unwrap_or("").to_owned()),
-                "READY" => return Some(code.map_or(Outcome::Done(row), Outcome::Failed)),
-                _ => (),
+        }
+    }
+
+    async fn message(&mut self) -> Option<BytesMut> {
+        loop {
+            if let Some(length) = Lines::message_len(&self.input, MAX_MESSAGE_BYTES).ok()? {
+                return Some(self.input.split_to(length));
+            }
+            if self.stream.read_buf(&mut self.input).await.ok()? == 0 {
+                return None;
             }
         }
     }
--- a/crates/soak/src/process.rs
+++ b/crates/soak/src/process.rs
@@ -1,7 +1,6 @@
 //! The proxies as child processes.
 
 use std::io;
-use std::net::SocketAddr;
 use std::path::Path;
 use std::path::PathBuf;
 use std::process::ExitStatus;
@@ -12,6 +11,8 @@
 use nix::sys::signal;
 use nix::sys::signal::Signal;
 use nix::unistd::Pid;
+use skylark_platform::settings;
+use skylark_platform::settings::PlatformSettings;
 use tokio::process::Child;
 use tokio::process::Command;
 
@@ -25,16 +26,8 @@
     pub program: PathBuf,
     /// The folder for its settings and logs.
     pub folder: PathBuf,
-    /// Its number.
-    pub number: usize,
-    /// Where callers connect.
-    pub callers: SocketAddr,
-    /// Where it is asked whether it is ready.
-    pub ready: SocketAddr,
-    /// Where other proxies connect.
-    pub peers: SocketAddr,
-    /// The platform, behind a relay of its own.
-    pub platform: SocketAddr,
+    /// Its settings.
+    pub settings: PlatformSettings,
 }
 
 /// One proxy.
@@ -56,9 +49,10 @@
 
     /// Starts it again after its end.
     pub fn start_again(&mut self) -> io::Result<()> {
-        let file = self.setup.folder.join(format!("vm-{}.toml", self.setup.number));
-        std::fs::write(&file, settings(&self.setup))?;
-        let log = self.setup.folder.join(format!("vm-{}.log", self.setup.number));
+        let vm = &self.setup.settings.sessions.vm;
+        let file = self.setup.folder.join(format!("{vm}.toml"));
+        std::fs::write(&file, settings::encode(&self.setup.settings))?;
+        let log = self.setup.folder.join(format!("{vm}.log"));
         let log = std::fs::OpenOptions::new().create(true).append(true).open(log)?;
         let child = Command::new(&self.setup.program)
             .arg("--settings")
@@ -109,17 +103,3 @@
         &self.setup.folder
     }
 }
-
-fn settings(setup: &ProxySetup) -> String {
-    let (number, zone) = (setup.number, setup.number % 3 + 1);
-    let ProxySetup { callers, ready, peers, platform, .. } = setup;
-    format!(
-        "Node = \"vm-{number}\"\nZone = \"zone-{zone}\"\nIp = \"{}\"\nInternalPorts = [{}, {}]\n\
-         [Listen]\nFront = \"{callers}\"\nReady = \"{ready}\"\n\
-         [Bounds]\nGraceS = 4\nDrainMs = 7000\n\
-         [platform]\nAddress = \"{platform}\"\n[Cloud]\nAddress = \"{platform}\"\n",
-        peers.ip(),
-        peers.port(),
-        peers.port(),
-    )
-}
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -14,6 +14,8 @@
 use skylark_core::version::routes::Route;
 use skylark_core::version::routes::RouteTable;
 use skylark_core::version::routes::ServiceLimits;
+use skylark_platform::settings::PlatformSettings;
+use skylark_proxy::sessions::process::daemon::SessionSettings;
 use skylark_standin::typed::deployment::Deployment;
 use skylark_standin::typed::group::GroupOptions;
 use skylark_standin::typed::ports;
@@ -78,16 +80,23 @@
     let (mut proxies, mut to_platform, mut addresses) = (Vec::new(), Vec::new(), Vec::new());
     for number in 1..=options.proxies {
         let relay = Relay::start(deployment.platform_address).await?;
-        let setup = ProxySetup {
-            program: options.program.clone(),
-            folder: options.folder.clone(),
-            number,
-            callers: ports::free_address().await?,
-            ready: ports::free_address().await?,
-            peers: ports::free_address().await?,
-            platform: relay.address,
+        let sessions = SessionSettings {
+            vm: format!("vm-{number}"),
+            zone: format!("zone-{}", number % 3 + 1),
+            callers_address: ports::free_address().await?,
+            peer_address: ports::free_address().await?,
+            drain_ms: 7_000,
+            grace_ms: 4_000,
+        };
+        addresses.push(sessions.callers_address);
+        let settings = PlatformSettings {
+            sessions,
+            ready_address: ports::free_address().await?,
+            store_address: relay.address,
+            promote_address: relay.address,
         };
-        addresses.push(setup.callers);
+        let (program, folder) = (options.program.clone(), options.folder.clone());
+        let setup = ProxySetup { program, folder, settings };
         proxies.push(Arc::new(tokio::sync::Mutex::new(Proxy::start(setup)?)));
         to_platform.push(relay);
     }
@@ -122,7 +131,8 @@
     for proxy in &proxies {
         let mut proxy = proxy.lock().await;
         if let Some(status) = proxy.ended_by_itself() {
-            violations.push(format!("vm-{} ended by itself: {status}", proxy.setup.number));
+            let vm = &proxy.setup.settings.sessions.vm;
+            violations.push(format!("{vm} ended by itself: {status}"));
         }
     }
     let told = told.lock();
