Refuse positions that are not understood instead of taking them for an empty log

Cause, seen on reading the diff: an undecodable position counted as no position, and none as an empty log, which any replica covers.

--- a/crates/proxy/src/sessions/process/gateway.rs
+++ b/crates/proxy/src/sessions/process/gateway.rs
@@ -230,8 +230,10 @@
     ) {
         let state = self.service(&target.record.service);
         let is_news = state.leader.lock().proved(&target.record.id);
-        // A primary without a position has an empty log, which every member covers.
-        self.learn_position(&target.record.service, sent_us, position.unwrap_or_default());
+        // Without a position nothing is known of what reads have to see: they go to the primary.
+        if let Some(position) = position {
+            self.learn_position(&target.record.service, sent_us, position);
+        }
         if is_news {
             slog::info!(self.log, "a target proved that it leads";
                 "service" => &*target.record.service, "target" => &*target.record.id);
