Count former primaries among the departed that a promotion needs

Change: all members that leave are remembered, but the one that is being replaced; what a promotion needs is no longer forgotten with the promotion.

--- a/crates/proxy/src/sessions/process/known.rs
+++ b/crates/proxy/src/sessions/process/known.rs
@@ -143,12 +143,10 @@
             "target" => &*member.record.id,
             "service" => &*member.record.service,
             "leaving" => member.record.leaving);
-        if !member.is_primary() {
-            let now_us = self.gateway.clock.now_us();
-            let service = Arc::clone(&member.record.service);
-            let departures = known.departures.entry(service).or_default();
-            departures.left(&member.record.id, Arc::clone(&member.record), now_us);
-        }
+        let now_us = self.gateway.clock.now_us();
+        let service = Arc::clone(&member.record.service);
+        let departures = known.departures.entry(service).or_default();
+        departures.left(&member.record.id, Arc::clone(&member.record), now_us);
     }
 
     fn log_member(&self, member: &Member) {
--- a/crates/proxy/src/sessions/process/takeover.rs
+++ b/crates/proxy/src/sessions/process/takeover.rs
@@ -211,7 +211,9 @@
             }
             let primary = self.needs.present_primary(service);
             let primary_id = primary.as_ref().map(|primary| Arc::clone(&primary.record.id));
-            let (departed, floor) = self.watcher.departed(service);
+            let state = self.gateway.service(service);
+            let last_led = state.leader.lock().preferred().cloned();
+            let (departed, floor) = self.watcher.departed(service, last_led.as_ref());
             let mut replicas = self.listed_replicas(service, primary_id.as_ref());
             replicas.extend(departed);
             let (views, term) = self.ask_all(&replicas).await;
@@ -241,10 +243,7 @@
                 TakeoverStep::Promote(index) => {
                     let id = Arc::clone(&replicas[index].id);
                     match self.promote(service, &id, claim).await {
-                        Ok(()) => {
-                            self.watcher.forget_departed(service);
-                            return "promoted";
-                        }
+                        Ok(()) => return "promoted",
                         Err(()) => time::sleep(RETRY_PAUSE).await,
                     }
                 }
--- a/crates/proxy/src/sessions/process/watch.rs
+++ b/crates/proxy/src/sessions/process/watch.rs
@@ -50,7 +50,7 @@
     pub(super) number: u64,
     pub(super) routes: Option<Arc<RouteTable>>,
     pub(super) targets: FastMap<Arc<str>, Member>,
-    /// Replicas that left the list, by service. A primary that left is what a takeover replaces.
+    /// Members that left the list, by service.
     pub(super) departures: FastMap<Arc<str>, Departures<Arc<TargetRecord>>>,
     /// Those of them that are no longer listed, but may be back.
     pub(super) lapsed: FastSet<Arc<str>>,
@@ -129,22 +129,23 @@
         }
     }
 
-    /// The departed replicas of a service that a promotion can't do without, and what it has to
-    /// cover for the others.
-    pub fn departed(&self, service: &str) -> (Vec<Arc<TargetRecord>>, LogPosition) {
+    /// The departed members of a service that a promotion can't do without, and what it has to cover
+    /// for the others. The primary that is to be replaced is none of them; one that led before it is:
+    /// what the two acknowledged together may be on no other replica.
+    pub fn departed(
+        &self,
+        service: &str,
+        primary: Option<&Arc<str>>,
+    ) -> (Vec<Arc<TargetRecord>>, LogPosition) {
         let known = self.known.lock();
         let Some(departures) = known.departures.get(service) else {
             return (Vec::new(), LogPosition::default());
         };
-        let needed = departures.needed().map(|(_, record)| Arc::clone(record)).collect();
+        let needed = departures.needed().filter(|(id, _)| Some(*id) != primary);
+        let needed = needed.map(|(_, record)| Arc::clone(record)).collect();
         (needed, departures.floor())
     }
 
-    /// A target was promoted: what departed replicas had is in its log or lost.
-    pub fn forget_departed(&self, service: &str) {
-        self.known.lock().departures.remove(service);
-    }
-
     /// Follows the configuration for ever.
     pub async fn follow_configuration(&self) {
         let mut revision = None;
