--- a/crates/core/src/process/takeover.rs
+++ b/crates/core/src/process/takeover.rs
@@ -91,6 +91,11 @@
     if primary_answers && !replicas[chosen].paused && waited_us < CATCH_UP_LIMIT_US {
         return TakeoverStep::AskAgain(chosen);
     }
+    // Pausing it as well would stop all commits and bring nothing: none of them is complete.
+    let is_incomplete = replicas.iter().all(|replica| replica.received < floor);
+    if primary_answers && is_incomplete {
+        return TakeoverStep::Wait(WaitReason::LogIncomplete);
+    }
     if !replicas[chosen].paused {
         return TakeoverStep::Pause(chosen);
     }
--- a/crates/proxy/src/sessions/process/takeover.rs
+++ b/crates/proxy/src/sessions/process/takeover.rs
@@ -9,6 +9,7 @@
 
 use parking_lot::Mutex;
 use skylark_core::FastSet;
+use skylark_core::log_position::LogPosition;
 use skylark_core::process::takeover;
 use skylark_core::process::takeover::ReplicaView;
 use skylark_core::process::takeover::TakeoverStep;
@@ -113,7 +114,11 @@
             "primary" => self.needs.present_primary(service).map(|p| p.record.id.to_string()),
             "need" => ?need);
         let Some(mut claim) = self.claim(service, began_us).await else { return };
-        let outcome = self.carry_out(service, began_us, &mut claim).await;
+        let handed_over = match need {
+            Need::Leaving => self.primarys_log(service).await,
+            Need::Silent | Need::CommitsStuck | Need::Unled => LogPosition::default(),
+        };
+        let outcome = self.carry_out(service, began_us, handed_over, &mut claim).await;
         self.resume_all(service).await;
         claim.claim.state = ClaimState::Settled;
         let settled = self.store.write_claim(service, &claim.claim, Some(claim.revision)).await;
@@ -198,6 +203,7 @@
         &self,
         service: &Arc<str>,
         began_us: u64,
+        handed_over: LogPosition,
         claim: &mut SeenClaim,
     ) -> &'static str {
         let mut waiting_since_us = None;
@@ -214,6 +220,7 @@
             let state = self.gateway.service(service);
             let last_led = state.leader.lock().preferred().cloned();
             let (departed, floor) = self.watcher.departed(service, last_led.as_ref());
+            let floor = floor.max(handed_over);
             let mut replicas = self.listed_replicas(service, primary_id.as_ref());
             replicas.extend(departed);
             let (views, term) = self.ask_all(&replicas).await;
@@ -251,6 +258,19 @@
         }
     }
 
+    /// The end of the log of a primary that leaves and still answers. Its successor has to have all of it:
+    /// this process may not know of a replica that acknowledged with it and is gone.
+    async fn primarys_log(&self, service: &Arc<str>) -> LogPosition {
+        let Some(primary) = self.needs.present_primary(service) else {
+            return LogPosition::default();
+        };
+        let (record, vm) = (&primary.record, &self.gateway.vm);
+        match target_calls::ask::<C>(record, vm, &Query::Status).await {
+            Said::Status(status) if status.is_primary => status.received,
+            Said::Status(_) | Said::Refused | Said::Nothing => LogPosition::default(),
+        }
+    }
+
     /// The listed targets of a service but its primary.
     fn listed_replicas(
         &self,
