Run statements on a connection in one place

Reads, transactions and forwarded statements each brought the session's values, settled the answers and sent the statement by copies of the same steps; acquire::run does it for all three, and StatementLink::exchange is the one place that sends and then waits. Opening at the primary no longer takes an optional first statement: bringing a position, the one caller without one, has been a module of its own for a while. Behaviour is unchanged.

--- a/crates/proxy/src/sessions/connection/link.rs
+++ b/crates/proxy/src/sessions/connection/link.rs
@@ -121,6 +121,11 @@
     /// Sends one request and takes its answer.
     pub async fn ask(&mut self, query: &Query<'_>, until: Instant) -> Result<Reply, Lost> {
         self.push(query);
+        self.exchange(until).await
+    }
+
+    /// Sends what was pushed and takes the first answer to it.
+    pub async fn exchange(&mut self, until: Instant) -> Result<Reply, Lost> {
         self.send().await?;
         self.answer(until).await
     }
--- a/crates/proxy/src/sessions/connection/peer.rs
+++ b/crates/proxy/src/sessions/connection/peer.rs
@@ -30,7 +30,6 @@
 use crate::sessions::connection::link;
 use crate::sessions::connection::link::StatementLink;
 use crate::sessions::connection::reply::End;
-use crate::sessions::connection::reply::Lost;
 use crate::sessions::connection::reply::Reply;
 use crate::sessions::process::feed;
 use crate::sessions::process::gateway::Gateway;
@@ -284,7 +283,8 @@
                 .map_err(|_| Forwarded::Refused(ErrorKind::TargetBusy.into()))?,
         };
         self.target.started(now_us);
-        let answered = self.exchange(&call, &mut lease, at_least, work).await;
+        let (link, until_us) = (lease.connection(), call.deadline_us());
+        let answered = acquire::run(&call, link, &self.values, work, at_least, until_us).await;
         self.target.ended();
         match answered {
             Ok(reply) => {
@@ -307,26 +307,6 @@
         }
     }
 
-    async fn exchange(
-        &self,
-        call: &Call<'_, C>,
-        lease: &mut Lease<StatementLink<C>>,
-        at_least: Option<LogPosition>,
-        work: &Work<'_>,
-    ) -> Result<Reply, Lost> {
-        let until_us = call.deadline_us();
-        let link = lease.connection();
-        let owed = link.push_session(&self.values, work.prepared());
-        if let Some(reply) = acquire::settle(call, link, owed, until_us).await?
-            && reply.error().is_some()
-        {
-            return Ok(reply);
-        }
-        work.push(link, call.id, at_least);
-        link.send().await?;
-        link.answer(call.gateway.clock.instant_at(until_us)).await
-    }
-
     fn push_reply(&mut self, reply: &Reply) {
         reply.encode::<C>(&mut self.output);
         self.push_ready(reply.position);
--- a/crates/proxy/src/sessions/request/acquire.rs
+++ b/crates/proxy/src/sessions/request/acquire.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 
+use skylark_core::log_position::LogPosition;
 use skylark_core::request::retry::Failure;
 
 use crate::connection::admission::TurnRequest;
@@ -14,6 +15,7 @@
 use crate::sessions::process::latencies::Stage;
 use crate::sessions::process::targets::TargetState;
 use crate::sessions::request::call::Call;
+use crate::sessions::request::call::Work;
 
 /// Why no connection was had.
 #[derive(Clone, PartialEq, Eq, Debug)]
@@ -72,8 +74,31 @@
     matches!(failure, Failure::Said { sqlstate, .. } if &sqlstate == b"53300")
 }
 
-/// Sends what was pushed and takes its answers until the first error. On an error of the session's
-/// preparation the connection's session counts as unknown.
+/// Runs a statement on a connection, once that has the session's values and what is prepared. If it
+/// can't have these, the answer is what the target said of them.
+pub async fn run<C>(
+    call: &Call<'_, C>,
+    link: &mut StatementLink<C>,
+    values: &[(Box<str>, Box<str>)],
+    work: &Work<'_>,
+    at_least: Option<LogPosition>,
+    until_us: u64,
+) -> Result<Reply, Lost>
+where
+    C: Codec,
+{
+    let owed = link.push_session(values, work.prepared());
+    if let Some(reply) = settle(call, link, owed, until_us).await?
+        && reply.error().is_some()
+    {
+        return Ok(reply);
+    }
+    work.push(link, call.id, at_least);
+    link.exchange(call.gateway.clock.instant_at(until_us)).await
+}
+
+/// Sends what was pushed and takes all of its answers. Returns the first error, otherwise the last
+/// answer. After an error the connection's session counts as unknown.
 pub async fn settle<C>(
     call: &Call<'_, C>,
     link: &mut StatementLink<C>,
--- a/crates/proxy/src/sessions/request/at_primary.rs
+++ b/crates/proxy/src/sessions/request/at_primary.rs
@@ -46,7 +46,7 @@
     let mut tries = 0;
     loop {
         tries += 1;
-        let held = open(call, Some((session, work))).await?;
+        let held = open(call, session, work).await?;
         match read_once(call, held, work).await {
             Ok(reply) => return Ok(reply),
             Err(lost) => {
@@ -73,13 +73,8 @@
     work.push(link, call.id, None);
     // Sent along: whatever becomes of the read, its transaction ends.
     link.push_own(Statement::Rollback);
-    let answered = match link.send().await {
-        Ok(()) => {
-            let until = call.gateway.clock.instant_at(read::patience_until_us(call));
-            link.answer(until).await
-        }
-        Err(lost) => Err(lost),
-    };
+    let until = call.gateway.clock.instant_at(read::patience_until_us(call));
+    let answered = link.exchange(until).await;
     target.ended();
     call.took(Stage::Target, sent_us);
     let now_us = call.now_us();
@@ -134,10 +129,7 @@
         target.started(sent_us);
         target.commit_sent(sent_us);
         work.push(link, call.id, None);
-        let answered = match link.send().await {
-            Ok(()) => link.answer(call.gateway.clock.instant_at(until_us)).await,
-            Err(lost) => Err(lost),
-        };
+        let answered = link.exchange(call.gateway.clock.instant_at(until_us)).await;
         target.ended();
         call.took(Stage::Target, sent_us);
         let now_us = call.now_us();
@@ -171,12 +163,12 @@
     }
 }
 
-/// Opens a transaction that may write, and with it proves the lead of its target.
-///
-/// `purpose` is the first statement with its session; none where only the lead is of interest.
+/// Opens a transaction that may write, and with it proves the lead of its target. The connection has
+/// the session and what its first statement needs.
 pub async fn open<C>(
     call: &Call<'_, C>,
-    purpose: Option<(&Session<C>, &Work<'_>)>,
+    session: &Session<C>,
+    work: &Work<'_>,
 ) -> Result<Held<C>, Refusal>
 where
     C: Codec,
@@ -186,10 +178,7 @@
         let until_us = read::patience_until_us(call);
         let sent_us = call.now_us();
         let link = lease.connection();
-        let owed = match purpose {
-            Some((session, work)) => link.push_session(&session.values, work.prepared()),
-            None => 0,
-        };
+        let owed = link.push_session(&session.values, work.prepared());
         link.push_own(Statement::Begin { read_only: false });
         target.started(sent_us);
         let settled = acquire::settle(call, link, owed + 1, until_us).await;
--- a/crates/proxy/src/sessions/request/read.rs
+++ b/crates/proxy/src/sessions/request/read.rs
@@ -19,6 +19,7 @@
 use crate::process::counters::RetryReason;
 use crate::request::refusal::Refusal;
 use crate::sessions::codec::Codec;
+use crate::sessions::connection::link::StatementLink;
 use crate::sessions::connection::reply::Reply;
 use crate::sessions::connection::session::Session;
 use crate::sessions::process::latencies::Stage;
@@ -166,19 +167,8 @@
     let sent_us = call.now_us();
     target.started(sent_us);
     let until_us = patience_until_us(call);
-    let link = lease.connection();
-    let owed = link.push_session(&session.values, work.prepared());
-    let answered = match acquire::settle(call, link, owed, until_us).await {
-        Ok(Some(reply)) if reply.error().is_some() => Ok(reply),
-        Ok(_) => {
-            work.push(link, call.id, Some(at_least));
-            match link.send().await {
-                Ok(()) => link.answer(call.gateway.clock.instant_at(until_us)).await,
-                Err(lost) => Err(lost),
-            }
-        }
-        Err(lost) => Err(lost),
-    };
+    let (link, at_least) = (lease.connection(), Some(at_least));
+    let answered = acquire::run(call, link, &session.values, work, at_least, until_us).await;
     target.ended();
     call.took(Stage::Target, sent_us);
     let now_us = call.now_us();
@@ -197,7 +187,7 @@
 
 fn judge<C>(
     target: &TargetState<C>,
-    link: &mut crate::sessions::connection::link::StatementLink<C>,
+    link: &mut StatementLink<C>,
     reply: Reply,
     sent_us: u64,
     now_us: u64,
--- a/crates/proxy/src/sessions/request/sample.rs
+++ b/crates/proxy/src/sessions/request/sample.rs
@@ -56,11 +56,7 @@
     link.push_own(Statement::Begin { read_only: false });
     // Whether it was opened or refused, it is over.
     link.push_own(Statement::Rollback);
-    if link.send().await.is_err() {
-        target.failed(gateway.clock.now_us());
-        return None;
-    }
-    let Ok(reply) = link.answer(until).await else {
+    let Ok(reply) = link.exchange(until).await else {
         target.failed(gateway.clock.now_us());
         return None;
     };
--- a/crates/proxy/src/sessions/request/transaction.rs
+++ b/crates/proxy/src/sessions/request/transaction.rs
@@ -81,7 +81,7 @@
     {
         return Ok(held);
     }
-    at_primary::open(call, Some((session, work))).await
+    at_primary::open(call, session, work).await
 }
 
 /// Opens a transaction that only reads at a member that has what it must see.
@@ -151,7 +151,8 @@
     if is_durable {
         held.target.commit_sent(sent_us);
     }
-    let answered = exchange(call, session, &mut held, work, until_us).await;
+    let link = held.lease.connection();
+    let answered = acquire::run(call, link, &session.values, work, None, until_us).await;
     if is_durable {
         let timed_out = answered.as_ref().is_err_and(Lost::timed_out);
         held.target.commit_ended(call.now_us(), timed_out);
@@ -193,28 +194,6 @@
     Ok(reply)
 }
 
-async fn exchange<C>(
-    call: &Call<'_, C>,
-    session: &Session<C>,
-    held: &mut Held<C>,
-    work: &Work<'_>,
-    until_us: u64,
-) -> Result<Reply, Lost>
-where
-    C: Codec,
-{
-    let link = held.lease.connection();
-    let owed = link.push_session(&session.values, work.prepared());
-    if let Some(reply) = acquire::settle(call, link, owed, until_us).await?
-        && reply.error().is_some()
-    {
-        return Ok(reply);
-    }
-    work.push(link, call.id, None);
-    link.send().await?;
-    link.answer(call.gateway.clock.instant_at(until_us)).await
-}
-
 /// Rolls a transaction back; its connection goes back once that is done.
 pub fn roll_back<C>(transaction: Box<Transaction<C>>)
 where
