Remove what stood twice or was not used in the sessions

Lingering before a close stood in both callers' connections, with its time limit; it is in socket.rs. An announced lead takes the path of a proved one, and no longer returns what nobody read. The two arms of primary_answers are one. Two comments told what was no longer so.

--- a/crates/proxy/src/connection/caller.rs
+++ b/crates/proxy/src/connection/caller.rs
@@ -23,6 +23,7 @@
 use crate::connection::frames;
 use crate::connection::pinned::Pinned;
 use crate::connection::session::Session;
+use crate::connection::socket;
 use crate::connection::target_connection::CancelKey;
 use crate::process::counters::Event;
 use crate::process::traffic::Traffic;
@@ -39,9 +40,6 @@
 use crate::request::statement::StatementTraits;
 use crate::request::unit::Unit;
 
-/// How long the other end may take to read a farewell before the socket is closed.
-const LINGER: Duration = Duration::from_millis(500);
-
 /// A caller after its start-up.
 #[derive(Debug)]
 pub struct Caller {
@@ -142,7 +140,7 @@
             match self.input.next(&self.stream, limit_bytes, stall).await {
                 Ok(Some(message)) => {
                     if self.take(message).await == Flow::End {
-                        self.linger().await;
+                        socket::linger(&mut self.stream).await;
                         return Flow::End;
                     }
                 }
@@ -279,23 +277,7 @@
         let mut out = BytesMut::new();
         Refusal::from(kind).write(&mut out);
         answer::write(self, &out, &[]).await;
-        self.linger().await;
-    }
-
-    /// Closing a socket with unread input resets the connection, and the reset overtakes the last
-    /// answer. So the write side is closed first, and the caller has a moment to close its own.
-    async fn linger(&mut self) {
-        use tokio::io::AsyncWriteExt;
-        let _ = self.stream.shutdown().await;
-        let mut dropped = BytesMut::new();
-        let drained = async {
-            while let Ok(1..) =
-                crate::connection::socket::read_some(&self.stream, &mut dropped).await
-            {
-                dropped.clear();
-            }
-        };
-        let _ = time::timeout(LINGER, drained).await;
+        socket::linger(&mut self.stream).await;
     }
 }
 
--- a/crates/proxy/src/connection/socket.rs
+++ b/crates/proxy/src/connection/socket.rs
@@ -7,6 +7,7 @@
 
 use bytes::BytesMut;
 use socket2::SockRef;
+use tokio::io::AsyncWriteExt;
 use tokio::io::Interest;
 use tokio::net::TcpStream;
 use tokio::time;
@@ -14,6 +15,9 @@
 /// How much a read asks for.
 pub const READ_BYTES: usize = 16 << 10;
 
+/// How long the other end may take to read a farewell before the socket is closed.
+const LINGER: Duration = Duration::from_millis(500);
+
 /// Writes all of `first`, then all of `second`; the other end may take no byte for `stall` at most.
 pub async fn write_both(
     stream: &TcpStream,
@@ -84,3 +88,21 @@
         }
     }
 }
+
+/// Gives the other end a moment to read the last answer before the socket is closed.
+///
+/// Closing a socket with unread input resets the connection, and the reset overtakes the last
+/// answer. So the write side is closed first, and the other end has a moment to close its own.
+pub async fn linger(stream: &mut TcpStream) {
+    if stream.shutdown().await.is_err() {
+        return;
+    }
+    let mut dropped = BytesMut::new();
+    let drained = async {
+        while let Ok(1..) = read_some(stream, &mut dropped).await {
+            dropped.clear();
+        }
+    };
+    // Whether the other end closed or the time ran out, the socket is closed next.
+    let _ = time::timeout(LINGER, drained).await;
+}
--- a/crates/proxy/src/sessions/connection/caller.rs
+++ b/crates/proxy/src/sessions/connection/caller.rs
@@ -40,9 +40,6 @@
 /// How many parts the spread has.
 const CLOSING_PARTS: u64 = 64;
 
-/// How long a caller that was refused has to read the answer before the socket is closed.
-const LINGER: Duration = Duration::from_millis(500);
-
 /// Why a caller's task goes on.
 enum Wake {
     /// A whole message, at the start of the input.
@@ -151,7 +148,7 @@
         }
         C::encode_refusal(&Refusal::from(kind), &mut self.output);
         if self.flush().await {
-            self.linger().await;
+            socket::linger(&mut self.stream).await;
         }
         None
     }
@@ -298,21 +295,4 @@
         self.output.clear();
         written.is_ok()
     }
-
-    /// Closing a socket with unread input resets the connection, and the reset overtakes the last
-    /// answer. So the write side is closed first, and the caller has a moment to close its own.
-    async fn linger(&mut self) {
-        use tokio::io::AsyncWriteExt;
-        if self.stream.shutdown().await.is_err() {
-            return;
-        }
-        let mut dropped = BytesMut::new();
-        let drained = async {
-            while let Ok(1..) = socket::read_some(&self.stream, &mut dropped).await {
-                dropped.clear();
-            }
-        };
-        // Whether the caller closed or the time ran out, the socket is closed next.
-        let _ = time::timeout(LINGER, drained).await;
-    }
 }
--- a/crates/proxy/src/sessions/process/leader.rs
+++ b/crates/proxy/src/sessions/process/leader.rs
@@ -26,16 +26,12 @@
 }
 
 impl LeaderBelief {
-    /// A target announced its lead at this revision. Returns whether that is news.
-    pub fn announced(&mut self, target: &Arc<str>, revision: u64) -> bool {
-        if revision <= self.announced_revision {
-            return false;
+    /// A target announced its lead at this revision.
+    pub fn announced(&mut self, target: &Arc<str>, revision: u64) {
+        if revision > self.announced_revision {
+            self.announced_revision = revision;
+            self.proved(target);
         }
-        self.announced_revision = revision;
-        self.refused_us.remove(target);
-        let is_news = self.preferred.as_ref() != Some(target);
-        self.preferred = Some(Arc::clone(target));
-        is_news
     }
 
     /// A target proved that it leads. Returns whether that is news.
--- a/crates/proxy/src/sessions/process/need.rs
+++ b/crates/proxy/src/sessions/process/need.rs
@@ -131,21 +131,17 @@
         let Some(primary) = self.present_primary(service) else { return false };
         let (record, vm) = (&primary.record, &self.gateway.vm);
         let said = target_calls::ask_within::<C>(record, vm, &Query::Status, PRIMARY_LIMIT).await;
-        match said {
-            Said::Status(status) if !status.is_primary => {
-                if let Some(target) = self.gateway.target(&primary.record.id) {
-                    target.answered(self.gateway.clock.now_us(), None);
-                    self.gateway.refused_lead(&target);
-                }
-                true
-            }
-            Said::Status(_) | Said::Refused => {
-                if let Some(target) = self.gateway.target(&primary.record.id) {
-                    target.answered(self.gateway.clock.now_us(), None);
-                }
-                true
+        let denies_lead = match said {
+            Said::Status(status) => !status.is_primary,
+            Said::Refused => false,
+            Said::Nothing => return false,
+        };
+        if let Some(target) = self.gateway.target(&primary.record.id) {
+            target.answered(self.gateway.clock.now_us(), None);
+            if denies_lead {
+                self.gateway.refused_lead(&target);
             }
-            Said::Nothing => false,
         }
+        true
     }
 }
--- a/crates/proxy/src/sessions/process/watch.rs
+++ b/crates/proxy/src/sessions/process/watch.rs
@@ -1,7 +1,8 @@
 //! Keeping up with the platform's configuration and its list of targets.
 //!
-//! Each process watches both by itself: a waiting watch is one call. What a watch brings is put
-//! together into one version and published (`known.rs`). Versions of the configuration only rise.
+//! A process watches both by itself while no other process tells it (`feed.rs`): a waiting watch is one
+//! call. What a watch brings is put together into one version and published (`known.rs`). Versions of
+//! the configuration only rise.
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -52,7 +53,7 @@
     pub(super) targets: FastMap<Arc<str>, Member>,
     /// Members that left the list, by service.
     pub(super) departures: FastMap<Arc<str>, Departures<Arc<TargetRecord>>>,
-    /// Those of them that are no longer listed, but may be back.
+    /// Those of the targets that are no longer listed, but may be back.
     pub(super) lapsed: FastSet<Arc<str>>,
     /// The store's revision of the list of targets.
     pub(super) targets_revision: u64,
--- a/crates/soak/src/process.rs
+++ b/crates/soak/src/process.rs
@@ -1,7 +1,6 @@
 //! The proxies as child processes.
 
 use std::io;
-use std::path::Path;
 use std::path::PathBuf;
 use std::process::ExitStatus;
 use std::process::Stdio;
@@ -97,9 +96,4 @@
     pub fn ended_by_itself(&mut self) -> Option<ExitStatus> {
         self.child.as_mut().and_then(|child| child.try_wait().ok().flatten())
     }
-
-    /// The folder of its logs.
-    pub fn folder(&self) -> &Path {
-        &self.setup.folder
-    }
 }
