Refuse positions that were taken before the clock began

Cause: a VM that had just started asked a home for a position of the primary and was told one of 3.5 s ago. `sent - age` saturated at zero, so the position counted as taken when the process started, and was told on with that younger age. Ruled out by trial logs of each position with its age and source: lost session floors, late answers of a former primary, clocks after a freeze. Change: such a position is refused, with a bounded log line; the lines of failed samples are bounded too. The test failed first.

--- a/crates/core/src/request/primary_positions.rs
+++ b/crates/core/src/request/primary_positions.rs
@@ -21,6 +21,13 @@
 /// How many samples are kept: with [`SPACING_US`] apart, 3.2 s, above the usual bounds on age.
 pub const MAX_KEPT: usize = 64;
 
+/// Why a position can't be used.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub enum PositionError {
+    /// It was taken before this process's clock began.
+    BeforeClock,
+}
+
 /// The samples of one group, in the order of their times.
 #[derive(Clone, Debug, Default)]
 pub struct PrimaryPositions {
@@ -45,6 +52,29 @@
         }
     }
 
+    /// Another process, asked at `asked_us`, told a position that was `age_us` old when it answered.
+    ///
+    /// It measured the age after the question was sent, so the primary had proved its lead at
+    /// `asked_us - age_us` or later.
+    ///
+    /// A position from before this process's clock began is refused. Taken for one of the clock's
+    /// first moment it would count as younger than it is, here and at those whom this process tells,
+    /// and reads would miss what was acknowledged in between.
+    ///
+    /// # Errors
+    ///
+    /// [`PositionError::BeforeClock`] for such a position.
+    pub fn told(
+        &mut self,
+        asked_us: u64,
+        age_us: u64,
+        position: LogPosition,
+    ) -> Result<(), PositionError> {
+        let taken_us = asked_us.checked_sub(age_us).ok_or(PositionError::BeforeClock)?;
+        self.saw(taken_us, position);
+        Ok(())
+    }
+
     /// The lowest known position that covers all that was acknowledged by `as_of_us`.
     pub fn covering(&self, as_of_us: u64) -> Option<LogPosition> {
         let first = self.samples.partition_point(|sample| sample.taken_us < as_of_us);
--- a/crates/core/tests/primary_positions.rs
+++ b/crates/core/tests/primary_positions.rs
@@ -3,6 +3,7 @@
 use quickcheck::QuickCheck;
 use skylark_core::log_position::LogPosition;
 use skylark_core::request::primary_positions::MAX_KEPT;
+use skylark_core::request::primary_positions::PositionError;
 use skylark_core::request::primary_positions::PrimaryPositions;
 use skylark_core::request::primary_positions::SPACING_US;
 
@@ -34,6 +35,26 @@
     assert_eq!(positions.covering(arrived_without_suspension_us - bound_us), Some(at(1)));
 }
 
+/// Callers of a VM that just started read what was overwritten 3 s ago, and so do callers of VMs that
+/// ask it for positions. The primary is cut off; the new VM asks a home, which tells a position of
+/// 3.5 s ago. The VM's clock shows 2 s, has no time for that position, and called it 2 s old.
+#[test]
+fn a_position_from_before_the_clock_began_is_not_taken() {
+    let mut positions = PrimaryPositions::default();
+    let (asked_us, age_us) = (2_000_000, 3_500_000);
+    assert_eq!(positions.told(asked_us, age_us, at(1)), Err(PositionError::BeforeClock));
+    assert_eq!(positions.covering(0), None);
+    assert_eq!(positions.newest(), None);
+}
+
+#[test]
+fn a_position_that_another_process_told_is_as_old_as_it_said() {
+    let mut positions = PrimaryPositions::default();
+    assert_eq!(positions.told(5_000_000, 3_500_000, at(1)), Ok(()));
+    assert_eq!(positions.covering(1_500_000), Some(at(1)));
+    assert_eq!(positions.covering(1_500_001), None);
+}
+
 /// For each time, what is said to cover it covers all that the primary had acknowledged by then.
 #[test]
 fn what_covers_a_time_has_all_that_was_acknowledged_by_then() {
--- a/crates/proxy/src/sessions/process/gateway.rs
+++ b/crates/proxy/src/sessions/process/gateway.rs
@@ -13,6 +13,7 @@
 use skylark_core::FastSet;
 use skylark_core::log_position::LogPosition;
 use skylark_core::process::read_age::Sample;
+use skylark_core::request::primary_positions::PositionError;
 use skylark_core::version::routes::ReadRule;
 use skylark_core::version::routes::Route;
 use skylark_core::version::routes::RouteTable;
@@ -233,7 +234,8 @@
         let is_news = state.leader.lock().proved(&target.record.id);
         // Without a position nothing is known of what reads have to see: they go to the primary.
         if let Some(position) = position {
-            self.learn_position(&target.record.service, sent_us, position);
+            state.positions.lock().saw(sent_us, position);
+            state.position_came();
         }
         if is_news {
             slog::info!(self.log, "a target proved that it leads";
@@ -242,11 +244,24 @@
         }
     }
 
-    /// A primary that proved its lead at `taken_us` or later had this position then.
-    pub fn learn_position(&self, service: &Arc<str>, taken_us: u64, position: LogPosition) {
+    /// A home that was asked at `asked_us` told a position of `age_us` before its answer.
+    ///
+    /// # Errors
+    ///
+    /// Those of [`PrimaryPositions::told`].
+    ///
+    /// [`PrimaryPositions::told`]: skylark_core::request::primary_positions::PrimaryPositions::told
+    pub fn position_told(
+        &self,
+        service: &Arc<str>,
+        asked_us: u64,
+        age_us: u64,
+        position: LogPosition,
+    ) -> Result<(), PositionError> {
         let state = self.service(service);
-        state.positions.lock().saw(taken_us, position);
+        state.positions.lock().told(asked_us, age_us, position)?;
         state.position_came();
+        Ok(())
     }
 
     /// The newest known position of a service's primary, and when it was taken.
--- a/crates/proxy/src/sessions/request/sample.rs
+++ b/crates/proxy/src/sessions/request/sample.rs
@@ -31,8 +31,10 @@
     let lease = match target.pool().take(None, until).await {
         Ok(lease) => lease,
         Err(failure) => {
-            slog::debug!(gateway.log, "no connection for a position";
-                "target" => &*target.record.id, "failure" => ?failure);
+            if let Some(left_out) = gateway.log_budget.take("no way", gateway.clock.now_us()) {
+                slog::debug!(gateway.log, "no connection for a position";
+                    "target" => &*target.record.id, "failure" => ?failure, "left_out" => left_out);
+            }
             return None;
         }
     };
@@ -91,8 +93,14 @@
         return None;
     }
     let (position, age_us) = C::decode_position(&reply.first_row).ok()?;
-    // The home measured the age after the question was sent, so the primary led at this time or
-    // later.
-    gateway.learn_position(&target.record.service, sent_us.saturating_sub(age_us), position);
-    Some(())
+    let service = &target.record.service;
+    let Err(error) = gateway.position_told(service, sent_us, age_us, position) else {
+        return Some(());
+    };
+    if let Some(left_out) = gateway.log_budget.take("not taken", gateway.clock.now_us()) {
+        slog::debug!(gateway.log, "a position was not taken";
+            "service" => &**service, "home" => target.via().as_deref(), "error" => ?error,
+            "position" => position.to_string(), "age_us" => age_us, "left_out" => left_out);
+    }
+    None
 }
