A process that just started promotes nothing it can't judge

Cause: who left the list before a process started lives in the memory of others only. Change: all that left before count as one departure at the time of the first list. Before a position of the primary from after it is known the process drives nothing for 8 s, then promotes nothing that lacks it. The rule for services without a listed primary at a start is a case of it. Ruled out: departures in the store (a record that has to agree with the claim).

--- a/crates/core/src/process/departures.rs
+++ b/crates/core/src/process/departures.rs
@@ -8,6 +8,12 @@
 //!
 //! Without this, a replica was promoted that lacked what a primary in a zone that was cut off had
 //! acknowledged together with a replica that was just leaving.
+//!
+//! A process that starts knows nothing of members that left before. It takes all of them for one that
+//! left when it first heard of the group: before it knows a position of the primary from after that, it
+//! leaves promotions to others for a while, and then promotes nothing that lacks this position. Without
+//! this, a process that started after a replica had died promoted the other one, which had received
+//! nothing.
 
 use std::sync::Arc;
 
@@ -18,32 +24,58 @@
 /// that lapsed from the list by mistake is back within seconds.
 const REMEMBERED_US: u64 = 30_000_000;
 
+/// For how long a process that knows no position of the primary since it first heard of the group leaves
+/// promotions to those that may, in microseconds. A primary that was only cut off is back by then; without
+/// any bound a group whose primary died with all processes would stay without one.
+pub const UNKNOWN_START_US: u64 = 8_000_000;
+
 /// A member that left.
 #[derive(Clone, Debug)]
-pub struct Departed<R> {
+struct Departed<R> {
     /// What the list last said of it.
-    pub record: R,
+    record: R,
     left_us: u64,
     /// What a successor has to have received to do without it; none while nothing shows.
     floor: Option<LogPosition>,
 }
 
+impl<R> Departed<R> {
+    fn new(record: R, left_us: u64) -> Departed<R> {
+        Departed { record, left_us, floor: None }
+    }
+
+    fn settle<F>(&mut self, covering: F)
+    where
+        F: Fn(u64) -> Option<LogPosition>,
+    {
+        if self.floor.is_none() {
+            self.floor = covering(self.left_us);
+        }
+    }
+
+    /// Whether it can be done without and left so long ago that it need not be remembered.
+    fn is_history(&self, now_us: u64) -> bool {
+        self.floor.is_some() && now_us >= self.left_us + REMEMBERED_US
+    }
+}
+
 /// The departed members of one group.
 #[derive(Clone, Debug)]
 pub struct Departures<R> {
+    /// All that left before this process heard of the group, as one.
+    before_start: Departed<()>,
     members: FastMap<Arc<str>, Departed<R>>,
 }
 
-impl<R> Default for Departures<R> {
-    fn default() -> Departures<R> {
-        Departures { members: FastMap::default() }
+impl<R> Departures<R> {
+    /// This process hears of the group at `now_us` for the first time.
+    pub fn known_since(now_us: u64) -> Departures<R> {
+        Departures { before_start: Departed::new((), now_us), members: FastMap::default() }
     }
-}
 
-impl<R> Departures<R> {
     /// A member left the list.
     pub fn left(&mut self, id: &Arc<str>, record: R, now_us: u64) {
-        self.members.insert(Arc::clone(id), Departed { record, left_us: now_us, floor: None });
+        self.members.insert(Arc::clone(id), Departed::new(record, now_us));
     }
 
     /// A member is listed again.
@@ -57,19 +89,26 @@
     where
         F: Fn(u64) -> Option<LogPosition>,
     {
+        self.before_start.settle(&covering);
         for departed in self.members.values_mut() {
-            if departed.floor.is_none() {
-                departed.floor = covering(departed.left_us);
-            }
+            departed.settle(&covering);
+        }
+        self.members.retain(|_, departed| !departed.is_history(now_us));
+        if self.before_start.is_history(now_us) {
+            self.before_start.floor = Some(LogPosition::default());
         }
-        self.members.retain(|_, departed| {
-            departed.floor.is_none() || now_us < departed.left_us + REMEMBERED_US
-        });
     }
 
     /// What a successor has to have received to do without those that can be done without.
     pub fn floor(&self) -> LogPosition {
-        self.members.values().filter_map(|departed| departed.floor).max().unwrap_or_default()
+        let floors = self.members.values().filter_map(|departed| departed.floor);
+        floors.chain(self.before_start.floor).max().unwrap_or_default()
+    }
+
+    /// Whether enough is known to promote anything.
+    pub fn may_promote(&self, now_us: u64) -> bool {
+        let began_us = self.before_start.left_us;
+        self.before_start.floor.is_some() || now_us >= began_us + UNKNOWN_START_US
     }
 
     /// Those that can't be done without.
--- a/crates/core/tests/departures.rs
+++ b/crates/core/tests/departures.rs
@@ -4,9 +4,10 @@
 
 use skylark_core::log_position::LogPosition;
 use skylark_core::process::departures::Departures;
+use skylark_core::process::departures::UNKNOWN_START_US;
 
 fn departed_at(left_us: u64) -> Departures<&'static str> {
-    let mut departures = Departures::default();
+    let mut departures = Departures::known_since(0);
     departures.left(&Arc::from("i-3"), "record", left_us);
     departures
 }
@@ -43,3 +44,23 @@
     departures.settle(|_| Some(LogPosition::new(1, 1)), u64::MAX);
     assert_eq!(departures.floor(), LogPosition::default());
 }
+
+/// A replica that died before the process started took commits along, and the other one receives
+/// nothing. What the primary had after the start takes the place of what the process can't know.
+#[test]
+fn what_left_before_the_start_is_covered_by_the_primarys_next_position() {
+    let mut departures = Departures::<&str>::known_since(1_000);
+    assert!(!departures.may_promote(2_000));
+    departures.settle(|left_us| (left_us <= 1_500).then(|| LogPosition::new(2, 40)), 2_000);
+    assert!(departures.may_promote(2_000));
+    assert_eq!(departures.floor(), LogPosition::new(2, 40));
+}
+
+/// The primary died with all processes, so nobody has a position of it. The group is led again in the end.
+#[test]
+fn a_process_that_hears_nothing_of_the_primary_waits_for_a_while_only() {
+    let mut departures = Departures::<&str>::known_since(1_000);
+    departures.settle(|_| None, 2_000);
+    assert!(!departures.may_promote(999 + UNKNOWN_START_US));
+    assert!(departures.may_promote(1_000 + UNKNOWN_START_US));
+}
--- a/crates/proxy/src/sessions/process/known.rs
+++ b/crates/proxy/src/sessions/process/known.rs
@@ -6,7 +6,9 @@
 use std::sync::Arc;
 
 use skylark_core::FastMap;
+use skylark_core::process::departures::Departures;
 use skylark_core::version::routes::RouteTable;
+use skylark_core::version::routes::TargetRecord;
 
 use crate::sessions::codec::Codec;
 use crate::sessions::process::feed;
@@ -21,14 +23,22 @@
 
 impl Known {
     /// A target is listed.
-    fn list(&mut self, member: Member) {
+    fn list(&mut self, member: Member, now_us: u64) {
         let id = Arc::clone(&member.record.id);
         self.lapsed.remove(&id);
-        if let Some(departures) = self.departures.get_mut(&member.record.service) {
-            departures.returned(&id);
-        }
+        self.departures_of(&member.record.service, now_us).returned(&id);
         self.targets.insert(id, member);
     }
+
+    /// Who left a service.
+    fn departures_of(
+        &mut self,
+        service: &Arc<str>,
+        now_us: u64,
+    ) -> &mut Departures<Arc<TargetRecord>> {
+        let departures = self.departures.entry(Arc::clone(service));
+        departures.or_insert_with(|| Departures::known_since(now_us))
+    }
 }
 
 impl<C, S> Watcher<C, S>
@@ -69,10 +79,11 @@
 
     fn replace_all(&self, known: &mut Known, revision: u64, members: Vec<Member>) {
         known.targets_revision = revision;
+        let now_us = self.gateway.clock.now_us();
         let mut previous = std::mem::take(&mut known.targets);
         for member in members {
             previous.remove(&member.record.id);
-            known.list(member);
+            known.list(member, now_us);
         }
         for (_, member) in previous {
             self.missing(known, member);
@@ -86,6 +97,7 @@
         if changes.is_empty() {
             return;
         }
+        let now_us = self.gateway.clock.now_us();
         for change in changes {
             match change {
                 TargetChange::Listed(target) => {
@@ -94,7 +106,7 @@
                     if before.as_ref() != Some(&member) {
                         self.log_member(&member);
                     }
-                    known.list(member);
+                    known.list(member, now_us);
                 }
                 TargetChange::Removed(id) => {
                     if let Some(member) = known.targets.remove(&id) {
@@ -144,8 +156,7 @@
             "service" => &*member.record.service,
             "leaving" => member.record.leaving);
         let now_us = self.gateway.clock.now_us();
-        let service = Arc::clone(&member.record.service);
-        let departures = known.departures.entry(service).or_default();
+        let departures = known.departures_of(&member.record.service, now_us);
         departures.left(&member.record.id, Arc::clone(&member.record), now_us);
     }
 
--- a/crates/proxy/src/sessions/process/leader.rs
+++ b/crates/proxy/src/sessions/process/leader.rs
@@ -57,11 +57,6 @@
         self.preferred.as_ref()
     }
 
-    /// Whether any target ever led as far as is known.
-    pub fn was_led(&self) -> bool {
-        self.announced_revision > 0 || self.preferred.is_some()
-    }
-
     /// The target to ask, out of the listed ones: the one that is believed to lead, otherwise the
     /// one whose refusal is the oldest and not fresh. One that is leaving is asked only if it is
     /// believed to lead.
--- a/crates/proxy/src/sessions/process/need.rs
+++ b/crates/proxy/src/sessions/process/need.rs
@@ -43,10 +43,6 @@
 /// How long a service may be listed without a primary before one is promoted, in microseconds.
 const UNLED_US: u64 = 400_000;
 
-/// The same for a process that never saw the service led: it does not know which replicas left
-/// before it started, and has to give a primary that is cut off time to come back.
-const UNLED_AT_START_US: u64 = 8_000_000;
-
 /// Why a primary has to be replaced.
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
 pub enum Need {
@@ -93,15 +89,17 @@
         let Some(primary) = self.present_primary(service) else {
             let mut unled = self.unled_since_us.lock();
             let since_us = *unled.entry(Arc::clone(service)).or_insert(now_us);
-            let was_led = self.gateway.service(service).leader.lock().was_led();
-            let limit_us = if was_led { UNLED_US } else { UNLED_AT_START_US };
-            let is_unled = now_us >= since_us + limit_us && self.watcher.list_is_settled();
-            return (is_unled && view.routes.is_some()).then_some(Need::Unled);
+            let is_unled = now_us >= since_us + UNLED_US && self.watcher.list_is_settled();
+            let may_act = view.routes.is_some() && self.watcher.may_promote(service);
+            return (is_unled && may_act).then_some(Need::Unled);
         };
         self.unled_since_us.lock().remove(service);
         if primary.record.leaving {
             return Some(Need::Leaving);
         }
+        if !self.watcher.may_promote(service) {
+            return None;
+        }
         let health = self.gateway.target(&primary.record.id)?.health();
         let stuck_since_us = health.commits_stuck_since_us.filter(|_| health.commits_waiting > 0);
         if stuck_since_us.is_some_and(|since_us| now_us >= since_us + COMMITS_STUCK_US) {
--- a/crates/proxy/src/sessions/process/takeover.rs
+++ b/crates/proxy/src/sessions/process/takeover.rs
@@ -113,11 +113,17 @@
             "service" => &**service,
             "primary" => self.needs.present_primary(service).map(|p| p.record.id.to_string()),
             "need" => ?need);
-        let Some(mut claim) = self.claim(service, began_us).await else { return };
         let handed_over = match need {
             Need::Leaving => self.primarys_log(service).await,
-            Need::Silent | Need::CommitsStuck | Need::Unled => LogPosition::default(),
+            Need::Silent | Need::CommitsStuck | Need::Unled => None,
         };
+        if handed_over.is_none() && !self.watcher.may_promote(service) {
+            slog::info!(self.gateway.log, "too new to judge who may lead"; "service" => &**service);
+            time::sleep(RETRY_PAUSE).await;
+            return;
+        }
+        let Some(mut claim) = self.claim(service, began_us).await else { return };
+        let handed_over = handed_over.unwrap_or_default();
         let outcome = self.carry_out(service, began_us, handed_over, &mut claim).await;
         self.resume_all(service).await;
         claim.claim.state = ClaimState::Settled;
@@ -260,14 +266,12 @@
 
     /// The end of the log of a primary that leaves and still answers. Its successor has to have all of it:
     /// this process may not know of a replica that acknowledged with it and is gone.
-    async fn primarys_log(&self, service: &Arc<str>) -> LogPosition {
-        let Some(primary) = self.needs.present_primary(service) else {
-            return LogPosition::default();
-        };
+    async fn primarys_log(&self, service: &Arc<str>) -> Option<LogPosition> {
+        let primary = self.needs.present_primary(service)?;
         let (record, vm) = (&primary.record, &self.gateway.vm);
         match target_calls::ask::<C>(record, vm, &Query::Status).await {
-            Said::Status(status) if status.is_primary => status.received,
-            Said::Status(_) | Said::Refused | Said::Nothing => LogPosition::default(),
+            Said::Status(status) if status.is_primary => Some(status.received),
+            Said::Status(_) | Said::Refused | Said::Nothing => None,
         }
     }
 
--- a/crates/proxy/src/sessions/process/watch.rs
+++ b/crates/proxy/src/sessions/process/watch.rs
@@ -147,6 +147,13 @@
         (needed, departures.floor())
     }
 
+    /// Whether enough is known of a service's past to promote anything.
+    pub fn may_promote(&self, service: &str) -> bool {
+        let now_us = self.gateway.clock.now_us();
+        let known = self.known.lock();
+        known.departures.get(service).is_some_and(|departures| departures.may_promote(now_us))
+    }
+
     /// Follows the configuration for ever.
     pub async fn follow_configuration(&self) {
         let mut revision = None;
