A watcher that is one no longer lets go of those it told

Cause: a VM that is added may rank before a watcher of its zone. Change: a former watcher closes these connections; who is told leaves one that is no watcher in its own list either, which also keeps two that changed places from telling each other.

--- a/crates/proxy/src/sessions/process/feed.rs
+++ b/crates/proxy/src/sessions/process/feed.rs
@@ -92,14 +92,17 @@
     line.into()
 }
 
-/// Tells one other proxy what changes, until it goes.
+/// Tells one other proxy what changes, until it goes or this process watches for others no longer.
+///
+/// A process that is no watcher any more publishes no bulletins. If it went on with its signs of life,
+/// those that it tells would keep the configuration of that moment for good.
 pub async fn tell<C>(gateway: Arc<Gateway<C>>, stream: TcpStream)
 where
     C: Codec,
 {
     let mut bulletins = gateway.bulletin.subscribe();
     let mut told = Bulletin::default();
-    loop {
+    while gateway.is_watcher() {
         let now = bulletins.borrow_and_update().clone();
         let mut lines = Vec::new();
         if now.routes != told.routes {
@@ -148,7 +151,8 @@
     }
 }
 
-/// Takes in what one watcher tells, for as long as the store answers it.
+/// Takes in what one watcher tells, for as long as the store answers it and it is one of this process's
+/// watchers: two that became each other's would keep each other from the store.
 async fn hear<C, S>(watcher: &Watcher<C, S>, vm: &VmAddress) -> io::Result<()>
 where
     C: Codec,
@@ -159,7 +163,7 @@
     link::watch_for_silence(&stream)?;
     socket::write_all(&stream, SUBSCRIBE, CONNECT_LIMIT).await?;
     let mut input = BytesMut::new();
-    loop {
+    while watcher.gateway.watchers().iter().any(|known| known.name == vm.name) {
         let line = time::timeout(SILENCE, next_line(&stream, &mut input)).await;
         let line = line.map_err(|_| io::ErrorKind::TimedOut)??;
         match serde_json::from_slice(&line)? {
@@ -172,6 +176,7 @@
             }
         }
     }
+    Ok(())
 }
 
 async fn next_line(stream: &TcpStream, input: &mut BytesMut) -> io::Result<BytesMut> {
