Settle departures only where there are any

Since each service has an entry from its first list on, every look of the control thread (20 a second) took the locks of all services. One whose start is history and that nobody left is passed over now, and what left before the start is an option instead of a position that stands for none. Behaviour unchanged; no figure was measured.

--- a/crates/core/src/process/departures.rs
+++ b/crates/core/src/process/departures.rs
@@ -62,15 +62,16 @@
 /// The departed members of one group.
 #[derive(Clone, Debug)]
 pub struct Departures<R> {
-    /// All that left before this process heard of the group, as one.
-    before_start: Departed<()>,
+    /// All that left before this process heard of the group, as one; none once that is history.
+    before_start: Option<Departed<()>>,
     members: FastMap<Arc<str>, Departed<R>>,
 }
 
 impl<R> Departures<R> {
     /// This process hears of the group at `now_us` for the first time.
     pub fn known_since(now_us: u64) -> Departures<R> {
-        Departures { before_start: Departed::new((), now_us), members: FastMap::default() }
+        let before_start = Some(Departed::new((), now_us));
+        Departures { before_start, members: FastMap::default() }
     }
 
     /// A member left the list.
@@ -89,26 +90,33 @@
     where
         F: Fn(u64) -> Option<LogPosition>,
     {
-        self.before_start.settle(&covering);
+        if let Some(before_start) = &mut self.before_start {
+            before_start.settle(&covering);
+        }
         for departed in self.members.values_mut() {
             departed.settle(&covering);
         }
         self.members.retain(|_, departed| !departed.is_history(now_us));
-        if self.before_start.is_history(now_us) {
-            self.before_start.floor = Some(LogPosition::default());
-        }
+        self.before_start.take_if(|before_start| before_start.is_history(now_us));
+    }
+
+    /// Whether there is nothing left to settle.
+    pub fn is_at_rest(&self) -> bool {
+        self.before_start.is_none() && self.members.is_empty()
     }
 
     /// What a successor has to have received to do without those that can be done without.
     pub fn floor(&self) -> LogPosition {
         let floors = self.members.values().filter_map(|departed| departed.floor);
-        floors.chain(self.before_start.floor).max().unwrap_or_default()
+        let before_start = self.before_start.as_ref().and_then(|before_start| before_start.floor);
+        floors.chain(before_start).max().unwrap_or_default()
     }
 
     /// Whether enough is known to promote anything.
     pub fn may_promote(&self, now_us: u64) -> bool {
-        let began_us = self.before_start.left_us;
-        self.before_start.floor.is_some() || now_us >= began_us + UNKNOWN_START_US
+        self.before_start.as_ref().is_none_or(|before_start| {
+            before_start.floor.is_some() || now_us >= before_start.left_us + UNKNOWN_START_US
+        })
     }
 
     /// Those that can't be done without.
--- a/crates/proxy/src/sessions/process/watch.rs
+++ b/crates/proxy/src/sessions/process/watch.rs
@@ -124,6 +124,10 @@
     pub fn settle_departures(&self) {
         let now_us = self.gateway.clock.now_us();
         for (service, departures) in &mut self.known.lock().departures {
+            // Each service has an entry, and most have nothing to settle once the start is over.
+            if departures.is_at_rest() {
+                continue;
+            }
             let state = self.gateway.service(service);
             let positions = state.positions.lock();
             departures.settle(|left_us| positions.covering(left_us), now_us);
