One loop awaits messages, one place leaves out the empty position

Callers, other proxies and targets each had a read loop of their own and the largest message stood twice; `messages::whole` serves the three, each with its own words for a failure. `push_statement` leaves out the position of an empty log, which two places did. `newest_us` is derived from `newest`. Behaviour unchanged.

--- a/crates/core/src/request/primary_positions.rs
+++ b/crates/core/src/request/primary_positions.rs
@@ -86,11 +86,6 @@
         self.samples.back().copied()
     }
 
-    /// When the newest sample was taken.
-    pub fn newest_us(&self) -> Option<u64> {
-        self.samples.back().map(|sample| sample.taken_us)
-    }
-
     /// Every violated invariant.
     pub fn verify(&self) -> Vec<String> {
         let pairs = self.samples.iter().zip(self.samples.iter().skip(1));
--- a/crates/proxy/src/sessions/connection/caller.rs
+++ b/crates/proxy/src/sessions/connection/caller.rs
@@ -23,6 +23,8 @@
 use crate::sessions::codec::Codec;
 use crate::sessions::codec::CodecError;
 use crate::sessions::codec::TargetMessage;
+use crate::sessions::connection::messages;
+use crate::sessions::connection::messages::NoMessage;
 use crate::sessions::connection::session::Session;
 use crate::sessions::connection::session::SessionState;
 use crate::sessions::process::gateway::Gateway;
@@ -241,17 +243,11 @@
 
     /// Reads until the input starts with a whole message; `None` at its end.
     async fn whole_message(&mut self) -> Result<Option<usize>, ErrorKind> {
-        loop {
-            match C::message_len(&self.input, limits::MAX_MESSAGE_BYTES) {
-                Ok(Some(length)) => return Ok(Some(length)),
-                Ok(None) => (),
-                Err(CodecError::TooLong) => return Err(ErrorKind::MessageTooLarge),
-                Err(CodecError::Malformed) => return Err(ErrorKind::ProtocolViolation),
-            }
-            match socket::read_some(&self.stream, &mut self.input).await {
-                Ok(1..) => (),
-                Ok(0) | Err(_) => return Ok(None),
-            }
+        match messages::whole::<C>(&self.stream, &mut self.input).await {
+            Ok(length) => Ok(Some(length)),
+            Err(NoMessage::Ended | NoMessage::Broken(_)) => Ok(None),
+            Err(NoMessage::Codec(CodecError::TooLong)) => Err(ErrorKind::MessageTooLarge),
+            Err(NoMessage::Codec(CodecError::Malformed)) => Err(ErrorKind::ProtocolViolation),
         }
     }
 
--- a/crates/proxy/src/sessions/connection/link.rs
+++ b/crates/proxy/src/sessions/connection/link.rs
@@ -14,6 +14,7 @@
 
 use bytes::BytesMut;
 use skylark_core::FastMap;
+use skylark_core::log_position::LogPosition;
 use skylark_core::request::retry::Failure;
 use skylark_core::request::retry::Stage;
 use skylark_core::request::statement::Prepared;
@@ -31,13 +32,11 @@
 use crate::sessions::codec::Codec;
 use crate::sessions::codec::Query;
 use crate::sessions::codec::TargetMessage;
+use crate::sessions::connection::messages;
 use crate::sessions::connection::reply::End;
 use crate::sessions::connection::reply::Lost;
 use crate::sessions::connection::reply::Reply;
 
-/// The largest message of a target, in bytes. The protocol allows no larger ones.
-const MAX_MESSAGE_BYTES: usize = 1 << 20;
-
 /// How much room for input is kept on an idle connection, in bytes.
 const KEPT_INPUT_BYTES: usize = 4 << 10;
 
@@ -171,9 +170,21 @@
         self.awaited - before
     }
 
+    /// Pushes a statement that is refused where the log ends before `at_least`. An empty log asks for
+    /// nothing, and has no position on the wire.
+    pub fn push_statement(
+        &mut self,
+        id: Option<&str>,
+        at_least: Option<LogPosition>,
+        statement: Statement<'_>,
+    ) {
+        let at_least = at_least.filter(|position| *position > LogPosition::default());
+        self.push(&Query::Statement { id, at_least, statement });
+    }
+
     /// Pushes a statement of the proxy's own.
     pub fn push_own(&mut self, statement: Statement<'_>) {
-        self.push(&Query::Statement { id: None, at_least: None, statement });
+        self.push_statement(None, None, statement);
     }
 
     /// The name of a prepared statement on this connection.
@@ -220,15 +231,8 @@
     }
 
     async fn next_message(&mut self) -> io::Result<BytesMut> {
-        loop {
-            let found = C::message_len(&self.input, MAX_MESSAGE_BYTES);
-            if let Some(length) = found.map_err(|_| io::ErrorKind::InvalidData)? {
-                return Ok(self.input.split_to(length));
-            }
-            if socket::read_some(&self.stream, &mut self.input).await? == 0 {
-                return Err(io::ErrorKind::UnexpectedEof.into());
-            }
-        }
+        let length = messages::whole::<C>(&self.stream, &mut self.input).await?;
+        Ok(self.input.split_to(length))
     }
 
     async fn begin_session(&mut self, login: &TargetLogin) -> Result<(), OpenError> {
--- /dev/null
+++ b/crates/proxy/src/sessions/connection/messages.rs
@@ -0,0 +1,52 @@
+//! Waiting for a whole message.
+
+use std::io;
+
+use bytes::BytesMut;
+use tokio::net::TcpStream;
+
+use crate::connection::socket;
+use crate::sessions::codec::Codec;
+use crate::sessions::codec::CodecError;
+use crate::sessions::process::limits;
+
+/// Why no message came.
+#[derive(Debug)]
+pub enum NoMessage {
+    /// What came is no message.
+    Codec(CodecError),
+    /// The stream ended.
+    Ended,
+    /// The stream broke.
+    Broken(io::Error),
+}
+
+impl From<NoMessage> for io::Error {
+    fn from(reason: NoMessage) -> io::Error {
+        match reason {
+            NoMessage::Codec(_) => io::ErrorKind::InvalidData.into(),
+            NoMessage::Ended => io::ErrorKind::UnexpectedEof.into(),
+            NoMessage::Broken(error) => error,
+        }
+    }
+}
+
+/// Reads until the input starts with a whole message, and returns its length.
+///
+/// # Errors
+///
+/// [`NoMessage`] if none comes.
+pub async fn whole<C>(stream: &TcpStream, input: &mut BytesMut) -> Result<usize, NoMessage>
+where
+    C: Codec,
+{
+    loop {
+        let found = C::message_len(input, limits::MAX_MESSAGE_BYTES);
+        if let Some(length) = found.map_err(NoMessage::Codec)? {
+            return Ok(length);
+        }
+        if socket::read_some(stream, input).await.map_err(NoMessage::Broken)? == 0 {
+            return Err(NoMessage::Ended);
+        }
+    }
+}
--- a/crates/proxy/src/sessions/connection/mod.rs
+++ b/crates/proxy/src/sessions/connection/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod caller;
 pub mod link;
+pub mod messages;
 pub mod peer;
 pub mod reply;
 pub mod session;
--- a/crates/proxy/src/sessions/connection/peer.rs
+++ b/crates/proxy/src/sessions/connection/peer.rs
@@ -29,6 +29,7 @@
 use crate::sessions::codec::TargetRequest;
 use crate::sessions::connection::link;
 use crate::sessions::connection::link::StatementLink;
+use crate::sessions::connection::messages;
 use crate::sessions::connection::reply::End;
 use crate::sessions::connection::reply::Reply;
 use crate::sessions::process::feed;
@@ -134,15 +135,8 @@
 where
     C: Codec,
 {
-    loop {
-        if let Some(length) = C::message_len(input, limits::MAX_MESSAGE_BYTES).ok()? {
-            return Some(input.split_to(length));
-        }
-        match socket::read_some(stream, input).await {
-            Ok(1..) => (),
-            Ok(0) | Err(_) => return None,
-        }
-    }
+    let length = messages::whole::<C>(stream, input).await.ok()?;
+    Some(input.split_to(length))
 }
 
 impl<C> Peer<C>
--- a/crates/proxy/src/sessions/process/metrics_text.rs
+++ b/crates/proxy/src/sessions/process/metrics_text.rs
@@ -23,8 +23,8 @@
     let now_us = gateway.clock.now_us();
     for service in view.services.keys() {
         let state = gateway.service(service);
-        let newest_us = state.positions.lock().newest_us();
-        let age_ms = newest_us.map(|taken_us| now_us.saturating_sub(taken_us) / 1_000);
+        let newest = state.positions.lock().newest();
+        let age_ms = newest.map(|newest| now_us.saturating_sub(newest.taken_us) / 1_000);
         let labels = format!("{{service=\"{service}\"}}");
         if let Some(age_ms) = age_ms {
             line(&mut out, "primary_position_age_ms", &labels, age_ms);
--- a/crates/proxy/src/sessions/process/sampler.rs
+++ b/crates/proxy/src/sessions/process/sampler.rs
@@ -37,7 +37,7 @@
         let now_us = gateway.clock.now_us();
         for (service, state) in gateway.services() {
             let is_used = now_us < state.read_us() + USED_US;
-            let newest_us = state.positions.lock().newest_us().unwrap_or(0);
+            let newest_us = state.positions.lock().newest().map_or(0, |newest| newest.taken_us);
             if is_used && now_us >= newest_us + SPACING_US {
                 tokio::spawn(bring(Arc::clone(&gateway), service));
             }
--- a/crates/proxy/src/sessions/request/call.rs
+++ b/crates/proxy/src/sessions/request/call.rs
@@ -13,7 +13,6 @@
 
 use crate::request::refusal::Refusal;
 use crate::sessions::codec::Codec;
-use crate::sessions::codec::Query;
 use crate::sessions::connection::link::StatementLink;
 use crate::sessions::process::gateway::Gateway;
 use crate::sessions::process::latencies::Stage;
@@ -59,15 +58,12 @@
         C: Codec,
     {
         let id = Some(id);
-        let at_least = at_least.filter(|position| *position > LogPosition::default());
         match self {
-            Work::Plain(statement) => {
-                link.push(&Query::Statement { id, at_least, statement: *statement });
-            }
+            Work::Plain(statement) => link.push_statement(id, at_least, *statement),
             Work::Execute { prepared, arguments } => {
                 let name = link.prepared_name(prepared).unwrap_or_default();
                 let statement = Statement::Execute { name: &name, arguments };
-                link.push(&Query::Statement { id, at_least, statement });
+                link.push_statement(id, at_least, statement);
             }
         }
     }
--- a/crates/proxy/src/sessions/request/transaction.rs
+++ b/crates/proxy/src/sessions/request/transaction.rs
@@ -6,7 +6,6 @@
 
 use std::sync::Arc;
 
-use skylark_core::log_position::LogPosition;
 use skylark_core::request::error_kind::ErrorKind;
 use skylark_core::request::retry::Effect;
 use skylark_core::request::statement::Statement;
@@ -17,7 +16,6 @@
 use crate::process::counters::RetryReason;
 use crate::request::refusal::Refusal;
 use crate::sessions::codec::Codec;
-use crate::sessions::codec::Query;
 use crate::sessions::connection::reply::Lost;
 use crate::sessions::connection::reply::Reply;
 use crate::sessions::connection::session::Held;
@@ -105,9 +103,7 @@
         };
         let link = lease.connection();
         let owed = link.push_session(&session.values, work.prepared());
-        let statement = Statement::Begin { read_only: true };
-        let at_least = Some(at_least).filter(|position| *position > LogPosition::default());
-        link.push(&Query::Statement { id: None, at_least, statement });
+        link.push_statement(None, Some(at_least), Statement::Begin { read_only: true });
         match acquire::settle(call, link, owed + 1, read::patience_until_us(call)).await {
             Ok(Some(reply)) if reply.error().is_none() => {
                 target.answered(call.now_us(), None);
