--- a/crates/core/src/process/departures.rs
+++ b/crates/core/src/process/departures.rs
@@ -119,6 +119,11 @@
         })
     }
 
+    /// Whether it is known what a successor needs to do without those that left before the start.
+    pub fn past_is_known(&self) -> bool {
+        self.before_start.as_ref().is_none_or(|before_start| before_start.floor.is_some())
+    }
+
     /// Those that can't be done without.
     pub fn needed(&self) -> impl Iterator<Item = (&Arc<str>, &R)> {
         let needed = self.members.iter().filter(|(_, departed)| departed.floor.is_none());
--- a/crates/core/src/request/error_kind.rs
+++ b/crates/core/src/request/error_kind.rs
@@ -88,6 +88,10 @@
     /// The group has no known primary now.
     NoPrimary = "no_primary", "57P03", NotRun, 250, false,
         "the group has no primary now";
+    /// Too few members say that the primary was not replaced, so reads at it may miss what its successor
+    /// acknowledged.
+    LeadUnproved = "lead_unproved", "57P03", NotRun, 250, false,
+        "too few members of the group can be asked whether the primary still leads";
     /// A change of primary that an operator ordered holds back new writes for a moment.
     PrimaryMoving = "primary_moving", "57P03", NotRun, 100, false,
         "the primary is being moved";
--- a/crates/core/src/request/mod.rs
+++ b/crates/core/src/request/mod.rs
@@ -1,6 +1,7 @@
 //! What lives as long as one request.
 
 pub mod error_kind;
+pub mod lead_proof;
 pub mod primary_positions;
 pub mod read_choice;
 pub mod retry;
--- a/crates/core/src/request/primary_positions.rs
+++ b/crates/core/src/request/primary_positions.rs
@@ -81,6 +81,11 @@
         self.samples.get(first).map(|sample| sample.position)
     }
 
+    /// The oldest position that is kept: what it covers was acknowledged some seconds ago.
+    pub fn oldest(&self) -> Option<LogPosition> {
+        self.samples.front().map(|sample| sample.position)
+    }
+
     /// The newest sample.
     pub fn newest(&self) -> Option<Sample> {
         self.samples.back().copied()
--- a/crates/core/src/version/routes.rs
+++ b/crates/core/src/version/routes.rs
@@ -92,8 +92,11 @@
 /// One registered target.
 #[derive(Clone, PartialEq, Eq, Debug, Serialize, Deserialize)]
 pub struct TargetRecord {
-    /// Names this start of the target and no other.
+    /// Names this start of the target and no other: one that starts again holds and knows nothing of
+    /// before, so it counts as another member.
     pub id: Arc<str>,
+    /// The name that it is listed and called by, which a later start may have again.
+    pub name: Arc<str>,
     /// Its service.
     pub service: Arc<str>,
     /// Where it listens. Addresses are used again by others after it has gone.
--- a/crates/core/tests/takeover_claim.rs
+++ b/crates/core/tests/takeover_claim.rs
@@ -6,10 +6,16 @@
 use skylark_core::process::takeover_claim::ClaimStep;
 use skylark_core::process::takeover_claim::DRIVER_SILENCE_US;
 use skylark_core::process::takeover_claim::HOLDER_GRACE_US;
+use skylark_core::process::takeover_claim::HeldClaim;
+use skylark_core::process::takeover_claim::LATE_EFFECT_US;
+use skylark_core::process::takeover_claim::LEASE_US;
+use skylark_core::process::takeover_claim::PROMOTE_CALL_US;
+use skylark_core::process::takeover_claim::RENEW_US;
 use skylark_core::process::takeover_claim::SeenClaim;
 
 fn seen(holder: &str, state: ClaimState, seen_us: u64) -> SeenClaim {
-    let claim = Claim { holder: holder.to_owned(), token: 7, state, chosen: String::new() };
+    let holder = holder.to_owned();
+    let claim = Claim { holder, token: 7, state, chosen: String::new(), unsettled: false };
     SeenClaim { claim, revision: 40, seen_us }
 }
 
@@ -43,3 +49,52 @@
     let step = takeover_claim::next_claim(Some(&seen), "vm-1", 0, 2_000);
     assert_eq!(step, ClaimStep::LeaveUntil { at_us: 1_000 + DRIVER_SILENCE_US });
 }
+
+fn held(unsettled: bool, unsettled_since_us: u64) -> HeldClaim {
+    let (holder, state) = ("vm-1".to_owned(), ClaimState::Moving);
+    let claim = Claim { holder, token: 7, state, chosen: "a".to_owned(), unsettled };
+    HeldClaim { claim, revision: 40, written_us: 0, unsettled_since_us }
+}
+
+/// Two drivers promoted in turn: the one that was overtaken called 15 ms after its successor. Its call
+/// has to be answered or given up before anybody may have taken the claim.
+#[test]
+fn a_holder_calls_only_while_nobody_can_have_taken_its_claim() {
+    let held = held(false, 0);
+    assert!(held.may_call(LEASE_US - PROMOTE_CALL_US));
+    assert!(!held.may_call(LEASE_US - PROMOTE_CALL_US + 1));
+    let claim = SeenClaim { claim: held.claim.clone(), revision: 40, seen_us: 0 };
+    for now_us in 0..=LEASE_US {
+        let step = takeover_claim::next_claim(Some(&claim), "vm-2", 0, now_us);
+        assert!(matches!(step, ClaimStep::LeaveUntil { .. }));
+    }
+}
+
+#[test]
+fn a_claim_is_renewed_while_a_call_still_fits_into_it() {
+    let held = held(false, 0);
+    assert!(!held.must_renew(RENEW_US - 1));
+    assert!(held.must_renew(RENEW_US));
+    assert!(held.may_call(RENEW_US));
+}
+
+/// A call without an answer is carried out seconds later, after another target was promoted: that one
+/// loses its lead, and what it acknowledged is lost.
+#[test]
+fn while_a_call_may_come_late_only_the_same_target_is_promoted() {
+    let held = held(true, 1_000);
+    let late_us = 1_000 + LATE_EFFECT_US;
+    assert!(held.may_promote("a", false, 1_000));
+    assert!(!held.may_promote("b", false, late_us - 1));
+    assert!(held.may_promote("b", false, late_us));
+    // A higher token has the late call refused.
+    assert!(held.may_promote("b", true, 1_000));
+}
+
+#[test]
+fn who_drives_next_knows_of_a_call_that_may_come_late() {
+    let held = held(true, 0);
+    let next = Claim::next(Some(&held.claim), "vm-2", 8);
+    assert_eq!((&*next.chosen, next.unsettled), ("a", true));
+    assert_eq!((&*next.holder, next.state), ("vm-2", ClaimState::Moving));
+}
--- a/crates/proxy/src/process/counters.rs
+++ b/crates/proxy/src/process/counters.rs
@@ -92,6 +92,14 @@
         FloorWaits = "waits.floor",
         /// Requests that waited for a primary that moves or changes.
         PrimaryWaits = "waits.primary",
+        /// Members asked how they stand.
+        WordsAsked = "words.asked",
+        /// Leads that other members' words proved.
+        LeadsProved = "leads.proved",
+        /// Leads that too few words could be had for.
+        LeadsUnproved = "leads.unproved",
+        /// Targets that answered as primary after another was promoted.
+        LeadsSuperseded = "leads.superseded",
         /// Prepared statements prepared again on another connection.
         StatementsPrepared = "statements.prepared_again",
     }
--- a/crates/proxy/src/sessions/codec.rs
+++ b/crates/proxy/src/sessions/codec.rs
@@ -84,8 +84,10 @@
     },
     /// Forget the session's values and prepared statements.
     Reset,
-    /// Tell role and positions.
+    /// Tell role and positions. It waits for a slot like any statement.
     Status,
+    /// The same, at once: it takes no slot, so a target that is overrun answers as well.
+    Standing,
     /// Tell the newest position of the service's primary and its age. Only proxies understand it.
     Position,
     /// Receive nothing more, under this term.
@@ -93,6 +95,11 @@
         /// The term.
         term: u64,
     },
+    /// Make a primary of a lower term a replica. It tells role and positions.
+    StepDown {
+        /// The term.
+        term: u64,
+    },
     /// Receive again.
     Resume {
         /// The term of the pause.
@@ -114,11 +121,6 @@
     },
     /// A request.
     Query(Query<'a>),
-    /// Make a primary of a lower term a replica.
-    StepDown {
-        /// The term.
-        term: u64,
-    },
     /// The last message.
     Goodbye,
 }
@@ -150,7 +152,8 @@
     /// Decodes one message of a target, its framing included.
     fn decode_target(message: &[u8]) -> Result<TargetMessage<'_>, CodecError>;
 
-    /// Decodes the row that answers [`Query::Status`], [`Query::Pause`] and [`Query::Resume`].
+    /// Decodes the row that answers [`Query::Status`], [`Query::Standing`], [`Query::Pause`],
+    /// [`Query::StepDown`] and [`Query::Resume`].
     fn decode_status(row: &str) -> Result<TargetStatus, CodecError>;
 
     /// Decodes the row that answers [`Query::Position`]: the position, and its age in microseconds.
--- a/crates/proxy/src/sessions/connection/peer.rs
+++ b/crates/proxy/src/sessions/connection/peer.rs
@@ -39,6 +39,7 @@
 use crate::sessions::request::acquire;
 use crate::sessions::request::call::Call;
 use crate::sessions::request::call::Work;
+use crate::sessions::request::prove;
 use crate::sessions::request::sample;
 
 /// The time limit of a forwarded statement. The other proxy gives up by its own route's limit; this
@@ -183,6 +184,7 @@
                     Ok(None)
                 }
                 Query::Position => self.position().await.map(Some),
+                Query::Standing => self.standing().await.map(Some),
                 _ => Err(Forwarded::Refused(ErrorKind::Unsupported.into())),
             };
         };
@@ -250,6 +252,13 @@
         })
     }
 
+    /// Passes on what the target says of itself.
+    async fn standing(&mut self) -> Result<Reply, Forwarded> {
+        let until_us = self.gateway.clock.now_us() + limits::WORD_US;
+        let standing = prove::standing_of(&self.gateway, &self.target, until_us).await;
+        standing.map_err(|_| Forwarded::Refused(ErrorKind::TargetUnreachable.into()))
+    }
+
     /// Sends a statement to the target.
     async fn forward(
         &mut self,
--- a/crates/proxy/src/sessions/connection/session.rs
+++ b/crates/proxy/src/sessions/connection/session.rs
@@ -48,6 +48,8 @@
     pub lease: Lease<StatementLink<C>>,
     /// Its target.
     pub target: Arc<TargetState<C>>,
+    /// Whether the target is known to have what the transaction's reads must see.
+    pub may_read: bool,
 }
 
 /// Whether a session is inside a transaction.
--- a/crates/proxy/src/sessions/process/gateway.rs
+++ b/crates/proxy/src/sessions/process/gateway.rs
@@ -13,6 +13,8 @@
 use skylark_core::FastSet;
 use skylark_core::log_position::LogPosition;
 use skylark_core::process::read_age::Sample;
+use skylark_core::request::lead_proof::GroupView;
+use skylark_core::request::lead_proof::LeadVerdict;
 use skylark_core::request::primary_positions::PositionError;
 use skylark_core::version::routes::ReadRule;
 use skylark_core::version::routes::Route;
@@ -29,6 +31,7 @@
 use crate::sessions::process::limits;
 use crate::sessions::process::log_budget::LogBudget;
 use crate::sessions::process::services::ServiceState;
+use crate::sessions::process::step_down;
 use crate::sessions::process::stop::StopPhase;
 use crate::sessions::process::stop::StopState;
 use crate::sessions::process::targets::TargetState;
@@ -68,6 +71,8 @@
     pub bulletin: watch::Sender<Bulletin>,
     /// Whether this process may be given new callers, as far as the control thread knows.
     pub serves: AtomicBool,
+    /// Whether no target can run that is not listed, as far as the control thread knows.
+    pub list_is_complete: AtomicBool,
     /// Whether the process was told to stop.
     stopping: AtomicBool,
     /// The VMs, and the ways to targets that follow from them.
@@ -100,6 +105,7 @@
             sessions: AtomicU32::new(0),
             bulletin: watch::Sender::new(Bulletin::default()),
             serves: AtomicBool::new(false),
+            list_is_complete: AtomicBool::new(false),
             stopping: AtomicBool::new(false),
             ways: ArcSwap::default(),
             next_session: AtomicU64::new(1),
@@ -223,27 +229,79 @@
         state.leader.lock().refused(&target.record.id, self.clock.now_us());
     }
 
-    /// A target proved its lead by its answer to a request sent at `sent_us`.
+    /// A target answered as primary, which one that was replaced does as well.
+    pub fn answered_as_primary(&self, target: &TargetState<C>) {
+        let state = self.service(&target.record.service);
+        let is_news = state.leader.lock().answered(&target.record.id);
+        if is_news {
+            self.leads_now(target);
+        }
+    }
+
+    /// It is proved that by `moment_us` nobody but this target had acknowledged anything. Its log had
+    /// reached `position` then.
     pub fn proved_lead(
         &self,
         target: &TargetState<C>,
-        sent_us: u64,
+        moment_us: u64,
         position: Option<LogPosition>,
     ) {
         let state = self.service(&target.record.service);
         let is_news = state.leader.lock().proved(&target.record.id);
         // Without a position nothing is known of what reads have to see: they go to the primary.
         if let Some(position) = position {
-            state.positions.lock().saw(sent_us, position);
+            state.positions.lock().saw(moment_us, position);
             state.position_came();
         }
         if is_news {
-            slog::info!(self.log, "a target proved that it leads";
-                "service" => &*target.record.service, "target" => &*target.record.id);
-            self.changed.send_modify(|number| *number += 1);
+            self.leads_now(target);
         }
     }
 
+    fn leads_now(&self, target: &TargetState<C>) {
+        slog::info!(self.log, "another target leads";
+            "service" => &*target.record.service, "target" => &*target.record.id);
+        self.changed.send_modify(|number| *number += 1);
+    }
+
+    /// What the words of its group say of a target's lead at a moment.
+    pub fn lead_verdict(&self, target: &TargetState<C>, moment_us: u64) -> LeadVerdict {
+        let record = &target.record;
+        let state = self.service(&record.service);
+        let view = self.view.load();
+        let members = view.members(&record.service).iter().map(|member| &member.record.id);
+        let others: Vec<Arc<str>> = members.filter(|id| **id != record.id).cloned().collect();
+        let group = GroupView {
+            others: &others,
+            departed: state.departed(),
+            sync_replicas: self.sync_replicas(&record.service),
+            is_complete: self.list_is_complete.load(Ordering::Relaxed) && state.past_is_known(),
+            floor: state.positions.lock().oldest().unwrap_or_default(),
+        };
+        state.words.lock().verdict(&record.id, moment_us, &group)
+    }
+
+    /// How many replicas of a service receive a commit before it is acknowledged.
+    pub fn sync_replicas(&self, service: &str) -> usize {
+        let view = self.view.load();
+        service_limits(view.routes.as_deref(), service).sync_replicas as usize
+    }
+
+    /// Another member knows of a later term than the one that this target leads.
+    pub fn superseded(&self, target: &TargetState<C>, term: u64) {
+        let record = &target.record;
+        let state = self.service(&record.service);
+        state.leader.lock().superseded(&record.id, self.clock.now_us());
+        let Some(telling) = target.begin_telling() else { return };
+        slog::warn!(self.log, "a target goes on that no longer leads";
+            "service" => &*record.service, "target" => &*record.id, "later_term" => term);
+        let (log, vm, record) = (self.log.clone(), Arc::clone(&self.vm), Arc::clone(record));
+        tokio::spawn(async move {
+            step_down::tell::<C>(&log, &record, &vm, term).await;
+            drop(telling);
+        });
+    }
+
     /// A home that was asked at `asked_us` told a position of `age_us` before its answer.
     ///
     /// # Errors
@@ -341,7 +399,9 @@
             if let Some(primary) = view.listed_primary(service) {
                 leader.announced(&primary.record.id, primary.role_since);
             }
-            leader.keep(|id| members.iter().any(|member| &*member.record.id == id));
+            let is_listed = |id: &str| members.iter().any(|member| &*member.record.id == id);
+            leader.keep(is_listed);
+            state.words.lock().keep(is_listed);
         }
         self.view.store(Arc::new(view));
         self.changed.send_modify(|number| *number += 1);
--- a/crates/proxy/src/sessions/process/known.rs
+++ b/crates/proxy/src/sessions/process/known.rs
@@ -22,6 +22,12 @@
 use crate::sessions::version::view::View;
 
 impl Known {
+    /// The listed target of this name.
+    fn named(&self, name: &str) -> Option<Arc<str>> {
+        let named = self.targets.values().find(|member| &*member.record.name == name);
+        named.map(|member| Arc::clone(&member.record.id))
+    }
+
     /// A target is listed.
     fn list(&mut self, member: Member, now_us: u64) {
         let id = Arc::clone(&member.record.id);
@@ -86,7 +92,10 @@
             known.list(member, now_us);
         }
         for (_, member) in previous {
-            self.missing(known, member);
+            match known.named(&member.record.name) {
+                Some(_) => self.leave(known, &member),
+                None => self.missing(known, member),
+            }
         }
         self.publish(known);
     }
@@ -101,6 +110,13 @@
         for change in changes {
             match change {
                 TargetChange::Listed(target) => {
+                    let earlier = known.named(&target.record.name);
+                    if let Some(id) = earlier.filter(|earlier| *earlier != target.record.id)
+                        && let Some(member) = known.targets.remove(&id)
+                    {
+                        // It started again under its name, and what it held is gone.
+                        self.leave(&mut known, &member);
+                    }
                     let before = known.targets.remove(&target.record.id);
                     let member = member_of(target, before.as_ref());
                     if before.as_ref() != Some(&member) {
@@ -108,8 +124,10 @@
                     }
                     known.list(member, now_us);
                 }
-                TargetChange::Removed(id) => {
-                    if let Some(member) = known.targets.remove(&id) {
+                TargetChange::Removed(name) => {
+                    if let Some(id) = known.named(&name)
+                        && let Some(member) = known.targets.remove(&id)
+                    {
                         self.missing(&mut known, member);
                     }
                 }
@@ -179,6 +197,7 @@
         for members in services.values_mut() {
             members.sort_by(|a, b| a.record.id.cmp(&b.record.id));
         }
+        self.tell_departures(known);
         let view = View { number: known.number, routes: known.routes.clone(), services };
         self.gateway.publish(view);
         self.tell(known);
--- a/crates/proxy/src/sessions/process/leader.rs
+++ b/crates/proxy/src/sessions/process/leader.rs
@@ -9,6 +9,7 @@
 use std::sync::Arc;
 
 use skylark_core::FastMap;
+use skylark_core::FastSet;
 
 /// How long after its refusal a target is asked again where no other is known, in microseconds. A
 /// promote takes 300 to 600 ms to take effect.
@@ -23,6 +24,8 @@
     announced_revision: u64,
     /// When each target last refused for not leading.
     refused_us: FastMap<Arc<str>, u64>,
+    /// Targets that answer as primary although a later term is known.
+    superseded: FastSet<Arc<str>>,
 }
 
 impl LeaderBelief {
@@ -34,8 +37,22 @@
         }
     }
 
+    /// A target answered as primary, without any proof that no other one leads. Returns whether that is
+    /// news: it is believed where nothing else is known.
+    pub fn answered(&mut self, target: &Arc<str>) -> bool {
+        let is_believed = self.preferred.is_none() && !self.superseded.contains(target);
+        is_believed && self.proved(target)
+    }
+
+    /// A target answers as primary although a later term is known: it was replaced.
+    pub fn superseded(&mut self, target: &Arc<str>, now_us: u64) {
+        self.refused(target, now_us);
+        self.superseded.insert(Arc::clone(target));
+    }
+
     /// A target proved that it leads. Returns whether that is news.
     pub fn proved(&mut self, target: &Arc<str>) -> bool {
+        self.superseded.remove(target);
         self.refused_us.remove(target);
         if self.preferred.as_ref() == Some(target) {
             return false;
@@ -83,5 +100,6 @@
         F: Fn(&str) -> bool,
     {
         self.refused_us.retain(|target, _| is_listed(target));
+        self.superseded.retain(|target| is_listed(target));
     }
 }
--- a/crates/proxy/src/sessions/process/limits.rs
+++ b/crates/proxy/src/sessions/process/limits.rs
@@ -76,6 +76,14 @@
 /// For how long a member that did not answer is passed over, in microseconds.
 pub const FAILING_PASSED_OVER_US: u64 = 500_000;
 
+/// The time that a member has to say how it stands, in microseconds. It takes no slot for that: one that
+/// lives answers in 2 ms, or within some 30 ms on a connection that has to be opened.
+pub const WORD_US: u64 = 60_000;
+
+/// For how long after questions that no member answered requests are refused without asking again, in
+/// microseconds. A zone that is cut off has callers wait for nothing otherwise.
+pub const NO_WORD_US: u64 = 250_000;
+
 /// How often a read is sent to the primary at most. It has no effect, so an answer that was lost
 /// costs the caller time only.
 pub const MAX_PRIMARY_READS: u32 = 2;
--- a/crates/proxy/src/sessions/process/mod.rs
+++ b/crates/proxy/src/sessions/process/mod.rs
@@ -1,5 +1,6 @@
 //! What lives as long as the process.
 
+pub mod claims;
 pub mod control;
 pub mod daemon;
 pub mod feed;
@@ -14,6 +15,7 @@
 pub mod need;
 pub mod sampler;
 pub mod services;
+pub mod step_down;
 pub mod stop;
 pub mod takeover;
 pub mod target_calls;
--- a/crates/proxy/src/sessions/process/takeover.rs
+++ b/crates/proxy/src/sessions/process/takeover.rs
@@ -13,19 +13,19 @@
 use skylark_core::process::takeover;
 use skylark_core::process::takeover::ReplicaView;
 use skylark_core::process::takeover::TakeoverStep;
-use skylark_core::process::takeover_claim;
 use skylark_core::process::takeover_claim::Claim;
-use skylark_core::process::takeover_claim::ClaimState;
-use skylark_core::process::takeover_claim::ClaimStep;
-use skylark_core::process::takeover_claim::SeenClaim;
+use skylark_core::process::takeover_claim::HeldClaim;
+use skylark_core::process::takeover_claim::LATE_EFFECT_US;
 use skylark_core::version::routes::TargetRecord;
 use tokio::time;
 
 use crate::sessions::codec::Codec;
 use crate::sessions::codec::Query;
+use crate::sessions::process::claims::Claims;
 use crate::sessions::process::gateway::Gateway;
 use crate::sessions::process::need::Need;
 use crate::sessions::process::need::Needs;
+use crate::sessions::process::step_down;
 use crate::sessions::process::target_calls;
 use crate::sessions::process::target_calls::Said;
 use crate::sessions::process::watch::Watcher;
@@ -49,6 +49,49 @@
 /// How long a promoted target may take until it leads, in microseconds: 300 to 600 ms are usual.
 const EFFECT_LIMIT_US: u64 = 2_000_000;
 
+/// How a takeover ended.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+enum Outcome {
+    /// Another target leads, or will in a moment.
+    Promoted,
+    /// It was needed no longer.
+    NotNeeded,
+    /// It took too long.
+    GaveUp,
+    /// Another driver may hold the claim now.
+    ClaimLost,
+}
+
+/// One takeover under way.
+struct Drive {
+    service: Arc<str>,
+    need: Need,
+    began_us: u64,
+    /// The target that is replaced.
+    old: Option<Arc<TargetRecord>>,
+    /// The end of the log of a primary that leaves and answered.
+    handed_over: LogPosition,
+    claim: HeldClaim,
+    /// Whether the old primary was told to step down.
+    stepped_down: bool,
+}
+
+impl Drive {
+    /// Whether ending now would leave the group worse than it was: nobody leads once the old primary was
+    /// stepped down, and a promotion that may come late must find the replicas paused.
+    fn must_go_on(&self, now_us: u64) -> bool {
+        let limit_us = self.began_us + DRIVE_LIMIT_US + LATE_EFFECT_US;
+        now_us < limit_us && (self.stepped_down || self.claim.may_come_late(now_us))
+    }
+
+    /// Whether the old primary has to step down before another is promoted. Where commits are stuck nothing
+    /// is acknowledged anyway. A replica that comes back before the promotion takes effect would have them
+    /// acknowledged after all, and they were lost with the promotion: 21 to 60 commits of a soak seed.
+    fn has_to_step_down(&self) -> bool {
+        self.need == Need::CommitsStuck && !self.stepped_down
+    }
+}
+
 /// The takeovers of all services.
 #[derive(Debug)]
 pub struct Takeovers<C, S, P>
@@ -57,7 +100,7 @@
 {
     gateway: Arc<Gateway<C>>,
     watcher: Arc<Watcher<C, S>>,
-    store: S,
+    claims: Claims<C, S>,
     promoter: P,
     /// The services that this process works at.
     driven: Mutex<FastSet<Arc<str>>>,
@@ -80,7 +123,7 @@
         Takeovers {
             gateway: Arc::clone(gateway),
             watcher: Arc::clone(watcher),
-            store,
+            claims: Claims::new(gateway, store),
             promoter,
             driven: Mutex::default(),
             needs: Needs::new(gateway, watcher),
@@ -122,125 +165,91 @@
             time::sleep(RETRY_PAUSE).await;
             return;
         }
-        let Some(mut claim) = self.claim(service, began_us).await else { return };
-        let handed_over = handed_over.unwrap_or_default();
-        let outcome = self.carry_out(service, began_us, handed_over, &mut claim).await;
-        self.resume_all(service).await;
-        claim.claim.state = ClaimState::Settled;
-        let settled = self.store.write_claim(service, &claim.claim, Some(claim.revision)).await;
+        let is_needed = || self.needs.of(service).is_some();
+        let Some(claim) = self.claims.take(service, began_us, is_needed).await else { return };
+        let (old, handed_over) = (self.old_primary(service), handed_over.unwrap_or_default());
+        let (service, token) = (Arc::clone(service), claim.claim.token);
+        let mut drive =
+            Drive { service, need, began_us, old, handed_over, claim, stepped_down: false };
+        let outcome = self.carry_out(&mut drive).await;
+        let Drive { service, claim, old, .. } = drive;
+        if outcome == Outcome::Promoted {
+            self.tell_old_primary(&service, old).await;
+        }
+        // A replica that received again could acknowledge with the old primary what a promotion that
+        // comes late would lose.
+        let may_come_late = claim.claim.unsettled && outcome != Outcome::Promoted;
+        if outcome != Outcome::ClaimLost && !may_come_late {
+            self.resume_all(&service).await;
+        }
+        let settled = outcome != Outcome::ClaimLost && self.claims.settle(&service, claim).await;
         slog::warn!(self.gateway.log, "the takeover ended";
-            "service" => &**service,
-            "outcome" => outcome,
-            "token" => claim.claim.token,
+            "service" => &*service,
+            "outcome" => ?outcome,
+            "token" => token,
             "took_us" => self.gateway.clock.now_us().saturating_sub(began_us),
-            "settled" => settled.is_ok());
+            "settled" => settled);
     }
 
-    /// Gets hold of the service's claim. `None` if the need went before that.
-    async fn claim(&self, service: &Arc<str>, wanted_us: u64) -> Option<SeenClaim> {
-        let mut seen: Option<SeenClaim> = None;
-        loop {
-            match self.store.claim(service).await {
-                Ok(found) => {
-                    let now_us = self.gateway.clock.now_us();
-                    let known = seen.take();
-                    seen = found.map(|found| {
-                        let known = known.filter(|known| known.revision == found.revision);
-                        let seen_us = known.map_or(now_us, |known| known.seen_us);
-                        SeenClaim { claim: found.value, revision: found.revision, seen_us }
-                    });
-                }
-                Err(error) => {
-                    slog::info!(self.gateway.log, "the claim can't be read";
-                        "service" => &**service, "reason" => error.to_string());
-                    time::sleep(RETRY_PAUSE).await;
-                    self.needs.of(service)?;
-                    continue;
-                }
-            }
-            let now_us = self.gateway.clock.now_us();
-            let vm = &*self.gateway.vm;
-            match takeover_claim::next_claim(seen.as_ref(), vm, wanted_us, now_us) {
-                ClaimStep::Write { token } => {
-                    if let Some(claimed) = self.write(service, token, seen.as_ref()).await {
-                        return Some(claimed);
-                    }
-                }
-                ClaimStep::LeaveUntil { at_us } => {
-                    let wait_us = at_us.saturating_sub(now_us).min(300_000);
-                    time::sleep(Duration::from_micros(wait_us.max(1))).await;
-                }
-            }
-            self.needs.of(service)?;
-        }
+    /// The target that led until now.
+    fn old_primary(&self, service: &Arc<str>) -> Option<Arc<TargetRecord>> {
+        self.needs.present_primary(service).map(|member| member.record)
     }
 
-    async fn write(
-        &self,
-        service: &Arc<str>,
-        token: u64,
-        over: Option<&SeenClaim>,
-    ) -> Option<SeenClaim> {
-        let claim = Claim {
-            holder: self.gateway.vm.to_string(),
-            token,
-            state: ClaimState::Moving,
-            chosen: String::new(),
+    /// Tells a primary that was replaced to step down. Where it can't be reached, whoever meets it goes on
+    /// telling it.
+    async fn tell_old_primary(&self, service: &Arc<str>, old: Option<Arc<TargetRecord>>) {
+        let state = self.gateway.service(service);
+        let leader = state.leader.lock().preferred().cloned();
+        let Some(old) = old.filter(|old| Some(&old.id) != leader.as_ref()) else { return };
+        let Some(leader) = leader.and_then(|leader| self.gateway.target(&leader)) else { return };
+        let vm = &self.gateway.vm;
+        let Said::Status(status) =
+            target_calls::ask::<C>(&leader.record, vm, &Query::Standing).await
+        else {
+            return;
         };
-        let written = self.store.write_claim(service, &claim, over.map(|seen| seen.revision)).await;
-        match written {
-            Ok(revision) => {
-                slog::info!(self.gateway.log, "claimed a takeover";
-                    "service" => &**service, "token" => token);
-                let seen_us = self.gateway.clock.now_us();
-                Some(SeenClaim { claim, revision, seen_us })
-            }
-            Err(error) => {
-                slog::info!(self.gateway.log, "the claim was not written";
-                    "service" => &**service, "token" => token, "reason" => error.to_string());
-                time::sleep(STEP_PAUSE).await;
-                None
-            }
+        if status.is_primary {
+            let (log, vm, term) = (self.gateway.log.clone(), Arc::clone(vm), status.term);
+            tokio::spawn(async move { step_down::tell::<C>(&log, &old, &vm, term).await });
         }
     }
 
     /// Carries the steps out. Returns how it ended.
-    async fn carry_out(
-        &self,
-        service: &Arc<str>,
-        began_us: u64,
-        handed_over: LogPosition,
-        claim: &mut SeenClaim,
-    ) -> &'static str {
+    async fn carry_out(&self, drive: &mut Drive) -> Outcome {
+        let service = Arc::clone(&drive.service);
         let mut waiting_since_us = None;
         loop {
             let now_us = self.gateway.clock.now_us();
-            if now_us >= began_us + DRIVE_LIMIT_US {
-                return "gave up";
+            let must_go_on = drive.must_go_on(now_us);
+            if now_us >= drive.began_us + DRIVE_LIMIT_US && !must_go_on {
+                return Outcome::GaveUp;
             }
-            if self.needs.of(service).is_none() {
-                return "no longer needed";
+            if self.needs.of(&service).is_none() && !must_go_on {
+                return Outcome::NotNeeded;
             }
-            let primary = self.needs.present_primary(service);
-            let primary_id = primary.as_ref().map(|primary| Arc::clone(&primary.record.id));
-            let state = self.gateway.service(service);
-            let last_led = state.leader.lock().preferred().cloned();
-            let (departed, floor) = self.watcher.departed(service, last_led.as_ref());
-            let floor = floor.max(handed_over);
-            let mut replicas = self.listed_replicas(service, primary_id.as_ref());
+            let chosen = &drive.claim.claim.chosen;
+            if drive.claim.may_come_late(now_us) && self.leads(&service, chosen) {
+                return Outcome::Promoted;
+            }
+            if drive.claim.must_renew(now_us) && !self.change_claim(drive, |_| ()).await {
+                return Outcome::ClaimLost;
+            }
+            let primary = drive.old.clone();
+            let primary_id = primary.as_ref().map(|primary| Arc::clone(&primary.id));
+            let (departed, floor) = self.watcher.departed(&service, primary_id.as_ref());
+            let floor = floor.max(drive.handed_over);
+            let mut replicas = self.listed_replicas(&service, primary_id.as_ref());
             replicas.extend(departed);
             let (views, term) = self.ask_all(&replicas).await;
-            let answers = match &primary {
-                Some(primary) => self
-                    .gateway
-                    .target(&primary.record.id)
-                    .is_some_and(|target| target.health().failed_since_us.is_none()),
-                None => false,
-            };
+            let answers = primary.as_ref().is_some_and(|primary| {
+                let target = self.gateway.target(&primary.id);
+                target.is_some_and(|target| target.health().failed_since_us.is_none())
+            });
             let since_us = *waiting_since_us.get_or_insert(now_us);
             let step = takeover::next_step(&views, floor, answers, now_us.saturating_sub(since_us));
             slog::info!(self.gateway.log, "takeover step";
-                "service" => &**service, "step" => ?step, "replicas" => ?views, "floor" => floor.to_string(),
+                "service" => &*service, "step" => ?step, "replicas" => ?views, "floor" => floor.to_string(),
                 "term" => term);
             match step {
                 TakeoverStep::Pause(index) => {
@@ -253,17 +262,45 @@
                 }
                 TakeoverStep::AskAgain(_) => time::sleep(STEP_PAUSE).await,
                 TakeoverStep::Wait(_) => time::sleep(RETRY_PAUSE).await,
+                TakeoverStep::Promote(_) if drive.has_to_step_down() => {
+                    drive.stepped_down = true;
+                    if let Some(primary) = &primary {
+                        let query = Query::StepDown { term: term + 1 };
+                        let said = target_calls::ask::<C>(primary, &self.gateway.vm, &query).await;
+                        slog::info!(self.gateway.log, "stepped down before its successor leads";
+                            "target" => &*primary.id, "said" => ?said);
+                    }
+                }
                 TakeoverStep::Promote(index) => {
-                    let id = Arc::clone(&replicas[index].id);
-                    match self.promote(service, &id, claim).await {
-                        Ok(()) => return "promoted",
-                        Err(()) => time::sleep(RETRY_PAUSE).await,
+                    if let Some(outcome) = self.promote(drive, &replicas[index]).await {
+                        return outcome;
                     }
                 }
             }
         }
     }
 
+    /// Writes the claim again, changed. Returns whether it is still held.
+    async fn change_claim<F>(&self, drive: &mut Drive, change: F) -> bool
+    where
+        F: FnOnce(&mut Claim),
+    {
+        let mut claim = drive.claim.claim.clone();
+        change(&mut claim);
+        let Some(held) = self.claims.change(&drive.service, &drive.claim, claim).await else {
+            return false;
+        };
+        drive.claim = held;
+        true
+    }
+
+    /// Whether a target is believed to lead.
+    fn leads(&self, service: &Arc<str>, id: &str) -> bool {
+        let state = self.gateway.service(service);
+        let leader = state.leader.lock();
+        leader.preferred().is_some_and(|leader| **leader == *id)
+    }
+
     /// The end of the log of a primary that leaves and still answers. Its successor has to have all of it:
     /// this process may not know of a replica that acknowledged with it and is gone.
     async fn primarys_log(&self, service: &Arc<str>) -> Option<LogPosition> {
@@ -311,35 +348,64 @@
         (views, term)
     }
 
-    async fn promote(
-        &self,
-        service: &Arc<str>,
-        target: &Arc<str>,
-        claim: &mut SeenClaim,
-    ) -> Result<(), ()> {
-        let token = claim.claim.token;
-        let vm = &self.gateway.vm;
-        let result = self.promoter.promote(service, target, vm, token).await;
+    /// Has a target lead. Returns how the takeover ended; none if it goes on.
+    async fn promote(&self, drive: &mut Drive, target: &TargetRecord) -> Option<Outcome> {
+        let checks_tokens = self.promoter.checks_tokens();
+        let now_us = self.gateway.clock.now_us();
+        if !drive.claim.may_promote(&target.id, checks_tokens, now_us) {
+            slog::info!(self.gateway.log, "a promotion of another target may still come late";
+                "service" => &*drive.service, "target" => &*target.id,
+                "chosen" => &*drive.claim.claim.chosen);
+            time::sleep(RETRY_PAUSE).await;
+            return None;
+        }
+        // A call with this claim's token settles earlier ones where tokens are checked.
+        let may_come_late = !checks_tokens && drive.claim.may_come_late(now_us);
+        let choose = |claim: &mut Claim| {
+            claim.chosen = target.id.to_string();
+            claim.unsettled = true;
+        };
+        if !self.change_claim(drive, choose).await {
+            return Some(Outcome::ClaimLost);
+        }
+        let (token, vm, held) = (drive.claim.claim.token, &self.gateway.vm, &drive.claim);
+        let may_send = || held.may_call(self.gateway.clock.now_us());
+        let result = self.promoter.promote(&drive.service, target, vm, token, may_send).await;
         slog::warn!(self.gateway.log, "promote";
-            "service" => &**service, "target" => &**target, "token" => token,
+            "service" => &*drive.service, "target" => &*target.id, "token" => token,
             "result" => result.as_ref().map_or_else(ToString::to_string, |()| "accepted".into()));
         match result {
             Ok(()) => {
-                self.await_effect(service, target).await;
-                Ok(())
+                drive.claim.claim.unsettled = may_come_late;
+                self.await_effect(&drive.service, &target.id).await;
+                Some(Outcome::Promoted)
             }
-            // A call that may still be carried out is settled by one with a higher token; the
-            // replicas stay paused until then.
-            Err(PromoteError::NoAnswer(_) | PromoteError::Refused) => {
-                if let Some(claimed) = self.write(service, token + 1, Some(claim)).await {
-                    *claim = claimed;
-                }
-                Err(())
+            Err(PromoteError::NoAnswer(_)) => {
+                drive.claim.unsettled_since_us = self.gateway.clock.now_us();
+                self.settle_call(drive, checks_tokens).await
+            }
+            Err(PromoteError::Refused) => {
+                drive.claim.claim.unsettled = may_come_late;
+                self.settle_call(drive, checks_tokens).await
+            }
+            Err(PromoteError::Overloaded | PromoteError::NotSent) => {
+                drive.claim.claim.unsettled = may_come_late;
+                time::sleep(RETRY_PAUSE).await;
+                None
             }
-            Err(PromoteError::Overloaded) => Err(()),
         }
     }
 
+    /// After a call that was refused, or that may still be carried out: a call with a higher token settles
+    /// it where tokens are checked. The replicas stay paused until then.
+    async fn settle_call(&self, drive: &mut Drive, checks_tokens: bool) -> Option<Outcome> {
+        if checks_tokens && !self.change_claim(drive, |claim| claim.token += 1).await {
+            return Some(Outcome::ClaimLost);
+        }
+        time::sleep(RETRY_PAUSE).await;
+        None
+    }
+
     /// Waits until the promoted target leads.
     async fn await_effect(&self, service: &Arc<str>, target: &Arc<str>) {
         let until_us = self.gateway.clock.now_us() + EFFECT_LIMIT_US;
--- a/crates/proxy/src/sessions/process/target_calls.rs
+++ b/crates/proxy/src/sessions/process/target_calls.rs
@@ -56,7 +56,7 @@
     let until = Instant::now() + limit;
     let login = TargetLogin {
         service: Arc::clone(&record.service),
-        target_id: Arc::clone(&record.id),
+        target_id: Arc::clone(&record.name),
         vm: Arc::clone(vm),
     };
     let address = record.address.to_string();
--- a/crates/proxy/src/sessions/process/targets.rs
+++ b/crates/proxy/src/sessions/process/targets.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 
@@ -84,14 +85,14 @@
 }
 
 impl PoolParts {
-    fn pool<C>(&self, address: SocketAddr) -> Arc<Pool<StatementLink<C>>>
+    fn pool<C>(&self, address: SocketAddr, target_id: &Arc<str>) -> Arc<Pool<StatementLink<C>>>
     where
         C: Codec,
     {
         let (vm, target) = (&self.login.vm, &self.login.target_id);
         let options = PoolOptions {
             address: address.to_string(),
-            login: self.login.clone(),
+            login: TargetLogin { target_id: Arc::clone(target_id), ..self.login.clone() },
             connect_ms: limits::CONNECT_MS,
             budget: limits::CONNECTION_POLICY,
             drain_ms: limits::DRAIN_MS,
@@ -119,6 +120,18 @@
     /// The queue in front of the connections.
     pub queue: Arc<AdmissionQueue>,
     health: Mutex<Health>,
+    /// Whether it is being told that it no longer leads.
+    telling: Arc<AtomicBool>,
+}
+
+/// A target is being told that it no longer leads.
+#[derive(Debug)]
+pub struct Telling(Arc<AtomicBool>);
+
+impl Drop for Telling {
+    fn drop(&mut self) {
+        self.0.store(false, Ordering::Relaxed);
+    }
 }
 
 impl<C> TargetState<C>
@@ -138,7 +151,7 @@
             vm: Arc::clone(vm),
         };
         let parts = PoolParts { login, clock, counters: Arc::clone(counters) };
-        let way = Way { via: None, pool: parts.pool(record.address) };
+        let way = Way { via: None, pool: parts.pool(record.address, &record.name) };
         let queue = AdmissionQueue::new(QueueLimits::default(), &class_shares(), clock);
         let health = Health {
             usual_us: INITIAL_ANSWER_US,
@@ -159,11 +172,18 @@
             parts,
             queue: Arc::new(queue),
             health: Mutex::new(health),
+            telling: Arc::default(),
         };
         state.configure(1);
         state
     }
 
+    /// Takes on to tell it that it no longer leads, unless somebody does so already.
+    pub fn begin_telling(&self) -> Option<Telling> {
+        let was_telling = self.telling.swap(true, Ordering::Relaxed);
+        (!was_telling).then(|| Telling(Arc::clone(&self.telling)))
+    }
+
     /// The connections to it.
     pub fn pool(&self) -> Arc<Pool<StatementLink<C>>> {
         Arc::clone(&self.way.load().pool)
@@ -181,8 +201,12 @@
         if self.way.load().via == via {
             return;
         }
-        let address = vm.map_or(self.record.address, |vm| vm.peer_address);
-        let old = self.way.swap(Arc::new(Way { via, pool: self.parts.pool(address) }));
+        // Another VM has to mean the same start of the target; the target itself knows its name only.
+        let pool = match vm {
+            Some(vm) => self.parts.pool(vm.peer_address, &self.record.id),
+            None => self.parts.pool(self.record.address, &self.record.name),
+        };
+        let old = self.way.swap(Arc::new(Way { via, pool }));
         old.pool.set_share(0);
         old.pool.maintain();
     }
--- a/crates/proxy/src/sessions/process/watch.rs
+++ b/crates/proxy/src/sessions/process/watch.rs
@@ -123,7 +123,8 @@
     /// Takes in what the traffic showed of the primaries since replicas left.
     pub fn settle_departures(&self) {
         let now_us = self.gateway.clock.now_us();
-        for (service, departures) in &mut self.known.lock().departures {
+        let mut known = self.known.lock();
+        for (service, departures) in &mut known.departures {
             // Each service has an entry, and most have nothing to settle once the start is over.
             if departures.is_at_rest() {
                 continue;
@@ -132,6 +133,15 @@
             let positions = state.positions.lock();
             departures.settle(|left_us| positions.covering(left_us), now_us);
         }
+        self.tell_departures(&known);
+    }
+
+    /// Puts what is known of departures where requests find it.
+    pub(super) fn tell_departures(&self, known: &Known) {
+        for (service, departures) in &known.departures {
+            let state = self.gateway.service(service);
+            state.set_departed(departures.needed().count(), departures.past_is_known());
+        }
     }
 
     /// The departed members of a service that a promotion can't do without, and what it has to cover
--- a/crates/proxy/src/sessions/request/at_primary.rs
+++ b/crates/proxy/src/sessions/request/at_primary.rs
@@ -3,11 +3,14 @@
 //!
 //! A target that does not lead refuses a write and the opening of a transaction before running
 //! anything, so both may go to the next candidate. A single write whose answer is lost may have run,
-//! so it never does.
+//! so it never does. One that was replaced while it was cut off refuses nothing: its writes stay without
+//! an acknowledgement, and its reads wait until other members' words prove that it still led when the
+//! request came.
 
 use std::sync::Arc;
 use std::time::Duration;
 
+use skylark_core::log_position::LogPosition;
 use skylark_core::request::error_kind::ErrorKind;
 use skylark_core::request::retry::Failure;
 use skylark_core::request::statement::Statement;
@@ -32,8 +35,21 @@
 use crate::sessions::request::call::Call;
 use crate::sessions::request::call::Work;
 use crate::sessions::request::call::no_primary;
+use crate::sessions::request::prove;
+use crate::sessions::request::prove::Unproved;
 use crate::sessions::request::read;
 
+/// What shows that a primary has all that the reads of a transaction must see.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub enum Ground {
+    /// Its log goes at least to this position, or it refuses.
+    Position(LogPosition),
+    /// A proof that it still led when the first byte of the request had arrived.
+    Lead,
+    /// Nothing yet: the first statement is no read.
+    None,
+}
+
 /// Runs a single read at the primary.
 pub async fn read<C>(
     call: &Call<'_, C>,
@@ -46,7 +62,8 @@
     let mut tries = 0;
     loop {
         tries += 1;
-        let held = open(call, session, work).await?;
+        let ground = read::ground(call, session, work);
+        let held = open(call, session, work, ground).await?;
         match read_once(call, held, work).await {
             Ok(reply) => return Ok(reply),
             Err(lost) => {
@@ -145,8 +162,8 @@
         target.answered(now_us, None);
         match reply.error() {
             None => {
-                acknowledged(call, session, &target, sent_us, &reply);
                 lease.give_back();
+                acknowledged(call, session, &target, sent_us, &reply).await?;
                 return Ok(reply);
             }
             Some(TargetError::ReadOnly) => call.gateway.refused_lead(&target),
@@ -163,35 +180,60 @@
     }
 }
 
-/// Opens a transaction that may write, and with it proves the lead of its target. The connection has
-/// the session and what its first statement needs.
+/// Opens a transaction that may write, on the ground that its reads need. The connection has the session
+/// and what its first statement needs.
 pub async fn open<C>(
     call: &Call<'_, C>,
     session: &Session<C>,
     work: &Work<'_>,
+    ground: Ground,
 ) -> Result<Held<C>, Refusal>
 where
     C: Codec,
 {
+    let at_least = match ground {
+        Ground::Position(position) => Some(position),
+        Ground::Lead | Ground::None => None,
+    };
     loop {
         let (target, mut lease) = take(call).await?;
         let until_us = read::patience_until_us(call);
         let sent_us = call.now_us();
         let link = lease.connection();
         let owed = link.push_session(&session.values, work.prepared());
-        link.push_own(Statement::Begin { read_only: false });
+        link.push_statement(None, at_least, Statement::Begin { read_only: false });
         target.started(sent_us);
-        let settled = acquire::settle(call, link, owed + 1, until_us).await;
+        // The other members' words come while the primary answers, so a proof costs hardly any time.
+        let proof = prove_if(ground == Ground::Lead, call, &target);
+        let settled = acquire::settle(call, link, owed + 1, until_us);
+        let (settled, proof) = tokio::join!(settled, proof);
         target.ended();
         let refusal = match settled {
             Ok(Some(reply)) if reply.error().is_none() => {
                 target.answered(call.now_us(), None);
-                call.gateway.proved_lead(&target, sent_us, reply.position);
-                return Ok(Held { lease, target });
+                match (ground, proof) {
+                    (Ground::Lead, Ok(())) => {
+                        call.gateway.proved_lead(&target, call.arrived_us, reply.position);
+                    }
+                    (Ground::Position(_) | Ground::None, _) => {
+                        call.gateway.answered_as_primary(&target);
+                    }
+                    (Ground::Lead, Err(Unproved::Superseded)) => {
+                        call.gateway.counters.retry(RetryReason::NotPrimary);
+                        lease.give_back();
+                        pause(call).await?;
+                        continue;
+                    }
+                    (Ground::Lead, Err(Unproved::NoWord)) => {
+                        lease.give_back();
+                        return Err(ErrorKind::LeadUnproved.into());
+                    }
+                }
+                return Ok(Held { lease, target, may_read: ground != Ground::None });
             }
             Ok(Some(reply)) => {
                 target.answered(call.now_us(), None);
-                if reply.error() == Some(TargetError::ReadOnly) {
+                if lacks_lead(&reply, at_least) {
                     call.gateway.refused_lead(&target);
                 }
                 call.gateway.counters.retry(reason_of(&reply));
@@ -212,20 +254,66 @@
     }
 }
 
-/// A commit was acknowledged: the session has to see it from now on, and the target leads.
-pub fn acknowledged<C>(
+/// A commit was acknowledged: the session has to see it from now on, and the target led when it was
+/// sent, since a replica received it.
+///
+/// # Errors
+///
+/// Where no replica has to receive a commit, a target that was replaced acknowledges as well, and what it
+/// acknowledges is lost when it reaches its successor. So the lead is proved there, or the outcome counts
+/// as unknown.
+pub async fn acknowledged<C>(
     call: &Call<'_, C>,
     session: &mut Session<C>,
     target: &TargetState<C>,
     sent_us: u64,
     reply: &Reply,
-) where
+) -> Result<(), Refusal>
+where
     C: Codec,
 {
-    call.gateway.counters.event(Event::WritesAcknowledged);
-    call.gateway.proved_lead(target, sent_us, reply.position);
+    let gateway = call.gateway;
+    let service = &call.route.service;
+    if gateway.sync_replicas(service) == 0 {
+        let proof = prove::lead(gateway, target, call.now_us(), call.deadline_us()).await;
+        proof.map_err(|_| Refusal::from(ErrorKind::NotConfirmed))?;
+    } else {
+        gateway.service(service).words.lock().acknowledged(&target.record.id, sent_us);
+    }
+    gateway.counters.event(Event::WritesAcknowledged);
+    gateway.proved_lead(target, sent_us, reply.position);
     if let Some(position) = reply.position {
-        session.committed(&call.route.service, position);
+        session.committed(service, position);
+    }
+    Ok(())
+}
+
+/// Proves the lead of a target at the time when the request had arrived, if that is asked for.
+async fn prove_if<C>(
+    is_needed: bool,
+    call: &Call<'_, C>,
+    target: &TargetState<C>,
+) -> Result<(), Unproved>
+where
+    C: Codec,
+{
+    if !is_needed {
+        return Ok(());
+    }
+    let until_us = call.offer_until_us().max(call.now_us() + limits::LEAST_OFFER_US);
+    prove::lead(call.gateway, target, call.arrived_us, until_us).await
+}
+
+/// Whether a refusal shows that the target does not lead: it says so, or its log ends in an earlier term
+/// than what was acknowledged.
+fn lacks_lead(reply: &Reply, at_least: Option<LogPosition>) -> bool {
+    let ends_earlier = |at_least: LogPosition| {
+        reply.position.is_some_and(|position| position.term < at_least.term)
+    };
+    match reply.error() {
+        Some(TargetError::ReadOnly) => true,
+        Some(TargetError::Lagging) => at_least.is_some_and(ends_earlier),
+        _ => false,
     }
 }
 
@@ -283,6 +371,7 @@
     match reply.error() {
         Some(TargetError::ReadOnly) => RetryReason::NotPrimary,
         Some(TargetError::UnknownPrepared) => RetryReason::PreparedLost,
+        Some(TargetError::Lagging) => RetryReason::Lagging,
         _ => RetryReason::Busy,
     }
 }
@@ -291,6 +380,7 @@
 fn refused_as(reply: &Reply, otherwise: Refusal) -> Refusal {
     match reply.error() {
         Some(TargetError::Busy) => ErrorKind::TargetBusy.into(),
+        Some(TargetError::Lagging) => ErrorKind::TooOld.into(),
         _ => otherwise,
     }
 }
--- a/crates/proxy/src/sessions/request/mod.rs
+++ b/crates/proxy/src/sessions/request/mod.rs
@@ -4,6 +4,7 @@
 pub mod at_primary;
 pub mod call;
 pub mod execute;
+pub mod prove;
 pub mod read;
 pub mod sample;
 pub mod transaction;
--- /dev/null
+++ b/crates/proxy/src/sessions/request/prove.rs
@@ -0,0 +1,222 @@
+//! Bringing the words of other members that prove a target's lead.
+//!
+//! One round of questions serves all who wait: words that are asked for after a request arrived prove
+//! the lead for it and for all that arrived before.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use skylark_core::request::lead_proof::LeadVerdict;
+use skylark_core::request::lead_proof::Word;
+use skylark_core::request::retry::Failure;
+use tokio::time;
+
+use crate::process::counters::Event;
+use crate::sessions::codec::Codec;
+use crate::sessions::codec::Query;
+use crate::sessions::connection::reply::End;
+use crate::sessions::connection::reply::Reply;
+use crate::sessions::process::gateway::Gateway;
+use crate::sessions::process::limits;
+use crate::sessions::process::services::ServiceState;
+use crate::sessions::process::targets::TargetState;
+
+/// The pause after questions that nobody answered.
+const ASK_AGAIN: Duration = Duration::from_millis(10);
+
+/// Why a lead was not proved.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub enum Unproved {
+    /// It was lost to another target.
+    Superseded,
+    /// Too few other members could be asked.
+    NoWord,
+}
+
+/// Proves that by `moment_us` nobody but `target` had acknowledged anything, or gives up at
+/// `until_us`.
+pub async fn lead<C>(
+    gateway: &Gateway<C>,
+    target: &TargetState<C>,
+    moment_us: u64,
+    until_us: u64,
+) -> Result<(), Unproved>
+where
+    C: Codec,
+{
+    let state = gateway.service(&target.record.service);
+    let result = settle(gateway, &state, target, moment_us, until_us).await;
+    match result {
+        Ok(()) => gateway.counters.event(Event::LeadsProved),
+        Err(Unproved::NoWord) => gateway.counters.event(Event::LeadsUnproved),
+        Err(Unproved::Superseded) => gateway.counters.event(Event::LeadsSuperseded),
+    }
+    result
+}
+
+async fn settle<C>(
+    gateway: &Gateway<C>,
+    state: &ServiceState,
+    target: &TargetState<C>,
+    moment_us: u64,
+    until_us: u64,
+) -> Result<(), Unproved>
+where
+    C: Codec,
+{
+    let came_us = gateway.clock.now_us();
+    loop {
+        let heard = state.words_heard();
+        tokio::pin!(heard);
+        heard.as_mut().enable();
+        let verdict = gateway.lead_verdict(target, moment_us);
+        match verdict {
+            LeadVerdict::Proved => return Ok(()),
+            LeadVerdict::Superseded { term } => {
+                gateway.superseded(target, term);
+                return Err(Unproved::Superseded);
+            }
+            LeadVerdict::TermUnknown | LeadVerdict::Missing(_) => (),
+        }
+        let now_us = gateway.clock.now_us();
+        // Nobody answered just before it came: it is told so at once.
+        if now_us >= until_us || state.was_asked_in_vain(came_us) {
+            log_unproved(gateway, target, moment_us, verdict);
+            return Err(Unproved::NoWord);
+        }
+        match state.begin_asking() {
+            Some(_asking) => {
+                let is_answered = ask(gateway, target, verdict, moment_us, until_us).await?;
+                if !is_answered {
+                    state.set_asked_in_vain(gateway.clock.now_us());
+                    time::sleep(ASK_AGAIN).await;
+                }
+            }
+            None => {
+                let left = Duration::from_micros(until_us - now_us);
+                // Whatever ends the wait, the verdict is looked at again.
+                let _ = time::timeout(left, heard).await;
+            }
+        }
+    }
+}
+
+/// Asks whoever can help. Returns whether anybody said anything.
+async fn ask<C>(
+    gateway: &Gateway<C>,
+    target: &TargetState<C>,
+    verdict: LeadVerdict,
+    moment_us: u64,
+    until_us: u64,
+) -> Result<bool, Unproved>
+where
+    C: Codec,
+{
+    let mut missing = match verdict {
+        LeadVerdict::Missing(missing) => missing,
+        LeadVerdict::TermUnknown => {
+            // Nothing can be counted before it is known which term the words are about.
+            let Some(word) = word_of(gateway, target, until_us).await else { return Ok(false) };
+            if !word.leads {
+                gateway.refused_lead(target);
+                return Err(Unproved::Superseded);
+            }
+            return Ok(true);
+        }
+        LeadVerdict::Proved | LeadVerdict::Superseded { .. } => return Ok(true),
+    };
+    let mut is_answered = false;
+    let state = gateway.service(&target.record.service);
+    for member in witnesses(gateway, target) {
+        if missing == 0 {
+            break;
+        }
+        let asked_us = state.words.lock().asked_us(&member.record.id);
+        if asked_us.is_some_and(|asked_us| asked_us >= moment_us) {
+            continue;
+        }
+        if word_of(gateway, &member, until_us).await.is_some() {
+            missing -= 1;
+            is_answered = true;
+        }
+    }
+    Ok(is_answered)
+}
+
+/// The other members, those first that are expected to answer first.
+fn witnesses<C>(gateway: &Gateway<C>, target: &TargetState<C>) -> Vec<Arc<TargetState<C>>>
+where
+    C: Codec,
+{
+    let now_us = gateway.clock.now_us();
+    let members = gateway.members(&target.record.service).into_iter();
+    let mut others: Vec<_> =
+        members.filter(|member| member.record.id != target.record.id).collect();
+    others.sort_by_key(|member| {
+        let health = member.health();
+        let fails = health.failed_since_us.is_some()
+            && now_us < health.failed_us + limits::FAILING_PASSED_OVER_US;
+        (fails, member.record.zone != gateway.zone)
+    });
+    others
+}
+
+/// What a member says of itself.
+async fn word_of<C>(gateway: &Gateway<C>, member: &TargetState<C>, until_us: u64) -> Option<Word>
+where
+    C: Codec,
+{
+    let asked_us = gateway.clock.now_us();
+    let reply = standing_of(gateway, member, until_us).await.ok()?;
+    let End::Complete { .. } = reply.end else { return None };
+    let status = C::decode_status(&reply.first_row).ok()?;
+    let word =
+        Word { asked_us, leads: status.is_primary, term: status.term, received: status.received };
+    gateway.service(&member.record.service).heard(&member.record.id, word);
+    Some(word)
+}
+
+/// Asks a member for its standing, past the queue: it takes no slot.
+pub async fn standing_of<C>(
+    gateway: &Gateway<C>,
+    member: &TargetState<C>,
+    until_us: u64,
+) -> Result<Reply, Failure>
+where
+    C: Codec,
+{
+    gateway.counters.event(Event::WordsAsked);
+    let now_us = gateway.clock.now_us();
+    let until = gateway.clock.instant_at(until_us.min(now_us + limits::WORD_US));
+    let mut lease = member.pool().take(None, until).await?;
+    match lease.connection().ask(&Query::Standing, until).await {
+        Ok(reply) => {
+            lease.give_back();
+            member.answered(gateway.clock.now_us(), None);
+            Ok(reply)
+        }
+        Err(lost) => {
+            // A home that does not answer says nothing of the target.
+            if member.via().is_none() {
+                member.failed(gateway.clock.now_us());
+            }
+            Err(lost.failure)
+        }
+    }
+}
+
+fn log_unproved<C>(
+    gateway: &Gateway<C>,
+    target: &TargetState<C>,
+    moment_us: u64,
+    verdict: LeadVerdict,
+) where
+    C: Codec,
+{
+    let now_us = gateway.clock.now_us();
+    let Some(left_out) = gateway.log_budget.take("unproved", now_us) else { return };
+    slog::info!(gateway.log, "the lead is not proved";
+        "service" => &*target.record.service, "target" => &*target.record.id,
+        "verdict" => ?verdict, "waited_us" => now_us.saturating_sub(moment_us),
+        "left_out" => left_out);
+}
--- a/crates/proxy/src/sessions/request/read.rs
+++ b/crates/proxy/src/sessions/request/read.rs
@@ -1,8 +1,9 @@
 //! A single read: at any member that has what the read must see, otherwise at the primary.
 //!
 //! A read may be offered to several members, one after the other: it has no effect. The last one is
-//! the primary, whose lead is proved first by opening a transaction: an old primary that is cut off
-//! would answer a bare read from a log that lacks what its successor acknowledged.
+//! the primary. A target that was replaced while it was cut off would answer a bare read from a log that
+//! lacks what its successor acknowledged, so the primary as well is asked for a position that the read must
+//! see, and where none is known its lead is proved first.
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -11,6 +12,7 @@
 use skylark_core::request::error_kind::ErrorKind;
 use skylark_core::request::read_choice;
 use skylark_core::request::read_choice::ReadCandidate;
+use skylark_core::request::retry::Effect;
 use skylark_core::request::retry::Failure;
 use skylark_core::request::statement::TargetError;
 use skylark_core::version::routes::ReadRule;
@@ -28,6 +30,7 @@
 use crate::sessions::request::acquire;
 use crate::sessions::request::acquire::NotTaken;
 use crate::sessions::request::at_primary;
+use crate::sessions::request::at_primary::Ground;
 use crate::sessions::request::call::Call;
 use crate::sessions::request::call::Work;
 use crate::sessions::request::sample;
@@ -106,6 +109,19 @@
     }
 }
 
+/// What shows that a primary has all that the reads of this call's transaction must see.
+pub fn ground<C>(call: &Call<'_, C>, session: &Session<C>, first: &Work<'_>) -> Ground
+where
+    C: Codec,
+{
+    let floor = session.floor_of(&call.route.service);
+    match call.gateway.position_for(call.route, floor, call.arrived_us) {
+        Some(position) => Ground::Position(position),
+        None if first.effect() == Effect::Read => Ground::Lead,
+        None => Ground::None,
+    }
+}
+
 /// The member that is expected to answer first, out of those not tried yet.
 pub fn choose<C>(call: &Call<'_, C>, tried: &[Arc<str>]) -> Option<Arc<TargetState<C>>>
 where
--- a/crates/proxy/src/sessions/request/sample.rs
+++ b/crates/proxy/src/sessions/request/sample.rs
@@ -1,8 +1,8 @@
 //! Bringing a position of a service's primary.
 //!
-//! A process with connections of its own opens a transaction at the primary and ends it at once: its
-//! success proves the lead, and takes no slot. Another process asks a home of the primary, which
-//! tells what it has and how old that is. The question passes the queue by: when a primary is
+//! A process with connections of its own opens a transaction at the primary and ends it at once, which
+//! takes no slot and tells a position; meanwhile other members are asked for the proof that it still
+//! led. Another process asks a home of the primary, which tells what it has and how old that is. The question passes the queue by: when a primary is
 //! overrun, reads without a position that replicas have reached would go to it as well.
 
 use std::sync::Arc;
@@ -17,6 +17,7 @@
 use crate::sessions::connection::reply::End;
 use crate::sessions::process::gateway::Gateway;
 use crate::sessions::process::targets::TargetState;
+use crate::sessions::request::prove;
 
 /// The time for the question, in microseconds. Most reads have a position from before meanwhile.
 const LIMIT_US: u64 = 250_000;
@@ -58,7 +59,9 @@
     link.push_own(Statement::Begin { read_only: false });
     // Whether it was opened or refused, it is over.
     link.push_own(Statement::Rollback);
-    let Ok(reply) = link.exchange(until).await else {
+    let proof = prove::lead(gateway, target, sent_us, sent_us + LIMIT_US);
+    let (exchanged, proof) = tokio::join!(link.exchange(until), proof);
+    let Ok(reply) = exchanged else {
         target.failed(gateway.clock.now_us());
         return None;
     };
@@ -66,6 +69,7 @@
     target.answered(gateway.clock.now_us(), None);
     match reply.error() {
         None => {
+            proof.ok()?;
             gateway.proved_lead(target, sent_us, reply.position);
             Some(())
         }
--- a/crates/proxy/src/sessions/request/transaction.rs
+++ b/crates/proxy/src/sessions/request/transaction.rs
@@ -28,6 +28,7 @@
 use crate::sessions::request::at_primary;
 use crate::sessions::request::call::Call;
 use crate::sessions::request::call::Work;
+use crate::sessions::request::prove;
 use crate::sessions::request::read;
 
 /// Runs one statement of the transaction, whose state is taken out of the session meanwhile.
@@ -79,7 +80,7 @@
     {
         return Ok(held);
     }
-    at_primary::open(call, session, work).await
+    at_primary::open(call, session, work, read::ground(call, session, work)).await
 }
 
 /// Opens a transaction that only reads at a member that has what it must see.
@@ -107,7 +108,7 @@
         match acquire::settle(call, link, owed + 1, read::patience_until_us(call)).await {
             Ok(Some(reply)) if reply.error().is_none() => {
                 target.answered(call.now_us(), None);
-                return Some(Held { lease, target });
+                return Some(Held { lease, target, may_read: true });
             }
             Ok(reply) => {
                 target.answered(call.now_us(), None);
@@ -138,6 +139,15 @@
 where
     C: Codec,
 {
+    if work.effect() == Effect::Read
+        && !held.may_read
+        && let Err(refusal) = prove_for_reads(call, &mut held).await
+    {
+        // Its connection rolls back as it goes back.
+        held.lease.give_back();
+        session.state = SessionState::Failed(ErrorKind::ProtocolViolation);
+        return Err(refusal);
+    }
     let is_commit = work.effect() == Effect::Commit;
     let until_us = call.deadline_us();
     held.lease.statement_started();
@@ -173,11 +183,11 @@
     held.target.answered(now_us, None);
     transaction.wrote |= work.effect() == Effect::Write;
     if is_commit {
-        if reply.error().is_none() && transaction.wrote {
-            at_primary::acknowledged(call, session, &held.target, sent_us, &reply);
-        }
         session.state = SessionState::Idle;
         held.lease.give_back();
+        if reply.error().is_none() && transaction.wrote {
+            at_primary::acknowledged(call, session, &held.target, sent_us, &reply).await?;
+        }
         return Ok(reply);
     }
     if reply.error().is_some() && reply.status != TransactionStatus::Open {
@@ -190,6 +200,19 @@
     Ok(reply)
 }
 
+/// The first read of a transaction that began with a write: what it must see has to be shown now.
+async fn prove_for_reads<C>(call: &Call<'_, C>, held: &mut Held<C>) -> Result<(), Refusal>
+where
+    C: Codec,
+{
+    let until_us = call.offer_until_us().max(call.now_us() + limits::LEAST_OFFER_US);
+    let proof = prove::lead(call.gateway, &held.target, call.arrived_us, until_us).await;
+    // Nothing of the transaction is kept.
+    proof.map_err(|_| Refusal::from(ErrorKind::TransactionLost))?;
+    held.may_read = true;
+    Ok(())
+}
+
 /// Rolls a transaction back; its connection goes back once that is done.
 pub fn roll_back<C>(transaction: Box<Transaction<C>>)
 where
--- a/crates/proxy/src/sessions/store.rs
+++ b/crates/proxy/src/sessions/store.rs
@@ -52,7 +52,7 @@
 pub enum TargetChange {
     /// The entry is new or changed.
     Listed(ListedTarget),
-    /// The entry went.
+    /// The entry of this name went, or names no target any more.
     Removed(Arc<str>),
 }
 
@@ -129,6 +129,8 @@
     Refused,
     /// The platform has too much to do; nothing was done.
     Overloaded,
+    /// It was not to be sent any more when there was a connection for it.
+    NotSent,
     /// No answer came: the call may still be carried out.
     NoAnswer(String),
 }
@@ -138,6 +140,7 @@
         match self {
             PromoteError::Refused => f.write_str("refused"),
             PromoteError::Overloaded => f.write_str("too many calls"),
+            PromoteError::NotSent => f.write_str("not sent"),
             PromoteError::NoAnswer(why) => write!(f, "no answer: {why}"),
         }
     }
@@ -145,12 +148,19 @@
 
 /// The part of the platform that names primaries.
 pub trait Promoter: Clone + Send + Sync + 'static {
-    /// Has `target` lead `service`, as the holder of the claim with `token`.
-    fn promote(
+    /// Whether a call with a lower token than one that was seen is refused.
+    fn checks_tokens(&self) -> bool;
+
+    /// Has `target` lead `service`, as the holder of the claim with `token`. `may_send` is asked right
+    /// before the call is sent.
+    fn promote<F>(
         &self,
         service: &str,
-        target: &str,
+        target: &TargetRecord,
         holder: &str,
         token: u64,
-    ) -> impl Future<Output = Result<(), PromoteError>> + Send;
+        may_send: F,
+    ) -> impl Future<Output = Result<(), PromoteError>> + Send
+    where
+        F: Fn() -> bool + Send + Sync;
 }
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -76,6 +76,7 @@
         Ok(relay.address)
     })
     .await?;
+    deployment.platform.ignore_tokens();
     deployment.configure(&routes());
     let (mut proxies, mut to_platform, mut addresses) = (Vec::new(), Vec::new(), Vec::new());
     for number in 1..=options.proxies {
@@ -94,6 +95,7 @@
             ready_address: ports::free_address().await?,
             store_address: relay.address,
             promote_address: relay.address,
+            checks_tokens: false,
         };
         let (program, folder) = (options.program.clone(), options.folder.clone());
         let setup = ProxySetup { program, folder, settings };
@@ -190,6 +192,7 @@
         apply_lag: Duration::from_millis(20),
         promote_takes: Duration::from_millis(200),
         max_connections: 24,
+        goes_on: Some(Duration::from_millis(1_000)),
     }
 }
 
--- a/crates/standin/src/typed/database.rs
+++ b/crates/standin/src/typed/database.rs
@@ -157,7 +157,6 @@
                 TargetRequest::Goodbye | TargetRequest::Startup { .. } => {
                     return Err(Ended::Closed);
                 }
-                TargetRequest::StepDown { .. } => self.answer(Ok(Answer::empty())).await?,
                 TargetRequest::Query(query) => {
                     let outcome = self.run(&query).await?;
                     self.answer(outcome).await?;
@@ -200,7 +199,11 @@
                 self.prepared.clear();
                 Ok(Ok(Answer::empty()))
             }
-            Query::Status => Ok(Ok(self.status())),
+            Query::Status | Query::Standing => Ok(Ok(self.status())),
+            Query::StepDown { term } => {
+                group.step_down(member, *term);
+                Ok(Ok(self.status()))
+            }
             Query::Position => Ok(Err(TargetError::Malformed)),
             Query::Pause { term } => {
                 group.pause(member, *term);
@@ -262,11 +265,11 @@
 
     fn begin(&mut self, read_only: bool) -> Outcome {
         let group = &self.database.group;
-        let leads = group.leader() == Some(self.database.member);
-        if !read_only && !leads {
+        let led = group.term_led_by(self.database.member);
+        if !read_only && led.is_none() {
             return Err(TargetError::ReadOnly);
         }
-        let plain_term = (!read_only).then(|| group.term());
+        let plain_term = led.filter(|_| !read_only);
         self.open = Open::Transaction { plain_term, writes: Vec::new() };
         Ok(Answer::empty())
     }
@@ -276,7 +279,7 @@
         let group = &self.database.group;
         match &self.open {
             Open::Transaction { plain_term: Some(term), .. } => {
-                group.leader() != Some(self.database.member) || group.term() != *term
+                group.term_led_by(self.database.member) != Some(*term)
             }
             _ => false,
         }
@@ -357,8 +360,8 @@
     fn status(&self) -> Answer {
         let (group, member) = (&self.database.group, self.database.member);
         let status = TargetStatus {
-            is_primary: group.leader() == Some(member),
-            term: group.term(),
+            is_primary: group.term_led_by(member).is_some(),
+            term: group.term_known_to(member),
             received: group.received(member),
             paused_term: group.member(member).paused_term,
         };
--- a/crates/standin/src/typed/deployment.rs
+++ b/crates/standin/src/typed/deployment.rs
@@ -69,6 +69,9 @@
 
 /// Writes the entries of the targets that run, and removes those of the others.
 fn register(platform: &Platform, databases: &[Database]) {
+    if platform.keeps_entries() {
+        return;
+    }
     for database in databases {
         let (group, member) = (&database.group, database.member);
         let state = group.member(member);
@@ -81,7 +84,7 @@
         if state.cut {
             continue;
         }
-        let leads = group.leader() == Some(member);
+        let leads = group.term_led_by(member).is_some();
         let record = TargetRecord {
             service: Arc::clone(&group.options.service),
             address: database.announced,
@@ -89,6 +92,7 @@
             slots: SLOTS,
             leaving: state.leaving,
             role: if leads { TargetRole::Primary } else { TargetRole::Replica },
+            name: Arc::clone(&id),
             id,
         };
         platform.objects.put(store::TARGETS, &record.id, objects::entry_of(&record));
--- a/crates/standin/src/typed/group.rs
+++ b/crates/standin/src/typed/group.rs
@@ -2,6 +2,9 @@
 //!
 //! All members share one state, so replication is a copy and a promotion a truncation. What was
 //! acknowledged is kept aside: a promotion that loses some of it is counted.
+//!
+//! A primary that is replaced may go on as one, in its old term and with its old log, until it is told to
+//! step down or has reached its successor for a while. Replicas follow the newest term that they know.
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -10,6 +13,10 @@
 use parking_lot::Mutex;
 use skylark_core::log_position::LogPosition;
 use tokio::sync::watch;
+use tokio::time;
+
+/// How often a commit without an acknowledgement looks whether its member still leads.
+const LOOK_AGAIN: Duration = Duration::from_millis(50);
 
 /// What a group is made of.
 #[derive(Clone, Debug)]
@@ -26,6 +33,9 @@
     pub promote_takes: Duration,
     /// How many connections a member accepts.
     pub max_connections: usize,
+    /// How long a primary that was replaced goes on once it reaches its successor; none if it becomes a
+    /// replica in the moment in which it is replaced.
+    pub goes_on: Option<Duration>,
 }
 
 /// One commit.
@@ -61,6 +71,10 @@
     pub connections: usize,
     /// Grows with each start, so that connections of an earlier one end.
     pub start: u32,
+    /// The old term in which it goes on as primary although another leads.
+    goes_on_in: Option<u64>,
+    /// Since when it has reached its successor meanwhile.
+    reaches_since: Option<Instant>,
 }
 
 /// What a member ran for somebody.
@@ -118,6 +132,8 @@
             lose_answers: 0,
             connections: 0,
             start: 0,
+            goes_on_in: None,
+            reaches_since: None,
         };
         let state = State {
             term: 1,
@@ -158,6 +174,54 @@
         self.state.lock().term
     }
 
+    /// The term in which a member acts as primary, if it does.
+    pub fn term_led_by(&self, member: usize) -> Option<u64> {
+        let mut state = self.state.lock();
+        self.end_old_lead(&mut state, member);
+        term_led_by(&state, member)
+    }
+
+    /// The newest term that a member knows of.
+    pub fn term_known_to(&self, member: usize) -> u64 {
+        self.term_led_by(member).unwrap_or_else(|| self.term())
+    }
+
+    /// Has a member that leads a term below `term` lead no more.
+    pub fn step_down(&self, member: usize, term: u64) {
+        {
+            let mut state = self.state.lock();
+            if term_led_by(&state, member).is_none_or(|led| led >= term) {
+                return;
+            }
+            if state.leader == Some(member) {
+                state.leader = None;
+            }
+            become_replica(&mut state, member);
+            replicate(&mut state);
+        }
+        self.notify();
+    }
+
+    /// A primary that was replaced ends its lead once it has reached its successor for long enough.
+    fn end_old_lead(&self, state: &mut State, member: usize) {
+        let (Some(_), Some(goes_on)) = (state.members[member].goes_on_in, self.options.goes_on)
+        else {
+            return;
+        };
+        let leader = state.leader.map(|leader| &state.members[leader]);
+        let reaches =
+            leader.is_some_and(|leader| leader.alive && !leader.cut) && !state.members[member].cut;
+        let old = &mut state.members[member];
+        old.reaches_since = match reaches {
+            true => old.reaches_since.or_else(|| Some(Instant::now())),
+            false => None,
+        };
+        if old.reaches_since.is_some_and(|since| since.elapsed() >= goes_on) {
+            become_replica(state, member);
+            replicate(state);
+        }
+    }
+
     /// Notices of changes.
     pub fn changes(&self) -> watch::Receiver<u64> {
         self.changed.subscribe()
@@ -192,7 +256,7 @@
     /// The last position that reads at a member see.
     pub fn applied(&self, member: usize) -> LogPosition {
         let state = self.state.lock();
-        let is_leader = state.leader == Some(member);
+        let is_leader = term_led_by(&state, member).is_some();
         let now = Instant::now();
         let lag = self.options.apply_lag;
         let is_applied = |record: &&Record| is_leader || now >= record.received + lag;
@@ -220,11 +284,12 @@
         let mut changes = self.changes();
         let position = {
             let mut state = self.state.lock();
-            if state.leader != Some(member) {
+            self.end_old_lead(&mut state, member);
+            let Some(term) = term_led_by(&state, member) else {
                 return Committed::NotLeading;
-            }
+            };
             let index = state.members[member].log.last().map_or(0, |last| last.position.index) + 1;
-            let position = LogPosition::new(state.term, index);
+            let position = LogPosition::new(term, index);
             let record = Record { position, writes, received: Instant::now() };
             state.members[member].log.push(record);
             replicate(&mut state);
@@ -235,7 +300,8 @@
             if let Some(outcome) = self.outcome(member, position) {
                 return outcome;
             }
-            if changes.changed().await.is_err() {
+            // A primary that was replaced also ends by itself.
+            if let Ok(Err(_)) = time::timeout(LOOK_AGAIN, changes.changed()).await {
                 return Committed::NotLeading;
             }
         }
@@ -243,8 +309,9 @@
 
     fn outcome(&self, member: usize, position: LogPosition) -> Option<Committed> {
         let mut state = self.state.lock();
+        self.end_old_lead(&mut state, member);
         let holds = |log: &[Record]| log.iter().any(|record| record.position == position);
-        if state.leader != Some(member) {
+        if term_led_by(&state, member).is_none() {
             // A promise that nothing is kept must be true: what the new primary had received stays.
             let leader = state.leader.map(|leader| &state.members[leader].log);
             let record = leader.and_then(|log| log.iter().find(|kept| kept.position == position));
@@ -274,15 +341,20 @@
             if state.leader == Some(member) || !state.members[member].alive {
                 return;
             }
+            let (old, old_term) = (state.leader, state.term);
             state.term += 1;
             state.leader = Some(member);
             state.members[member].paused_term = 0;
+            state.members[member].goes_on_in = None;
             let log = state.members[member].log.clone();
-            for other in &mut state.members {
-                let common =
-                    other.log.iter().zip(&log).take_while(|(a, b)| a.position == b.position);
-                let common = common.count();
-                other.log.truncate(common);
+            for (index, other) in state.members.iter_mut().enumerate() {
+                if Some(index) == old && other.alive && self.options.goes_on.is_some() {
+                    other.goes_on_in = Some(old_term);
+                    other.reaches_since = None;
+                }
+                if other.goes_on_in.is_none() {
+                    truncate_to_common(other, &log);
+                }
             }
             let lost = state
                 .acknowledged
@@ -310,6 +382,29 @@
     }
 }
 
+/// The term in which a member acts as primary, if it does.
+fn term_led_by(state: &State, member: usize) -> Option<u64> {
+    match state.leader == Some(member) {
+        true => Some(state.term),
+        false => state.members[member].goes_on_in,
+    }
+}
+
+/// A member leads no longer. What its successor lacks of its log is gone.
+fn become_replica(state: &mut State, member: usize) {
+    state.members[member].goes_on_in = None;
+    if let Some(leader) = state.leader {
+        let log = state.members[leader].log.clone();
+        truncate_to_common(&mut state.members[member], &log);
+    }
+}
+
+fn truncate_to_common(member: &mut MemberState, log: &[Record]) {
+    let common = member.log.iter().zip(log).take_while(|(a, b)| a.position == b.position);
+    let common = common.count();
+    member.log.truncate(common);
+}
+
 /// Copies the primary's log to all who receive.
 fn replicate(state: &mut State) {
     let Some(leader) = state.leader else { return };
@@ -319,7 +414,8 @@
     }
     let log = sender.log.clone();
     for (index, member) in state.members.iter_mut().enumerate() {
-        if index == leader || !member.alive || member.cut || member.paused_term > 0 {
+        let is_away = !member.alive || member.cut || member.paused_term > 0;
+        if index == leader || is_away || member.goes_on_in.is_some() {
             continue;
         }
         for record in log.iter().skip(member.log.len()) {
--- a/crates/standin/src/typed/platform.rs
+++ b/crates/standin/src/typed/platform.rs
@@ -3,6 +3,7 @@
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -45,6 +46,8 @@
     Busy,
     /// It does what is asked and loses the answers to writes.
     LosesAnswers,
+    /// It serves, but names primaries after this many milliseconds and does not answer such calls.
+    PromotesLate(u64),
 }
 
 /// The platform.
@@ -56,13 +59,63 @@
     groups: Mutex<Vec<Arc<Group>>>,
     /// The highest token of each service.
     tokens: Mutex<FastMap<String, u64>>,
+    /// Whether calls with a lower token than the highest are carried out all the same.
+    ignores_tokens: AtomicBool,
+    /// Whether targets can't change their entries.
+    keeps_entries: AtomicBool,
+    /// The calls that named a primary, in the order in which they came.
+    named: Mutex<Vec<Named>>,
     /// How many promotions were accepted.
     pub promotions: AtomicU64,
     /// How many calls came.
     pub calls: AtomicU64,
 }
 
+/// A call that named a primary.
+#[derive(Clone, PartialEq, Eq, Debug)]
+pub struct Named {
+    /// The service.
+    pub service: String,
+    /// The target.
+    pub target: String,
+    /// The VM that called.
+    pub holder: String,
+    /// Its token.
+    pub token: u64,
+}
+
 impl Platform {
+    /// A group by its service.
+    fn group(&self, service: &str) -> Option<Arc<Group>> {
+        let groups = self.groups.lock();
+        groups.iter().find(|group| *group.options.service == *service).cloned()
+    }
+
+    /// Has the platform carry out calls with a lower token than the highest.
+    pub fn ignore_tokens(&self) {
+        self.ignores_tokens.store(true, Ordering::Relaxed);
+    }
+
+    /// Has the entries of targets stay as they are: none of them reaches the platform.
+    pub fn keep_entries(&self) {
+        self.keeps_entries.store(true, Ordering::Relaxed);
+    }
+
+    /// Whether targets can't change their entries.
+    pub fn keeps_entries(&self) -> bool {
+        self.keeps_entries.load(Ordering::Relaxed)
+    }
+
+    /// Whether it refuses calls with a lower token than the highest.
+    pub fn checks_tokens(&self) -> bool {
+        !self.ignores_tokens.load(Ordering::Relaxed)
+    }
+
+    /// The calls that named a primary, in the order in which they came.
+    pub fn named(&self) -> Vec<Named> {
+        self.named.lock().clone()
+    }
+
     /// Starts the platform on a free port of loopback.
     pub async fn start(self: &Arc<Self>) -> io::Result<SocketAddr> {
         let listener = TcpListener::bind("127.0.0.1:0").await?;
@@ -102,7 +155,7 @@
             next.run(request).await;
             std::future::pending().await
         }
-        Mood::Serving | Mood::LosesAnswers => next.run(request).await,
+        Mood::Serving | Mood::LosesAnswers | Mood::PromotesLate(_) => next.run(request).await,
     }
 }
 
@@ -195,22 +248,34 @@
     {
         let mut tokens = platform.tokens.lock();
         let highest = tokens.entry(body.service.clone()).or_default();
-        if token < *highest {
+        if token < *highest && platform.checks_tokens() {
             return StatusCode::CONFLICT.into_response();
         }
-        *highest = token;
+        *highest = token.max(*highest);
     }
-    let groups = platform.groups.lock();
-    let group = groups.iter().find(|group| *group.options.service == *body.service);
-    let Some(group) = group.map(Arc::clone) else { return StatusCode::NOT_FOUND.into_response() };
+    let holder = headers.get(promote::HOLDER).and_then(|holder| holder.to_str().ok());
+    let holder = holder.unwrap_or_default().to_owned();
+    let (service, target) = (body.service.clone(), body.id.clone());
+    platform.named.lock().push(Named { service, target, holder, token });
+    let Some(group) = platform.group(&body.service) else {
+        return StatusCode::NOT_FOUND.into_response();
+    };
     let member = group.options.members.iter().position(|(id, _)| **id == *body.id);
     let Some(member) = member.filter(|member| group.member(*member).alive) else {
         return StatusCode::CONFLICT.into_response();
     };
     platform.promotions.fetch_add(1, Ordering::Relaxed);
+    let late = match *platform.mood.lock() {
+        Mood::PromotesLate(late_ms) => Some(Duration::from_millis(late_ms)),
+        _ => None,
+    };
+    let takes = group.options.promote_takes + late.unwrap_or_default();
     tokio::spawn(async move {
-        time::sleep(group.options.promote_takes).await;
+        time::sleep(takes).await;
         group.promote(member);
     });
-    StatusCode::OK.into_response()
+    match late {
+        Some(_) => std::future::pending().await,
+        None => StatusCode::OK.into_response(),
+    }
 }
