Ask members beside each other, and learn a primary's term on a connection at hand

Cause: after a loss of power all processes open connections at once, and each question for a word waited for a connection of its own, one member after the other. A question that only found no connection free counted as unanswered, and all requests of the next 250 ms were refused as lead_unproved without any question. For 2.5 s after each start all members were asked. Change: members are asked beside each other, the others after 15 ms; the term is asked for over the connection that the request has taken; requests are refused without a question only while no other member can be reached; a list that was just read counts as complete unless the store was seen away.

--- a/crates/proxy/src/sessions/process/control.rs
+++ b/crates/proxy/src/sessions/process/control.rs
@@ -76,7 +76,7 @@
         let knows_targets = !gateway.view().services.is_empty() && gateway.knows_vms();
         gateway.serves.store(knows_targets, Ordering::Relaxed);
         watcher.drop_lapsed();
-        gateway.list_is_complete.store(watcher.list_is_settled(), Ordering::Relaxed);
+        gateway.list_is_complete.store(watcher.list_is_complete(), Ordering::Relaxed);
         watcher.tell_state();
         takeovers.look();
         isolation.look();
--- a/crates/proxy/src/sessions/process/watch.rs
+++ b/crates/proxy/src/sessions/process/watch.rs
@@ -94,6 +94,17 @@
         self.is_settled(&self.known.lock())
     }
 
+    /// Whether no target can run that is not listed. Unlike [`Watcher::list_is_settled`] this does not wait
+    /// after a start: a list that was just read lacks a target only if the store was away just before.
+    pub fn list_is_complete(&self) -> bool {
+        let known = self.known.lock();
+        let never_away = known.store_back_us == 0 && known.targets_revision > 0;
+        match *self.fed.borrow() {
+            true => known.told_settled,
+            false => !known.is_failing && (never_away || self.is_settled(&known)),
+        }
+    }
+
     pub(super) fn is_settled(&self, known: &Known) -> bool {
         if *self.fed.borrow() {
             return known.told_settled;
--- a/crates/proxy/src/sessions/request/at_primary.rs
+++ b/crates/proxy/src/sessions/request/at_primary.rs
@@ -200,6 +200,14 @@
         let until_us = read::patience_until_us(call);
         let sent_us = call.now_us();
         let link = lease.connection();
+        if ground == Ground::Lead
+            && prove::learn_term(call.gateway, &target, link, call.arrived_us).await.is_err()
+        {
+            target.failed(call.now_us());
+            call.gateway.counters.retry(RetryReason::ConnectFailed);
+            pause(call).await?;
+            continue;
+        }
         let owed = link.push_session(&session.values, work.prepared());
         link.push_statement(None, at_least, Statement::Begin { read_only: false });
         target.started(sent_us);
--- a/crates/proxy/src/sessions/request/prove.rs
+++ b/crates/proxy/src/sessions/request/prove.rs
@@ -6,6 +6,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use futures_util::StreamExt;
+use futures_util::stream::FuturesUnordered;
 use skylark_core::request::lead_proof::LeadVerdict;
 use skylark_core::request::lead_proof::Word;
 use skylark_core::request::retry::Failure;
@@ -14,7 +16,9 @@
 use crate::process::counters::Event;
 use crate::sessions::codec::Codec;
 use crate::sessions::codec::Query;
+use crate::sessions::connection::link::StatementLink;
 use crate::sessions::connection::reply::End;
+use crate::sessions::connection::reply::Lost;
 use crate::sessions::connection::reply::Reply;
 use crate::sessions::process::gateway::Gateway;
 use crate::sessions::process::limits;
@@ -24,6 +28,9 @@
 /// The pause after questions that nobody answered.
 const ASK_AGAIN: Duration = Duration::from_millis(10);
 
+/// How long the first members asked may take before the others are asked as well. They answer in 2 ms.
+const ASK_OTHERS: Duration = Duration::from_millis(15);
+
 /// Why a lead was not proved.
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
 pub enum Unproved {
@@ -88,7 +95,9 @@
             Some(_asking) => {
                 let is_answered = ask(gateway, target, verdict, moment_us, until_us).await?;
                 if !is_answered {
-                    state.set_asked_in_vain(gateway.clock.now_us());
+                    if nobody_is_reached(gateway, target) {
+                        state.set_asked_in_vain(gateway.clock.now_us());
+                    }
                     time::sleep(ASK_AGAIN).await;
                 }
             }
@@ -125,24 +134,78 @@
         }
         LeadVerdict::Proved | LeadVerdict::Superseded { .. } => return Ok(true),
     };
-    let mut is_answered = false;
     let state = gateway.service(&target.record.service);
-    for member in witnesses(gateway, target) {
-        if missing == 0 {
-            break;
-        }
+    let has_said = |member: &Arc<TargetState<C>>| {
         let asked_us = state.words.lock().asked_us(&member.record.id);
-        if asked_us.is_some_and(|asked_us| asked_us >= moment_us) {
-            continue;
-        }
-        if word_of(gateway, &member, until_us).await.is_some() {
-            missing -= 1;
-            is_answered = true;
+        asked_us.is_some_and(|asked_us| asked_us >= moment_us)
+    };
+    let mut others = witnesses(gateway, target).into_iter().filter(|member| !has_said(member));
+    let ask = async |member: Arc<TargetState<C>>| word_of(gateway, &member, until_us).await;
+    let mut asked: FuturesUnordered<_> = others.by_ref().take(missing).map(ask).collect();
+    let mut is_answered = false;
+    while missing > 0 && !asked.is_empty() {
+        match time::timeout(ASK_OTHERS, asked.next()).await {
+            Ok(Some(word)) if word.is_some() => {
+                missing -= 1;
+                is_answered = true;
+            }
+            // It can't be asked, or takes long: whoever else there is may be faster.
+            Ok(_) | Err(_) => asked.extend(others.by_ref().map(ask)),
         }
     }
     Ok(is_answered)
 }
 
+/// Whether no other member can be reached: one that only has no connection free may answer next time.
+fn nobody_is_reached<C>(gateway: &Gateway<C>, target: &TargetState<C>) -> bool
+where
+    C: Codec,
+{
+    let members = gateway.members(&target.record.service).into_iter();
+    let mut others = members.filter(|member| member.record.id != target.record.id);
+    others.all(|member| member.pool().is_failing() || member.health().failed_since_us.is_some())
+}
+
+/// Asks a target over a connection that a request has taken anyway which term it leads, if that is not
+/// known: after a start all connections are taken, and a question of its own would wait for one.
+pub async fn learn_term<C>(
+    gateway: &Gateway<C>,
+    target: &TargetState<C>,
+    link: &mut StatementLink<C>,
+    moment_us: u64,
+) -> Result<(), Lost>
+where
+    C: Codec,
+{
+    if gateway.lead_verdict(target, moment_us) != LeadVerdict::TermUnknown {
+        return Ok(());
+    }
+    gateway.counters.event(Event::WordsAsked);
+    let asked_us = gateway.clock.now_us();
+    let until = gateway.clock.instant_at(asked_us + limits::WORD_US);
+    let reply = link.ask(&Query::Standing, until).await?;
+    heard(gateway, target, asked_us, &reply);
+    Ok(())
+}
+
+/// Takes in what a member said of itself.
+fn heard<C>(
+    gateway: &Gateway<C>,
+    member: &TargetState<C>,
+    asked_us: u64,
+    reply: &Reply,
+) -> Option<Word>
+where
+    C: Codec,
+{
+    let End::Complete { .. } = reply.end else { return None };
+    let status = C::decode_status(&reply.first_row).ok()?;
+    let word =
+        Word { asked_us, leads: status.is_primary, term: status.term, received: status.received };
+    gateway.service(&member.record.service).heard(&member.record.id, word);
+    Some(word)
+}
+
 /// The other members, those first that are expected to answer first.
 fn witnesses<C>(gateway: &Gateway<C>, target: &TargetState<C>) -> Vec<Arc<TargetState<C>>>
 where
@@ -168,12 +231,7 @@
 {
     let asked_us = gateway.clock.now_us();
     let reply = standing_of(gateway, member, until_us).await.ok()?;
-    let End::Complete { .. } = reply.end else { return None };
-    let status = C::decode_status(&reply.first_row).ok()?;
-    let word =
-        Word { asked_us, leads: status.is_primary, term: status.term, received: status.received };
-    gateway.service(&member.record.service).heard(&member.record.id, word);
-    Some(word)
+    heard(gateway, member, asked_us, &reply)
 }
 
 /// Asks a member for its standing, past the queue: it takes no slot.
--- a/crates/proxy/src/sessions/request/sample.rs
+++ b/crates/proxy/src/sessions/request/sample.rs
@@ -56,6 +56,10 @@
     let sent_us = gateway.clock.now_us();
     let until = gateway.clock.instant_at(sent_us + LIMIT_US);
     let link = lease.connection();
+    if prove::learn_term(gateway, target, link, sent_us).await.is_err() {
+        target.failed(gateway.clock.now_us());
+        return None;
+    }
     link.push_own(Statement::Begin { read_only: false });
     // Whether it was opened or refused, it is over.
     link.push_own(Statement::Rollback);
