--- a/crates/proxy/src/sessions/process/takeover.rs
+++ b/crates/proxy/src/sessions/process/takeover.rs
@@ -11,7 +11,6 @@
 use skylark_core::FastSet;
 use skylark_core::log_position::LogPosition;
 use skylark_core::process::takeover;
-use skylark_core::process::takeover::ReplicaView;
 use skylark_core::process::takeover::TakeoverStep;
 use skylark_core::process::takeover_claim::Claim;
 use skylark_core::process::takeover_claim::HeldClaim;
@@ -25,6 +24,7 @@
 use crate::sessions::process::gateway::Gateway;
 use crate::sessions::process::need::Need;
 use crate::sessions::process::need::Needs;
+use crate::sessions::process::replicas;
 use crate::sessions::process::step_down;
 use crate::sessions::process::target_calls;
 use crate::sessions::process::target_calls::Said;
@@ -49,10 +49,6 @@
 /// How long a promoted target may take until it leads, in microseconds: 300 to 600 ms are usual.
 const EFFECT_LIMIT_US: u64 = 2_000_000;
 
-/// The time that a target which left the list has to say that it is back. One that lives answers in
-/// some 20 ms, and one that is gone must not hold a takeover up for long.
-const BACK_LIMIT: Duration = Duration::from_millis(150);
-
 /// How a takeover ended.
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
 enum Outcome {
@@ -264,10 +260,10 @@
             replicas.extend(departed);
             if std::mem::take(&mut drive.asks_departed) {
                 let gone = self.watcher.dispensable(&service, last_led.as_ref());
-                drive.back.extend(self.that_answer(gone).await);
+                drive.back.extend(replicas::that_answer::<C>(&self.gateway.vm, gone).await);
             }
-            replicas.extend(unlisted(&drive.back, &replicas));
-            let (views, term) = self.ask_all(&replicas).await;
+            replicas.extend(replicas::unlisted(&drive.back, &replicas));
+            let (views, term) = replicas::ask_all::<C>(&self.gateway.vm, &replicas).await;
             let answers = primary.as_ref().is_some_and(|primary| {
                 let target = self.gateway.target(&primary.id);
                 target.is_some_and(|target| target.health().failed_since_us.is_none())
@@ -354,50 +350,6 @@
         records.filter(|record| Some(&record.id) != primary).cloned().collect()
     }
 
-    /// Those of these targets that answer.
-    async fn that_answer(&self, targets: Vec<Arc<TargetRecord>>) -> Vec<Arc<TargetRecord>> {
-        let mut asked = Vec::new();
-        for target in targets {
-            let vm = Arc::clone(&self.gateway.vm);
-            asked.push(tokio::spawn(async move {
-                let query = Query::Standing;
-                let said = target_calls::ask_within::<C>(&target, &vm, &query, BACK_LIMIT).await;
-                matches!(said, Said::Status(_)).then_some(target)
-            }));
-        }
-        let mut back = Vec::new();
-        for asked in asked {
-            // A question that was broken off by the runtime's end counts as unanswered.
-            back.extend(asked.await.ok().flatten());
-        }
-        back
-    }
-
-    /// Asks replicas how far they are; also tells the highest term that they know of.
-    async fn ask_all(&self, replicas: &[Arc<TargetRecord>]) -> (Vec<ReplicaView>, u64) {
-        let mut asked = Vec::new();
-        for replica in replicas {
-            let (record, vm) = (Arc::clone(replica), Arc::clone(&self.gateway.vm));
-            asked.push(tokio::spawn(async move {
-                target_calls::ask::<C>(&record, &vm, &Query::Status).await
-            }));
-        }
-        let mut views = Vec::new();
-        let mut term = 0;
-        for (replica, asked) in replicas.iter().zip(asked) {
-            let mut seen = ReplicaView { leaving: replica.leaving, ..ReplicaView::default() };
-            // A question that was broken off by the runtime's end counts as unanswered.
-            if let Ok(Said::Status(status)) = asked.await {
-                seen.reachable = true;
-                seen.received = status.received;
-                seen.paused = status.paused_term > 0;
-                term = term.max(status.term).max(status.paused_term);
-            }
-            views.push(seen);
-        }
-        (views, term)
-    }
-
     /// Has a target lead. Returns how the takeover ended; none if it goes on.
     async fn promote(&self, drive: &mut Drive, target: &TargetRecord) -> Option<Outcome> {
         let checks_tokens = self.promoter.checks_tokens();
@@ -474,7 +426,7 @@
     /// somebody saw a need to replace it as well.
     async fn resume_left_behind(&self, service: &Arc<str>) -> bool {
         let replicas = self.listed_replicas(service, self.last_led(service).as_ref());
-        let (views, _) = self.ask_all(&replicas).await;
+        let (views, _) = replicas::ask_all::<C>(&self.gateway.vm, &replicas).await;
         if !views.iter().any(|view| view.paused) {
             return false;
         }
@@ -489,22 +441,8 @@
 
     /// Lets all paused replicas receive again.
     async fn resume_all(&self, service: &Arc<str>, back: &[Arc<TargetRecord>]) {
-        let mut replicas = self.listed_replicas(service, None);
-        replicas.extend(unlisted(back, &replicas));
-        let (views, term) = self.ask_all(&replicas).await;
-        for (replica, view) in replicas.iter().zip(&views) {
-            if view.paused {
-                let query = Query::Resume { term };
-                let said = target_calls::ask::<C>(replica, &self.gateway.vm, &query).await;
-                slog::info!(self.gateway.log, "resumed a replica";
-                    "target" => &*replica.id, "said" => ?said);
-            }
-        }
+        let mut paused = self.listed_replicas(service, None);
+        paused.extend(replicas::unlisted(back, &paused));
+        replicas::resume::<C>(&self.gateway.log, &self.gateway.vm, &paused).await;
     }
 }
-
-/// Those of the targets that are back which are not listed.
-fn unlisted(back: &[Arc<TargetRecord>], listed: &[Arc<TargetRecord>]) -> Vec<Arc<TargetRecord>> {
-    let is_listed = |target: &&Arc<TargetRecord>| listed.iter().any(|known| known.id == target.id);
-    back.iter().filter(|target| !is_listed(target)).cloned().collect()
-}
--- a/crates/proxy/src/sessions/request/prove.rs
+++ b/crates/proxy/src/sessions/request/prove.rs
@@ -22,7 +22,6 @@
 use crate::sessions::connection::reply::Reply;
 use crate::sessions::process::gateway::Gateway;
 use crate::sessions::process::limits;
-use crate::sessions::process::services::ServiceState;
 use crate::sessions::process::targets::TargetState;
 
 /// The pause after questions that nobody answered.
@@ -51,8 +50,7 @@
 where
     C: Codec,
 {
-    let state = gateway.service(&target.record.service);
-    let result = settle(gateway, &state, target, moment_us, until_us).await;
+    let result = settle(gateway, target, moment_us, until_us).await;
     match result {
         Ok(()) => gateway.counters.event(Event::LeadsProved),
         Err(Unproved::NoWord) => gateway.counters.event(Event::LeadsUnproved),
@@ -63,7 +61,6 @@
 
 async fn settle<C>(
     gateway: &Gateway<C>,
-    state: &ServiceState,
     target: &TargetState<C>,
     moment_us: u64,
     until_us: u64,
@@ -71,6 +68,7 @@
 where
     C: Codec,
 {
+    let state = gateway.service(&target.record.service);
     let came_us = gateway.clock.now_us();
     loop {
         let heard = state.words_heard();
