One piece for what the proof of the lead wrote twice

Only what is settled is told. - Sampling, asking and telling each had a flag, a guard and a notice of their own: process/single_flight.rs. Waiting for a sample counts from the call on now, not from its first poll, so an end in between is not missed. - Replicas are asked by join_all instead of two loops that spawn and join. - Call::next_offer_until_us stood in four places, the proof for a call in two; a wait for the new primary had its own copy of `leads`. - is_complete builds on is_settled, may_promote on past_is_known. Members are counted by borrowed ids: no copy of each for each strict read. - A paragraph on why the last driver goes first was lost from takeover_claim.rs, and is back.

--- a/crates/core/src/process/departures.rs
+++ b/crates/core/src/process/departures.rs
@@ -114,9 +114,9 @@
 
     /// Whether enough is known to promote anything.
     pub fn may_promote(&self, now_us: u64) -> bool {
-        self.before_start.as_ref().is_none_or(|before_start| {
-            before_start.floor.is_some() || now_us >= before_start.left_us + UNKNOWN_START_US
-        })
+        let waited_long =
+            |before_start: &Departed<()>| now_us >= before_start.left_us + UNKNOWN_START_US;
+        self.past_is_known() || self.before_start.as_ref().is_some_and(waited_long)
     }
 
     /// Whether it is known what a successor needs to do without those that left before the start.
--- a/crates/core/src/process/takeover_claim.rs
+++ b/crates/core/src/process/takeover_claim.rs
@@ -12,6 +12,9 @@
 //! a successor waits for [`DRIVER_SILENCE_US`] since it saw that write. The holder's clock counts
 //! suspension, so one that froze finds its lease over when it wakes.
 //!
+//! The last driver goes first the next time, and others only step in when it does nothing: a driver
+//! that changes with every failure would let two of them act shortly after each other.
+//!
 //! A promote without an answer may be carried out seconds later. Where tokens are checked, a call with a
 //! higher one settles it. Where they are not, nothing calls it back: until it can have no effect any
 //! more, only the same target may be promoted, for which a late call changes nothing. So the target is
--- a/crates/core/src/request/lead_proof.rs
+++ b/crates/core/src/request/lead_proof.rs
@@ -37,7 +37,7 @@
 #[derive(Clone, Copy, Debug)]
 pub struct GroupView<'a> {
     /// The ids of the listed members but the target.
-    pub others: &'a [Arc<str>],
+    pub others: &'a [&'a str],
     /// How many members left that may have acknowledged something nobody else holds.
     pub departed: usize,
     /// How many replicas receive a commit before it is acknowledged.
@@ -119,7 +119,7 @@
             return LeadVerdict::Proved;
         }
         let needed = group.words_needed();
-        let heard = group.others.iter().filter_map(|other| self.words.get(other).copied());
+        let heard = group.others.iter().filter_map(|other| self.words.get(*other).copied());
         let heard: Vec<Word> = heard.collect();
         let Some(own) = self.words.get(target).copied().filter(|own| own.leads) else {
             return LeadVerdict::TermUnknown;
--- a/crates/core/tests/lead_proof.rs
+++ b/crates/core/tests/lead_proof.rs
@@ -36,11 +36,7 @@
     words
 }
 
-fn others(names: &[&str]) -> Vec<Arc<str>> {
-    names.iter().map(|name| id(name)).collect()
-}
-
-fn group(others: &[Arc<str>]) -> GroupView<'_> {
+fn group<'a>(others: &'a [&'a str]) -> GroupView<'a> {
     GroupView { others, departed: 0, sync_replicas: 1, is_complete: true, floor: at(5) }
 }
 
@@ -48,7 +44,7 @@
     one_word_of_three_members_is_enough {
         let mut words = words();
         words.heard(&id("b"), word(MOMENT_US, 1));
-        let others = others(&["b", "c"]);
+        let others = ["b", "c"];
         assert_eq!(words.verdict(&id("old"), MOMENT_US, &group(&others)), LeadVerdict::Proved);
     }
 
@@ -57,7 +53,7 @@
     a_word_from_before_the_moment_does_not_count {
         let mut words = words();
         words.heard(&id("b"), word(MOMENT_US - 1, 1));
-        let others = others(&["b", "c"]);
+        let others = ["b", "c"];
         assert_eq!(words.verdict(&id("old"), MOMENT_US, &group(&others)), LeadVerdict::Missing(1));
     }
 
@@ -65,7 +61,7 @@
     a_member_that_lost_its_log_does_not_count {
         let mut words = words();
         words.heard(&id("b"), Word { received: at(0), ..word(MOMENT_US, 1) });
-        let others = others(&["b", "c"]);
+        let others = ["b", "c"];
         assert_eq!(words.verdict(&id("old"), MOMENT_US, &group(&others)), LeadVerdict::Missing(1));
     }
 
@@ -74,7 +70,7 @@
     a_fourth_member_takes_another_word {
         let mut words = words();
         words.heard(&id("b"), word(MOMENT_US, 1));
-        let others = others(&["b", "c", "d"]);
+        let others = ["b", "c", "d"];
         assert_eq!(words.verdict(&id("old"), MOMENT_US, &group(&others)), LeadVerdict::Missing(1));
         words.heard(&id("d"), word(MOMENT_US, 1));
         assert_eq!(words.verdict(&id("old"), MOMENT_US, &group(&others)), LeadVerdict::Proved);
@@ -84,7 +80,7 @@
     a_member_that_left_takes_another_word {
         let mut words = words();
         words.heard(&id("b"), word(MOMENT_US, 1));
-        let others = others(&["b", "c"]);
+        let others = ["b", "c"];
         let view = GroupView { departed: 1, ..group(&others) };
         assert_eq!(words.verdict(&id("old"), MOMENT_US, &view), LeadVerdict::Missing(1));
     }
@@ -94,7 +90,7 @@
     a_list_that_may_lack_a_member_takes_all_words {
         let mut words = words();
         words.heard(&id("b"), word(MOMENT_US, 1));
-        let others = others(&["b", "c"]);
+        let others = ["b", "c"];
         let view = GroupView { is_complete: false, ..group(&others) };
         assert_eq!(words.verdict(&id("old"), MOMENT_US, &view), LeadVerdict::Missing(1));
         words.heard(&id("c"), word(MOMENT_US, 1));
@@ -106,7 +102,7 @@
         words.heard(&id("b"), word(MOMENT_US, 1));
         words.heard(&id("c"), word(500, 2));
         words.heard(&id("old"), Word { leads: true, ..word(600, 1) });
-        let others = others(&["b", "c"]);
+        let others = ["b", "c"];
         let verdict = words.verdict(&id("old"), MOMENT_US, &group(&others));
         assert_eq!(verdict, LeadVerdict::Superseded { term: 2 });
     }
@@ -115,7 +111,7 @@
     a_target_is_asked_again_once_a_later_term_is_heard {
         let mut words = words();
         words.heard(&id("c"), word(500, 3));
-        let others = others(&["b", "c"]);
+        let others = ["b", "c"];
         let verdict = words.verdict(&id("old"), MOMENT_US, &group(&others));
         assert_eq!(verdict, LeadVerdict::TermUnknown);
         words.heard(&id("old"), Word { leads: true, ..word(600, 3) });
@@ -128,7 +124,7 @@
         let mut words = words();
         words.heard(&id("b"), word(MOMENT_US, 1));
         words.heard(&id("b"), word(MOMENT_US - 500, 1));
-        let others = others(&["b", "c"]);
+        let others = ["b", "c"];
         let moment_us = MOMENT_US - 400;
         assert_eq!(words.verdict(&id("old"), moment_us, &group(&others)), LeadVerdict::Proved);
         let verdict = words.verdict(&id("old"), MOMENT_US + 1, &group(&others));
@@ -138,7 +134,7 @@
     an_acknowledged_commit_proves_the_lead_until_it_was_sent {
         let mut words = words();
         words.acknowledged(&id("old"), MOMENT_US);
-        let others = others(&["b", "c"]);
+        let others = ["b", "c"];
         assert_eq!(words.verdict(&id("old"), MOMENT_US, &group(&others)), LeadVerdict::Proved);
         let verdict = words.verdict(&id("old"), MOMENT_US + 1, &group(&others));
         assert_eq!(verdict, LeadVerdict::Missing(1));
@@ -148,7 +144,7 @@
         let mut words = words();
         words.acknowledged(&id("old"), MOMENT_US);
         words.heard(&id("b"), Word { leads: true, ..word(0, 1) });
-        let others = others(&["old", "c"]);
+        let others = ["old", "c"];
         let verdict = words.verdict(&id("b"), MOMENT_US, &group(&others));
         assert_eq!(verdict, LeadVerdict::Missing(1));
     }
--- a/crates/proxy/src/sessions/connection/peer.rs
+++ b/crates/proxy/src/sessions/connection/peer.rs
@@ -233,7 +233,7 @@
         let now_us = gateway.clock.now_us();
         let newest = gateway.newest_position(service);
         let is_old = newest.is_none_or(|newest| now_us >= newest.taken_us + POSITION_AGE_US);
-        if is_old && let Some(_sampling) = gateway.service(service).begin_sampling() {
+        if is_old && let Some(_sampling) = gateway.service(service).sampling.begin() {
             // Whatever comes of it, the newest position is told.
             let _ = sample::sample(gateway, service).await;
         }
--- a/crates/proxy/src/sessions/process/lead.rs
+++ b/crates/proxy/src/sessions/process/lead.rs
@@ -45,7 +45,7 @@
         // Without a position nothing is known of what reads have to see: they go to the primary.
         if let Some(position) = position {
             state.positions.lock().saw(moment_us, position);
-            state.position_came();
+            state.sampling.notify();
         }
         if is_news {
             self.leads_now(target);
@@ -63,8 +63,8 @@
         let record = &target.record;
         let state = self.service(&record.service);
         let view = self.view.load();
-        let members = view.members(&record.service).iter().map(|member| &member.record.id);
-        let others: Vec<Arc<str>> = members.filter(|id| **id != record.id).cloned().collect();
+        let members = view.members(&record.service).iter().map(|member| &*member.record.id);
+        let others: Vec<&str> = members.filter(|id| *id != &*record.id).collect();
         // A process that just started knows of no member that left before, which may have acknowledged with
         // a successor. That one is listed as the primary then.
         let is_listed_primary = || {
@@ -92,7 +92,7 @@
         let record = &target.record;
         let state = self.service(&record.service);
         state.leader.lock().superseded(&record.id, self.clock.now_us());
-        let Some(telling) = target.begin_telling() else { return };
+        let Some(telling) = target.telling.begin() else { return };
         slog::warn!(self.log, "a target goes on that no longer leads";
             "service" => &*record.service, "target" => &*record.id, "later_term" => term);
         let (log, vm, record) = (self.log.clone(), Arc::clone(&self.vm), Arc::clone(record));
@@ -118,7 +118,7 @@
     ) -> Result<(), PositionError> {
         let state = self.service(service);
         state.positions.lock().told(asked_us, age_us, position)?;
-        state.position_came();
+        state.sampling.notify();
         Ok(())
     }
 
--- a/crates/proxy/src/sessions/process/mod.rs
+++ b/crates/proxy/src/sessions/process/mod.rs
@@ -17,6 +17,7 @@
 pub mod replicas;
 pub mod sampler;
 pub mod services;
+pub mod single_flight;
 pub mod step_down;
 pub mod stop;
 pub mod takeover;
--- a/crates/proxy/src/sessions/process/replicas.rs
+++ b/crates/proxy/src/sessions/process/replicas.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use futures_util::future;
 use skylark_core::process::takeover::ReplicaView;
 use skylark_core::version::routes::TargetRecord;
 
@@ -16,28 +17,15 @@
 const BACK_LIMIT: Duration = Duration::from_millis(150);
 
 /// Those of these targets that answer.
-pub async fn that_answer<C>(
-    vm: &Arc<str>,
-    targets: Vec<Arc<TargetRecord>>,
-) -> Vec<Arc<TargetRecord>>
+pub async fn that_answer<C>(vm: &Arc<str>, targets: &[Arc<TargetRecord>]) -> Vec<Arc<TargetRecord>>
 where
     C: Codec,
 {
-    let mut asked = Vec::new();
-    for target in targets {
-        let vm = Arc::clone(vm);
-        asked.push(tokio::spawn(async move {
-            let query = Query::Standing;
-            let said = target_calls::ask_within::<C>(&target, &vm, &query, BACK_LIMIT).await;
-            matches!(said, Said::Status(_)).then_some(target)
-        }));
-    }
-    let mut back = Vec::new();
-    for asked in asked {
-        // A question that was broken off by the runtime's end counts as unanswered.
-        back.extend(asked.await.ok().flatten());
-    }
-    back
+    let query = Query::Standing;
+    let ask = |target| target_calls::ask_within::<C>(target, vm, &query, BACK_LIMIT);
+    let said = future::join_all(targets.iter().map(|target| ask(target))).await;
+    let answered = targets.iter().zip(said).filter(|(_, said)| matches!(said, Said::Status(_)));
+    answered.map(|(target, _)| Arc::clone(target)).collect()
 }
 
 /// Asks replicas how far they are; also tells the highest term that they know of.
@@ -45,19 +33,13 @@
 where
     C: Codec,
 {
-    let mut asked = Vec::new();
-    for replica in replicas {
-        let (record, vm) = (Arc::clone(replica), Arc::clone(vm));
-        asked.push(tokio::spawn(async move {
-            target_calls::ask::<C>(&record, &vm, &Query::Status).await
-        }));
-    }
+    let ask = |replica| target_calls::ask::<C>(replica, vm, &Query::Status);
+    let said = future::join_all(replicas.iter().map(|replica| ask(replica))).await;
     let mut views = Vec::new();
     let mut term = 0;
-    for (replica, asked) in replicas.iter().zip(asked) {
+    for (replica, said) in replicas.iter().zip(said) {
         let mut seen = ReplicaView { leaving: replica.leaving, ..ReplicaView::default() };
-        // A question that was broken off by the runtime's end counts as unanswered.
-        if let Ok(Said::Status(status)) = asked.await {
+        if let Said::Status(status) = said {
             seen.reachable = true;
             seen.received = status.received;
             seen.paused = status.paused_term > 0;
--- a/crates/proxy/src/sessions/process/sampler.rs
+++ b/crates/proxy/src/sessions/process/sampler.rs
@@ -50,7 +50,7 @@
     C: Codec,
 {
     let state = gateway.service(&service);
-    let Some(_sampling) = state.begin_sampling() else { return };
+    let Some(_sampling) = state.sampling.begin() else { return };
     // Without a position the next read brings one, or is served by the primary.
     let _ = sample::sample(&gateway, &service).await;
 }
--- a/crates/proxy/src/sessions/process/services.rs
+++ b/crates/proxy/src/sessions/process/services.rs
@@ -10,11 +10,10 @@
 use skylark_core::request::lead_proof::LeadWords;
 use skylark_core::request::lead_proof::Word;
 use skylark_core::request::primary_positions::PrimaryPositions;
-use tokio::sync::Notify;
-use tokio::sync::futures::Notified;
 
 use crate::sessions::process::leader::LeaderBelief;
 use crate::sessions::process::limits;
+use crate::sessions::process::single_flight::SingleFlight;
 
 /// What the traffic showed of one service.
 #[derive(Debug, Default)]
@@ -29,54 +28,17 @@
     departed: AtomicUsize,
     /// Whether members may have left before this process heard of the service.
     past_is_known: AtomicBool,
-    /// Whether members are being asked for a proof.
-    asking: AtomicBool,
-    /// Tells those who wait for a proof that the questions ended.
-    asked: Notify,
+    /// Asking members for a proof.
+    pub asking: SingleFlight,
     /// When questions ended last that nobody answered; zero if they never did.
     asked_in_vain_us: AtomicU64,
     /// When a read last needed a position.
     read_us: AtomicU64,
-    /// Whether a read is under way that will bring a position.
-    sampling: AtomicBool,
-    /// Tells those who wait for a position that one came, or that the read for it ended.
-    sampled: Notify,
-}
-
-/// A read that will bring a position of the primary.
-#[derive(Debug)]
-pub struct Sampling<'a>(&'a ServiceState);
-
-impl Drop for Sampling<'_> {
-    fn drop(&mut self) {
-        self.0.sampling.store(false, Ordering::Relaxed);
-        self.0.sampled.notify_waiters();
-    }
-}
-
-/// A request that asks members for a proof.
-#[derive(Debug)]
-pub struct Asking<'a>(&'a ServiceState);
-
-impl Drop for Asking<'_> {
-    fn drop(&mut self) {
-        self.0.asking.store(false, Ordering::Relaxed);
-        self.0.asked.notify_waiters();
-    }
+    /// Bringing a position of the primary.
+    pub sampling: SingleFlight,
 }
 
 impl ServiceState {
-    /// Takes on to ask members for a proof, unless another request does so already.
-    pub fn begin_asking(&self) -> Option<Asking<'_>> {
-        let was_asking = self.asking.swap(true, Ordering::Relaxed);
-        (!was_asking).then(|| Asking(self))
-    }
-
-    /// Waits until the questions that are under way have ended.
-    pub fn words_heard(&self) -> Notified<'_> {
-        self.asked.notified()
-    }
-
     /// A member said how it stands.
     pub fn heard(&self, member: &Arc<str>, word: Word) {
         self.words.lock().heard(member, word);
@@ -110,12 +72,6 @@
         self.past_is_known.load(Ordering::Relaxed)
     }
 
-    /// Takes on to bring a position, unless another read does so already.
-    pub fn begin_sampling(&self) -> Option<Sampling<'_>> {
-        let was_sampling = self.sampling.swap(true, Ordering::Relaxed);
-        (!was_sampling).then(|| Sampling(self))
-    }
-
     /// A read needs a position.
     pub fn needs_position(&self, now_us: u64) {
         self.read_us.store(now_us, Ordering::Relaxed);
@@ -125,14 +81,4 @@
     pub fn read_us(&self) -> u64 {
         self.read_us.load(Ordering::Relaxed)
     }
-
-    /// A position came.
-    pub fn position_came(&self) {
-        self.sampled.notify_waiters();
-    }
-
-    /// Waits until a read that brings a position has ended.
-    pub async fn sampled(&self) {
-        self.sampled.notified().await;
-    }
 }
--- a/crates/proxy/src/sessions/process/step_down.rs
+++ b/crates/proxy/src/sessions/process/step_down.rs
@@ -21,8 +21,8 @@
 /// The pause between two tries.
 const PAUSE: Duration = Duration::from_millis(300);
 
-/// Tells a target that another leads under `term`. Returns whether it is a replica now.
-pub async fn tell<C>(log: &slog::Logger, record: &TargetRecord, vm: &Arc<str>, term: u64) -> bool
+/// Tells a target that another leads under `term`.
+pub async fn tell<C>(log: &slog::Logger, record: &TargetRecord, vm: &Arc<str>, term: u64)
 where
     C: Codec,
 {
@@ -31,12 +31,11 @@
             Said::Status(status) => {
                 slog::warn!(log, "told a target that it no longer leads";
                     "target" => &*record.id, "term" => term, "leads" => status.is_primary);
-                return !status.is_primary;
+                return;
             }
             Said::Refused | Said::Nothing => time::sleep(PAUSE).await,
         }
     }
     slog::info!(log, "a target that no longer leads does not answer";
         "target" => &*record.id, "term" => term);
-    false
 }
--- a/crates/proxy/src/sessions/process/takeover.rs
+++ b/crates/proxy/src/sessions/process/takeover.rs
@@ -174,14 +174,14 @@
         }
         let is_needed = || self.needs.of(service).is_some();
         let Some(claim) = self.claims.take(service, began_us, is_needed).await else { return };
-        let (old, handed_over) = (self.old_primary(service), handed_over.unwrap_or_default());
+        let old = self.needs.present_primary(service).map(|member| member.record);
         let (service, token) = (Arc::clone(service), claim.claim.token);
         let mut drive = Drive {
             service,
             need,
             began_us,
             old,
-            handed_over,
+            handed_over: handed_over.unwrap_or_default(),
             claim,
             stepped_down: false,
             asks_departed: true,
@@ -207,11 +207,6 @@
             "settled" => settled);
     }
 
-    /// The target that led until now.
-    fn old_primary(&self, service: &Arc<str>) -> Option<Arc<TargetRecord>> {
-        self.needs.present_primary(service).map(|member| member.record)
-    }
-
     /// Tells a primary that was replaced to step down. Where it can't be reached, whoever meets it goes on
     /// telling it.
     async fn tell_old_primary(&self, service: &Arc<str>, old: Option<Arc<TargetRecord>>) {
@@ -260,7 +255,7 @@
             replicas.extend(departed);
             if std::mem::take(&mut drive.asks_departed) {
                 let gone = self.watcher.dispensable(&service, last_led.as_ref());
-                drive.back.extend(replicas::that_answer::<C>(&self.gateway.vm, gone).await);
+                drive.back.extend(replicas::that_answer::<C>(&self.gateway.vm, &gone).await);
             }
             replicas.extend(replicas::unlisted(&drive.back, &replicas));
             let (views, term) = replicas::ask_all::<C>(&self.gateway.vm, &replicas).await;
@@ -409,14 +404,9 @@
     }
 
     /// Waits until the promoted target leads.
-    async fn await_effect(&self, service: &Arc<str>, target: &Arc<str>) {
+    async fn await_effect(&self, service: &Arc<str>, target: &str) {
         let until_us = self.gateway.clock.now_us() + EFFECT_LIMIT_US;
-        let leads = || {
-            let state = self.gateway.service(service);
-            let leader = state.leader.lock();
-            leader.preferred() == Some(target)
-        };
-        while !leads() && self.gateway.clock.now_us() < until_us {
+        while !self.leads(service, target) && self.gateway.clock.now_us() < until_us {
             time::sleep(STEP_PAUSE).await;
         }
     }
--- a/crates/proxy/src/sessions/process/targets.rs
+++ b/crates/proxy/src/sessions/process/targets.rs
@@ -2,7 +2,6 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 
@@ -22,6 +21,7 @@
 use crate::sessions::connection::link::StatementLink;
 use crate::sessions::connection::link::TargetLogin;
 use crate::sessions::process::limits;
+use crate::sessions::process::single_flight::SingleFlight;
 use crate::sessions::store::VmAddress;
 
 /// The weight of the newest answer time in the average, as one part in this many.
@@ -120,18 +120,8 @@
     /// The queue in front of the connections.
     pub queue: Arc<AdmissionQueue>,
     health: Mutex<Health>,
-    /// Whether it is being told that it no longer leads.
-    telling: Arc<AtomicBool>,
-}
-
-/// A target is being told that it no longer leads.
-#[derive(Debug)]
-pub struct Telling(Arc<AtomicBool>);
-
-impl Drop for Telling {
-    fn drop(&mut self) {
-        self.0.store(false, Ordering::Relaxed);
-    }
+    /// Telling it that it no longer leads.
+    pub telling: SingleFlight,
 }
 
 impl<C> TargetState<C>
@@ -172,18 +162,12 @@
             parts,
             queue: Arc::new(queue),
             health: Mutex::new(health),
-            telling: Arc::default(),
+            telling: SingleFlight::default(),
         };
         state.configure(1);
         state
     }
 
-    /// Takes on to tell it that it no longer leads, unless somebody does so already.
-    pub fn begin_telling(&self) -> Option<Telling> {
-        let was_telling = self.telling.swap(true, Ordering::Relaxed);
-        (!was_telling).then(|| Telling(Arc::clone(&self.telling)))
-    }
-
     /// The connections to it.
     pub fn pool(&self) -> Arc<Pool<StatementLink<C>>> {
         Arc::clone(&self.way.load().pool)
--- a/crates/proxy/src/sessions/process/watch.rs
+++ b/crates/proxy/src/sessions/process/watch.rs
@@ -98,11 +98,9 @@
     /// after a start: a list that was just read lacks a target only if the store was away just before.
     pub fn list_is_complete(&self) -> bool {
         let known = self.known.lock();
-        let never_away = known.store_back_us == 0 && known.targets_revision > 0;
-        match *self.fed.borrow() {
-            true => known.told_settled,
-            false => !known.is_failing && (never_away || self.is_settled(&known)),
-        }
+        let was_never_away =
+            !known.is_failing && known.store_back_us == 0 && known.targets_revision > 0;
+        (was_never_away && !*self.fed.borrow()) || self.is_settled(&known)
     }
 
     pub(super) fn is_settled(&self, known: &Known) -> bool {
@@ -143,8 +141,8 @@
             let state = self.gateway.service(service);
             let positions = state.positions.lock();
             departures.settle(|left_us| positions.covering(left_us), now_us);
+            state.set_departed(departures.needed().count(), departures.past_is_known());
         }
-        self.tell_departures(&known);
     }
 
     /// Puts what is known of departures where requests find it.
--- a/crates/proxy/src/sessions/request/at_primary.rs
+++ b/crates/proxy/src/sessions/request/at_primary.rs
@@ -308,8 +308,7 @@
     if !is_needed {
         return Ok(());
     }
-    let until_us = call.offer_until_us().max(call.now_us() + limits::LEAST_OFFER_US);
-    prove::lead(call.gateway, target, call.arrived_us, until_us).await
+    prove::lead_for(call, target).await
 }
 
 /// Whether a refusal shows that the target does not lead: it says so, or its log ends in an earlier term
--- a/crates/proxy/src/sessions/request/call.rs
+++ b/crates/proxy/src/sessions/request/call.rs
@@ -104,6 +104,11 @@
         self.began_us + part_us.max(limits::LEAST_OFFER_US)
     }
 
+    /// Until when a further target has to be offered it: there is a little time for each.
+    pub fn next_offer_until_us(&self) -> u64 {
+        self.offer_until_us().max(self.now_us() + limits::LEAST_OFFER_US)
+    }
+
     /// When it is given up.
     pub fn deadline_us(&self) -> u64 {
         self.began_us + self.route.timeout_ms * 1_000
--- a/crates/proxy/src/sessions/request/prove.rs
+++ b/crates/proxy/src/sessions/request/prove.rs
@@ -23,6 +23,7 @@
 use crate::sessions::process::gateway::Gateway;
 use crate::sessions::process::limits;
 use crate::sessions::process::targets::TargetState;
+use crate::sessions::request::call::Call;
 
 /// The pause after questions that nobody answered.
 const ASK_AGAIN: Duration = Duration::from_millis(10);
@@ -71,9 +72,7 @@
     let state = gateway.service(&target.record.service);
     let came_us = gateway.clock.now_us();
     loop {
-        let heard = state.words_heard();
-        tokio::pin!(heard);
-        heard.as_mut().enable();
+        let asked = state.asking.ended();
         let verdict = gateway.lead_verdict(target, moment_us);
         match verdict {
             LeadVerdict::Proved => return Ok(()),
@@ -89,7 +88,7 @@
             log_unproved(gateway, target, moment_us, verdict);
             return Err(Unproved::NoWord);
         }
-        match state.begin_asking() {
+        match state.asking.begin() {
             Some(_asking) => {
                 let is_answered = ask(gateway, target, verdict, moment_us, until_us).await?;
                 if !is_answered {
@@ -102,12 +101,20 @@
             None => {
                 let left = Duration::from_micros(until_us - now_us);
                 // Whatever ends the wait, the verdict is looked at again.
-                let _ = time::timeout(left, heard).await;
+                let _ = time::timeout(left, asked).await;
             }
         }
     }
 }
 
+/// Proves the lead of the target of a call for when the call's first byte had arrived.
+pub async fn lead_for<C>(call: &Call<'_, C>, target: &TargetState<C>) -> Result<(), Unproved>
+where
+    C: Codec,
+{
+    lead(call.gateway, target, call.arrived_us, call.next_offer_until_us()).await
+}
+
 /// Asks whoever can help. Returns whether anybody said anything.
 async fn ask<C>(
     gateway: &Gateway<C>,
--- a/crates/proxy/src/sessions/request/read.rs
+++ b/crates/proxy/src/sessions/request/read.rs
@@ -91,14 +91,14 @@
     let state = call.gateway.service(&call.route.service);
     state.needs_position(call.now_us());
     loop {
-        let sampled = state.sampled();
+        let sampled = state.sampling.ended();
         if let Some(position) = known() {
             return Some(position);
         }
         if call.route.reads == ReadRule::Primary {
             return None;
         }
-        let Some(_sampling) = state.begin_sampling() else {
+        let Some(_sampling) = state.sampling.begin() else {
             let left_us = call.offer_until_us().saturating_sub(call.now_us());
             if time::timeout(Duration::from_micros(left_us), sampled).await.is_err() {
                 return None;
@@ -174,7 +174,7 @@
 where
     C: Codec,
 {
-    let until_us = call.offer_until_us().max(call.now_us() + limits::LEAST_OFFER_US);
+    let until_us = call.next_offer_until_us();
     let mut lease = match acquire::take(call, target, until_us).await {
         Ok(lease) => lease,
         Err(NotTaken::Queue(_)) => return Offered::QueueTooLong,
--- a/crates/proxy/src/sessions/request/transaction.rs
+++ b/crates/proxy/src/sessions/request/transaction.rs
@@ -97,7 +97,7 @@
         let at_least = read::position(call, session).await?;
         let target = read::choose(call, &tried)?;
         tried.push(Arc::clone(&target.record.id));
-        let until_us = call.offer_until_us().max(call.now_us() + limits::LEAST_OFFER_US);
+        let until_us = call.next_offer_until_us();
         let Ok(mut lease) = acquire::take(call, &target, until_us).await else {
             call.gateway.counters.retry(RetryReason::ConnectFailed);
             continue;
@@ -205,8 +205,7 @@
 where
     C: Codec,
 {
-    let until_us = call.offer_until_us().max(call.now_us() + limits::LEAST_OFFER_US);
-    let proof = prove::lead(call.gateway, &held.target, call.arrived_us, until_us).await;
+    let proof = prove::lead_for(call, &held.target).await;
     // Nothing of the transaction is kept.
     proof.map_err(|_| Refusal::from(ErrorKind::TransactionLost))?;
     held.may_read = true;
--- a/crates/spec/src/lead/model.rs
+++ b/crates/spec/src/lead/model.rs
@@ -152,7 +152,7 @@
         // The target is asked again once a later term was heard, and still says that it leads its own.
         words.heard(&Arc::from(TARGET), Word { asked_us: MOMENT_US, ..own });
         let listed = OTHERS.iter().zip(&state.members).filter(|(_, member)| member.listed);
-        let others: Vec<Arc<str>> = listed.map(|(name, _)| Arc::from(*name)).collect();
+        let others: Vec<&str> = listed.map(|(name, _)| *name).collect();
         let departed = state.members.iter().filter(|member| member.left).count();
         let fourth = &state.members[FOURTH];
         let is_complete = fourth.listed || fourth.left || !fourth.runs;
