Log and count what a watcher sends and how much of a message came

A VM that gave up a watcher logged 'timed out' whether nothing came or 400 KB of a message of 480 KB did, and no counter told what watchers send. No logic is changed.

--- a/crates/proxy/src/process/counters.rs
+++ b/crates/proxy/src/process/counters.rs
@@ -102,6 +102,10 @@
         LeadsSuperseded = "leads.superseded",
         /// Prepared statements prepared again on another connection.
         StatementsPrepared = "statements.prepared_again",
+        /// Bytes that a watcher sent to those that it tells.
+        FeedBytes = "feed.bytes_sent",
+        /// Watchers that were given up by those that they told, or should have told.
+        FeedsGivenUp = "feed.given_up",
     }
 }
 
@@ -147,6 +151,11 @@
         add(&self.events[event as usize]);
     }
 
+    /// Adds to another event's counter.
+    pub fn add(&self, event: Event, amount: u64) {
+        self.events[event as usize].fetch_add(amount, Ordering::Relaxed);
+    }
+
     /// How often this kind was answered.
     pub fn refusals_of(&self, kind: ErrorKind) -> u64 {
         self.refusals[kind as usize].load(Ordering::Relaxed)
--- a/crates/proxy/src/sessions/process/feed.rs
+++ b/crates/proxy/src/sessions/process/feed.rs
@@ -21,6 +21,7 @@
 use tokio::time;
 
 use crate::connection::socket;
+use crate::process::counters::Event;
 use crate::sessions::codec::Codec;
 use crate::sessions::connection::link;
 use crate::sessions::process::gateway::Gateway;
@@ -114,9 +115,19 @@
         let (store_answers, is_settled) = (now.store_answers, now.is_settled);
         lines.push(encode(&Message::Alive { store_answers, is_settled }));
         for line in lines {
-            if socket::write_all(&stream, line.as_bytes(), limits::SLOW_READER).await.is_err() {
+            if let Err(error) =
+                socket::write_all(&stream, line.as_bytes(), limits::SLOW_READER).await
+            {
+                let left_out = gateway.log_budget.take("no longer tells", gateway.clock.now_us());
+                if let Some(left_out) = left_out {
+                    slog::info!(gateway.log, "no longer tells";
+                        "told" => stream.peer_addr().map_or_else(|_| String::new(), |it| it.to_string()),
+                        "message_bytes" => line.len(), "reason" => error.to_string(),
+                        "left_out" => left_out);
+                }
                 return;
             }
+            gateway.counters.add(Event::FeedBytes, line.len() as u64);
         }
         told = now;
         // Either something changed, or it is time for a sign of life.
@@ -139,13 +150,15 @@
         let first = jitter::seed_of(&gateway.vm) as usize % watchers.len();
         watchers.rotate_left(first);
         for vm in watchers {
-            let reason = match hear(&watcher, &vm).await {
+            let mut input = BytesMut::new();
+            let reason = match hear(&watcher, &vm, &mut input).await {
                 Ok(()) => "it can't tell".to_owned(),
                 Err(error) => error.to_string(),
             };
             watcher.set_fed(false);
+            gateway.counters.event(Event::FeedsGivenUp);
             slog::info!(gateway.log, "not told by a watcher";
-                "watcher" => &*vm.name, "reason" => reason);
+                "watcher" => &*vm.name, "reason" => reason, "unfinished_bytes" => input.len());
         }
         time::sleep(RETRY_PAUSE).await;
     }
@@ -153,7 +166,7 @@
 
 /// Takes in what one watcher tells, for as long as the store answers it and it is one of this process's
 /// watchers: two that became each other's would keep each other from the store.
-async fn hear<C, S>(watcher: &Watcher<C, S>, vm: &VmAddress) -> io::Result<()>
+async fn hear<C, S>(watcher: &Watcher<C, S>, vm: &VmAddress, input: &mut BytesMut) -> io::Result<()>
 where
     C: Codec,
     S: StateStore,
@@ -162,9 +175,8 @@
     let stream = stream.map_err(|_| io::ErrorKind::TimedOut)??;
     link::watch_for_silence(&stream)?;
     socket::write_all(&stream, SUBSCRIBE, CONNECT_LIMIT).await?;
-    let mut input = BytesMut::new();
     while watcher.gateway.watchers().iter().any(|known| known.name == vm.name) {
-        let line = time::timeout(SILENCE, next_line(&stream, &mut input)).await;
+        let line = time::timeout(SILENCE, next_line(&stream, input)).await;
         let line = line.map_err(|_| io::ErrorKind::TimedOut)??;
         match serde_json::from_slice(&line)? {
             Message::Routes(routes) => watcher.take_routes(routes),
--- a/crates/proxy/src/sessions/process/gateway.rs
+++ b/crates/proxy/src/sessions/process/gateway.rs
@@ -62,6 +62,8 @@
     pub sessions: AtomicU32,
     /// What this process tells those that do not watch the store.
     pub bulletin: watch::Sender<Bulletin>,
+    /// Whether a watcher tells this process now.
+    pub is_told: AtomicBool,
     /// Whether this process may be given new callers, as far as the control thread knows.
     pub serves: AtomicBool,
     /// Whether no target can run that is not listed, as far as the control thread knows.
@@ -97,6 +99,7 @@
             stop: watch::Sender::new(StopState::SERVING),
             sessions: AtomicU32::new(0),
             bulletin: watch::Sender::new(Bulletin::default()),
+            is_told: AtomicBool::new(false),
             serves: AtomicBool::new(false),
             list_is_complete: AtomicBool::new(false),
             stopping: AtomicBool::new(false),
--- a/crates/proxy/src/sessions/process/watch.rs
+++ b/crates/proxy/src/sessions/process/watch.rs
@@ -5,6 +5,7 @@
 //! the configuration only rise.
 
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use parking_lot::Mutex;
@@ -112,6 +113,7 @@
 
     /// Another process tells this one now, or does so no longer.
     pub fn set_fed(&self, is_fed: bool) {
+        self.gateway.is_told.store(is_fed, Ordering::Relaxed);
         self.fed.send_if_modified(|known| std::mem::replace(known, is_fed) != is_fed);
     }
 
