--- a/crates/soak/src/relay.rs
+++ b/crates/soak/src/relay.rs
@@ -5,6 +5,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use parking_lot::Mutex;
+use socket2::SockRef;
 use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpListener;
@@ -13,9 +15,13 @@
 use tokio::net::tcp::OwnedWriteHalf;
 use tokio::sync::watch;
 use tokio::time;
+use tokio::time::Instant;
 
 /// How much is passed on at once, in bytes.
-const CHUNK_BYTES: usize = 8 << 10;
+const CHUNK_BYTES: usize = 2 << 10;
+
+/// How much the system holds that has not passed yet, in bytes.
+const BUFFER_BYTES: usize = 16 << 10;
 
 /// How the relay treats bytes.
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
@@ -28,6 +34,27 @@
     OneWay,
     /// Nothing passes.
     Silent,
+    /// All connections together pass so many bytes a second each way.
+    Rate(u64),
+}
+
+/// When the next byte may pass each way at a bounded rate.
+#[derive(Debug)]
+struct Pace {
+    free: [Mutex<Instant>; 2],
+}
+
+impl Pace {
+    /// Waits until so many bytes have passed.
+    async fn pass(&self, is_back: bool, count: usize, bytes_per_s: u64) {
+        let takes = Duration::from_secs_f64(count as f64 / bytes_per_s as f64);
+        let until = {
+            let mut free = self.free[usize::from(is_back)].lock();
+            *free = (*free).max(Instant::now()) + takes;
+            *free
+        };
+        time::sleep_until(until).await;
+    }
 }
 
 /// One relay.
@@ -38,16 +65,21 @@
     treatment: Arc<watch::Sender<Treatment>>,
     /// Grows with each reset.
     resets: Arc<watch::Sender<u64>>,
+    pace: Arc<Pace>,
 }
 
 impl Relay {
     /// Starts a relay to an address.
     pub async fn start(to: SocketAddr) -> io::Result<Relay> {
         let listener = TcpListener::bind("127.0.0.1:0").await?;
+        // Otherwise the system takes in far more than passes, and a sender sees no slow link. Connections
+        // that are accepted have the same.
+        SockRef::from(&listener).set_recv_buffer_size(BUFFER_BYTES)?;
         let relay = Relay {
             address: listener.local_addr()?,
             treatment: Arc::new(watch::Sender::new(Treatment::Pass)),
             resets: Arc::new(watch::Sender::new(0)),
+            pace: Arc::new(Pace { free: [Mutex::new(Instant::now()), Mutex::new(Instant::now())] }),
         };
         let running = relay.clone();
         tokio::spawn(async move {
@@ -71,10 +103,13 @@
     async fn serve(self, stream: TcpStream, to: SocketAddr) {
         let mut resets = self.resets.subscribe();
         let Ok(other) = TcpStream::connect(to).await else { return };
+        if SockRef::from(&other).set_recv_buffer_size(BUFFER_BYTES).is_err() {
+            return;
+        }
         let (from_caller, to_caller) = stream.into_split();
         let (from_target, to_target) = other.into_split();
-        let there = pass(from_caller, to_target, self.treatment.subscribe(), false);
-        let back = pass(from_target, to_caller, self.treatment.subscribe(), true);
+        let there = self.pass(from_caller, to_target, false);
+        let back = self.pass(from_target, to_caller, true);
         tokio::select! {
             // One side closed, or broke: so does the other when both are dropped.
             _ = there => (),
@@ -82,30 +117,33 @@
             _ = resets.changed() => (),
         }
     }
-}
 
-async fn pass(
-    mut from: OwnedReadHalf,
-    mut to: OwnedWriteHalf,
-    mut treatment: watch::Receiver<Treatment>,
-    is_back: bool,
-) -> io::Result<()> {
-    let mut chunk = vec![0; CHUNK_BYTES];
-    loop {
-        let count = from.read(&mut chunk).await?;
-        if count == 0 {
-            return Ok(());
-        }
-        let held = |treatment: &Treatment| match treatment {
-            Treatment::Silent => true,
-            Treatment::OneWay => is_back,
-            Treatment::Pass | Treatment::Delay(_) => false,
-        };
-        let now = treatment.wait_for(|treatment| !held(treatment)).await;
-        let now = *now.map_err(|_| io::ErrorKind::BrokenPipe)?;
-        if let Treatment::Delay(delay_ms) = now {
-            time::sleep(Duration::from_millis(delay_ms)).await;
+    async fn pass(
+        &self,
+        mut from: OwnedReadHalf,
+        mut to: OwnedWriteHalf,
+        is_back: bool,
+    ) -> io::Result<()> {
+        let mut treatment = self.treatment.subscribe();
+        let mut chunk = vec![0; CHUNK_BYTES];
+        loop {
+            let count = from.read(&mut chunk).await?;
+            if count == 0 {
+                return Ok(());
+            }
+            let held = |treatment: &Treatment| match treatment {
+                Treatment::Silent => true,
+                Treatment::OneWay => is_back,
+                Treatment::Pass | Treatment::Delay(_) | Treatment::Rate(_) => false,
+            };
+            let now = treatment.wait_for(|treatment| !held(treatment)).await;
+            let now = *now.map_err(|_| io::ErrorKind::BrokenPipe)?;
+            match now {
+                Treatment::Delay(delay_ms) => time::sleep(Duration::from_millis(delay_ms)).await,
+                Treatment::Rate(bytes_per_s) => self.pace.pass(is_back, count, bytes_per_s).await,
+                Treatment::Pass | Treatment::OneWay | Treatment::Silent => (),
+            }
+            to.write_all(&chunk[..count]).await?;
         }
-        to.write_all(&chunk[..count]).await?;
     }
 }
--- a/crates/standin/src/typed/platform.rs
+++ b/crates/standin/src/typed/platform.rs
@@ -46,6 +46,8 @@
     Busy,
     /// It does what is asked and loses the answers to writes.
     LosesAnswers,
+    /// It never answers what is asked of the configuration, and serves the rest.
+    HidesConfiguration,
     /// It serves, but names primaries after this many milliseconds and does not answer such calls.
     PromotesLate(u64),
 }
@@ -155,7 +157,12 @@
             next.run(request).await;
             std::future::pending().await
         }
-        Mood::Serving | Mood::LosesAnswers | Mood::PromotesLate(_) => next.run(request).await,
+        Mood::HidesConfiguration if request.uri().path().ends_with(store::CONFIGURATION.0) => {
+            std::future::pending().await
+        }
+        Mood::Serving | Mood::LosesAnswers | Mood::HidesConfiguration | Mood::PromotesLate(_) => {
+            next.run(request).await
+        }
     }
 }
 
