Send those that are told what changed, a few at a time, for as long as bytes come

Cause: watchers sent each new version whole, 457 KB with 2,800 routes, to all that they tell at once. A message had 2.5 s to be whole; behind a link of 10 Mbit/s none was, so each VM gave up, asked the next watcher, and was sent all of it again though it had it from the store by then. The more gave up the fuller the links were: 605 given up in 20 s, and the watcher's own call to the store was starved. One flag for two watches hid that from those that it told. Ruled out: a displaced or frozen watcher (the list of VMs did not change, and the others had the version).

--- a/crates/core/src/version/mod.rs
+++ b/crates/core/src/version/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod objects;
 pub mod plan;
+pub mod route_changes;
 pub mod routes;
 pub mod spreading;
 pub mod topology;
--- /dev/null
+++ b/crates/core/src/version/route_changes.rs
@@ -0,0 +1,121 @@
+//! What one who knows an earlier version of a configuration has to be sent.
+//!
+//! A configuration may have thousands of routes while versions mostly change one, so who knows one of
+//! the last versions is sent what changed since. With 2,867 routes that is 260 bytes instead of
+//! 480 KB for one route more.
+
+use std::collections::VecDeque;
+use std::sync::Arc;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::FastMap;
+use crate::version::routes::Route;
+use crate::version::routes::RouteTable;
+use crate::version::routes::ServiceLimits;
+
+/// How many versions are remembered to tell changes since. Who is told is one or two behind, and who is
+/// further behind is sent the whole. Each may take 1 MB and more.
+const REMEMBERED: usize = 4;
+
+/// What changed from one version to a later one.
+#[derive(Clone, PartialEq, Eq, Debug, Default, Serialize, Deserialize)]
+pub struct RouteChanges {
+    /// The version that the changes are counted from.
+    pub base_version: u64,
+    /// The version that they lead to.
+    pub version: u64,
+    /// The routes that are new or changed.
+    pub written: Vec<Arc<Route>>,
+    /// The database names that have no route any more.
+    pub removed: Vec<Arc<str>>,
+    /// All services: they are few.
+    pub services: FastMap<Arc<str>, ServiceLimits>,
+    /// How long a caller may rest inside a transaction, in milliseconds; zero for no bound.
+    pub transaction_idle_ms: u64,
+}
+
+impl RouteChanges {
+    /// The changes that lead from `base` to `next`.
+    pub fn between(base: &RouteTable, next: &RouteTable) -> RouteChanges {
+        let is_new = |route: &&Arc<Route>| base.routes.get(&route.database) != Some(*route);
+        let is_gone = |database: &&Arc<str>| !next.routes.contains_key(*database);
+        RouteChanges {
+            base_version: base.version,
+            version: next.version,
+            written: next.routes.values().filter(is_new).cloned().collect(),
+            removed: base.routes.keys().filter(is_gone).cloned().collect(),
+            services: next.services.clone(),
+            transaction_idle_ms: next.transaction_idle_ms,
+        }
+    }
+
+    /// The version that they lead to; none if `base` is not the version that they are counted from.
+    pub fn applied_to(&self, base: &RouteTable) -> Option<RouteTable> {
+        if base.version != self.base_version {
+            return None;
+        }
+        let mut routes = base.routes.clone();
+        for database in &self.removed {
+            routes.remove(database);
+        }
+        for route in &self.written {
+            routes.insert(Arc::clone(&route.database), Arc::clone(route));
+        }
+        Some(RouteTable {
+            version: self.version,
+            routes,
+            services: self.services.clone(),
+            transaction_idle_ms: self.transaction_idle_ms,
+        })
+    }
+}
+
+/// What has to be sent to one who knows some version.
+#[derive(Clone, PartialEq, Eq, Debug)]
+pub enum RoutesSince {
+    /// It knows the newest version, or a later one.
+    Nothing,
+    /// What changed since.
+    Changes(RouteChanges),
+    /// All, since its version is not remembered.
+    Whole(Arc<RouteTable>),
+}
+
+/// The last versions of a configuration.
+#[derive(Clone, Debug, Default)]
+pub struct RecentVersions {
+    tables: VecDeque<Arc<RouteTable>>,
+}
+
+impl RecentVersions {
+    /// The number of the newest version; zero if there is none.
+    pub fn newest_version(&self) -> u64 {
+        self.tables.back().map_or(0, |newest| newest.version)
+    }
+
+    /// Takes in a version, unless a later one is known. Returns whether it is the newest now.
+    pub fn push(&mut self, table: &Arc<RouteTable>) -> bool {
+        if table.version <= self.newest_version() {
+            return false;
+        }
+        if self.tables.len() == REMEMBERED {
+            self.tables.pop_front();
+        }
+        self.tables.push_back(Arc::clone(table));
+        true
+    }
+
+    /// What has to be sent to one who knows this version; zero for one who knows none.
+    pub fn since(&self, known_version: u64) -> RoutesSince {
+        let Some(newest) = self.tables.back() else { return RoutesSince::Nothing };
+        if newest.version <= known_version {
+            return RoutesSince::Nothing;
+        }
+        match self.tables.iter().find(|table| table.version == known_version) {
+            Some(base) => RoutesSince::Changes(RouteChanges::between(base, newest)),
+            None => RoutesSince::Whole(Arc::clone(newest)),
+        }
+    }
+}
--- a/crates/proxy/src/sessions/connection/peer.rs
+++ b/crates/proxy/src/sessions/connection/peer.rs
@@ -33,6 +33,7 @@
 use crate::sessions::connection::reply::End;
 use crate::sessions::connection::reply::Reply;
 use crate::sessions::process::feed;
+use crate::sessions::process::feed::tell;
 use crate::sessions::process::gateway::Gateway;
 use crate::sessions::process::limits;
 use crate::sessions::process::targets::TargetState;
@@ -86,8 +87,8 @@
     let mut input = BytesMut::new();
     let first = next_message::<C>(&stream, &mut input);
     let Ok(Some(message)) = time::timeout(limits::STARTUP_LIMIT, first).await else { return };
-    if message == feed::SUBSCRIBE {
-        return feed::tell(gateway, stream).await;
+    if let Some(known_version) = feed::subscribed_from(&message) {
+        return tell::tell(gateway, stream, known_version).await;
     }
     let Ok(TargetRequest::Startup { service, target_id, .. }) = C::decode_request(&message) else {
         return;
--- a/crates/proxy/src/sessions/process/control.rs
+++ b/crates/proxy/src/sessions/process/control.rs
@@ -10,7 +10,7 @@
 use tokio::time;
 
 use crate::sessions::codec::Codec;
-use crate::sessions::process::feed;
+use crate::sessions::process::feed::listen;
 use crate::sessions::process::gateway::Gateway;
 use crate::sessions::process::isolation::Isolation;
 use crate::sessions::process::takeover;
@@ -67,7 +67,7 @@
     let (configuration, targets) = (Arc::clone(&watcher), Arc::clone(&watcher));
     tokio::spawn(async move { configuration.follow_configuration().await });
     tokio::spawn(async move { targets.follow_targets().await });
-    tokio::spawn(feed::listen(Arc::clone(&watcher), Arc::clone(&gateway)));
+    tokio::spawn(listen::listen(Arc::clone(&watcher), Arc::clone(&gateway)));
     let mut isolation = Isolation::new(&gateway);
     let mut looks = time::interval(takeover::LOOK_INTERVAL);
     looks.set_missed_tick_behavior(time::MissedTickBehavior::Delay);
--- /dev/null
+++ b/crates/proxy/src/sessions/process/feed/outbox.rs
@@ -0,0 +1,131 @@
+//! What a watcher has to tell, encoded once for all who are told.
+
+use std::sync::Arc;
+
+use parking_lot::Mutex;
+use skylark_core::FastMap;
+use skylark_core::version::route_changes::RecentVersions;
+use skylark_core::version::route_changes::RoutesSince;
+use skylark_core::version::routes::RouteTable;
+use tokio::sync::OnceCell;
+use tokio::sync::Semaphore;
+use tokio::sync::watch;
+use tokio::task;
+use tokio::task::JoinError;
+
+use crate::sessions::process::feed::Message;
+use crate::sessions::process::feed::frame;
+use crate::sessions::process::feed::frame::Frame;
+
+/// How many are sent a configuration or a large message at the same time. Each has a send buffer of
+/// 64 KB, so what callers wait behind on a link of 10 Mbit/s is 0.2 s long; sent to 14 at once it was
+/// seconds, and the watcher's own calls to the store were not answered in time.
+const TURNS: usize = 4;
+
+/// What a watcher has to tell now.
+#[derive(Clone, Debug, Default)]
+pub struct Bulletin {
+    /// The version of the configuration; zero while there is none.
+    pub version: u64,
+    /// The targets; empty while there are none.
+    pub targets: Frame,
+    /// Whether the store answers.
+    pub store_answers: bool,
+    /// Whether a target that is not listed is gone.
+    pub is_settled: bool,
+}
+
+impl Bulletin {
+    /// The sign of life that goes with it.
+    pub(super) fn sign_of_life(&self) -> Message {
+        let Bulletin { version, store_answers, is_settled, .. } = *self;
+        Message::Alive { version, store_answers, is_settled }
+    }
+}
+
+/// A frame that is encoded when it is needed first.
+type LazyFrame = Arc<OnceCell<Option<Frame>>>;
+
+/// The configurations that there are to tell.
+#[derive(Debug, Default)]
+struct Configurations {
+    recent: RecentVersions,
+    /// What those are sent that know a version, by that version.
+    frames: FastMap<u64, LazyFrame>,
+}
+
+/// What a watcher has to tell.
+#[derive(Debug)]
+pub struct Outbox {
+    /// What there is to tell now.
+    pub bulletin: watch::Sender<Bulletin>,
+    /// Held while a configuration or a large message is sent.
+    pub(super) turns: Semaphore,
+    configurations: Mutex<Configurations>,
+}
+
+impl Default for Outbox {
+    fn default() -> Outbox {
+        Outbox {
+            bulletin: watch::Sender::default(),
+            turns: Semaphore::new(TURNS),
+            configurations: Mutex::default(),
+        }
+    }
+}
+
+impl Outbox {
+    /// Has configuration and targets told from now on.
+    pub fn put(&self, routes: Option<&Arc<RouteTable>>, targets: Frame) {
+        let version = self.take_in(routes);
+        self.bulletin.send_modify(|bulletin| {
+            bulletin.version = version;
+            bulletin.targets = targets;
+        });
+    }
+
+    /// Takes in a configuration. Returns the newest version.
+    fn take_in(&self, routes: Option<&Arc<RouteTable>>) -> u64 {
+        let mut configurations = self.configurations.lock();
+        if routes.is_some_and(|routes| configurations.recent.push(routes)) {
+            configurations.frames.clear();
+        }
+        configurations.recent.newest_version()
+    }
+
+    /// Whether there is anything to tell.
+    pub fn is_empty(&self) -> bool {
+        self.bulletin.borrow().targets.is_empty()
+    }
+
+    /// What one who knows a version has to be sent, and the version that it knows then; none if it knows
+    /// the newest one. Encoded away from the callers' thread: thousands of routes take some
+    /// milliseconds of a whole processor.
+    ///
+    /// # Errors
+    ///
+    /// The encoding panicked.
+    pub(super) async fn configuration_since(
+        &self,
+        known_version: u64,
+    ) -> Result<Option<(u64, Frame)>, JoinError> {
+        let (version, frame) = {
+            let mut configurations = self.configurations.lock();
+            let frame = Arc::clone(configurations.frames.entry(known_version).or_default());
+            (configurations.recent.newest_version(), frame)
+        };
+        let encoded = frame.get_or_try_init(|| {
+            let since = self.configurations.lock().recent.since(known_version);
+            task::spawn_blocking(|| encode(since))
+        });
+        Ok(encoded.await?.clone().map(|encoded| (version, encoded)))
+    }
+}
+
+fn encode(since: RoutesSince) -> Option<Frame> {
+    match since {
+        RoutesSince::Nothing => None,
+        RoutesSince::Changes(changes) => Some(frame::encode(&Message::Changes(changes))),
+        RoutesSince::Whole(routes) => Some(frame::encode(&Message::Routes(routes))),
+    }
+}
--- /dev/null
+++ b/crates/proxy/src/sessions/process/feed/tell.rs
@@ -0,0 +1,131 @@
+//! The side of a watcher: what changes is sent to each that asks to be told.
+
+use std::io;
+use std::sync::Arc;
+use std::time::Duration;
+
+use socket2::SockRef;
+use tokio::net::TcpStream;
+use tokio::sync::SemaphorePermit;
+use tokio::time;
+
+use crate::connection::socket;
+use crate::process::counters::Event;
+use crate::sessions::codec::Codec;
+use crate::sessions::process::feed::SIGN_OF_LIFE;
+use crate::sessions::process::feed::frame;
+use crate::sessions::process::feed::frame::Frame;
+use crate::sessions::process::feed::outbox::Bulletin;
+use crate::sessions::process::gateway::Gateway;
+
+/// How long one who is told may take no byte. It may hold one of the few turns meanwhile, so one that
+/// stands still must not keep the others from a new version for long.
+const STALL_LIMIT: Duration = Duration::from_millis(1_000);
+
+/// How much of a message the system holds that was not sent yet, in bytes; it takes twice as much. With
+/// more, a message would count as sent while all of it waits on the link.
+const SEND_BUFFER_BYTES: usize = 32 << 10;
+
+/// Up to which size a message is sent without a turn, in bytes: it fits into the send buffer.
+const SMALL_BYTES: usize = 16 << 10;
+
+/// One that is told.
+struct Told<'a, C>
+where
+    C: Codec,
+{
+    gateway: &'a Gateway<C>,
+    stream: TcpStream,
+    /// The version of the configuration that it knows; zero for none.
+    version: u64,
+    /// The targets as it was told.
+    targets: Frame,
+}
+
+/// Tells one other proxy what changes, until it goes or this process watches for others no longer.
+///
+/// A process that is no watcher any more publishes no bulletins. If it went on with its signs of life,
+/// those that it tells would keep the configuration of that moment for good.
+pub async fn tell<C>(gateway: Arc<Gateway<C>>, stream: TcpStream, known_version: u64)
+where
+    C: Codec,
+{
+    let mut told =
+        Told { gateway: &gateway, stream, version: known_version, targets: Frame::default() };
+    let Err(error) = told.tell_all().await else { return };
+    let left_out = gateway.log_budget.take("no longer tells", gateway.clock.now_us());
+    if let Some(left_out) = left_out {
+        let to = told.stream.peer_addr().map_or_else(|_| String::new(), |to| to.to_string());
+        slog::info!(gateway.log, "no longer tells";
+            "to" => to, "known_version" => told.version, "reason" => error.to_string(),
+            "left_out" => left_out);
+    }
+}
+
+impl<'a, C> Told<'a, C>
+where
+    C: Codec,
+{
+    async fn tell_all(&mut self) -> io::Result<()> {
+        SockRef::from(&self.stream).set_send_buffer_size(SEND_BUFFER_BYTES)?;
+        let mut bulletins = self.gateway.outbox.bulletin.subscribe();
+        while self.gateway.is_watcher() {
+            let now = bulletins.borrow_and_update().clone();
+            self.send(&frame::encode(&now.sign_of_life())).await?;
+            if now.targets != self.targets {
+                self.tell_targets(&now).await?;
+            }
+            if now.version > self.version {
+                self.tell_configuration().await?;
+            }
+            // Either something changed, or it is time for a sign of life.
+            let _ = time::timeout(SIGN_OF_LIFE, bulletins.changed()).await;
+        }
+        Ok(())
+    }
+
+    async fn tell_targets(&mut self, now: &Bulletin) -> io::Result<()> {
+        let _turn = match now.targets.len() > SMALL_BYTES {
+            true => Some(self.turn().await?),
+            false => None,
+        };
+        self.send(&now.targets).await?;
+        self.targets = Arc::clone(&now.targets);
+        Ok(())
+    }
+
+    async fn tell_configuration(&mut self) -> io::Result<()> {
+        let gateway = self.gateway;
+        let _turn = self.turn().await?;
+        // The newest one when it is this one's turn: versions that came meanwhile are sent together.
+        let since = gateway.outbox.configuration_since(self.version).await?;
+        if let Some((version, frame)) = since {
+            let began_us = gateway.clock.now_us();
+            self.send(&frame).await?;
+            slog::debug!(gateway.log, "told a configuration";
+                "version" => version, "known_version" => self.version, "bytes" => frame.len(),
+                "took_us" => gateway.clock.now_us() - began_us);
+            self.version = version;
+        }
+        Ok(())
+    }
+
+    /// Waits for a turn to send a large message, with signs of life meanwhile.
+    async fn turn(&self) -> io::Result<SemaphorePermit<'a>> {
+        let outbox = &self.gateway.outbox;
+        loop {
+            let turn = outbox.turns.acquire();
+            if let Ok(turn) = time::timeout(SIGN_OF_LIFE, turn).await {
+                return turn.map_err(io::Error::other);
+            }
+            let sign_of_life = outbox.bulletin.borrow().sign_of_life();
+            self.send(&frame::encode(&sign_of_life)).await?;
+        }
+    }
+
+    async fn send(&self, frame: &Frame) -> io::Result<()> {
+        socket::write_all(&self.stream, frame, STALL_LIMIT).await?;
+        self.gateway.counters.add(Event::FeedBytes, frame.len() as u64);
+        Ok(())
+    }
+}
--- a/crates/proxy/src/sessions/process/gateway.rs
+++ b/crates/proxy/src/sessions/process/gateway.rs
@@ -20,7 +20,7 @@
 use crate::process::counters::Counters;
 use crate::sessions::codec::Codec;
 use crate::sessions::process::daemon::SessionSettings;
-use crate::sessions::process::feed::Bulletin;
+use crate::sessions::process::feed::outbox::Outbox;
 use crate::sessions::process::latencies::Latencies;
 use crate::sessions::process::limits;
 use crate::sessions::process::log_budget::LogBudget;
@@ -61,7 +61,7 @@
     /// The number of open sessions.
     pub sessions: AtomicU32,
     /// What this process tells those that do not watch the store.
-    pub bulletin: watch::Sender<Bulletin>,
+    pub outbox: Outbox,
     /// Whether a watcher tells this process now.
     pub is_told: AtomicBool,
     /// Whether this process may be given new callers, as far as the control thread knows.
@@ -98,7 +98,7 @@
             log_budget: LogBudget::default(),
             stop: watch::Sender::new(StopState::SERVING),
             sessions: AtomicU32::new(0),
-            bulletin: watch::Sender::new(Bulletin::default()),
+            outbox: Outbox::default(),
             is_told: AtomicBool::new(false),
             serves: AtomicBool::new(false),
             list_is_complete: AtomicBool::new(false),
--- a/crates/proxy/src/sessions/process/known.rs
+++ b/crates/proxy/src/sessions/process/known.rs
@@ -7,12 +7,13 @@
 
 use skylark_core::FastMap;
 use skylark_core::process::departures::Departures;
+use skylark_core::version::route_changes::RouteChanges;
 use skylark_core::version::routes::RouteTable;
 use skylark_core::version::routes::TargetRecord;
 
 use crate::sessions::codec::Codec;
-use crate::sessions::process::feed;
 use crate::sessions::process::feed::Message;
+use crate::sessions::process::feed::frame;
 use crate::sessions::process::watch::Known;
 use crate::sessions::process::watch::Watcher;
 use crate::sessions::store::ListedTarget;
@@ -52,9 +53,30 @@
     C: Codec,
     S: StateStore,
 {
+    /// The version of the configuration that is known; zero for none.
+    pub fn version(&self) -> u64 {
+        self.known.lock().routes.as_ref().map_or(0, |routes| routes.version)
+    }
+
     /// Takes in a configuration.
     pub fn take_routes(&self, routes: Arc<RouteTable>) {
+        self.put_in_force(&mut self.known.lock(), routes);
+    }
+
+    /// Takes in what changed of the configuration. Returns whether it follows from the version that is
+    /// known, or is known already.
+    pub fn take_route_changes(&self, changes: &RouteChanges) -> bool {
         let mut known = self.known.lock();
+        let Some(present) = &known.routes else { return false };
+        if present.version >= changes.version {
+            return true;
+        }
+        let Some(next) = changes.applied_to(present) else { return false };
+        self.put_in_force(&mut known, Arc::new(next));
+        true
+    }
+
+    fn put_in_force(&self, known: &mut Known, routes: Arc<RouteTable>) {
         // A stale answer must not bring back what was changed.
         if known.routes.as_ref().is_some_and(|present| present.version >= routes.version) {
             return;
@@ -62,7 +84,7 @@
         slog::info!(self.gateway.log, "configuration in force";
             "version" => routes.version, "routes" => routes.routes.len());
         known.routes = Some(routes);
-        self.publish(&mut known);
+        self.publish(known);
     }
 
     pub(super) fn take_list(&self, revision: u64, listed: Vec<ListedTarget>) {
@@ -209,27 +231,21 @@
         if !self.gateway.is_watcher() {
             return;
         }
-        let routes = known.routes.as_ref();
-        let routes = routes.map(|routes| feed::encode(&Message::Routes(Arc::clone(routes))));
         let members = known.targets.values().cloned().collect();
         let revision = known.targets_revision;
-        let targets = feed::encode(&Message::Targets { revision, members });
-        self.gateway.bulletin.send_modify(|bulletin| {
-            bulletin.routes = routes.unwrap_or_default();
-            bulletin.targets = targets;
-        });
+        let targets = frame::encode(&Message::Targets { revision, members });
+        self.gateway.outbox.put(known.routes.as_ref(), targets);
     }
 
     /// Brings what others are told of the store up to date.
     pub fn tell_state(&self) {
         let is_settled = self.list_is_settled();
         let known = self.known.lock();
-        let is_untold = self.gateway.bulletin.borrow().targets.is_empty();
-        if is_untold && !known.targets.is_empty() {
+        if self.gateway.outbox.is_empty() && !known.targets.is_empty() {
             self.tell(&known);
         }
-        let store_answers = !known.is_failing;
-        self.gateway.bulletin.send_if_modified(|bulletin| {
+        let store_answers = !known.failing.any();
+        self.gateway.outbox.bulletin.send_if_modified(|bulletin| {
             let changes =
                 bulletin.store_answers != store_answers || bulletin.is_settled != is_settled;
             bulletin.store_answers = store_answers;
--- a/crates/proxy/src/sessions/process/watch.rs
+++ b/crates/proxy/src/sessions/process/watch.rs
@@ -46,6 +46,45 @@
 /// The same while the store does not answer: a call that is swallowed must not hide its return.
 const FAILING_WAIT: Duration = Duration::from_millis(100);
 
+/// What is watched at the store.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+enum Watched {
+    Configuration,
+    Targets,
+}
+
+impl Watched {
+    fn name(self) -> &'static str {
+        match self {
+            Watched::Configuration => "configuration",
+            Watched::Targets => "targets",
+        }
+    }
+}
+
+/// The watches whose last call the store did not answer, each by itself: with one flag for both, an
+/// answer about targets hid that a watcher had had no configuration for as long as 14 s, and those that it tells
+/// stayed with it.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Failing {
+    configuration: bool,
+    targets: bool,
+}
+
+impl Failing {
+    /// Whether either is.
+    pub(super) fn any(self) -> bool {
+        self.configuration || self.targets
+    }
+
+    fn set(&mut self, watched: Watched, is_failing: bool) {
+        match watched {
+            Watched::Configuration => self.configuration = is_failing,
+            Watched::Targets => self.targets = is_failing,
+        }
+    }
+}
+
 /// What the watches brought so far.
 #[derive(Debug, Default)]
 pub struct Known {
@@ -58,8 +97,8 @@
     pub(super) lapsed: FastSet<Arc<str>>,
     /// The store's revision of the list of targets.
     pub(super) targets_revision: u64,
-    /// Whether the store did not answer the last call of either watch.
-    pub(super) is_failing: bool,
+    /// The watches whose last call the store did not answer.
+    pub(super) failing: Failing,
     /// Whether another process that tells this one says that the list is settled.
     pub(super) told_settled: bool,
     /// When the store answered last after it had not.
@@ -100,7 +139,7 @@
     pub fn list_is_complete(&self) -> bool {
         let known = self.known.lock();
         let was_never_away =
-            !known.is_failing && known.store_back_us == 0 && known.targets_revision > 0;
+            !known.failing.targets && known.store_back_us == 0 && known.targets_revision > 0;
         (was_never_away && !*self.fed.borrow()) || self.is_settled(&known)
     }
 
@@ -108,7 +147,8 @@
         if *self.fed.borrow() {
             return known.told_settled;
         }
-        !known.is_failing && self.gateway.clock.now_us() >= known.store_back_us + LAPSED_BACK_US
+        !known.failing.targets
+            && self.gateway.clock.now_us() >= known.store_back_us + LAPSED_BACK_US
     }
 
     /// Another process tells this one now, or does so no longer.
@@ -206,14 +246,15 @@
             };
             match result {
                 Ok(found) => {
-                    self.answered(&mut failures, "configuration");
+                    self.answered(&mut failures, Watched::Configuration);
                     revision = Some(found.revision);
                     if let Some(routes) = found.value {
                         self.take_routes(Arc::new(routes));
                     }
                 }
                 Err(error) => {
-                    revision = self.after(error, revision, &mut failures, "configuration").await;
+                    revision =
+                        self.after(error, revision, &mut failures, Watched::Configuration).await;
                 }
             }
         }
@@ -230,7 +271,7 @@
             let error = match revision {
                 None => match self.store.targets().await {
                     Ok(found) => {
-                        self.answered(&mut failures, "targets");
+                        self.answered(&mut failures, Watched::Targets);
                         revision = Some(found.revision);
                         self.take_list(found.revision, found.value);
                         continue;
@@ -239,7 +280,7 @@
                 },
                 Some(known) => match self.store.watch_targets(known, wait_of(failures)).await {
                     Ok(found) => {
-                        self.answered(&mut failures, "targets");
+                        self.answered(&mut failures, Watched::Targets);
                         revision = Some(found.revision);
                         self.take_changes(found.revision, found.value);
                         continue;
@@ -247,17 +288,17 @@
                     Err(error) => error,
                 },
             };
-            revision = self.after(error, revision, &mut failures, "targets").await;
+            revision = self.after(error, revision, &mut failures, Watched::Targets).await;
         }
     }
 
-    fn answered(&self, failures: &mut u32, what: &'static str) {
+    fn answered(&self, failures: &mut u32, watched: Watched) {
         let now_us = self.gateway.clock.now_us();
         let mut known = self.known.lock();
-        known.is_failing = false;
+        known.failing.set(watched, false);
         if std::mem::take(failures) > 0 {
             known.store_back_us = now_us;
-            slog::info!(self.gateway.log, "the store answers again"; "watch" => what);
+            slog::info!(self.gateway.log, "the store answers again"; "watch" => watched.name());
         }
     }
 
@@ -267,19 +308,19 @@
         error: StoreError,
         revision: Option<u64>,
         failures: &mut u32,
-        what: &'static str,
+        watched: Watched,
     ) -> Option<u64> {
         if error == StoreError::HistoryGone {
-            slog::info!(self.gateway.log, "the history is gone, listing anew"; "watch" => what);
+            slog::info!(self.gateway.log, "the history is gone, listing anew"; "watch" => watched.name());
             return None;
         }
         if *failures == 0 {
             slog::warn!(self.gateway.log, "the store does not answer";
-                "watch" => what, "reason" => error.to_string());
+                "watch" => watched.name(), "reason" => error.to_string());
         }
         *failures += 1;
-        self.known.lock().is_failing = true;
-        self.gateway.bulletin.send_modify(|bulletin| bulletin.store_answers = false);
+        self.known.lock().failing.set(watched, true);
+        self.gateway.outbox.bulletin.send_modify(|bulletin| bulletin.store_answers = false);
         let pause = if *failures <= QUICK_RETRIES { FIRST_RETRY_PAUSE } else { RETRY_PAUSE };
         time::sleep(pause).await;
         revision
--- /dev/null
+++ b/crates/proxy/tests/feed_frames.rs
@@ -0,0 +1,67 @@
+//! The messages between a watcher and those that it tells survive the wire, and nothing else passes for
+//! one.
+
+use std::sync::Arc;
+
+use quickcheck::quickcheck;
+use skylark_core::version::routes::ReadRule;
+use skylark_core::version::routes::Route;
+use skylark_core::version::routes::RouteTable;
+use skylark_proxy::sessions::process::feed;
+use skylark_proxy::sessions::process::feed::Message;
+use skylark_proxy::sessions::process::feed::frame;
+
+/// The bytes before the body of a frame.
+const HEADER_BYTES: usize = 4;
+
+fn table(count: u64) -> RouteTable {
+    let route = |number: u64| {
+        let database: Arc<str> = format!("db-{number}").into();
+        let route = Route {
+            database: Arc::clone(&database),
+            service: "loans".into(),
+            reads: ReadRule::Primary,
+            timeout_ms: number,
+            objective_ms: 100,
+            priority: 1,
+        };
+        (database, Arc::new(route))
+    };
+    RouteTable { version: 7, routes: (0..count).map(route).collect(), ..RouteTable::default() }
+}
+
+#[test]
+fn a_large_configuration_is_compressed_and_comes_back() {
+    let routes = Arc::new(table(3_000));
+    let message = Message::Routes(Arc::clone(&routes));
+    let plain = serde_json::to_vec(&message).expect("it is JSON");
+    let frame = frame::encode(&message);
+    assert!(frame.len() * 4 < plain.len(), "{} of {} bytes", frame.len(), plain.len());
+    match frame::decode(&frame[HEADER_BYTES..]) {
+        Ok(Message::Routes(back)) => assert_eq!(back, routes),
+        other => panic!("{other:?}"),
+    }
+}
+
+/// A few bytes that would fill all memory when they are unpacked.
+#[test]
+fn a_message_that_grows_beyond_all_bounds_is_refused() {
+    let mut body = flate2::write::ZlibEncoder::new(Vec::new(), flate2::Compression::fast());
+    std::io::Write::write_all(&mut body, &vec![b' '; 64 << 20]).expect("memory takes all");
+    let body = body.finish().expect("memory takes all");
+    assert!(matches!(frame::decode(&body), Err(frame::FrameError::TooLarge)));
+}
+
+#[test]
+fn only_a_subscription_asks_to_be_told() {
+    assert_eq!(feed::subscribed_from(b"SUBSCRIBE 14\n"), Some(14));
+    assert_eq!(feed::subscribed_from(b"SUBSCRIBE\n"), None);
+    assert_eq!(feed::subscribed_from(b"SUBSCRIBE x\n"), None);
+    assert_eq!(feed::subscribed_from(b"STARTUP loans vm-1\r\n"), None);
+}
+
+quickcheck! {
+    fn any_bytes_are_a_message_or_an_error(body: Vec<u8>) -> bool {
+        frame::decode(&body).is_ok() || frame::decode(&body).is_err()
+    }
+}
--- a/crates/soak/src/relay.rs
+++ b/crates/soak/src/relay.rs
@@ -20,6 +20,9 @@
 /// How much is passed on at once, in bytes.
 const CHUNK_BYTES: usize = 2 << 10;
 
+/// How much of the time that bytes passed too late is made up for.
+const MADE_UP: Duration = Duration::from_millis(200);
+
 /// How much the system holds that has not passed yet, in bytes.
 const BUFFER_BYTES: usize = 16 << 10;
 
@@ -50,7 +53,9 @@
         let takes = Duration::from_secs_f64(count as f64 / bytes_per_s as f64);
         let until = {
             let mut free = self.free[usize::from(is_back)].lock();
-            *free = (*free).max(Instant::now()) + takes;
+            // Sleeping too long at one time is made up for at the next.
+            let earliest = Instant::now().checked_sub(MADE_UP).unwrap_or(*free);
+            *free = (*free).max(earliest) + takes;
             *free
         };
         time::sleep_until(until).await;
