--- a/crates/objects/src/http.rs
+++ b/crates/objects/src/http.rs
@@ -1,5 +1,6 @@
 //! [`ObjectStore`] over HTTP.
 
+use std::fmt::Display;
 use std::time::Duration;
 
 use serde::de;
@@ -7,6 +8,7 @@
 use skylark_core::version::objects::Snapshot;
 use skylark_core::version::objects::StoredObject;
 use skylark_core::version::objects::VmRecord;
+use tokio::time;
 
 use crate::ObjectStore;
 use crate::PutAnswer;
@@ -17,9 +19,16 @@
 /// The header that names the availability zone of the calling VM.
 pub const ZONE_HEADER: &str = "x-availability-zone";
 
-/// The time limit of a call, on top of what a watch waits.
+/// How long a call may stay without an answer that begins, on top of what a watch waits.
 const CALL_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// After which silence in the middle of an answer it counts as lost. With a limit for the whole, a
+/// snapshot of 600 KB over a link of 200 KB/s was given up each time and asked for anew.
+const SILENCE: Duration = Duration::from_secs(1);
+
+/// How long an answer may take to arrive once it has begun.
+const ANSWER_LIMIT: Duration = Duration::from_secs(30);
+
 /// A client of one platform endpoint.
 #[derive(Clone, Debug)]
 pub struct HttpStore {
@@ -50,17 +59,20 @@
     where
         T: de::DeserializeOwned,
     {
-        let request = request.header(ZONE_HEADER, &self.zone).timeout(timeout);
-        let response = request.send().await.map_err(no_answer)?;
-        match response.status() {
-            reqwest::StatusCode::OK => response.json().await.map_err(no_answer),
+        let request = request.header(ZONE_HEADER, &self.zone);
+        let begun = time::timeout(timeout, request.send()).await.map_err(no_answer)?;
+        let response = begun.map_err(no_answer)?;
+        let status = response.status();
+        let body = time::timeout(ANSWER_LIMIT, whole_body(response)).await.map_err(no_answer)??;
+        match status {
+            reqwest::StatusCode::OK => decode(&body),
             reqwest::StatusCode::NOT_FOUND => Err(StoreError::NotFound),
             reqwest::StatusCode::CONFLICT => {
-                let current: PutAnswer = response.json().await.map_err(no_answer)?;
+                let current: PutAnswer = decode(&body)?;
                 Err(StoreError::Conflict { actual: current.version })
             }
             status if status.is_client_error() => {
-                let reason = response.text().await.unwrap_or_default();
+                let reason = String::from_utf8_lossy(&body);
                 Err(StoreError::Refused(format!("{status}: {reason}")))
             }
             status => Err(StoreError::NoAnswer(status.to_string())),
@@ -117,6 +129,28 @@
     }
 }
 
-fn no_answer(error: reqwest::Error) -> StoreError {
+/// Reads an answer to its end, however slowly it comes, for as long as some of it comes.
+async fn whole_body(mut response: reqwest::Response) -> Result<Vec<u8>, StoreError> {
+    let mut body = Vec::new();
+    loop {
+        let next = time::timeout(SILENCE, response.chunk()).await.map_err(no_answer)?;
+        match next.map_err(no_answer)? {
+            Some(chunk) => body.extend_from_slice(&chunk),
+            None => return Ok(body),
+        }
+    }
+}
+
+fn decode<T>(body: &[u8]) -> Result<T, StoreError>
+where
+    T: de::DeserializeOwned,
+{
+    serde_json::from_slice(body).map_err(no_answer)
+}
+
+fn no_answer<E>(error: E) -> StoreError
+where
+    E: Display,
+{
     StoreError::NoAnswer(error.to_string())
 }
--- a/crates/proxy/src/process/control/first_version.rs
+++ b/crates/proxy/src/process/control/first_version.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use jsonrpsee::http_client::HttpClient;
 use skylark_core::process::jitter;
 use skylark_core::version::objects::Snapshot;
 use skylark_core::version::spreading;
@@ -14,6 +15,7 @@
 use skylark_settings::proxy::ProxySettings;
 use tokio::sync::mpsc;
 use tokio::sync::watch;
+use tokio::task::JoinHandle;
 use tokio::time;
 
 use crate::process::control::input::Input;
@@ -144,11 +146,9 @@
         let peers = &self.settings.peers;
         let seed = self.seed.wrapping_add(attempt);
         let chosen = spreading::start_peers(peers.len(), spreading::START_PEERS, seed);
-        let clients: Vec<_> = chosen
-            .iter()
-            .filter_map(|&place| client::open(&peers[place].to_string(), timeout))
-            .collect();
-        let mut asked: Vec<_> = clients.iter().cloned().map(ask_version).collect();
+        let addresses: Vec<String> = chosen.iter().map(|&place| peers[place].to_string()).collect();
+        let clients = addresses.iter().map(|address| client::open(address, timeout));
+        let mut asked: Vec<_> = clients.map(ask_version).collect();
         // Every call ends by its own timeout, so the choice needs no deadline.
         let mut choice = StartChoice::new(asked.len(), u64::MAX);
         for (place, answer) in asked.iter_mut().enumerate() {
@@ -158,13 +158,11 @@
             }
         }
         let StartVerdict::Take(place) = choice.verdict(0) else { return None };
-        clients[place].peer_snapshot().await.ok()
+        client::open_for_snapshots(&addresses[place])?.peer_snapshot().await.ok()
     }
 }
 
-fn ask_version(
-    client: jsonrpsee::http_client::HttpClient,
-) -> tokio::task::JoinHandle<Option<api::PeerVersion>> {
+fn ask_version(client: Option<HttpClient>) -> JoinHandle<Option<api::PeerVersion>> {
     let nobody = api::PeerVersion::default();
-    tokio::spawn(async move { client.peer_version(nobody).await.ok() })
+    tokio::spawn(async move { client?.peer_version(nobody).await.ok() })
 }
--- a/crates/proxy/src/process/control/spread.rs
+++ b/crates/proxy/src/process/control/spread.rs
@@ -168,15 +168,19 @@
         }
     }
 
-    /// The client of a VM's control address by the VM's name. While the list of VMs is not known,
-    /// any peer of the settings serves as well.
+    /// The client of a VM's control address by the VM's name.
     pub(super) fn client_by_name(&mut self, vm: &str) -> Option<HttpClient> {
-        match self.configuration.topology().vm_id(vm) {
-            Some(vm) => self.client_of(vm),
-            None => {
-                let peer = self.settings.peers.choose(&mut rand::rng())?;
-                self.peers.get(&peer.to_string())
-            }
+        let address = self.address_by_name(vm)?;
+        self.peers.get(&address)
+    }
+
+    /// A VM's control address by the VM's name. While the list of VMs is not known, any peer of the settings
+    /// serves as well.
+    fn address_by_name(&self, vm: &str) -> Option<String> {
+        let topology = self.configuration.topology();
+        match topology.vm_id(vm) {
+            Some(vm) => Some(topology.vm(vm).control_address.clone()),
+            None => self.settings.peers.choose(&mut rand::rng()).map(ToString::to_string),
         }
     }
 
@@ -285,14 +289,23 @@
         });
     }
 
+    /// Has a snapshot sent by a peer that answers a short question: a long call to one that died would
+    /// keep this process from asking another.
     fn pull_from(&mut self, vm: &str, source: Source) {
-        let Some(client) = self.client_by_name(vm) else {
+        let address = self.address_by_name(vm);
+        let short = address.as_ref().and_then(|address| self.peers.get(address));
+        let long = address.as_ref().and_then(|address| client::open_for_snapshots(address));
+        let (Some(short), Some(long)) = (short, long) else {
             self.configuration.spreading().pull_failed();
             return;
         };
-        let inputs = self.senders.inputs.clone();
+        let (own, inputs) = (self.own_version(), self.senders.inputs.clone());
         tokio::spawn(async move {
-            let _ = inputs.send(match client.peer_snapshot().await {
+            let pulled = match short.peer_version(own).await {
+                Ok(_) => long.peer_snapshot().await,
+                Err(error) => Err(error),
+            };
+            let _ = inputs.send(match pulled {
                 Ok(snapshot) => Input::Snapshot { snapshot, source },
                 Err(_) => Input::PullFailed,
             });
--- a/crates/proxy/src/process/peer/client.rs
+++ b/crates/proxy/src/process/peer/client.rs
@@ -7,10 +7,15 @@
 use jsonrpsee::http_client::HttpClientBuilder;
 use skylark_core::FastMap;
 use skylark_core::process::membership;
+use skylark_core::version::spreading;
 
 /// How many clients are kept. Each holds its connection open between calls.
 const KEPT: usize = 32;
 
+/// The time limit of a call for a whole snapshot: as long as a pull is waited for. With the limit of short
+/// calls, 0.5 s, a proxy behind a slow link never caught up, nor had a first version from its peers.
+const SNAPSHOT_LIMIT: Duration = Duration::from_micros(spreading::PULL_TIMEOUT_US);
+
 /// Opens clients of control addresses, and keeps the latest ones.
 #[derive(Debug)]
 pub struct PeerClients {
@@ -44,6 +49,11 @@
     builder.build(format!("http://{control_address}")).ok()
 }
 
+/// A client of one control address for calls for a whole snapshot.
+pub fn open_for_snapshots(control_address: &str) -> Option<HttpClient> {
+    open(control_address, SNAPSHOT_LIMIT)
+}
+
 /// What a failed call says about the VM that was called.
 pub fn evidence(error: &client::Error) -> membership::Evidence {
     match error {
