Let nobody answer for what a member held before it started again

Cause: a departed member that a promotion can't do without is asked by its name. Ruled out: asking for the time of its start; the answer does not tell it. Change: a departed member whose name is listed under another start counts as silent. Only a position that the primary had after it left, or the primary itself, does without it, as with one that is away.

--- a/crates/proxy/src/sessions/process/takeover.rs
+++ b/crates/proxy/src/sessions/process/takeover.rs
@@ -4,6 +4,7 @@
 //! A process that is cut off by itself reaches neither the store nor the replicas, so it can't harm a
 //! primary that serves the others.
 
+use std::iter;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -11,6 +12,7 @@
 use skylark_core::FastSet;
 use skylark_core::log_position::LogPosition;
 use skylark_core::process::takeover;
+use skylark_core::process::takeover::ReplicaView;
 use skylark_core::process::takeover::TakeoverStep;
 use skylark_core::process::takeover_claim::Claim;
 use skylark_core::process::takeover_claim::HeldClaim;
@@ -249,16 +251,20 @@
             let primary_id = primary.as_ref().map(|primary| Arc::clone(&primary.id));
             // One that died is listed no more, but is still believed to have led last.
             let last_led = primary_id.clone().or_else(|| self.last_led(&service));
-            let (departed, floor) = self.watcher.departed(&service, last_led.as_ref());
-            let floor = floor.max(drive.handed_over);
+            let departed = self.watcher.departed(&service, last_led.as_ref());
+            let floor = departed.floor.max(drive.handed_over);
             let mut replicas = self.listed_replicas(&service, primary_id.as_ref());
-            replicas.extend(departed);
+            replicas.extend(departed.away);
             if std::mem::take(&mut drive.asks_departed) {
                 let gone = self.watcher.dispensable(&service, last_led.as_ref());
                 drive.back.extend(replicas::that_answer::<C>(&self.gateway.vm, &gone).await);
             }
             replicas.extend(replicas::unlisted(&drive.back, &replicas));
-            let (views, term) = replicas::ask_all::<C>(&self.gateway.vm, &replicas).await;
+            let (mut views, term) = replicas::ask_all::<C>(&self.gateway.vm, &replicas).await;
+            // They stand for members that never answer again: only a position of the primary from after they
+            // left shows that nothing was lost with them. Without this a replica was promoted that lacked a
+            // commit, on the word of a member that had started again with an empty log.
+            views.extend(iter::repeat_n(ReplicaView::default(), departed.lost));
             let answers = primary.as_ref().is_some_and(|primary| {
                 let target = self.gateway.target(&primary.id);
                 target.is_some_and(|target| target.health().failed_since_us.is_none())
--- a/crates/proxy/src/sessions/process/watch.rs
+++ b/crates/proxy/src/sessions/process/watch.rs
@@ -105,6 +105,25 @@
     pub(super) store_back_us: u64,
 }
 
+impl Known {
+    /// Whether a target of this name is listed. The name of one that started again stands for its new
+    /// start, which holds nothing of what the earlier one held and must not answer for it.
+    fn lists(&self, name: &str) -> bool {
+        self.targets.values().any(|listed| &*listed.record.name == name)
+    }
+}
+
+/// The departed members of a service that a promotion can't do without.
+#[derive(Clone, Debug, Default)]
+pub struct DepartedMembers {
+    /// Those that may be back and answer for themselves.
+    pub away: Vec<Arc<TargetRecord>>,
+    /// How many started again under their names, so that nobody can tell what they held.
+    pub lost: usize,
+    /// What a successor has to have received to do without the others.
+    pub floor: LogPosition,
+}
+
 /// The platform as this process sees it.
 #[derive(Debug)]
 pub struct Watcher<C, S>
@@ -198,30 +217,24 @@
     /// The departed members of a service that a promotion can't do without, and what it has to cover
     /// for the others. The primary that is to be replaced is none of them; one that led before it is:
     /// what the two acknowledged together may be on no other replica.
-    pub fn departed(
-        &self,
-        service: &str,
-        primary: Option<&Arc<str>>,
-    ) -> (Vec<Arc<TargetRecord>>, LogPosition) {
+    pub fn departed(&self, service: &str, primary: Option<&Arc<str>>) -> DepartedMembers {
         let known = self.known.lock();
         let Some(departures) = known.departures.get(service) else {
-            return (Vec::new(), LogPosition::default());
+            return DepartedMembers::default();
         };
         let needed = departures.needed().filter(|(id, _)| Some(*id) != primary);
-        let needed = needed.map(|(_, record)| Arc::clone(record)).collect();
-        (needed, departures.floor())
+        let (lost, away): (Vec<_>, Vec<_>) =
+            needed.map(|(_, record)| Arc::clone(record)).partition(|it| known.lists(&it.name));
+        DepartedMembers { away, lost: lost.len(), floor: departures.floor() }
     }
 
     /// The departed members of a service that a promotion can do without unless they are back.
     pub fn dispensable(&self, service: &str, primary: Option<&Arc<str>>) -> Vec<Arc<TargetRecord>> {
         let known = self.known.lock();
         let Some(departures) = known.departures.get(service) else { return Vec::new() };
-        // The name of one that started again stands for its new start.
-        let is_listed =
-            |name: &str| known.targets.values().any(|listed| &*listed.record.name == name);
         let gone = departures
             .dispensable()
-            .filter(|(id, record)| Some(*id) != primary && !is_listed(&record.name));
+            .filter(|(id, record)| Some(*id) != primary && !known.lists(&record.name));
         gone.map(|(_, record)| Arc::clone(record)).collect()
     }
 
