--- a/crates/proxy/src/sessions/process/mod.rs
+++ b/crates/proxy/src/sessions/process/mod.rs
@@ -3,6 +3,7 @@
 pub mod claims;
 pub mod control;
 pub mod daemon;
+pub mod departed;
 pub mod feed;
 pub mod gateway;
 pub mod isolation;
--- /dev/null
+++ b/crates/proxy/src/sessions/process/takeover/promote.rs
@@ -0,0 +1,111 @@
+//! The call that names a new primary, and what is known of it when no answer comes.
+
+use std::sync::Arc;
+
+use skylark_core::process::takeover_claim::Claim;
+use skylark_core::version::routes::TargetRecord;
+use tokio::time;
+
+use crate::sessions::codec::Codec;
+use crate::sessions::process::takeover::RETRY_PAUSE;
+use crate::sessions::process::takeover::STEP_PAUSE;
+use crate::sessions::process::takeover::Takeovers;
+use crate::sessions::process::takeover::drive::Drive;
+use crate::sessions::process::takeover::drive::Outcome;
+use crate::sessions::store::PromoteError;
+use crate::sessions::store::Promoter;
+use crate::sessions::store::StateStore;
+
+/// How long a promoted target may take until it leads, in microseconds: 300 to 600 ms are usual.
+const EFFECT_LIMIT_US: u64 = 2_000_000;
+
+impl<C, S, P> Takeovers<C, S, P>
+where
+    C: Codec,
+    S: StateStore,
+    P: Promoter,
+{
+    /// Writes the claim again, changed. Returns whether it is still held.
+    pub(super) async fn change_claim<F>(&self, drive: &mut Drive, change: F) -> bool
+    where
+        F: FnOnce(&mut Claim),
+    {
+        let mut claim = drive.claim.claim.clone();
+        change(&mut claim);
+        let Some(held) = self.claims.change(&drive.service, &drive.claim, claim).await else {
+            return false;
+        };
+        drive.claim = held;
+        true
+    }
+
+    /// Has a target lead. Returns how the takeover ended; none if it goes on.
+    pub(super) async fn promote(
+        &self,
+        drive: &mut Drive,
+        target: &TargetRecord,
+    ) -> Option<Outcome> {
+        let checks_tokens = self.promoter.checks_tokens();
+        let now_us = self.gateway.clock.now_us();
+        if !drive.claim.may_promote(&target.id, checks_tokens, now_us) {
+            slog::info!(self.gateway.log, "a promotion of another target may still come late";
+                "service" => &*drive.service, "target" => &*target.id,
+                "chosen" => &*drive.claim.claim.chosen);
+            time::sleep(RETRY_PAUSE).await;
+            return None;
+        }
+        // A call with this claim's token settles earlier ones where tokens are checked.
+        let may_come_late = !checks_tokens && drive.claim.may_come_late(now_us);
+        let choose = |claim: &mut Claim| {
+            claim.chosen = target.id.to_string();
+            claim.unsettled = true;
+        };
+        if !self.change_claim(drive, choose).await {
+            return Some(Outcome::ClaimLost);
+        }
+        let (token, vm, held) = (drive.claim.claim.token, &self.gateway.vm, &drive.claim);
+        let may_send = || held.may_call(self.gateway.clock.now_us());
+        let result = self.promoter.promote(&drive.service, target, vm, token, may_send).await;
+        slog::warn!(self.gateway.log, "promote";
+            "service" => &*drive.service, "target" => &*target.id, "token" => token,
+            "result" => result.as_ref().map_or_else(ToString::to_string, |()| "accepted".into()));
+        match result {
+            Ok(()) => {
+                drive.claim.claim.unsettled = may_come_late;
+                self.await_effect(&drive.service, &target.id).await;
+                Some(Outcome::Promoted)
+            }
+            Err(PromoteError::NoAnswer(_)) => {
+                drive.claim.unsettled_since_us = self.gateway.clock.now_us();
+                self.settle_call(drive, checks_tokens).await
+            }
+            Err(PromoteError::Refused) => {
+                drive.claim.claim.unsettled = may_come_late;
+                self.settle_call(drive, checks_tokens).await
+            }
+            Err(PromoteError::Overloaded | PromoteError::NotSent) => {
+                drive.claim.claim.unsettled = may_come_late;
+                time::sleep(RETRY_PAUSE).await;
+                None
+            }
+        }
+    }
+
+    /// After a call that was refused, or that may still be carried out: a call with a higher token settles
+    /// it where tokens are checked. The replicas stay paused until then.
+    async fn settle_call(&self, drive: &mut Drive, checks_tokens: bool) -> Option<Outcome> {
+        if checks_tokens && !self.change_claim(drive, |claim| claim.token += 1).await {
+            return Some(Outcome::ClaimLost);
+        }
+        time::sleep(RETRY_PAUSE).await;
+        None
+    }
+
+    /// Waits until the promoted target leads.
+    async fn await_effect(&self, service: &Arc<str>, target: &str) {
+        let until_us = self.gateway.clock.now_us() + EFFECT_LIMIT_US;
+        while !self.leads(service, target) && self.gateway.clock.now_us() < until_us {
+            time::sleep(STEP_PAUSE).await;
+        }
+    }
+}
--- /dev/null
+++ b/crates/proxy/src/sessions/process/takeover/steps.rs
@@ -0,0 +1,153 @@
+//! The steps of a takeover: what the members say is looked at, and the next thing is done, until
+//! another target leads or it is not needed any more.
+
+use std::iter;
+use std::sync::Arc;
+
+use skylark_core::log_position::LogPosition;
+use skylark_core::process::takeover;
+use skylark_core::process::takeover::ReplicaView;
+use skylark_core::process::takeover::TakeoverStep;
+use skylark_core::version::routes::TargetRecord;
+use tokio::time;
+
+use crate::sessions::codec::Codec;
+use crate::sessions::codec::Query;
+use crate::sessions::process::replicas;
+use crate::sessions::process::takeover::RETRY_PAUSE;
+use crate::sessions::process::takeover::STEP_PAUSE;
+use crate::sessions::process::takeover::Takeovers;
+use crate::sessions::process::takeover::drive::DRIVE_LIMIT_US;
+use crate::sessions::process::takeover::drive::Drive;
+use crate::sessions::process::takeover::drive::Outcome;
+use crate::sessions::process::target_calls;
+use crate::sessions::process::target_calls::Said;
+use crate::sessions::store::Promoter;
+use crate::sessions::store::StateStore;
+
+/// What the members said at one look.
+struct Members {
+    /// Those that were asked.
+    replicas: Vec<Arc<TargetRecord>>,
+    /// What they said, and after that a silence for each that nobody can speak for.
+    views: Vec<ReplicaView>,
+    /// The highest term that they know of.
+    term: u64,
+    /// What a new primary must have received.
+    floor: LogPosition,
+}
+
+impl<C, S, P> Takeovers<C, S, P>
+where
+    C: Codec,
+    S: StateStore,
+    P: Promoter,
+{
+    /// Carries the steps out. Returns how it ended.
+    pub(super) async fn carry_out(&self, drive: &mut Drive) -> Outcome {
+        let mut waiting_since_us = None;
+        loop {
+            let now_us = self.gateway.clock.now_us();
+            if let Some(outcome) = self.ended(drive, now_us).await {
+                return outcome;
+            }
+            let members = self.ask_members(drive).await;
+            let answers = self.old_primary_answers(drive);
+            let waited_us = now_us.saturating_sub(*waiting_since_us.get_or_insert(now_us));
+            let step = takeover::next_step(&members.views, members.floor, answers, waited_us);
+            slog::info!(self.gateway.log, "takeover step";
+                "service" => &*drive.service, "step" => ?step, "replicas" => ?members.views,
+                "floor" => members.floor.to_string(), "term" => members.term);
+            if let Some(outcome) = self.take_step(drive, step, &members).await {
+                return outcome;
+            }
+        }
+    }
+
+    /// Whether it is over, and how; renews the claim otherwise.
+    async fn ended(&self, drive: &mut Drive, now_us: u64) -> Option<Outcome> {
+        let must_go_on = drive.must_go_on(now_us);
+        if now_us >= drive.began_us + DRIVE_LIMIT_US && !must_go_on {
+            return Some(Outcome::GaveUp);
+        }
+        if self.needs.of(&drive.service).is_none() && !must_go_on {
+            return Some(Outcome::NotNeeded);
+        }
+        let chosen = &drive.claim.claim.chosen;
+        if drive.claim.may_come_late(now_us) && self.leads(&drive.service, chosen) {
+            return Some(Outcome::Promoted);
+        }
+        if drive.claim.must_renew(now_us) && !self.change_claim(drive, |_| ()).await {
+            return Some(Outcome::ClaimLost);
+        }
+        None
+    }
+
+    /// Asks all members but the old primary, departed ones that are needed included.
+    async fn ask_members(&self, drive: &mut Drive) -> Members {
+        let service = &drive.service;
+        let primary_id = drive.old.as_ref().map(|primary| Arc::clone(&primary.id));
+        // One that died is listed no more, but is still believed to have led last.
+        let last_led = primary_id.clone().or_else(|| self.last_led(service));
+        let departed = self.watcher.departed(service, last_led.as_ref());
+        let mut replicas = self.listed_replicas(service, primary_id.as_ref());
+        replicas.extend(departed.away);
+        if std::mem::take(&mut drive.asks_departed) {
+            let gone = self.watcher.dispensable(service, last_led.as_ref());
+            drive.back.extend(replicas::that_answer::<C>(&self.gateway.vm, &gone).await);
+        }
+        replicas.extend(replicas::unlisted(&drive.back, &replicas));
+        let (mut views, term) = replicas::ask_all::<C>(&self.gateway.vm, &replicas).await;
+        // They stand for members that never answer again: only a position of the primary from after they
+        // left shows that nothing was lost with them. Without this a replica was promoted that lacked a
+        // commit, on the word of a member that had started again with an empty log.
+        views.extend(iter::repeat_n(ReplicaView::default(), departed.lost));
+        Members { replicas, views, term, floor: departed.floor.max(drive.handed_over) }
+    }
+
+    fn old_primary_answers(&self, drive: &Drive) -> bool {
+        drive.old.as_ref().is_some_and(|primary| {
+            let target = self.gateway.target(&primary.id);
+            target.is_some_and(|target| target.health().failed_since_us.is_none())
+        })
+    }
+
+    /// Takes one step. Returns how the takeover ended; none if it goes on.
+    async fn take_step(
+        &self,
+        drive: &mut Drive,
+        step: TakeoverStep,
+        members: &Members,
+    ) -> Option<Outcome> {
+        match step {
+            TakeoverStep::Pause(index) => {
+                let query = Query::Pause { term: members.term + 1 };
+                let record = &members.replicas[index];
+                let said = target_calls::ask::<C>(record, &self.gateway.vm, &query).await;
+                if !matches!(said, Said::Status(_)) {
+                    time::sleep(STEP_PAUSE).await;
+                }
+            }
+            TakeoverStep::AskAgain(_) => time::sleep(STEP_PAUSE).await,
+            TakeoverStep::Wait(_) => time::sleep(RETRY_PAUSE).await,
+            TakeoverStep::Promote(_) if drive.has_to_step_down() => {
+                self.step_old_primary_down(drive, members.term + 1).await;
+            }
+            TakeoverStep::Promote(index) => {
+                return self.promote(drive, &members.replicas[index]).await;
+            }
+        }
+        None
+    }
+
+    async fn step_old_primary_down(&self, drive: &mut Drive, term: u64) {
+        drive.stepped_down = true;
+        // One may have come back just before, and have acknowledged with the old primary.
+        drive.asks_departed = true;
+        let Some(primary) = &drive.old else { return };
+        let query = Query::StepDown { term };
+        let said = target_calls::ask::<C>(primary, &self.gateway.vm, &query).await;
+        slog::info!(self.gateway.log, "stepped down before its successor leads";
+            "target" => &*primary.id, "said" => ?said);
+    }
+}
