Have a VM that the store turns away told by another one

Cause: a VM that watches the store by itself, a watcher or one of 16 or fewer, had no other way to a version. Turned away for 9 s, two VMs of six had a version 5.0 s after the others, and two other versions never. Ruled out: letting a watcher be fed like the others; it would no longer try the store, and two could keep each other from it. Change: after 1 s without an answer two other VMs at a time are asked (watchers of all zones, or any VM where all watch), which say so if the store answers them neither. What they tell is taken in; the own watches go on. Who tells now also publishes for those that ask, not only as a watcher.

--- a/crates/proxy/src/sessions/process/feed/listen.rs
+++ b/crates/proxy/src/sessions/process/feed/listen.rs
@@ -34,6 +34,13 @@
 /// The time for a connection to a watcher.
 const CONNECT_LIMIT: Duration = Duration::from_millis(500);
 
+/// After which time without an answer of the store other VMs are asked, in microseconds. Single calls
+/// that go wrong are over by then, and what changes still comes into force within 3 s.
+const HELP_AFTER_US: u64 = 1_000_000;
+
+/// How many VMs are asked in a row: while the store is down for all, none can tell.
+const HELPERS_ASKED: usize = 2;
+
 /// The pause before the watchers are asked again after none of them could tell anything.
 const RETRY_PAUSE: Duration = Duration::from_millis(1_000);
 
@@ -47,8 +54,8 @@
     Behind,
     /// It tells of changes to a configuration that is not known here.
     UnknownBase,
-    /// It watches for this process no longer.
-    Displaced,
+    /// It watches for this process no longer, or the store answers this one again.
+    NotWanted,
     /// The connection failed.
     Failed(io::Error),
 }
@@ -65,41 +72,83 @@
             End::CantTell => f.write_str("it can't tell"),
             End::Behind => f.write_str("it is behind"),
             End::UnknownBase => f.write_str("its changes are to an unknown version"),
-            End::Displaced => f.write_str("it is a watcher no longer"),
+            End::NotWanted => f.write_str("it is not wanted any more"),
             End::Failed(error) => error.fmt(f),
         }
     }
 }
 
-/// Has this process told by watchers, whenever there are enough VMs for that.
+/// What another VM is to this one.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+enum Teller {
+    /// It watches the store in this one's place.
+    Watcher,
+    /// It tells while the store turns this one away, which goes on trying the store.
+    Helper,
+}
+
+/// Has this process told by watchers, whenever there are enough VMs for that, and by others while the
+/// store does not answer it: a VM that the store turned away served by an old version for as long as that
+/// took, though every other VM could tell it.
 pub async fn listen<C, S>(watcher: Arc<Watcher<C, S>>, gateway: Arc<Gateway<C>>)
 where
     C: Codec,
     S: StateStore,
 {
     loop {
-        let mut watchers = gateway.watchers();
-        if watchers.is_empty() {
-            time::sleep(RETRY_PAUSE).await;
-            continue;
+        for vm in in_turn(&gateway, gateway.watchers(), usize::MAX) {
+            hear_until_the_end(&watcher, &vm, Teller::Watcher).await;
         }
-        let first = jitter::seed_of(&gateway.vm) as usize % watchers.len();
-        watchers.rotate_left(first);
-        for vm in watchers {
-            let mut input = BytesMut::new();
-            let end = hear(&watcher, &vm, &mut input).await;
-            watcher.set_fed(false);
-            gateway.counters.event(Event::FeedsGivenUp);
-            slog::info!(gateway.log, "not told by a watcher";
-                "watcher" => &*vm.name, "reason" => end.to_string(),
-                "unfinished_bytes" => input.len(), "version" => watcher.version());
+        if watcher.silent_us() >= HELP_AFTER_US {
+            for vm in in_turn(&gateway, gateway.helpers(), HELPERS_ASKED) {
+                hear_until_the_end(&watcher, &vm, Teller::Helper).await;
+            }
         }
         time::sleep(RETRY_PAUSE).await;
     }
 }
 
-/// Takes in what one watcher tells, until it can't or needn't any more.
-async fn hear<C, S>(watcher: &Watcher<C, S>, vm: &VmAddress, input: &mut BytesMut) -> End
+/// Some of these VMs in an order that differs between processes, and for the same one between times if
+/// not all are asked.
+fn in_turn<C>(gateway: &Gateway<C>, mut vms: Vec<VmAddress>, count: usize) -> Vec<VmAddress>
+where
+    C: Codec,
+{
+    let first = jitter::seed_of(&gateway.vm) as usize;
+    let turn = match count < vms.len() {
+        true => (gateway.clock.now_us() / RETRY_PAUSE.as_micros() as u64) as usize,
+        false => 0,
+    };
+    let places = vms.len().max(1);
+    vms.rotate_left(first.wrapping_add(turn) % places);
+    vms.truncate(count);
+    vms
+}
+
+async fn hear_until_the_end<C, S>(watcher: &Watcher<C, S>, vm: &VmAddress, teller: Teller)
+where
+    C: Codec,
+    S: StateStore,
+{
+    let gateway = &watcher.gateway;
+    let mut input = BytesMut::new();
+    let end = hear(watcher, vm, teller, &mut input).await;
+    if teller == Teller::Watcher {
+        watcher.set_fed(false);
+    }
+    gateway.counters.event(Event::FeedsGivenUp);
+    slog::info!(gateway.log, "not told by a watcher";
+        "watcher" => &*vm.name, "as" => ?teller, "reason" => end.to_string(),
+        "unfinished_bytes" => input.len(), "version" => watcher.version());
+}
+
+/// Takes in what one VM tells, until it can't or needn't any more.
+async fn hear<C, S>(
+    watcher: &Watcher<C, S>,
+    vm: &VmAddress,
+    teller: Teller,
+    input: &mut BytesMut,
+) -> End
 where
     C: Codec,
     S: StateStore,
@@ -108,14 +157,13 @@
         Ok(stream) => stream,
         Err(error) => return End::Failed(error),
     };
-    let mut feed = Feed { watcher, announced: None, late_at: None };
-    // Two that became each other's watchers would keep each other from the store.
-    while watcher.gateway.watchers().iter().any(|known| known.name == vm.name) {
+    let mut feed = Feed { watcher, teller, announced: None, late_at: None };
+    while feed.is_wanted(vm) {
         if let Err(end) = feed.hear_next(&stream, input).await {
             return end;
         }
     }
-    End::Displaced
+    End::NotWanted
 }
 
 async fn subscribe<C, S>(watcher: &Watcher<C, S>, vm: &VmAddress) -> io::Result<TcpStream>
@@ -137,6 +185,7 @@
     C: Codec,
 {
     watcher: &'a Watcher<C, S>,
+    teller: Teller,
     /// The version that its last sign of life told of.
     announced: Option<u64>,
     /// When that version is late, if it is not known yet.
@@ -148,6 +197,17 @@
     C: Codec,
     S: StateStore,
 {
+    /// Whether this VM still needs to be told by that one.
+    fn is_wanted(&self, vm: &VmAddress) -> bool {
+        match self.teller {
+            // Two that became each other's watchers would keep each other from the store.
+            Teller::Watcher => {
+                self.watcher.gateway.watchers().iter().any(|known| known.name == vm.name)
+            }
+            Teller::Helper => self.watcher.silent_us() > 0,
+        }
+    }
+
     /// Waits for a message and takes it in. Returns without one when a version is late.
     async fn hear_next(&mut self, stream: &TcpStream, input: &mut BytesMut) -> Result<(), End> {
         let next = frame::next(stream, input, SILENCE);
@@ -157,7 +217,7 @@
                 Ok(body) => body?,
                 Err(_) => {
                     self.late_at = None;
-                    self.watcher.set_fed(false);
+                    self.set_fed(false);
                     return Ok(());
                 }
             },
@@ -179,17 +239,26 @@
                 return Err(End::Behind);
             }
             Message::Alive { version, is_settled, store_answers: true } => {
-                self.watcher.set_told_settled(is_settled);
+                if self.teller == Teller::Watcher {
+                    self.watcher.set_told_settled(is_settled);
+                }
                 self.announce(version);
             }
         }
         if self.announced.is_some_and(|version| version <= self.watcher.version()) {
             self.late_at = None;
-            self.watcher.set_fed(true);
+            self.set_fed(true);
         }
         Ok(())
     }
 
+    /// Whether this process watches the store by itself is for its watchers only to change.
+    fn set_fed(&self, is_fed: bool) {
+        if self.teller == Teller::Watcher {
+            self.watcher.set_fed(is_fed);
+        }
+    }
+
     /// A version was told of. If it is a new one it has to be known soon, by whatever way. One that
     /// follows while another is awaited gives no more time.
     fn announce(&mut self, version: u64) {
--- a/crates/proxy/src/sessions/process/feed/outbox.rs
+++ b/crates/proxy/src/sessions/process/feed/outbox.rs
@@ -25,6 +25,8 @@
 /// What a watcher has to tell now.
 #[derive(Clone, Debug, Default)]
 pub struct Bulletin {
+    /// The publication of this process that it tells of; zero before the first.
+    pub number: u64,
     /// The version of the configuration; zero while there is none.
     pub version: u64,
     /// The targets; empty while there are none.
@@ -75,10 +77,11 @@
 }
 
 impl Outbox {
-    /// Has configuration and targets told from now on.
-    pub fn put(&self, routes: Option<&Arc<RouteTable>>, targets: Frame) {
+    /// Has configuration and targets of a publication told from now on.
+    pub fn put(&self, number: u64, routes: Option<&Arc<RouteTable>>, targets: Frame) {
         let version = self.take_in(routes);
         self.bulletin.send_modify(|bulletin| {
+            bulletin.number = number;
             bulletin.version = version;
             bulletin.targets = targets;
         });
@@ -93,11 +96,6 @@
         configurations.recent.newest_version()
     }
 
-    /// Whether there is anything to tell.
-    pub fn is_empty(&self) -> bool {
-        self.bulletin.borrow().targets.is_empty()
-    }
-
     /// What one who knows a version has to be sent, and the version that it knows then; none if it knows
     /// the newest one. Encoded away from the callers' thread: thousands of routes take some
     /// milliseconds of a whole processor.
--- a/crates/proxy/src/sessions/process/feed/tell.rs
+++ b/crates/proxy/src/sessions/process/feed/tell.rs
@@ -42,10 +42,10 @@
     targets: Frame,
 }
 
-/// Tells one other proxy what changes, until it goes or this process watches for others no longer.
+/// Tells one other proxy what changes, until it goes or this process is one that is told itself.
 ///
-/// A process that is no watcher any more publishes no bulletins. If it went on with its signs of life,
-/// those that it tells would keep the configuration of that moment for good.
+/// Such a one must not go on: two that tell each other would keep each other from the store, and those
+/// that one of them tells would keep the configuration of that moment for good.
 pub async fn tell<C>(gateway: Arc<Gateway<C>>, stream: TcpStream, known_version: u64)
 where
     C: Codec,
@@ -69,7 +69,7 @@
     async fn tell_all(&mut self) -> io::Result<()> {
         SockRef::from(&self.stream).set_send_buffer_size(SEND_BUFFER_BYTES)?;
         let mut bulletins = self.gateway.outbox.bulletin.subscribe();
-        while self.gateway.is_watcher() {
+        while self.gateway.tells() {
             let now = bulletins.borrow_and_update().clone();
             self.send(&frame::encode(&now.sign_of_life())).await?;
             if now.targets != self.targets {
--- a/crates/proxy/src/sessions/process/gateway.rs
+++ b/crates/proxy/src/sessions/process/gateway.rs
@@ -253,6 +253,16 @@
         self.ways.load().watchers().to_vec()
     }
 
+    /// The VMs that can tell this one when the store turns it away.
+    pub fn helpers(&self) -> Vec<VmAddress> {
+        self.ways.load().helpers().to_vec()
+    }
+
+    /// Whether this process tells others that ask.
+    pub fn tells(&self) -> bool {
+        self.ways.load().tells()
+    }
+
     /// Whether this process watches the store for others.
     pub fn is_watcher(&self) -> bool {
         self.ways.load().is_watcher()
--- a/crates/proxy/src/sessions/process/known.rs
+++ b/crates/proxy/src/sessions/process/known.rs
@@ -228,20 +228,23 @@
     /// Puts what is known where those that this process tells find it. Encoding it costs processor
     /// time, so that is left out where nobody would be told.
     fn tell(&self, known: &Known) {
-        if !self.gateway.is_watcher() {
+        let outbox = &self.gateway.outbox;
+        if !self.gateway.is_watcher() && outbox.bulletin.receiver_count() == 0 {
             return;
         }
         let members = known.targets.values().cloned().collect();
         let revision = known.targets_revision;
         let targets = frame::encode(&Message::Targets { revision, members });
-        self.gateway.outbox.put(known.routes.as_ref(), targets);
+        outbox.put(known.number, known.routes.as_ref(), targets);
     }
 
-    /// Brings what others are told of the store up to date.
+    /// Brings what others are told up to date: those that began to ask find what was not put there
+    /// while there was nobody to tell.
     pub fn tell_state(&self) {
         let is_settled = self.list_is_settled();
         let known = self.known.lock();
-        if self.gateway.outbox.is_empty() && !known.targets.is_empty() {
+        let is_current = self.gateway.outbox.bulletin.borrow().number == known.number;
+        if !is_current && !known.targets.is_empty() {
             self.tell(&known);
         }
         let store_answers = !known.failing.any();
--- a/crates/proxy/src/sessions/process/watch.rs
+++ b/crates/proxy/src/sessions/process/watch.rs
@@ -66,20 +66,39 @@
 /// stayed with it.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Failing {
-    configuration: bool,
-    targets: bool,
+    configuration_since_us: Option<u64>,
+    targets_since_us: Option<u64>,
 }
 
 impl Failing {
     /// Whether either is.
     pub(super) fn any(self) -> bool {
-        self.configuration || self.targets
+        self.since_us().is_some()
     }
 
-    fn set(&mut self, watched: Watched, is_failing: bool) {
+    /// Whether that of the targets is.
+    pub(super) fn targets(self) -> bool {
+        self.targets_since_us.is_some()
+    }
+
+    /// Since when one of them is.
+    fn since_us(self) -> Option<u64> {
+        [self.configuration_since_us, self.targets_since_us].into_iter().flatten().min()
+    }
+
+    fn begin(&mut self, watched: Watched, now_us: u64) {
+        self.of(watched).get_or_insert(now_us);
+    }
+
+    /// Returns since when it was failing, if it was.
+    fn end(&mut self, watched: Watched) -> Option<u64> {
+        self.of(watched).take()
+    }
+
+    fn of(&mut self, watched: Watched) -> &mut Option<u64> {
         match watched {
-            Watched::Configuration => self.configuration = is_failing,
-            Watched::Targets => self.targets = is_failing,
+            Watched::Configuration => &mut self.configuration_since_us,
+            Watched::Targets => &mut self.targets_since_us,
         }
     }
 }
@@ -138,7 +157,7 @@
     pub fn list_is_complete(&self) -> bool {
         let known = self.known.lock();
         let was_never_away =
-            !known.failing.targets && known.store_back_us == 0 && known.targets_revision > 0;
+            !known.failing.targets() && known.store_back_us == 0 && known.targets_revision > 0;
         (was_never_away && !*self.fed.borrow()) || self.is_settled(&known)
     }
 
@@ -146,7 +165,7 @@
         if *self.fed.borrow() {
             return known.told_settled;
         }
-        !known.failing.targets
+        !known.failing.targets()
             && self.gateway.clock.now_us() >= known.store_back_us + LAPSED_BACK_US
     }
 
@@ -156,6 +175,12 @@
         self.fed.send_if_modified(|known| std::mem::replace(known, is_fed) != is_fed);
     }
 
+    /// For how long the store has not answered one of the watches, in microseconds; zero if it answers.
+    pub fn silent_us(&self) -> u64 {
+        let since_us = self.known.lock().failing.since_us();
+        since_us.map_or(0, |since_us| self.gateway.clock.now_us().saturating_sub(since_us))
+    }
+
     /// What the process that tells this one says of its list.
     pub fn set_told_settled(&self, is_settled: bool) {
         self.known.lock().told_settled = is_settled;
@@ -233,10 +258,11 @@
     fn answered(&self, failures: &mut u32, watched: Watched) {
         let now_us = self.gateway.clock.now_us();
         let mut known = self.known.lock();
-        known.failing.set(watched, false);
+        let failing_since_us = known.failing.end(watched);
         if std::mem::take(failures) > 0 {
             known.store_back_us = now_us;
-            slog::info!(self.gateway.log, "the store answers again"; "watch" => watched.name());
+            slog::info!(self.gateway.log, "the store answers again"; "watch" => watched.name(),
+                "silent_us" => failing_since_us.map(|since_us| now_us.saturating_sub(since_us)));
         }
     }
 
@@ -257,7 +283,7 @@
                 "watch" => watched.name(), "reason" => error.to_string());
         }
         *failures += 1;
-        self.known.lock().failing.set(watched, true);
+        self.known.lock().failing.begin(watched, self.gateway.clock.now_us());
         self.gateway.outbox.bulletin.send_modify(|bulletin| bulletin.store_answers = false);
         let pause = if *failures <= QUICK_RETRIES { FIRST_RETRY_PAUSE } else { RETRY_PAUSE };
         time::sleep(pause).await;
--- a/crates/proxy/src/sessions/process/ways.rs
+++ b/crates/proxy/src/sessions/process/ways.rs
@@ -1,5 +1,6 @@
 //! Which VMs hold connections to which targets, and the way that this process takes to each.
 
+use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -39,6 +40,9 @@
     vms: Vec<VmAddress>,
     /// The VMs of this one's zone that watch the store for the others.
     watchers: Vec<VmAddress>,
+    /// The VMs that can tell this one when the store turns it away: the watchers of all zones, or all
+    /// VMs if each watches by itself.
+    helpers: Vec<VmAddress>,
     /// The homes of the targets that were asked for. Ranked by each look at the pools, those of 1,101
     /// targets would take 2.4% of a core with 69 VMs in a zone (`slopes --only homes_by_name`, ten
     /// looks a second).
@@ -51,9 +55,27 @@
     /// The ways of VM `own` of an availability zone among these.
     pub fn new(own: &Arc<str>, zone: &str, vms: Vec<VmAddress>) -> Ways {
         let has_many = vms.len() > limits::WATCH_ALONE;
-        let near = vms.iter().filter(|vm| has_many && &*vm.zone == zone).collect();
-        let watchers = best(zone, near, homes::WATCHERS_PER_ZONE);
-        Ways { own: Arc::clone(own), vms, watchers, ..Ways::default() }
+        let watchers_of = |zone: &str| {
+            let near = vms.iter().filter(|vm| has_many && &*vm.zone == zone).collect();
+            best(zone, near, homes::WATCHERS_PER_ZONE)
+        };
+        let zones: BTreeSet<&str> = vms.iter().map(|vm| &*vm.zone).collect();
+        let mut helpers = match has_many {
+            true => zones.into_iter().flat_map(watchers_of).collect(),
+            false => vms.clone(),
+        };
+        helpers.retain(|vm| vm.name != *own);
+        Ways { own: Arc::clone(own), watchers: watchers_of(zone), helpers, vms, ..Ways::default() }
+    }
+
+    /// The VMs that can tell this one when the store turns it away.
+    pub fn helpers(&self) -> &[VmAddress] {
+        &self.helpers
+    }
+
+    /// Whether this VM tells others that ask.
+    pub fn tells(&self) -> bool {
+        self.is_watcher() || self.vms.len() <= limits::WATCH_ALONE
     }
 
     /// The VMs that watch the store for this one; none if it is one of those that watch for others, or
