--- a/crates/proxy/src/sessions/process/feed/tell.rs
+++ b/crates/proxy/src/sessions/process/feed/tell.rs
@@ -69,6 +69,11 @@
     async fn tell_all(&mut self) -> io::Result<()> {
         SockRef::from(&self.stream).set_send_buffer_size(SEND_BUFFER_BYTES)?;
         let mut bulletins = self.gateway.outbox.bulletin.subscribe();
+        // A process that nobody asked so far has not put there what it knows: it seemed to be behind.
+        let known = self.gateway.view().number;
+        let is_current = bulletins.wait_for(|bulletin| bulletin.number >= known);
+        // Without it, the sign of life tells how it stands.
+        let _ = time::timeout(SIGN_OF_LIFE, is_current).await;
         while self.gateway.tells() {
             let now = bulletins.borrow_and_update().clone();
             self.send(&frame::encode(&now.sign_of_life())).await?;
