--- a/crates/ctl/src/arguments.rs
+++ b/crates/ctl/src/arguments.rs
@@ -69,6 +69,13 @@
     Status,
     /// Show why: a group's name or a plan's id.
     Explain(String),
+    /// Show why a request ended as it did.
+    ExplainRequest {
+        /// The id that the caller sent with it.
+        id: String,
+        /// The log files of the VMs.
+        logs: Vec<PathBuf>,
+    },
     /// Check a settings file.
     Check {
         /// Its kind, where the operator says so.
@@ -176,8 +183,17 @@
         .subcommand(clap::Command::new("status").about("Shows what proxies do"))
         .subcommand(
             clap::Command::new("explain")
-                .about("Shows the latest decisions about a group, or how far a plan has come")
-                .arg(name("subject").value_name("GROUP|PLAN")),
+                .about("Shows the latest decisions about a group, how far a plan has come, or why a request ended as it did")
+                .arg(name("subject").value_name("GROUP|PLAN|REQUEST"))
+                .arg(
+                    Arg::new("log")
+                        .long("log")
+                        .value_name("FILE")
+                        .action(ArgAction::Append)
+                        .num_args(1..)
+                        .value_parser(value_parser!(PathBuf))
+                        .help("The log files of the VMs, to explain a request by its id"),
+                ),
         )
         .subcommand(
             clap::Command::new("check")
@@ -216,7 +232,7 @@
         "plan" => Command::Plan(read_intent(matches)?),
         "confirm" => Command::Confirm(text(matches, "id")),
         "status" => Command::Status,
-        "explain" => Command::Explain(text(matches, "subject")),
+        "explain" => read_explain(matches),
         "check" => Command::Check {
             kind: FileKind::from_name(&text(matches, "kind")),
             file: file(matches),
@@ -225,6 +241,14 @@
     })
 }
 
+fn read_explain(matches: &ArgMatches) -> Command {
+    let subject = text(matches, "subject");
+    match matches.get_many::<PathBuf>("log") {
+        Some(logs) => Command::ExplainRequest { id: subject, logs: logs.cloned().collect() },
+        None => Command::Explain(subject),
+    }
+}
+
 fn read_intent(matches: &ArgMatches) -> Result<Intent, Failure> {
     let (intent, matches) = matches.subcommand().expect("a subcommand is required");
     Ok(match intent {
--- a/crates/ctl/src/failure.rs
+++ b/crates/ctl/src/failure.rs
@@ -49,6 +49,11 @@
         /// The proxy that was asked.
         proxy: String,
     },
+    /// No line of the logs names this request.
+    UnknownRequest {
+        /// The id.
+        id: String,
+    },
     /// Another change came between plan and confirmation.
     Superseded {
         /// The plan.
@@ -119,7 +124,9 @@
             Failure::MissingOption { .. } | Failure::UnreadableFile { .. } => Exit::Usage,
             Failure::Mistakes { .. } => Exit::BadValue,
             Failure::NoPlan(error) => exit_of_plan(error),
-            Failure::UnknownPlan { .. } | Failure::UnknownGroup { .. } => Exit::UnknownObject,
+            Failure::UnknownPlan { .. }
+            | Failure::UnknownGroup { .. }
+            | Failure::UnknownRequest { .. } => Exit::UnknownObject,
             Failure::Superseded { .. } => Exit::Superseded,
             Failure::PlatformDown { .. } => Exit::PlatformDown,
             Failure::PlatformRefused { .. } | Failure::BadProxyAnswer { .. } => Exit::BadAnswer,
@@ -178,6 +185,13 @@
             Failure::UnknownGroup { group, proxy } => {
                 write!(f, "there is no group `{group}` at the proxy {proxy}")
             }
+            Failure::UnknownRequest { id } => {
+                write!(
+                    f,
+                    "no line names the request `{id}`: it succeeded, was one of those left out, \
+                     or never came"
+                )
+            }
             Failure::Superseded { id, steps_done, steps, cause } => {
                 write!(f, "plan {id} is superseded: {cause}; ")?;
                 match steps_done {
--- a/crates/ctl/src/lib.rs
+++ b/crates/ctl/src/lib.rs
@@ -26,6 +26,7 @@
 mod plan;
 mod proxy;
 pub mod report;
+mod request;
 mod status;
 mod store;
 
@@ -69,6 +70,7 @@
         Command::Confirm(id) => confirm::run(&store::open(options)?, id, options.timeout).await,
         Command::Status => status::run(options).await,
         Command::Explain(subject) => explain::run(subject, options).await,
+        Command::ExplainRequest { id, logs } => request::run(id, logs),
         Command::Check { kind, file } => check::run(*kind, file),
     }
 }
