--- a/crates/proxy/tests/control_slow_links.rs
+++ b/crates/proxy/tests/control_slow_links.rs
@@ -18,14 +18,13 @@
 use skylark_objects::ObjectStore;
 use skylark_objects::http::HttpStore;
 use skylark_soak::relay::Relay;
-use skylark_soak::relay::Treatment;
 use skylark_standin::deployment::fault::Fault;
 
 /// How many kinds of read the service of a test has: some 600 KB.
 const READ_KINDS: u64 = 15_000;
 
 /// What the slow link carries, in bytes a second: the whole takes more than 2 s.
-const SLOW_LINK: Treatment = Treatment::Rate(250_000);
+const SLOW_LINK_BYTES_PER_S: u64 = 250_000;
 
 /// So long that no exchange between proxies takes place during a test, in milliseconds.
 const NO_EXCHANGE_MS: u64 = 60_000;
@@ -54,9 +53,8 @@
 }
 
 async fn slow_link(to: SocketAddr) -> SocketAddr {
-    let link = Relay::start(to).await.expect("loopback has free ports");
-    link.treat(SLOW_LINK);
-    link.address
+    let link = Relay::start_slow(to, SLOW_LINK_BYTES_PER_S).await;
+    link.expect("loopback has free ports").address
 }
 
 /// The platform answers at once, and its answer needs seconds on its way.
--- a/crates/soak/src/relay.rs
+++ b/crates/soak/src/relay.rs
@@ -18,13 +18,17 @@
 use tokio::time::Instant;
 
 /// How much is passed on at once, in bytes.
-const CHUNK_BYTES: usize = 2 << 10;
+const CHUNK_BYTES: usize = 8 << 10;
+
+/// The same on a slow link, so that its connections pass bytes by turns.
+const SLOW_CHUNK_BYTES: usize = 2 << 10;
 
 /// How much of the time that bytes passed too late is made up for.
 const MADE_UP: Duration = Duration::from_millis(200);
 
-/// How much the system holds that has not passed yet, in bytes.
-const BUFFER_BYTES: usize = 16 << 10;
+/// How much the system holds on a slow link that has not passed yet, in bytes. Otherwise it takes in far
+/// more than passes, and a sender sees no slow link.
+const SLOW_BUFFER_BYTES: usize = 16 << 10;
 
 /// How the relay treats bytes.
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
@@ -71,20 +75,34 @@
     /// Grows with each reset.
     resets: Arc<watch::Sender<u64>>,
     pace: Arc<Pace>,
+    is_slow: bool,
 }
 
 impl Relay {
     /// Starts a relay to an address.
     pub async fn start(to: SocketAddr) -> io::Result<Relay> {
+        Relay::start_as(to, false).await
+    }
+
+    /// Starts a relay that is a link of so many bytes a second each way.
+    pub async fn start_slow(to: SocketAddr, bytes_per_s: u64) -> io::Result<Relay> {
+        let relay = Relay::start_as(to, true).await?;
+        relay.treat(Treatment::Rate(bytes_per_s));
+        Ok(relay)
+    }
+
+    async fn start_as(to: SocketAddr, is_slow: bool) -> io::Result<Relay> {
         let listener = TcpListener::bind("127.0.0.1:0").await?;
-        // Otherwise the system takes in far more than passes, and a sender sees no slow link. Connections
-        // that are accepted have the same.
-        SockRef::from(&listener).set_recv_buffer_size(BUFFER_BYTES)?;
+        if is_slow {
+            // Connections that are accepted have the same.
+            SockRef::from(&listener).set_recv_buffer_size(SLOW_BUFFER_BYTES)?;
+        }
         let relay = Relay {
             address: listener.local_addr()?,
             treatment: Arc::new(watch::Sender::new(Treatment::Pass)),
             resets: Arc::new(watch::Sender::new(0)),
             pace: Arc::new(Pace { free: [Mutex::new(Instant::now()), Mutex::new(Instant::now())] }),
+            is_slow,
         };
         let running = relay.clone();
         tokio::spawn(async move {
@@ -108,7 +126,7 @@
     async fn serve(self, stream: TcpStream, to: SocketAddr) {
         let mut resets = self.resets.subscribe();
         let Ok(other) = TcpStream::connect(to).await else { return };
-        if SockRef::from(&other).set_recv_buffer_size(BUFFER_BYTES).is_err() {
+        if self.is_slow && SockRef::from(&other).set_recv_buffer_size(SLOW_BUFFER_BYTES).is_err() {
             return;
         }
         let (from_caller, to_caller) = stream.into_split();
@@ -130,7 +148,7 @@
         is_back: bool,
     ) -> io::Result<()> {
         let mut treatment = self.treatment.subscribe();
-        let mut chunk = vec![0; CHUNK_BYTES];
+        let mut chunk = vec![0; if self.is_slow { SLOW_CHUNK_BYTES } else { CHUNK_BYTES }];
         loop {
             let count = from.read(&mut chunk).await?;
             if count == 0 {
