Have members start again with nothing in the soak, as a set of faults of its own

Seeds of the usual set do what they did. With rebirths, a replica starts again under its name with an empty log, and half of the times the primary dies just before that.

--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -17,6 +17,15 @@
 use crate::relay::Relay;
 use crate::relay::Treatment;
 
+/// When members start again, in milliseconds of Unix time at least: each time another.
+const BORN_MS: u64 = 1_700_000_000_000;
+
+/// How long a member that started with nothing may take to catch up before it counts as stuck.
+const CATCH_UP_LIMIT: Duration = Duration::from_secs(60);
+
+/// How often it is looked whether it has.
+const CATCH_UP_LOOK: Duration = Duration::from_millis(50);
+
 /// What faults are done to.
 #[derive(Clone, Debug)]
 pub struct Victims {
@@ -30,6 +39,8 @@
     pub group: Arc<Group>,
     /// The platform.
     pub platform: Arc<Platform>,
+    /// Held while a member starts again with nothing.
+    pub reborn: Arc<Mutex<()>>,
 }
 
 /// One kind of fault.
@@ -50,8 +61,52 @@
     LosesAnswers,
     Platform(Mood),
     ForgetHistory,
+    /// A replica starts again under its name, and holds nothing of before.
+    ReplicaReborn,
+    /// The same, and the primary dies just before the replica is back.
+    ReplicaRebornAndPrimaryDies,
 }
 
+/// Which kinds of fault come. What a seed does follows from its kinds, so kinds that are added later make
+/// a set of their own.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub enum FaultSet {
+    /// The first kinds.
+    Usual,
+    /// The first kinds, and targets that start again with nothing.
+    WithRebirths,
+}
+
+impl FaultSet {
+    /// The names on the command line.
+    pub const NAMES: [&'static str; 2] = ["usual", "rebirths"];
+
+    /// The set of this name.
+    pub fn from_name(name: &str) -> Option<FaultSet> {
+        match name {
+            "usual" => Some(FaultSet::Usual),
+            "rebirths" => Some(FaultSet::WithRebirths),
+            _ => None,
+        }
+    }
+
+    fn faults(self) -> Vec<Fault> {
+        match self {
+            FaultSet::Usual => FAULTS.to_vec(),
+            FaultSet::WithRebirths => [FAULTS.as_slice(), &REBIRTHS].concat(),
+        }
+    }
+}
+
+const REBIRTHS: [Fault; 6] = [
+    Fault::ReplicaReborn,
+    Fault::ReplicaReborn,
+    Fault::ReplicaReborn,
+    Fault::ReplicaRebornAndPrimaryDies,
+    Fault::ReplicaRebornAndPrimaryDies,
+    Fault::ReplicaRebornAndPrimaryDies,
+];
+
 const FAULTS: [Fault; 20] = [
     Fault::Pause,
     Fault::Kill,
@@ -76,12 +131,13 @@
 ];
 
 /// Brings faults about, each for a while, until the time is over; returns once all have ended.
-pub async fn series(victims: Victims, seed: u64, length: Duration) {
+pub async fn series(victims: Victims, set: FaultSet, seed: u64, length: Duration) {
+    let faults = set.faults();
     let mut rng = StdRng::seed_from_u64(seed);
     let until = time::Instant::now() + length;
     let mut under_way = Vec::new();
     while time::Instant::now() < until {
-        let fault = FAULTS[rng.random_range(0..FAULTS.len())];
+        let fault = faults[rng.random_range(0..faults.len())];
         let lasts = Duration::from_millis(rng.random_range(200..2_500));
         let (victims, which) = (victims.clone(), rng.random_range(0..usize::MAX));
         under_way.push(tokio::spawn(async move { bring(&victims, fault, which, lasts).await }));
@@ -152,7 +208,44 @@
             victims.platform.set_mood(Mood::Serving);
         }
         Fault::ForgetHistory => victims.platform.objects.forget_history(),
+        Fault::ReplicaReborn => reborn(victims, which, lasts, false).await,
+        Fault::ReplicaRebornAndPrimaryDies => reborn(victims, which, lasts, true).await,
+    }
+}
+
+/// A replica starts again with nothing. One at a time, and not before the one before has caught up: a commit is
+/// acknowledged by two members, so it would be lost if both lost their logs.
+async fn reborn(victims: &Victims, which: usize, lasts: Duration, primary_dies: bool) {
+    let group = &victims.group;
+    let _only_one = victims.reborn.lock().await;
+    let Some(leader) = group.leader() else { return };
+    let replica = (leader + 1 + which % 2) % victims.to_targets.len();
+    group.change(replica, |member| member.alive = false);
+    time::sleep(lasts / 4).await;
+    if primary_dies {
+        group.change(leader, |member| member.alive = false);
+    }
+    group.start_with_nothing(replica, BORN_MS + which as u64 % BORN_MS);
+    group.change(replica, |member| member.alive = true);
+    time::sleep(lasts).await;
+    if primary_dies {
+        group.change(leader, |member| {
+            member.alive = true;
+            member.paused_term = 0;
+            member.start += 1;
+        });
     }
+    let until = time::Instant::now() + CATCH_UP_LIMIT;
+    while !has_caught_up(group, replica) && time::Instant::now() < until {
+        time::sleep(CATCH_UP_LOOK).await;
+    }
+}
+
+fn has_caught_up(group: &Group, replica: usize) -> bool {
+    group.leader().is_some_and(|leader| {
+        let (there, here) = (group.member(leader).log.len(), group.member(replica).log.len());
+        leader != replica && here >= there
+    })
 }
 
 async fn end_and_start(proxy: &Mutex<Proxy>, signal: Signal, pause: Duration) {
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -7,6 +7,7 @@
 use clap::Arg;
 use clap::Command;
 use clap::value_parser;
+use skylark_soak::faults::FaultSet;
 use skylark_soak::run;
 use skylark_soak::run::SoakOptions;
 
@@ -29,6 +30,13 @@
                 .value_parser(value_parser!(PathBuf))
                 .help("The proxy's program"),
         )
+        .arg(
+            Arg::new("faults")
+                .long("faults")
+                .default_value("usual")
+                .value_parser(FaultSet::NAMES)
+                .help("Which kinds of fault come"),
+        )
         .arg(number("first", "1", "The first seed"))
         .arg(number("seeds", "10", "How many seeds"))
         .arg(number("proxies", "4", "How many proxies"))
@@ -42,6 +50,8 @@
     let arguments = command().get_matches();
     let number = |name: &str| *arguments.get_one::<u64>(name).expect("it has a default");
     let program: &PathBuf = arguments.get_one("program").expect("the argument is required");
+    let faults: Option<&String> = arguments.get_one("faults");
+    let faults = faults.and_then(|name| FaultSet::from_name(name)).expect("it is one of the names");
     let mut failed = 0;
     for seed in number("first")..number("first") + number("seeds") {
         let options = SoakOptions {
@@ -50,6 +60,7 @@
             proxies: number("proxies") as usize,
             callers: number("callers") as usize,
             length: Duration::from_secs(number("seconds")),
+            faults,
         };
         match run::run(&options, seed).await {
             Ok(verdict) => {
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -26,6 +26,7 @@
 use crate::callers::Caller;
 use crate::callers::Told;
 use crate::faults;
+use crate::faults::FaultSet;
 use crate::faults::Victims;
 use crate::process::Proxy;
 use crate::process::ProxySetup;
@@ -51,6 +52,8 @@
     pub callers: usize,
     /// How long faults come.
     pub length: Duration,
+    /// Which kinds of fault come.
+    pub faults: FaultSet,
 }
 
 /// What a soak found.
@@ -123,8 +126,9 @@
         to_targets: to_targets.lock().clone(),
         group: Arc::clone(&group),
         platform: Arc::clone(&deployment.platform),
+        reborn: Arc::default(),
     };
-    faults::series(victims, seed, options.length).await;
+    faults::series(victims, options.faults, seed, options.length).await;
     let mut violations = serves_again(&told).await;
     goes_on.send_replace(false);
     for caller in callers {
