--- a/crates/proxy/src/sessions/process/watch.rs
+++ b/crates/proxy/src/sessions/process/watch.rs
@@ -62,7 +62,7 @@
 }
 
 /// The watches whose last call the store did not answer, each by itself: with one flag for both, an
-/// answer about targets hid that a watcher had had no configuration for as long as 14 s, and those that it tells
+/// answer about targets hid that a watcher had had no configuration for 14 s, and those that it tells
 /// stayed with it.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Failing {
