--- a/crates/core/src/version/route_changes.rs
+++ b/crates/core/src/version/route_changes.rs
@@ -1,8 +1,8 @@
 //! What one who knows an earlier version of a configuration has to be sent.
 //!
 //! A configuration may have thousands of routes while versions mostly change one, so who knows one of
-//! the last versions is sent what changed since. With 2,867 routes that is 260 bytes instead of
-//! 480 KB for one route more.
+//! the last versions is sent what changed since. With 2,800 routes that is 280 bytes instead of
+//! 457 KB for one route more (counted by the bytes that watchers send).
 
 use std::collections::VecDeque;
 use std::sync::Arc;
