--- a/crates/standin/src/typed/ports.rs
+++ b/crates/standin/src/typed/ports.rs
@@ -9,7 +9,7 @@
 use std::sync::atomic::AtomicU32;
 use std::sync::atomic::Ordering;
 
-use tokio::net::TcpListener;
+use tokio::net::TcpStream;
 
 /// The ports to choose from: below 32,768, where the system's own range begins.
 const FIRST_PORT: u32 = 12_000;
@@ -24,7 +24,9 @@
         let step = NEXT.fetch_add(1, Ordering::Relaxed);
         let port = FIRST_PORT + start.wrapping_add(step) % PORTS;
         let address = SocketAddr::from(([127, 0, 0, 1], port as u16));
-        if TcpListener::bind(address).await.is_ok() {
+        // Whether somebody listens is asked by a connection: a listener of our own would be held for a moment
+        // by any process that another thread starts meanwhile, and the port be taken after all.
+        if TcpStream::connect(address).await.is_err() {
             return Ok(address);
         }
     }
