--- a/crates/soak/src/relay.rs
+++ b/crates/soak/src/relay.rs
@@ -41,20 +41,26 @@
     OneWay,
     /// Nothing passes.
     Silent,
-    /// All connections together pass so many bytes a second each way.
-    Rate(u64),
 }
 
-/// When the next byte may pass each way at a bounded rate.
+/// A link that all connections of a relay share.
 #[derive(Debug)]
-struct Pace {
+struct SlowLink {
+    /// What it carries each way.
+    bytes_per_s: u64,
+    /// When the next byte may pass, there and back.
     free: [Mutex<Instant>; 2],
 }
 
-impl Pace {
+impl SlowLink {
+    fn new(bytes_per_s: u64) -> SlowLink {
+        let now = Instant::now();
+        SlowLink { bytes_per_s, free: [Mutex::new(now), Mutex::new(now)] }
+    }
+
     /// Waits until so many bytes have passed.
-    async fn pass(&self, is_back: bool, count: usize, bytes_per_s: u64) {
-        let takes = Duration::from_secs_f64(count as f64 / bytes_per_s as f64);
+    async fn pass(&self, is_back: bool, count: usize) {
+        let takes = Duration::from_secs_f64(count as f64 / self.bytes_per_s as f64);
         let until = {
             let mut free = self.free[usize::from(is_back)].lock();
             // Sleeping too long at one time is made up for at the next.
@@ -74,26 +80,24 @@
     treatment: Arc<watch::Sender<Treatment>>,
     /// Grows with each reset.
     resets: Arc<watch::Sender<u64>>,
-    pace: Arc<Pace>,
-    is_slow: bool,
+    /// None if bytes pass as fast as they come.
+    slow_link: Option<Arc<SlowLink>>,
 }
 
 impl Relay {
     /// Starts a relay to an address.
     pub async fn start(to: SocketAddr) -> io::Result<Relay> {
-        Relay::start_as(to, false).await
+        Relay::start_over(to, None).await
     }
 
     /// Starts a relay that is a link of so many bytes a second each way.
     pub async fn start_slow(to: SocketAddr, bytes_per_s: u64) -> io::Result<Relay> {
-        let relay = Relay::start_as(to, true).await?;
-        relay.treat(Treatment::Rate(bytes_per_s));
-        Ok(relay)
+        Relay::start_over(to, Some(SlowLink::new(bytes_per_s))).await
     }
 
-    async fn start_as(to: SocketAddr, is_slow: bool) -> io::Result<Relay> {
+    async fn start_over(to: SocketAddr, slow_link: Option<SlowLink>) -> io::Result<Relay> {
         let listener = TcpListener::bind("127.0.0.1:0").await?;
-        if is_slow {
+        if slow_link.is_some() {
             // Connections that are accepted have the same.
             SockRef::from(&listener).set_recv_buffer_size(SLOW_BUFFER_BYTES)?;
         }
@@ -101,8 +105,7 @@
             address: listener.local_addr()?,
             treatment: Arc::new(watch::Sender::new(Treatment::Pass)),
             resets: Arc::new(watch::Sender::new(0)),
-            pace: Arc::new(Pace { free: [Mutex::new(Instant::now()), Mutex::new(Instant::now())] }),
-            is_slow,
+            slow_link: slow_link.map(Arc::new),
         };
         let running = relay.clone();
         tokio::spawn(async move {
@@ -126,7 +129,9 @@
     async fn serve(self, stream: TcpStream, to: SocketAddr) {
         let mut resets = self.resets.subscribe();
         let Ok(other) = TcpStream::connect(to).await else { return };
-        if self.is_slow && SockRef::from(&other).set_recv_buffer_size(SLOW_BUFFER_BYTES).is_err() {
+        if self.slow_link.is_some()
+            && SockRef::from(&other).set_recv_buffer_size(SLOW_BUFFER_BYTES).is_err()
+        {
             return;
         }
         let (from_caller, to_caller) = stream.into_split();
@@ -148,7 +153,8 @@
         is_back: bool,
     ) -> io::Result<()> {
         let mut treatment = self.treatment.subscribe();
-        let mut chunk = vec![0; if self.is_slow { SLOW_CHUNK_BYTES } else { CHUNK_BYTES }];
+        let chunk_bytes = self.slow_link.as_ref().map_or(CHUNK_BYTES, |_| SLOW_CHUNK_BYTES);
+        let mut chunk = vec![0; chunk_bytes];
         loop {
             let count = from.read(&mut chunk).await?;
             if count == 0 {
@@ -157,14 +163,15 @@
             let held = |treatment: &Treatment| match treatment {
                 Treatment::Silent => true,
                 Treatment::OneWay => is_back,
-                Treatment::Pass | Treatment::Delay(_) | Treatment::Rate(_) => false,
+                Treatment::Pass | Treatment::Delay(_) => false,
             };
             let now = treatment.wait_for(|treatment| !held(treatment)).await;
             let now = *now.map_err(|_| io::ErrorKind::BrokenPipe)?;
-            match now {
-                Treatment::Delay(delay_ms) => time::sleep(Duration::from_millis(delay_ms)).await,
-                Treatment::Rate(bytes_per_s) => self.pace.pass(is_back, count, bytes_per_s).await,
-                Treatment::Pass | Treatment::OneWay | Treatment::Silent => (),
+            if let Treatment::Delay(delay_ms) = now {
+                time::sleep(Duration::from_millis(delay_ms)).await;
+            }
+            if let Some(link) = &self.slow_link {
+                link.pass(is_back, count).await;
             }
             to.write_all(&chunk[..count]).await?;
         }
