Simplify what the change made more complicated than it is

Found in reading the change again; one behaviour moves back to what it was. - The listener had its input beside its state and decided twice whether it may say that it is fed; both live in one place. - The watchers of a VM's own zone were ranked twice for each list of VMs. - What is known of departures was counted at two places for the same setter. - The error of a frame was built by a closure and three times by hand. - The platform's API client read the body of answers whose status says all, so a 'not found' with a broken body was none; it reads bodies where they are used again, as before this change. - Two limits of different meaning had one name in the platform's client.

--- a/crates/objects/src/http.rs
+++ b/crates/objects/src/http.rs
@@ -62,16 +62,15 @@
         let request = request.header(ZONE_HEADER, &self.zone);
         let begun = time::timeout(timeout, request.send()).await.map_err(no_answer)?;
         let response = begun.map_err(no_answer)?;
-        let status = response.status();
-        let body = time::timeout(ANSWER_LIMIT, whole_body(response)).await.map_err(no_answer)??;
-        match status {
-            reqwest::StatusCode::OK => decode(&body),
+        match response.status() {
+            reqwest::StatusCode::OK => decode(response).await,
             reqwest::StatusCode::NOT_FOUND => Err(StoreError::NotFound),
             reqwest::StatusCode::CONFLICT => {
-                let current: PutAnswer = decode(&body)?;
+                let current: PutAnswer = decode(response).await?;
                 Err(StoreError::Conflict { actual: current.version })
             }
             status if status.is_client_error() => {
+                let body = whole_body(response).await.unwrap_or_default();
                 let reason = String::from_utf8_lossy(&body);
                 Err(StoreError::Refused(format!("{status}: {reason}")))
             }
@@ -131,9 +130,11 @@
 
 /// Reads an answer to its end, however slowly it comes, for as long as some of it comes.
 async fn whole_body(mut response: reqwest::Response) -> Result<Vec<u8>, StoreError> {
+    let until = time::Instant::now() + ANSWER_LIMIT;
     let mut body = Vec::new();
     loop {
-        let next = time::timeout(SILENCE, response.chunk()).await.map_err(no_answer)?;
+        let silent_at = until.min(time::Instant::now() + SILENCE);
+        let next = time::timeout_at(silent_at, response.chunk()).await.map_err(no_answer)?;
         match next.map_err(no_answer)? {
             Some(chunk) => body.extend_from_slice(&chunk),
             None => return Ok(body),
@@ -141,11 +142,12 @@
     }
 }
 
-fn decode<T>(body: &[u8]) -> Result<T, StoreError>
+async fn decode<T>(response: reqwest::Response) -> Result<T, StoreError>
 where
     T: de::DeserializeOwned,
 {
-    serde_json::from_slice(body).map_err(no_answer)
+    let body = whole_body(response).await?;
+    serde_json::from_slice(&body).map_err(no_answer)
 }
 
 fn no_answer<E>(error: E) -> StoreError
--- a/crates/proxy/src/sessions/process/departed.rs
+++ b/crates/proxy/src/sessions/process/departed.rs
@@ -46,15 +46,14 @@
             let state = self.gateway.service(service);
             let positions = state.positions.lock();
             departures.settle(|left_us| positions.covering(left_us), now_us);
-            state.set_departed(departures.needed().count(), departures.past_is_known());
+            state.set_departed(departures);
         }
     }
 
     /// Puts what is known of departures where requests find it.
     pub(super) fn tell_departures(&self, known: &Known) {
         for (service, departures) in &known.departures {
-            let state = self.gateway.service(service);
-            state.set_departed(departures.needed().count(), departures.past_is_known());
+            self.gateway.service(service).set_departed(departures);
         }
     }
 
--- a/crates/proxy/src/sessions/process/feed/frame.rs
+++ b/crates/proxy/src/sessions/process/feed/frame.rs
@@ -81,17 +81,23 @@
 ///
 /// [`FrameError`] if it is no message.
 pub fn decode(body: &[u8]) -> Result<Message, FrameError> {
-    let malformed = |why: String| FrameError::Malformed(why);
     if body.first() == Some(&JSON_BEGIN) {
-        return serde_json::from_slice(body).map_err(|error| malformed(error.to_string()));
+        return serde_json::from_slice(body).map_err(malformed);
     }
     let mut text = Vec::new();
     let mut decoder = ZlibDecoder::new(body).take(MAX_MESSAGE_BYTES as u64 + 1);
-    decoder.read_to_end(&mut text).map_err(|error| malformed(error.to_string()))?;
+    decoder.read_to_end(&mut text).map_err(malformed)?;
     if text.len() > MAX_MESSAGE_BYTES {
         return Err(FrameError::TooLarge);
     }
-    serde_json::from_slice(&text).map_err(|error| malformed(error.to_string()))
+    serde_json::from_slice(&text).map_err(malformed)
+}
+
+fn malformed<E>(error: E) -> FrameError
+where
+    E: fmt::Display,
+{
+    FrameError::Malformed(error.to_string())
 }
 
 /// Takes the first frame off the input; none if it is incomplete.
--- a/crates/proxy/src/sessions/process/feed/listen.rs
+++ b/crates/proxy/src/sessions/process/feed/listen.rs
@@ -130,40 +130,15 @@
     C: Codec,
     S: StateStore,
 {
+    let input = BytesMut::new();
+    let mut feed = Feed { watcher, teller, input, announced: None, late_at: None };
+    let end = feed.hear(vm).await.err().unwrap_or(End::NotWanted);
+    feed.set_fed(false);
     let gateway = &watcher.gateway;
-    let mut input = BytesMut::new();
-    let end = hear(watcher, vm, teller, &mut input).await;
-    if teller == Teller::Watcher {
-        watcher.set_fed(false);
-    }
     gateway.counters.event(Event::FeedsGivenUp);
     slog::info!(gateway.log, "not told by a watcher";
         "watcher" => &*vm.name, "as" => ?teller, "reason" => end.to_string(),
-        "unfinished_bytes" => input.len(), "version" => watcher.version());
-}
-
-/// Takes in what one VM tells, until it can't or needn't any more.
-async fn hear<C, S>(
-    watcher: &Watcher<C, S>,
-    vm: &VmAddress,
-    teller: Teller,
-    input: &mut BytesMut,
-) -> End
-where
-    C: Codec,
-    S: StateStore,
-{
-    let stream = match subscribe(watcher, vm).await {
-        Ok(stream) => stream,
-        Err(error) => return End::Failed(error),
-    };
-    let mut feed = Feed { watcher, teller, announced: None, late_at: None };
-    while feed.is_wanted(vm) {
-        if let Err(end) = feed.hear_next(&stream, input).await {
-            return end;
-        }
-    }
-    End::NotWanted
+        "unfinished_bytes" => feed.input.len(), "version" => watcher.version());
 }
 
 async fn subscribe<C, S>(watcher: &Watcher<C, S>, vm: &VmAddress) -> io::Result<TcpStream>
@@ -186,6 +161,8 @@
 {
     watcher: &'a Watcher<C, S>,
     teller: Teller,
+    /// What came and is no whole message yet.
+    input: BytesMut,
     /// The version that its last sign of life told of.
     announced: Option<u64>,
     /// When that version is late, if it is not known yet.
@@ -197,6 +174,15 @@
     C: Codec,
     S: StateStore,
 {
+    /// Takes in what one VM tells, for as long as that is wanted.
+    async fn hear(&mut self, vm: &VmAddress) -> Result<(), End> {
+        let stream = subscribe(self.watcher, vm).await?;
+        while self.is_wanted(vm) {
+            self.hear_next(&stream).await?;
+        }
+        Ok(())
+    }
+
     /// Whether this VM still needs to be told by that one.
     fn is_wanted(&self, vm: &VmAddress) -> bool {
         match self.teller {
@@ -209,8 +195,8 @@
     }
 
     /// Waits for a message and takes it in. Returns without one when a version is late.
-    async fn hear_next(&mut self, stream: &TcpStream, input: &mut BytesMut) -> Result<(), End> {
-        let next = frame::next(stream, input, SILENCE);
+    async fn hear_next(&mut self, stream: &TcpStream) -> Result<(), End> {
+        let next = frame::next(stream, &mut self.input, SILENCE);
         let body = match self.late_at {
             None => next.await?,
             Some(late_at) => match time::timeout_at(late_at, next).await {
--- a/crates/proxy/src/sessions/process/services.rs
+++ b/crates/proxy/src/sessions/process/services.rs
@@ -7,6 +7,7 @@
 use std::sync::atomic::Ordering;
 
 use parking_lot::Mutex;
+use skylark_core::process::departures::Departures;
 use skylark_core::request::lead_proof::LeadWords;
 use skylark_core::request::lead_proof::Word;
 use skylark_core::request::primary_positions::PrimaryPositions;
@@ -57,9 +58,9 @@
     }
 
     /// What is known of members that left.
-    pub fn set_departed(&self, departed: usize, past_is_known: bool) {
-        self.departed.store(departed, Ordering::Relaxed);
-        self.past_is_known.store(past_is_known, Ordering::Relaxed);
+    pub fn set_departed<R>(&self, departures: &Departures<R>) {
+        self.departed.store(departures.needed().count(), Ordering::Relaxed);
+        self.past_is_known.store(departures.past_is_known(), Ordering::Relaxed);
     }
 
     /// How many members left without whom nothing can be promoted yet.
--- a/crates/proxy/src/sessions/process/ways.rs
+++ b/crates/proxy/src/sessions/process/ways.rs
@@ -55,17 +55,16 @@
     /// The ways of VM `own` of an availability zone among these.
     pub fn new(own: &Arc<str>, zone: &str, vms: Vec<VmAddress>) -> Ways {
         let has_many = vms.len() > limits::WATCH_ALONE;
+        let zones: BTreeSet<&str> = vms.iter().map(|vm| &*vm.zone).collect();
         let watchers_of = |zone: &str| {
             let near = vms.iter().filter(|vm| has_many && &*vm.zone == zone).collect();
             best(zone, near, homes::WATCHERS_PER_ZONE)
         };
-        let zones: BTreeSet<&str> = vms.iter().map(|vm| &*vm.zone).collect();
-        let mut helpers = match has_many {
-            true => zones.into_iter().flat_map(watchers_of).collect(),
-            false => vms.clone(),
-        };
+        let all_watchers: Vec<VmAddress> = zones.into_iter().flat_map(watchers_of).collect();
+        let watchers = all_watchers.iter().filter(|vm| &*vm.zone == zone).cloned().collect();
+        let mut helpers = if has_many { all_watchers } else { vms.clone() };
         helpers.retain(|vm| vm.name != *own);
-        Ways { own: Arc::clone(own), watchers: watchers_of(zone), helpers, vms, ..Ways::default() }
+        Ways { own: Arc::clone(own), vms, watchers, helpers, ..Ways::default() }
     }
 
     /// The VMs that can tell this one when the store turns it away.
