Let a home learn from the commits that others send through it

Cause: a home took note only of its own callers' commits, which are a few in a hundred of a primary's in a large fleet. So it did not notice that commits were stuck (only homes have a primary replaced), and had to ask members for proofs and positions that each acknowledged commit gives for nothing. Ruled out: that the forwarding VM notices; it has no connection of its own to any member, so it may not replace its primary. Change: a home counts a forwarded commit like one of its own, and takes position and proof from it.

--- a/crates/proxy/src/sessions/connection/peer.rs
+++ b/crates/proxy/src/sessions/connection/peer.rs
@@ -11,6 +11,7 @@
 use skylark_core::FastMap;
 use skylark_core::log_position::LogPosition;
 use skylark_core::request::error_kind::ErrorKind;
+use skylark_core::request::retry::Effect;
 use skylark_core::request::statement::Prepared;
 use skylark_core::request::statement::Statement;
 use skylark_core::request::statement::TransactionStatus;
@@ -31,6 +32,7 @@
 use crate::sessions::connection::link::StatementLink;
 use crate::sessions::connection::messages;
 use crate::sessions::connection::reply::End;
+use crate::sessions::connection::reply::Lost;
 use crate::sessions::connection::reply::Reply;
 use crate::sessions::process::feed;
 use crate::sessions::process::feed::tell;
@@ -74,6 +76,8 @@
     held: Option<Lease<StatementLink<C>>>,
     /// The transaction's status as the other proxy was told.
     status: TransactionStatus,
+    /// Whether the open transaction wrote something.
+    wrote: bool,
 }
 
 /// Serves another proxy until it ends.
@@ -123,6 +127,7 @@
         prepared: FastMap::default(),
         held: None,
         status: TransactionStatus::Idle,
+        wrote: false,
     };
     peer.push_ready(None);
     if peer.flush().await {
@@ -209,7 +214,7 @@
                 if let Some(held) = self.held.take() {
                     held.give_back();
                 }
-                self.status = TransactionStatus::Idle;
+                (self.status, self.wrote) = (TransactionStatus::Idle, false);
                 Ok(None)
             }
             Statement::Execute { name, arguments } => {
@@ -286,13 +291,34 @@
                 .await
                 .map_err(|_| Forwarded::Refused(ErrorKind::TargetBusy.into()))?,
         };
-        self.target.started(now_us);
+        let is_durable = match self.status {
+            TransactionStatus::Idle => work.writes(),
+            TransactionStatus::Open | TransactionStatus::Failed => {
+                self.wrote && work.effect() == Effect::Commit
+            }
+        };
+        let sent_us = call.now_us();
+        self.target.started(sent_us);
+        if is_durable {
+            self.target.commit_sent(sent_us);
+        }
         let (link, until_us) = (lease.connection(), call.deadline_us());
         let answered = acquire::run(&call, link, &self.values, work, at_least, until_us).await;
+        if is_durable {
+            let timed_out = answered.as_ref().is_err_and(Lost::timed_out);
+            self.target.commit_ended(call.now_us(), timed_out);
+        }
         self.target.ended();
         match answered {
             Ok(reply) => {
                 self.target.answered(call.now_us(), None);
+                let is_done = reply.error().is_none();
+                if is_durable && is_done {
+                    // Far more commits come through a home than from its own callers.
+                    gateway.acknowledged(&self.target, sent_us, reply.position);
+                }
+                self.wrote = reply.status == TransactionStatus::Open
+                    && (self.wrote || (is_done && work.writes()));
                 self.status = reply.status;
                 match reply.status {
                     TransactionStatus::Idle => lease.give_back(),
--- a/crates/proxy/src/sessions/process/lead.rs
+++ b/crates/proxy/src/sessions/process/lead.rs
@@ -52,6 +52,21 @@
         }
     }
 
+    /// A commit that was sent at `sent_us` was acknowledged at `position`. Where a replica has to receive it
+    /// first, that proves the lead; elsewhere a target that was replaced acknowledges as well.
+    pub fn acknowledged(
+        &self,
+        target: &TargetState<C>,
+        sent_us: u64,
+        position: Option<LogPosition>,
+    ) {
+        let service = &target.record.service;
+        if self.sync_replicas(service) > 0 {
+            self.service(service).words.lock().acknowledged(&target.record.id, sent_us);
+            self.proved_lead(target, sent_us, position);
+        }
+    }
+
     fn leads_now(&self, target: &TargetState<C>) {
         slog::info!(self.log, "another target leads";
             "service" => &*target.record.service, "target" => &*target.record.id);
--- a/crates/proxy/src/sessions/request/at_primary.rs
+++ b/crates/proxy/src/sessions/request/at_primary.rs
@@ -285,11 +285,11 @@
     if gateway.sync_replicas(service) == 0 {
         let proof = prove::lead(gateway, target, call.now_us(), call.deadline_us()).await;
         proof.map_err(|_| Refusal::from(ErrorKind::NotConfirmed))?;
+        gateway.proved_lead(target, sent_us, reply.position);
     } else {
-        gateway.service(service).words.lock().acknowledged(&target.record.id, sent_us);
+        gateway.acknowledged(target, sent_us, reply.position);
     }
     gateway.counters.event(Event::WritesAcknowledged);
-    gateway.proved_lead(target, sent_us, reply.position);
     if let Some(position) = reply.position {
         session.committed(service, position);
     }
--- a/crates/proxy/src/sessions/request/call.rs
+++ b/crates/proxy/src/sessions/request/call.rs
@@ -44,6 +44,14 @@
         }
     }
 
+    /// Whether it changes data itself, unlike what only opens or ends a transaction.
+    pub fn writes(&self) -> bool {
+        match self {
+            Work::Plain(statement) => matches!(statement, Statement::Write { .. }),
+            Work::Execute { prepared, .. } => prepared.effect == Effect::Write,
+        }
+    }
+
     /// The prepared statement that the connection needs.
     pub fn prepared(&self) -> Option<&Prepared> {
         match self {
