Have few VMs stand in for lost homes, and tell proxies what can't be reached

All VMs of a first start took themselves for a few, since the list of VMs was late: 2,070 calls. - A home that could not reach its target said 'busy', which counted as an answer: reads went there first for as long as the cut, and a VM of a zone that was cut off took a neighbour's refusal for a sign of the other zones. Ruled out: that the platform sends callers back (51 VMs of the cut zone were not ready before, and the zone was left). Change: stand-ins by rank, bounded so that homes and stand-ins pass no limit; a failed way counts as evidence of isolation, and the question whether it is over goes the way that callers' statements go; a code for 'no way from here' between proxies; a proof that can't come is given up at once; probe before reading; the list that decides who is many is no late one.

--- a/crates/core/src/process/connection_plan.rs
+++ b/crates/core/src/process/connection_plan.rs
@@ -5,10 +5,32 @@
 //! become too small to be of use, and together they pass the limit: at 86 VMs before targets of 26
 //! connections a third of the requests were served. Then each target has a few homes that divide its
 //! connections, and the other VMs send their statements through one of them.
+//!
+//! VMs that reach none of the homes must not each connect instead: a third of 295 VMs that were cut off from
+//! the others took the connections of the homes, which served everybody else. So some VMs of other
+//! availability zones may stand in for the homes, with connections that the homes leave, and the rest go
+//! through those. Homes and stand-ins together never pass the limit, whichever of them reach each other.
 
 /// How many homes a target has: one that is lost leaves enough, and each has several connections.
 pub const HOMES: usize = 4;
 
+/// How many VMs may stand in for the homes of a target, at least and at most. With ten VMs that may connect
+/// one is left where any two thirds are lost.
+const FEWEST_STAND_INS: u32 = 2;
+const MOST_STAND_INS: u32 = 12;
+
+/// After which time without any way to a target twice as many VMs may connect by themselves, in
+/// microseconds. A cut that ends soon has few of them do so; where nearly all VMs are gone, those that are left
+/// serve their callers in the end.
+const DOUBLES_AFTER_US: u64 = 3_000_000;
+
+/// How often that number is doubled at most.
+const MAX_DOUBLINGS: u64 = 10;
+
+/// What each stand-in takes of a target's connections: one for statements, and one more for questions that
+/// pass its queue.
+const STAND_IN_CONNECTIONS: u32 = 2;
+
 /// The part of a target's connections that homes keep open, in hundredths. The rest is for the
 /// questions of takeovers, and for homes that see the list of VMs differently for a moment.
 const USABLE_PERCENT: u32 = 75;
@@ -35,6 +57,8 @@
     Homes {
         /// Of each home.
         share: u32,
+        /// How many others may connect where the homes can't be reached, with one connection each.
+        stand_ins: usize,
     },
 }
 
@@ -47,5 +71,16 @@
         return ConnectionPlan::Direct { primary, replica: (primary / 2).max(1) };
     }
     let usable = max_connections * USABLE_PERCENT / 100;
-    ConnectionPlan::Homes { share: (usable / HOMES as u32).max(1) }
+    let share = (usable / HOMES as u32).max(1);
+    let left = max_connections.saturating_sub((share + 1) * HOMES as u32);
+    let stand_ins = (left / STAND_IN_CONNECTIONS).clamp(FEWEST_STAND_INS, MOST_STAND_INS);
+    ConnectionPlan::Homes { share, stand_ins: stand_ins as usize }
+}
+
+/// How many VMs, the highest ranked ones, may connect by themselves after so long without any way to a target.
+pub fn may_connect(stand_ins: usize, without_way_us: u64) -> usize {
+    match (without_way_us / DOUBLES_AFTER_US).min(MAX_DOUBLINGS) {
+        0 => 0,
+        doublings => stand_ins << doublings,
+    }
 }
--- a/crates/core/src/process/homes.rs
+++ b/crates/core/src/process/homes.rs
@@ -234,16 +234,25 @@
 /// topology. Returns their places in `vms`, the best first.
 pub fn rank_names(target: &str, vms: &[&str], count: usize) -> Vec<usize> {
     let key = hash_name(target, TARGET_SEED);
-    let rank = |place: &usize| {
-        let vm_hash = hash_name(vms[*place], VM_SEED);
-        std::cmp::Reverse((score(key, vm_hash), vm_hash))
-    };
     let mut places: Vec<usize> = (0..vms.len()).collect();
-    places.sort_by_cached_key(rank);
+    places.sort_by_cached_key(|place| std::cmp::Reverse(name_score(key, vms[*place])));
     places.truncate(count);
     places
 }
 
+/// How many of these VMs rank higher for a target than `own` does.
+pub fn rank_of(target: &str, vms: &[&str], own: &str) -> usize {
+    let key = hash_name(target, TARGET_SEED);
+    let own = name_score(key, own);
+    vms.iter().filter(|vm| name_score(key, vm) > own).count()
+}
+
+/// The place of a VM in the ranking for a target: higher is better.
+fn name_score(key: u64, vm: &str) -> (u64, u64) {
+    let vm_hash = hash_name(vm, VM_SEED);
+    (score(key, vm_hash), vm_hash)
+}
+
 fn hash_name(name: &str, seed: u64) -> u64 {
     xxh3::xxh3_64_with_seed(name.as_bytes(), seed)
 }
--- a/crates/core/src/request/statement.rs
+++ b/crates/core/src/request/statement.rs
@@ -111,6 +111,8 @@
     TooManyConnections,
     /// It does not know the prepared statement. Not run.
     UnknownPrepared,
+    /// The proxy that leads to it can't reach it. Not run.
+    Unreachable,
     /// It ran the statement and failed.
     Failed,
     /// It ran the statement for longer than it allows.
@@ -127,7 +129,7 @@
     /// The SQLSTATE with the same meaning, by which [`crate::request::retry`] decides.
     pub fn sqlstate(self) -> [u8; 5] {
         match self {
-            TargetError::Busy => *b"57P03",
+            TargetError::Busy | TargetError::Unreachable => *b"57P03",
             TargetError::Aborted => *b"40001",
             TargetError::Lagging | TargetError::UnknownPrepared => *b"57P03",
             TargetError::ReadOnly => *b"25006",
--- a/crates/core/tests/connection_plan.rs
+++ b/crates/core/tests/connection_plan.rs
@@ -19,8 +19,9 @@
     the_small_site_of_sfax_connects: 16, 6 => ConnectionPlan::Direct { primary: 2, replica: 1 },
     with_its_spare_vms_too: 16, 9 => ConnectionPlan::Direct { .. },
     the_small_site_of_mittelland_connects: 32, 8 => ConnectionPlan::Direct { primary: 4, replica: 2 },
-    the_grown_site_of_sfax_has_homes: 26, 86 => ConnectionPlan::Homes { share: 4 },
-    the_grown_site_of_mittelland_has_homes: 98, 68 => ConnectionPlan::Homes { share: 18 },
+    the_grown_site_of_sfax_has_homes: 26, 86 => ConnectionPlan::Homes { share: 4, stand_ins: 3 },
+    the_large_site_of_sfax_has_homes: 88, 295 => ConnectionPlan::Homes { share: 16, stand_ins: 10 },
+    the_grown_site_of_mittelland_has_homes: 98, 68 => ConnectionPlan::Homes { share: 18, stand_ins: 11 },
     a_vm_that_knows_no_other_connects: 16, 0 => ConnectionPlan::Direct { .. },
 }
 
@@ -29,10 +30,38 @@
     fn property(connections: u16, vms: u16) -> bool {
         match connection_plan::plan(u32::from(connections), usize::from(vms)) {
             ConnectionPlan::Direct { .. } => true,
-            ConnectionPlan::Homes { share } => {
+            ConnectionPlan::Homes { share, .. } => {
                 share == 1 || share * HOMES as u32 <= u32::from(connections)
             }
         }
     }
     QuickCheck::new().quickcheck(property as fn(u16, u16) -> bool);
 }
+
+/// VMs that reach no home stand in for them, while the homes go on serving the others. Each has one connection
+/// more than its share, for questions that pass its queue.
+#[test]
+fn homes_and_stand_ins_together_pass_no_targets_connections() {
+    fn property(connections: u16, vms: u16) -> bool {
+        match connection_plan::plan(u32::from(connections), usize::from(vms)) {
+            ConnectionPlan::Direct { .. } => true,
+            ConnectionPlan::Homes { share, stand_ins } => {
+                let all = (share + 1) * HOMES as u32 + 2 * stand_ins as u32;
+                // The fewest that may connect at all.
+                let least = 2 * HOMES as u32 + 4;
+                all <= u32::from(connections).max(least) + 4
+            }
+        }
+    }
+    QuickCheck::new().quickcheck(property as fn(u16, u16) -> bool);
+}
+
+/// A VM that finds no way to a target for long connects by itself, and one that ranks low later than one that
+/// ranks high.
+#[test]
+fn those_without_a_way_connect_one_after_the_other() {
+    assert_eq!(connection_plan::may_connect(10, 2_900_000), 0);
+    assert_eq!(connection_plan::may_connect(10, 3_000_000), 20);
+    assert_eq!(connection_plan::may_connect(10, 13_000_000), 160);
+    assert!(connection_plan::may_connect(2, u64::MAX) > 1_000);
+}
--- a/crates/proxy/src/sessions/codec.rs
+++ b/crates/proxy/src/sessions/codec.rs
@@ -165,6 +165,10 @@
     /// Writes an answer to a caller.
     fn encode_answer(message: &TargetMessage<'_>, out: &mut BytesMut);
 
+    /// Tells another proxy that there is no way from here to the target, as
+    /// [`TargetError::Unreachable`](skylark_core::request::statement::TargetError::Unreachable).
+    fn encode_unreachable(out: &mut BytesMut);
+
     /// Writes a refusal to a caller.
     fn encode_refusal(refusal: &Refusal, out: &mut BytesMut);
 
--- a/crates/proxy/src/sessions/connection/peer.rs
+++ b/crates/proxy/src/sessions/connection/peer.rs
@@ -40,6 +40,7 @@
 use crate::sessions::process::limits;
 use crate::sessions::process::targets::TargetState;
 use crate::sessions::request::acquire;
+use crate::sessions::request::acquire::NotTaken;
 use crate::sessions::request::call::Call;
 use crate::sessions::request::call::Work;
 use crate::sessions::request::prove;
@@ -100,8 +101,8 @@
     let mut output = BytesMut::new();
     let known = gateway.target(target_id).filter(|target| &*target.record.service == service);
     // A proxy that is no home itself would send it on, perhaps in a circle.
-    let Some(target) = known.filter(|target| target.via().is_none()) else {
-        C::encode_refusal(&Refusal::from(ErrorKind::TargetUnreachable), &mut output);
+    let Some(target) = known.filter(|target| gateway.connects(target)) else {
+        push_refusal::<C>(&Refusal::from(ErrorKind::TargetUnreachable), &mut output);
         // The other proxy takes a broken connection for the same.
         let _ = socket::write_all(&stream, &output, limits::SLOW_READER).await;
         return;
@@ -168,7 +169,7 @@
             }
             Err(Forwarded::Refused(refusal)) => {
                 self.gateway.counters.refusal(refusal.kind);
-                C::encode_refusal(&refusal, &mut self.output);
+                push_refusal::<C>(&refusal, &mut self.output);
                 self.push_ready(None);
             }
             // The other proxy can't know how far it came, so it sees what this one saw.
@@ -289,7 +290,7 @@
             }
             None => acquire::take(&call, &self.target, call.offer_until_us())
                 .await
-                .map_err(|_| Forwarded::Refused(ErrorKind::TargetBusy.into()))?,
+                .map_err(|not_taken| self.refused(&not_taken))?,
         };
         let is_durable = match self.status {
             TransactionStatus::Idle => work.writes(),
@@ -337,6 +338,20 @@
         }
     }
 
+    /// What the other proxy is told of a statement for which there was no connection. That the target can't be
+    /// reached has to be said: without it the other one went on sending it reads that another member had
+    /// answered at once.
+    fn refused(&self, not_taken: &NotTaken) -> Forwarded {
+        let kind = match not_taken {
+            NotTaken::Queue(_) => ErrorKind::TargetBusy,
+            NotTaken::NotConnected(_) => match self.target.health().failed_since_us {
+                Some(_) => ErrorKind::TargetUnreachable,
+                None => ErrorKind::TargetBusy,
+            },
+        };
+        Forwarded::Refused(kind.into())
+    }
+
     fn push_reply(&mut self, reply: &Reply) {
         reply.encode::<C>(&mut self.output);
         self.push_ready(reply.position);
@@ -354,6 +369,16 @@
     }
 }
 
+fn push_refusal<C>(refusal: &Refusal, out: &mut BytesMut)
+where
+    C: Codec,
+{
+    match refusal.kind {
+        ErrorKind::TargetUnreachable => C::encode_unreachable(out),
+        _ => C::encode_refusal(refusal, out),
+    }
+}
+
 /// Why a forwarded statement has no answer of the target.
 enum Forwarded {
     /// It was not sent.
--- a/crates/proxy/src/sessions/process/asking.rs
+++ b/crates/proxy/src/sessions/process/asking.rs
@@ -83,6 +83,11 @@
         self.state.borrow().standing()
     }
 
+    /// Whether this process has to ask by itself.
+    pub fn is_untold(&self) -> bool {
+        !self.state.borrow().is_told()
+    }
+
     /// Takes in how many VMs there are, and whether this one asks for itself and others.
     pub fn set_fleet(&self, vms: usize, asks: bool) {
         self.change(|state| (state.vms, state.asks) = (vms, asks));
@@ -108,8 +113,12 @@
         });
     }
 
-    /// Waits until this process has to ask by itself. Returns whether it was told meanwhile.
-    pub async fn turn(&self) -> bool {
+    /// Waits until this process has to ask by itself, and the store answers it. Returns whether it was told
+    /// meanwhile.
+    pub async fn turn<S>(&self, store: &S) -> bool
+    where
+        S: StateStore,
+    {
         let mut states = self.state.subscribe();
         let mut was_told = false;
         // Without the list of VMs all of a large fleet would ask as if they were few.
@@ -123,12 +132,16 @@
                 let _ = states.changed().await;
                 continue;
             }
+            if standing == Standing::Asks {
+                return was_told;
+            }
             let patience_us = store_calls::patience_us(standing, state.vms, self.seed);
             let left_us = (state.untold_since_us + patience_us).saturating_sub(self.clock.now_us());
-            if left_us == 0 || standing == Standing::Asks {
+            if left_us > 0 {
+                let _ = time::timeout(Duration::from_micros(left_us), states.changed()).await;
+            } else if self.until_answered(state.untold_since_us, store).await {
                 return was_told;
             }
-            let _ = time::timeout(Duration::from_micros(left_us), states.changed()).await;
         }
     }
 
@@ -139,22 +152,30 @@
     }
 
     /// Waits after a call that was not answered until the store answers a probe, or another VM tells
-    /// this process. A probe is cheap, and one at a time serves all that wait here.
+    /// this process.
     pub async fn after_failure<S>(&self, store: &S)
     where
         S: StateStore,
     {
-        let failed_us = self.clock.now_us();
+        self.until_answered(self.clock.now_us(), store).await;
+    }
+
+    /// Waits until the store has answered a probe that was sent after `since_us`, or another VM tells this
+    /// process. Returns whether the store has. A probe is cheap, and one at a time serves all that wait.
+    async fn until_answered<S>(&self, since_us: u64, store: &S) -> bool
+    where
+        S: StateStore,
+    {
         let mut states = self.state.subscribe();
         let mut probe_answered_us = self.probe_answered_us.lock().await;
-        while *probe_answered_us <= failed_us {
+        while *probe_answered_us <= since_us {
             let state = *states.borrow();
             let failures = self.failures.fetch_add(1, Ordering::Relaxed) + 1;
             let pause_us =
                 store_calls::retry_pause_us(state.standing(), state.vms, failures, self.seed);
             let told = states.wait_for(State::is_told);
             if time::timeout(Duration::from_micros(pause_us), told).await.is_ok() {
-                return;
+                return false;
             }
             let is_away = store.probe(&self.vm).await.is_err();
             if !is_away {
@@ -162,6 +183,12 @@
             }
             self.change(|state| state.is_away = is_away);
         }
+        true
+    }
+
+    /// Whether the store may answer, as far as is known.
+    pub fn may_answer(&self) -> bool {
+        self.state.borrow().may_answer()
     }
 
     /// Waits while the store is known not to answer, at most for this time.
--- a/crates/proxy/src/sessions/process/counted_store.rs
+++ b/crates/proxy/src/sessions/process/counted_store.rs
@@ -12,6 +12,7 @@
 use crate::process::counters::StoreCall;
 use crate::process::counters::StoreTrouble;
 use crate::sessions::store::At;
+use crate::sessions::store::Freshness;
 use crate::sessions::store::ListedTarget;
 use crate::sessions::store::StateStore;
 use crate::sessions::store::StoreError;
@@ -91,8 +92,8 @@
         self.counted(StoreCall::RegisterVm, self.store.register_vm(vm)).await
     }
 
-    async fn vms(&self) -> Result<At<Vec<VmAddress>>, StoreError> {
-        self.counted(StoreCall::ListVms, self.store.vms()).await
+    async fn vms(&self, freshness: Freshness) -> Result<At<Vec<VmAddress>>, StoreError> {
+        self.counted(StoreCall::ListVms, self.store.vms(freshness)).await
     }
 
     async fn probe(&self, vm: &str) -> Result<(), StoreError> {
--- a/crates/proxy/src/sessions/process/gateway.rs
+++ b/crates/proxy/src/sessions/process/gateway.rs
@@ -241,6 +241,21 @@
         }
     }
 
+    /// Whether this process has connections of its own to a target, if need be by standing in for its homes,
+    /// which another VM can't reach.
+    pub fn connects(&self, target: &TargetState<C>) -> bool {
+        if target.via().is_none() {
+            return true;
+        }
+        let (view, ways, now_us) = (self.view.load(), self.ways.load(), self.clock.now_us());
+        let bounds = service_limits(view.routes.as_deref(), &target.record.service);
+        if !ways.stand_in(target, bounds.max_connections, now_us) {
+            return false;
+        }
+        ways.lead(target, bounds.max_connections, self.is_primary(target), now_us);
+        true
+    }
+
     /// Takes in the list of VMs.
     pub fn set_vms(&self, vms: &[VmAddress]) {
         let ways = Ways::new(&self.vm, &self.zone, vms.to_vec());
--- a/crates/proxy/src/sessions/process/isolation.rs
+++ b/crates/proxy/src/sessions/process/isolation.rs
@@ -15,6 +15,7 @@
 use crate::sessions::process::target_calls;
 use crate::sessions::process::target_calls::Said;
 use crate::sessions::process::targets::TargetState;
+use crate::sessions::request::prove;
 
 /// How often a process that is cut off asks whether it still is. Each question is paid for like a
 /// health check, and callers that come back a little later lose nothing.
@@ -50,14 +51,17 @@
             .iter()
             .map(|target| {
                 let health = target.health();
-                let (answered_us, failed_since_us) = (health.answered_us, health.failed_since_us);
-                OtherZoneTarget { answered_us, failed_since_us }
+                let failed_since_us = health.failed_since_us.or(health.way_failed_since_us);
+                OtherZoneTarget { answered_us: health.answered_us, failed_since_us }
             })
             .collect();
         let was_isolated = self.since.is_some();
         if !isolation::is_isolated(&seen, self.gateway.clock.now_us()) {
             if was_isolated {
-                slog::warn!(self.gateway.log, "other availability zones are reached again");
+                let last = outside.iter().max_by_key(|target| target.health().answered_us);
+                slog::warn!(self.gateway.log, "other availability zones are reached again";
+                    "target" => last.map(|target| target.record.id.to_string()),
+                    "via" => last.and_then(|target| target.via()).as_deref());
                 self.since = None;
                 self.gateway.enter_unless_stopping(StopPhase::Serving);
             }
@@ -92,6 +96,12 @@
         let target = Arc::clone(&outside[turn as usize % outside.len()]);
         let gateway = Arc::clone(&self.gateway);
         tokio::spawn(async move {
+            if target.via().is_some() {
+                // Reaching the target by itself would not serve callers, whose statements go another way.
+                let until_us = gateway.clock.now_us() + ASK_LIMIT.as_micros() as u64;
+                let _ = prove::standing_of(&gateway, &target, until_us).await;
+                return;
+            }
             let (record, query) = (&target.record, Query::Status);
             let said = target_calls::ask_within::<C>(record, &gateway.vm, &query, ASK_LIMIT).await;
             match said {
--- a/crates/proxy/src/sessions/process/limits.rs
+++ b/crates/proxy/src/sessions/process/limits.rs
@@ -40,6 +40,10 @@
 /// back after a second or two.
 pub const HOME_PASSED_OVER_US: u64 = 2_000_000;
 
+/// For how long a VM connects to a target that it is no home of, once that was needed, in microseconds: longer
+/// than it takes to pass the homes over anew.
+pub const STANDS_IN_US: u64 = 4 * HOME_PASSED_OVER_US;
+
 /// How many requests wait for one target at most. At some 10 ms each on 3 at a time, more would
 /// wait for longer than the objectives allow.
 pub const QUEUED_PER_TARGET: usize = 128;
--- a/crates/proxy/src/sessions/process/targets.rs
+++ b/crates/proxy/src/sessions/process/targets.rs
@@ -10,6 +10,8 @@
 use skylark_core::process::jitter;
 use skylark_core::process::sharing::ClassShare;
 use skylark_core::process::sharing::queue::QueueLimits;
+use skylark_core::request::retry::Failure;
+use skylark_core::request::statement::TargetError;
 use skylark_core::version::routes::TargetRecord;
 
 use crate::connection::admission::AdmissionQueue;
@@ -56,6 +58,9 @@
     pub failed_since_us: Option<u64>,
     /// When it failed last.
     pub failed_us: u64,
+    /// The first failure to reach the VM that leads to it since anything came back that way. It says nothing
+    /// of the target.
+    pub way_failed_since_us: Option<u64>,
     /// How many commits wait for their answer.
     pub commits_waiting: u32,
     /// Since when commits wait without any of them being acknowledged.
@@ -151,6 +156,7 @@
             answered_us: 0,
             failed_since_us: None,
             failed_us: 0,
+            way_failed_since_us: None,
             commits_waiting: 0,
             commits_stuck_since_us: None,
             lagged_us: 0,
@@ -275,6 +281,7 @@
         let mut health = self.health.lock();
         health.answered_us = now_us;
         health.failed_since_us = None;
+        health.way_failed_since_us = None;
         health.unanswered_since_us = (health.in_flight > 0).then_some(now_us);
         if let Some(took_us) = took_us {
             let kept_us = health.usual_us - health.usual_us / AVERAGE_DIVISOR;
@@ -282,6 +289,26 @@
         }
     }
 
+    /// A whole reply came, from it or from the proxy that leads to it.
+    pub fn replied(&self, error: Option<TargetError>, now_us: u64, took_us: Option<u64>) {
+        match error {
+            Some(TargetError::Unreachable) => self.failed(now_us),
+            // The proxy may say so by itself: a VM of a zone that was cut off took that for a sign of the other
+            // zones.
+            Some(TargetError::Busy) if self.via().is_some() => {
+                self.health.lock().way_failed_since_us = None;
+            }
+            _ => self.answered(now_us, took_us),
+        }
+    }
+
+    /// Whether requests pass it over, because it failed just now and nothing came from it since.
+    pub fn is_passed_over(&self, now_us: u64) -> bool {
+        let health = self.health.lock();
+        health.failed_since_us.is_some()
+            && now_us < health.failed_us + limits::FAILING_PASSED_OVER_US
+    }
+
     /// It can't be reached, broke off, or did not answer in time.
     pub fn failed(&self, now_us: u64) {
         let mut health = self.health.lock();
@@ -289,6 +316,18 @@
         health.failed_since_us.get_or_insert(now_us);
     }
 
+    /// It could not be reached: itself, or the VM that leads to it.
+    pub fn unreached(&self, failure: Failure, now_us: u64) {
+        match self.via() {
+            None => self.failed(now_us),
+            // The VM answered, and knows no way to the target.
+            Some(_) if matches!(failure, Failure::Said { .. }) => (),
+            Some(_) => {
+                self.health.lock().way_failed_since_us.get_or_insert(now_us);
+            }
+        }
+    }
+
     /// It refused a read because its log lacks the position.
     pub fn lagged(&self, now_us: u64) {
         self.health.lock().lagged_us = now_us;
--- a/crates/proxy/src/sessions/process/vms.rs
+++ b/crates/proxy/src/sessions/process/vms.rs
@@ -16,6 +16,7 @@
 use crate::sessions::process::limits;
 use crate::sessions::process::watch::Watcher;
 use crate::sessions::store::At;
+use crate::sessions::store::Freshness;
 use crate::sessions::store::StateStore;
 use crate::sessions::store::StoreError;
 use crate::sessions::store::VmAddress;
@@ -61,12 +62,13 @@
     S: StateStore,
 {
     async fn follow(mut self) {
-        let mut found = self.list().await;
+        let mut found = self.list(Freshness::MayBeLate).await;
         if !found.value.contains(&self.own) {
             self.register().await;
             if found.value.len() <= limits::WATCH_ALONE {
                 time::sleep(FLEET_PAUSE).await;
-                found = self.list().await;
+                // A late one would have each VM of a large fleet that starts take itself for one of few.
+                found = self.list(Freshness::Newest).await;
             }
         }
         self.take(found);
@@ -76,17 +78,20 @@
             let is_watcher = self.watcher.gateway.is_watcher();
             let usual = if is_watcher { WATCHER_LIST_PAUSE } else { LIST_PAUSE };
             time::sleep(pauses.next().unwrap_or(usual)).await;
-            asking.turn().await;
+            asking.turn(&self.store).await;
             asking.while_away(LIST_PAUSE).await;
-            let found = self.list().await;
-            self.take(found);
+            // It may be told by now, or else the store may still be away.
+            if asking.is_untold() && asking.may_answer() {
+                let found = self.list(Freshness::MayBeLate).await;
+                self.take(found);
+            }
         }
     }
 
     /// Lists all VMs, however often the store has to be asked for that.
-    async fn list(&mut self) -> At<Vec<VmAddress>> {
+    async fn list(&mut self, freshness: Freshness) -> At<Vec<VmAddress>> {
         loop {
-            match self.store.vms().await {
+            match self.store.vms(freshness).await {
                 Ok(found) => {
                     self.failures = 0;
                     return found;
--- a/crates/proxy/src/sessions/process/watch.rs
+++ b/crates/proxy/src/sessions/process/watch.rs
@@ -202,7 +202,7 @@
 
     /// Waits until this process has to ask by itself. Returns whether it was told meanwhile.
     async fn turn(&self, watched: Watched) -> bool {
-        let was_told = self.gateway.asking.turn().await;
+        let was_told = self.gateway.asking.turn(&self.store).await;
         if was_told {
             *self.known.lock().health.of(watched) = Heard::Nothing;
         }
--- a/crates/proxy/src/sessions/process/ways.rs
+++ b/crates/proxy/src/sessions/process/ways.rs
@@ -30,9 +30,37 @@
     /// The homes of the targets that were asked for. Ranked by each look at the pools, those of 1,101
     /// targets would take 2.4% of a core with 69 VMs in a zone (`slopes --only homes_by_name`, ten
     /// looks a second).
-    homes: Mutex<FastMap<Arc<str>, Arc<[VmAddress]>>>,
+    homes: Mutex<FastMap<Arc<str>, Arc<Homes>>>,
     /// Until when VMs are passed over that could not be reached.
     passed_over_us: Mutex<FastMap<Arc<str>, u64>>,
+    /// Until when this VM connects to targets though it is no home of theirs.
+    stands_in_us: Mutex<FastMap<Arc<str>, u64>>,
+}
+
+/// The VMs that may have connections of their own to a target.
+#[derive(Debug)]
+struct Homes {
+    /// Its homes first, then those that may stand in for them.
+    vms: Vec<VmAddress>,
+    /// How many of them are homes.
+    homes: usize,
+    /// How many others were asked for.
+    may_stand_in: usize,
+    /// What this VM is of these.
+    role: HomeRole,
+    /// How many VMs rank before this one.
+    rank: usize,
+}
+
+/// What a VM is to a target.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+enum HomeRole {
+    /// One of its homes.
+    Home,
+    /// It may stand in for them.
+    StandIn,
+    /// It goes through the others.
+    Neither,
 }
 
 impl Ways {
@@ -112,48 +140,112 @@
                 target.go_via(None);
                 target.configure(if is_primary { primary } else { replica });
             }
-            ConnectionPlan::Homes { share } => {
-                let homes = self.homes_of(target);
-                let is_home = homes.iter().any(|home| home.name == self.own);
-                match self.home_for(target, &homes, now_us).filter(|_| !is_home) {
-                    Some(home) => {
-                        target.go_via(Some(home));
-                        target.configure(limits::PEER_CONNECTIONS);
-                    }
-                    None => {
-                        target.go_via(None);
-                        target.configure(if is_home { share } else { 1 });
+            ConnectionPlan::Homes { share, stand_ins } => {
+                let homes = self.homes_of(target, stand_ins);
+                self.pass_over_failing(target, now_us);
+                let home = self.home_for(&homes, now_us);
+                let connects = match homes.role {
+                    HomeRole::Home => true,
+                    HomeRole::StandIn => home.is_none() || self.stands_in(target, now_us),
+                    HomeRole::Neither => {
+                        self.stands_in(target, now_us)
+                            || (home.is_none() && self.is_left_alone(target, &homes, now_us))
                     }
+                };
+                if connects {
+                    target.go_via(None);
+                    target.configure(if homes.role == HomeRole::Home { share } else { 1 });
+                    return;
+                }
+                // Without any home that may be reached, the way that fails is as good as another.
+                if home.is_some() || target.via().is_none() {
+                    target.go_via(home.or(homes.vms.first()));
                 }
+                target.configure(limits::PEER_CONNECTIONS);
             }
         }
     }
 
-    /// The homes of a target: VMs of its availability zone, or of all if there are none there.
-    fn homes_of<C>(&self, target: &TargetState<C>) -> Arc<[VmAddress]>
+    /// Whether this VM has had no way to a target for so long that it connects by itself. It goes on doing so
+    /// for a while.
+    fn is_left_alone<C>(&self, target: &TargetState<C>, homes: &Homes, now_us: u64) -> bool
+    where
+        C: Codec,
+    {
+        let Some(since_us) = target.health().way_failed_since_us else { return false };
+        let without_way_us = now_us.saturating_sub(since_us);
+        let may_connect = connection_plan::may_connect(homes.may_stand_in, without_way_us);
+        if homes.rank >= may_connect {
+            return false;
+        }
+        self.set_stands_in(target, now_us);
+        true
+    }
+
+    fn set_stands_in<C>(&self, target: &TargetState<C>, now_us: u64)
+    where
+        C: Codec,
+    {
+        let until_us = now_us + limits::STANDS_IN_US;
+        self.stands_in_us.lock().insert(Arc::clone(&target.record.id), until_us);
+    }
+
+    /// Has this VM stand in for the homes of a target for a while, if it may. Returns whether it does.
+    pub fn stand_in<C>(&self, target: &TargetState<C>, max_connections: u32, now_us: u64) -> bool
+    where
+        C: Codec,
+    {
+        let plan = connection_plan::plan(max_connections, self.vms.len());
+        let ConnectionPlan::Homes { stand_ins, .. } = plan else { return false };
+        if self.homes_of(target, stand_ins).role != HomeRole::StandIn {
+            return false;
+        }
+        self.set_stands_in(target, now_us);
+        true
+    }
+
+    fn stands_in<C>(&self, target: &TargetState<C>, now_us: u64) -> bool
+    where
+        C: Codec,
+    {
+        let mut stands_in_us = self.stands_in_us.lock();
+        stands_in_us.retain(|_, until_us| now_us < *until_us);
+        stands_in_us.contains_key(&target.record.id)
+    }
+
+    /// The VMs that may connect to a target: homes of its availability zone, or of all if there are none
+    /// there, and stand-ins of the other zones.
+    fn homes_of<C>(&self, target: &TargetState<C>, stand_ins: usize) -> Arc<Homes>
     where
         C: Codec,
     {
+        let id = &target.record.id;
         let mut known = self.homes.lock();
-        let homes = known.entry(Arc::clone(&target.record.id)).or_insert_with(|| {
-            let near = self.vms.iter().filter(|vm| vm.zone == target.record.zone);
-            let mut fit: Vec<&VmAddress> = near.collect();
-            if fit.is_empty() {
-                fit = self.vms.iter().collect();
-            }
-            best(&target.record.id, fit, connection_plan::HOMES).into()
-        });
-        Arc::clone(homes)
+        if let Some(homes) = known.get(id).filter(|homes| homes.may_stand_in == stand_ins) {
+            return Arc::clone(homes);
+        }
+        let homes = Arc::new(self.rank_homes(id, &target.record.zone, stand_ins));
+        known.insert(Arc::clone(id), Arc::clone(&homes));
+        homes
     }
 
-    /// The home that this process sends its statements through: another one for each process, and
-    /// the next one while that can't be reached.
-    fn home_for<'a, C>(
-        &self,
-        target: &TargetState<C>,
-        homes: &'a [VmAddress],
-        now_us: u64,
-    ) -> Option<&'a VmAddress>
+    fn rank_homes(&self, target_id: &str, zone: &str, stand_ins: usize) -> Homes {
+        let (near, far): (Vec<_>, Vec<_>) = self.vms.iter().partition(|vm| &*vm.zone == zone);
+        let (fit, others) = if near.is_empty() { (far, Vec::new()) } else { (near, far) };
+        let mut vms = best(target_id, fit, connection_plan::HOMES);
+        let homes = vms.len();
+        vms.extend(best(target_id, others, stand_ins));
+        let role = match vms.iter().position(|vm| vm.name == self.own) {
+            None => HomeRole::Neither,
+            Some(place) if place < homes => HomeRole::Home,
+            Some(_) => HomeRole::StandIn,
+        };
+        let names: Vec<&str> = self.vms.iter().map(|vm| &*vm.name).collect();
+        let rank = homes::rank_of(target_id, &names, &self.own);
+        Homes { vms, homes, may_stand_in: stand_ins, role, rank }
+    }
+
+    fn pass_over_failing<C>(&self, target: &TargetState<C>, now_us: u64)
     where
         C: Codec,
     {
@@ -164,9 +256,19 @@
             passed_over_us.insert(via, now_us + limits::HOME_PASSED_OVER_US);
         }
         passed_over_us.retain(|_, until_us| now_us < *until_us);
-        let first = jitter::seed_of(&self.own) as usize % homes.len().max(1);
-        let mut order = homes.iter().cycle().skip(first).take(homes.len());
-        order.find(|home| !passed_over_us.contains_key(&home.name))
+    }
+
+    /// The VM that this process sends its statements through: another home for each process, the next one
+    /// while that can't be reached, and a stand-in where no home can.
+    fn home_for<'a>(&self, homes: &'a Homes, now_us: u64) -> Option<&'a VmAddress> {
+        let passed_over_us = self.passed_over_us.lock();
+        let is_passed_over = |vm: &VmAddress| {
+            passed_over_us.get(&vm.name).is_some_and(|until_us| now_us < *until_us)
+        };
+        let (first, stand_ins) = homes.vms.split_at(homes.homes);
+        let turn = jitter::seed_of(&self.own) as usize % first.len().max(1);
+        let in_turn = first.iter().cycle().skip(turn).take(first.len());
+        in_turn.chain(stand_ins).find(|home| home.name != self.own && !is_passed_over(home))
     }
 }
 
--- a/crates/proxy/src/sessions/request/acquire.rs
+++ b/crates/proxy/src/sessions/request/acquire.rs
@@ -46,9 +46,8 @@
             Failure::TimedOut => target.pool().failing(),
             other => Some(*other),
         };
-        // A home that can't be reached says nothing of the target.
-        if target.via().is_none() && seen.is_some_and(|failure| !is_full(failure)) {
-            target.failed(call.now_us());
+        if let Some(failure) = seen.filter(|failure| !is_full(*failure)) {
+            target.unreached(failure, call.now_us());
         }
     }
     taken
--- a/crates/proxy/src/sessions/request/at_primary.rs
+++ b/crates/proxy/src/sessions/request/at_primary.rs
@@ -97,7 +97,7 @@
     let now_us = call.now_us();
     match answered {
         Ok(reply) => {
-            target.answered(now_us, Some(now_us.saturating_sub(sent_us)));
+            target.replied(reply.error(), now_us, Some(now_us.saturating_sub(sent_us)));
             if reply.error() == Some(TargetError::UnknownPrepared) {
                 held.lease.connection().forget_session();
             }
@@ -159,7 +159,7 @@
                 return Err(lost_commit(lost.failure));
             }
         };
-        target.answered(now_us, None);
+        target.replied(reply.error(), now_us, None);
         match reply.error() {
             None => {
                 lease.give_back();
@@ -167,7 +167,7 @@
                 return Ok(reply);
             }
             Some(TargetError::ReadOnly) => call.gateway.refused_lead(&target),
-            Some(TargetError::Busy) => (),
+            Some(TargetError::Busy | TargetError::Unreachable) => (),
             Some(TargetError::UnknownPrepared) => lease.connection().forget_session(),
             Some(_) => {
                 lease.give_back();
@@ -240,7 +240,7 @@
                 return Ok(Held { lease, target, may_read: ground != Ground::None });
             }
             Ok(Some(reply)) => {
-                target.answered(call.now_us(), None);
+                target.replied(reply.error(), call.now_us(), None);
                 if lacks_lead(&reply, at_least) {
                     call.gateway.refused_lead(&target);
                 }
@@ -379,6 +379,7 @@
         Some(TargetError::ReadOnly) => RetryReason::NotPrimary,
         Some(TargetError::UnknownPrepared) => RetryReason::PreparedLost,
         Some(TargetError::Lagging) => RetryReason::Lagging,
+        Some(TargetError::Unreachable) => RetryReason::ConnectFailed,
         _ => RetryReason::Busy,
     }
 }
--- a/crates/proxy/src/sessions/request/prove.rs
+++ b/crates/proxy/src/sessions/request/prove.rs
@@ -71,6 +71,7 @@
 {
     let state = gateway.service(&target.record.service);
     let came_us = gateway.clock.now_us();
+    let mut was_asked = false;
     loop {
         let asked = state.asking.ended();
         let verdict = gateway.lead_verdict(target, moment_us);
@@ -83,11 +84,13 @@
             LeadVerdict::TermUnknown | LeadVerdict::Missing(_) => (),
         }
         let now_us = gateway.clock.now_us();
-        // Nobody answered just before it came: it is told so at once.
-        if now_us >= until_us || state.was_asked_in_vain(came_us) {
+        // Nobody answered just before it came, or whoever is left can't be reached: it is told so at once.
+        let is_hopeless = was_asked && is_hopeless(gateway, target, verdict, moment_us);
+        if now_us >= until_us || is_hopeless || state.was_asked_in_vain(came_us) {
             log_unproved(gateway, target, moment_us, verdict);
             return Err(Unproved::NoWord);
         }
+        was_asked = true;
         match state.asking.begin() {
             Some(_asking) => {
                 let is_answered = ask(gateway, target, verdict, moment_us, until_us).await?;
@@ -161,6 +164,27 @@
     Ok(is_answered)
 }
 
+/// Whether so many members were not heard since a moment, and can't be reached, that the words which are
+/// missing can't come: asking the others again brings nothing.
+fn is_hopeless<C>(
+    gateway: &Gateway<C>,
+    target: &TargetState<C>,
+    verdict: LeadVerdict,
+    moment_us: u64,
+) -> bool
+where
+    C: Codec,
+{
+    let LeadVerdict::Missing(missing) = verdict else { return false };
+    let state = gateway.service(&target.record.service);
+    let now_us = gateway.clock.now_us();
+    let may_say = |member: &Arc<TargetState<C>>| {
+        let asked_us = state.words.lock().asked_us(&member.record.id);
+        asked_us.is_none_or(|asked_us| asked_us < moment_us) && !member.is_passed_over(now_us)
+    };
+    witnesses(gateway, target).into_iter().filter(may_say).count() < missing
+}
+
 /// Whether no other member can be reached: one that only has no connection free may answer next time.
 fn nobody_is_reached<C>(gateway: &Gateway<C>, target: &TargetState<C>) -> bool
 where
@@ -220,12 +244,8 @@
     let members = gateway.members(&target.record.service).into_iter();
     let mut others: Vec<_> =
         members.filter(|member| member.record.id != target.record.id).collect();
-    others.sort_by_key(|member| {
-        let health = member.health();
-        let fails = health.failed_since_us.is_some()
-            && now_us < health.failed_us + limits::FAILING_PASSED_OVER_US;
-        (fails, member.record.zone != gateway.zone)
-    });
+    others
+        .sort_by_key(|member| (member.is_passed_over(now_us), member.record.zone != gateway.zone));
     others
 }
 
@@ -255,14 +275,11 @@
     match lease.connection().ask(&Query::Standing, until).await {
         Ok(reply) => {
             lease.give_back();
-            member.answered(gateway.clock.now_us(), None);
+            member.replied(reply.error(), gateway.clock.now_us(), None);
             Ok(reply)
         }
         Err(lost) => {
-            // A home that does not answer says nothing of the target.
-            if member.via().is_none() {
-                member.failed(gateway.clock.now_us());
-            }
+            member.unreached(lost.failure, gateway.clock.now_us());
             Err(lost.failure)
         }
     }
--- a/crates/proxy/src/sessions/request/read.rs
+++ b/crates/proxy/src/sessions/request/read.rs
@@ -135,8 +135,6 @@
         .iter()
         .map(|member| {
             let health = member.health();
-            let fails = health.failed_since_us.is_some()
-                && now_us < health.failed_us + limits::FAILING_PASSED_OVER_US;
             ReadCandidate {
                 same_zone: member.record.zone == call.gateway.zone,
                 is_primary: call.gateway.is_primary(member),
@@ -144,7 +142,7 @@
                 under_way: health.queued + health.in_flight,
                 lags: health.lagged_us > 0
                     && now_us < health.lagged_us + limits::LAGGING_PASSED_OVER_US,
-                fails,
+                fails: member.is_passed_over(now_us),
             }
         })
         .collect();
@@ -216,13 +214,14 @@
         target.answered(now_us, Some(took_us));
         return Offered::Answered(reply);
     };
-    target.answered(now_us, None);
+    target.replied(Some(error), now_us, None);
     match error {
         TargetError::Lagging => {
             target.lagged(now_us);
             Offered::TryNext(RetryReason::Lagging)
         }
         TargetError::Busy => Offered::TryNext(RetryReason::Busy),
+        TargetError::Unreachable => Offered::TryNext(RetryReason::ConnectFailed),
         TargetError::UnknownPrepared => {
             link.forget_session();
             Offered::TryNext(RetryReason::PreparedLost)
--- a/crates/proxy/src/sessions/request/transaction.rs
+++ b/crates/proxy/src/sessions/request/transaction.rs
@@ -111,8 +111,8 @@
                 return Some(Held { lease, target, may_read: true });
             }
             Ok(reply) => {
-                target.answered(call.now_us(), None);
                 let error = reply.and_then(|reply| reply.error());
+                target.replied(error, call.now_us(), None);
                 if error == Some(TargetError::Lagging) {
                     target.lagged(call.now_us());
                 }
--- a/crates/proxy/src/sessions/store.rs
+++ b/crates/proxy/src/sessions/store.rs
@@ -78,6 +78,15 @@
     pub value: T,
 }
 
+/// How new an answer has to be.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub enum Freshness {
+    /// It holds all that was written before the question.
+    Newest,
+    /// It may be some seconds old, and costs less.
+    MayBeLate,
+}
+
 /// The part of the platform that keeps what lasts.
 pub trait StateStore: Clone + Send + Sync + 'static {
     /// Reads the configuration; none while there is none.
@@ -105,8 +114,11 @@
     /// Writes down where this VM is reached by the others.
     fn register_vm(&self, vm: &VmAddress) -> impl Future<Output = Result<(), StoreError>> + Send;
 
-    /// Lists all VMs that ever registered, possibly some seconds late.
-    fn vms(&self) -> impl Future<Output = Result<At<Vec<VmAddress>>, StoreError>> + Send;
+    /// Lists all VMs that ever registered.
+    fn vms(
+        &self,
+        freshness: Freshness,
+    ) -> impl Future<Output = Result<At<Vec<VmAddress>>, StoreError>> + Send;
 
     /// Asks whether the store answers, by the cheapest call that there is.
     fn probe(&self, vm: &str) -> impl Future<Output = Result<(), StoreError>> + Send;
