Gather changes of targets that come in quick succession

Cause: each change of a target wakes each watch at the store. When all 60 targets register, or come back after a lapse, ten watchers made 589 and 526 calls in 5 s. Change: after a second change within half a second the next call waits 100 ms; a single change holds nothing up.

--- a/crates/proxy/src/sessions/process/watch.rs
+++ b/crates/proxy/src/sessions/process/watch.rs
@@ -17,6 +17,7 @@
 use skylark_core::process::store_calls::StoreNews;
 use skylark_core::version::routes::RouteTable;
 use skylark_core::version::routes::TargetRecord;
+use tokio::time;
 
 use crate::sessions::codec::Codec;
 use crate::sessions::process::gateway::Gateway;
@@ -36,6 +37,14 @@
 /// The same while the store does not answer: a call that is swallowed must not hide its return.
 const FAILING_WAIT: Duration = Duration::from_millis(100);
 
+/// After changes of targets in quick succession, how long further ones are gathered before the store is asked
+/// again. Each call would bring one of hundreds, when all targets register or come back, to each watcher.
+const GATHER: Duration = Duration::from_millis(100);
+
+/// Within which time of each other changes are in quick succession, in microseconds. A single one, such as a new
+/// primary's, holds nothing up.
+const SUCCESSION_US: u64 = 500_000;
+
 /// What is watched at the store.
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
 enum Watched {
@@ -129,6 +138,8 @@
     was_away: bool,
     /// When the store answered this process last after it had been away.
     store_back_us: u64,
+    /// When a watch last brought a change of targets; zero before the first.
+    targets_changed_us: u64,
     /// The store's revision of the list of VMs.
     pub(super) vms_revision: u64,
 }
@@ -269,10 +280,21 @@
     async fn watch_targets(&self, revision: u64, wait: Duration) -> Result<u64, StoreError> {
         let found = self.store.watch_targets(revision, wait).await?;
         self.answered(Watched::Targets);
+        let has_changes = !found.value.is_empty();
         self.take_changes(found.revision, found.value);
+        if has_changes && self.changes_follow_quickly() {
+            time::sleep(GATHER).await;
+        }
         Ok(found.revision)
     }
 
+    /// Whether there was another change of targets just before this one.
+    fn changes_follow_quickly(&self) -> bool {
+        let now_us = self.gateway.clock.now_us();
+        let before_us = std::mem::replace(&mut self.known.lock().targets_changed_us, now_us);
+        before_us > 0 && now_us < before_us + SUCCESSION_US
+    }
+
     fn answered(&self, watched: Watched) {
         let now_us = self.gateway.clock.now_us();
         let mut known = self.known.lock();
