--- a/crates/core/src/process/connection_plan.rs
+++ b/crates/core/src/process/connection_plan.rs
@@ -2,14 +2,14 @@
 //!
 //! A target accepts a few connections from all VMs together. While there are few VMs, each has some
 //! of its own: no hop, and a target is reached as long as anybody reaches it. With many VMs the parts
-//! become too small to be of use, and together they pass the limit: at 86 VMs before targets of 26
-//! connections a third of the requests were served. Then each target has a few homes that divide its
-//! connections, and the other VMs send their statements through one of them.
+//! become too small to be of use, and together they pass the limit, so that most statements find none.
+//! Then each target has a few homes that divide its connections, and the other VMs send their statements
+//! through one of them.
 //!
-//! VMs that reach none of the homes must not each connect instead: a third of 295 VMs that were cut off from
-//! the others took the connections of the homes, which served everybody else. So some VMs of other
-//! availability zones may stand in for the homes, with connections that the homes leave, and the rest go
-//! through those. Homes and stand-ins together never pass the limit, whichever of them reach each other.
+//! VMs that reach none of the homes must not each connect instead: many that are cut off from the others
+//! would take the connections of the homes, which serve everybody else. So some VMs of other availability
+//! zones may stand in for the homes, with connections that the homes leave, and the rest go through those.
+//! Homes and stand-ins together never pass the limit, whichever of them reach each other.
 
 /// How many homes a target has: one that is lost leaves enough, and each has several connections.
 pub const HOMES: usize = 4;
--- a/crates/proxy/src/sessions/process/asking.rs
+++ b/crates/proxy/src/sessions/process/asking.rs
@@ -34,6 +34,8 @@
     untold_since_us: u64,
     /// Whether the store did not answer this process's last probe.
     is_away: bool,
+    /// Whether what the one that tells this process told of is late.
+    is_late: bool,
 }
 
 impl State {
@@ -67,7 +69,14 @@
     /// For a process that starts.
     pub fn new(vm: &str, clock: MonotonicClock) -> Asking {
         let untold_since_us = clock.now_us();
-        let state = State { vms: 0, asks: false, told: None, untold_since_us, is_away: false };
+        let state = State {
+            vms: 0,
+            asks: false,
+            told: None,
+            untold_since_us,
+            is_away: false,
+            is_late: false,
+        };
         Asking {
             vm: vm.into(),
             seed: jitter::seed_of(vm),
@@ -95,7 +104,13 @@
 
     /// Takes in what the one that tells this process says of the store; none if nobody tells it.
     pub fn set_told(&self, told: Option<StoreNews>) {
-        self.change(|state| state.told = told);
+        self.change(|state| (state.told, state.is_late) = (told, false));
+    }
+
+    /// A version that this process was told of is late: it asks at once. With the pauses of one that is told no
+    /// longer, the version could come into force later than it has to.
+    pub fn is_told_late(&self) {
+        self.change(|state| (state.told, state.is_late) = (None, true));
     }
 
     fn change<F>(&self, change: F)
@@ -132,7 +147,7 @@
                 let _ = states.changed().await;
                 continue;
             }
-            if standing == Standing::Asks {
+            if standing == Standing::Asks || state.is_late {
                 return was_told;
             }
             let patience_us = store_calls::patience_us(standing, state.vms, self.seed);
--- a/crates/proxy/src/sessions/process/feed/listen.rs
+++ b/crates/proxy/src/sessions/process/feed/listen.rs
@@ -303,7 +303,7 @@
                 Ok(body) => body?,
                 Err(_) => {
                     self.late_at = None;
-                    self.watcher.set_told(None);
+                    self.watcher.told_late();
                     return Ok(());
                 }
             },
--- a/crates/proxy/src/sessions/process/watch.rs
+++ b/crates/proxy/src/sessions/process/watch.rs
@@ -74,7 +74,7 @@
 }
 
 /// How both watches stand with the store, each by itself: with one state for both, an answer about
-/// targets hid that a watcher had had no configuration for 14 s, and those that it tells stayed with it.
+/// targets would hide that a watcher has no new configuration, and those that it tells would stay with it.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct StoreHealth {
     configuration: Heard,
@@ -205,6 +205,12 @@
         self.gateway.asking.set_told(told.map(|told| told.news));
     }
 
+    /// What another process told this one of does not come in time: it is read from the store.
+    pub fn told_late(&self) {
+        self.known.lock().told = None;
+        self.gateway.asking.is_told_late();
+    }
+
     /// For how long the store has not answered one of the watches, in microseconds; zero if it answers.
     pub fn silent_us(&self) -> u64 {
         let since_us = self.known.lock().health.failing_since_us();
--- a/crates/proxy/src/sessions/process/ways.rs
+++ b/crates/proxy/src/sessions/process/ways.rs
@@ -27,9 +27,8 @@
     /// The VMs that can tell this one when the store turns it away: the watchers of all zones, or all
     /// VMs if each watches by itself.
     helpers: Vec<VmAddress>,
-    /// The homes of the targets that were asked for. Ranked by each look at the pools, those of 1,101
-    /// targets would take 2.4% of a core with 69 VMs in a zone (`slopes --only homes_by_name`, ten
-    /// looks a second).
+    /// The homes of the targets that were asked for: ranking them at each look at the pools would take
+    /// processor time that grows with targets times VMs.
     homes: Mutex<FastMap<Arc<str>, Arc<Homes>>>,
     /// When VMs last could not be reached.
     failed_us: Mutex<FastMap<Arc<str>, u64>>,
