--- a/crates/proxy/src/sessions/codec.rs
+++ b/crates/proxy/src/sessions/codec.rs
@@ -166,7 +166,7 @@
     fn encode_answer(message: &TargetMessage<'_>, out: &mut BytesMut);
 
     /// Tells another proxy that there is no way from here to the target, as
-    /// [`TargetError::Unreachable`](skylark_core::request::statement::TargetError::Unreachable).
+    /// [`TargetError::Unreachable`].
     fn encode_unreachable(out: &mut BytesMut);
 
     /// Writes a refusal to a caller.
