--- a/crates/proxy/src/process/counters.rs
+++ b/crates/proxy/src/process/counters.rs
@@ -94,6 +94,10 @@
         PrimaryWaits = "waits.primary",
         /// Members asked how they stand.
         WordsAsked = "words.asked",
+        /// Homes asked for a position of a primary.
+        PositionsAsked = "positions.asked",
+        /// Looks at the way to a target.
+        WaysLookedAt = "ways.looked_at",
         /// Leads that other members' words proved.
         LeadsProved = "leads.proved",
         /// Leads that too few words could be had for.
--- a/crates/proxy/src/sessions/process/gateway.rs
+++ b/crates/proxy/src/sessions/process/gateway.rs
@@ -19,6 +19,7 @@
 
 use crate::process::clock::MonotonicClock;
 use crate::process::counters::Counters;
+use crate::process::counters::Event;
 use crate::sessions::codec::Codec;
 use crate::sessions::process::asking::Asking;
 use crate::sessions::process::daemon::SessionSettings;
@@ -233,6 +234,7 @@
     pub fn maintain_pools(&self) {
         let (view, ways, now_us) = (self.view.load(), self.ways.load(), self.clock.now_us());
         for target in self.targets() {
+            self.counters.event(Event::WaysLookedAt);
             let bounds = service_limits(view.routes.as_deref(), &target.record.service);
             if !target.must_rest(now_us) {
                 ways.lead(&target, bounds.max_connections, self.is_primary(&target), now_us);
--- a/crates/proxy/src/sessions/request/sample.rs
+++ b/crates/proxy/src/sessions/request/sample.rs
@@ -11,6 +11,7 @@
 use skylark_core::request::statement::TargetError;
 
 use crate::connection::pool::Lease;
+use crate::process::counters::Event;
 use crate::sessions::codec::Codec;
 use crate::sessions::codec::Query;
 use crate::sessions::connection::link::StatementLink;
@@ -93,6 +94,7 @@
 where
     C: Codec,
 {
+    gateway.counters.event(Event::PositionsAsked);
     let sent_us = gateway.clock.now_us();
     let until = gateway.clock.instant_at(sent_us + LIMIT_US);
     let reply = lease.connection().ask(&Query::Position, until).await.ok()?;
