Look at ways that rest only when what they follow from changed

Cause: each VM looked at the way to each target ten times a second, and at each service twenty times, whether anything used them: 9,000 looks a second at 900 targets of which 15 are its own. A profile at 99 VMs had these looks first. Change: the listed targets are one table that a change replaces, so that no look takes a lock or copies a list; ways without connections, waiters or failures are looked at when the list of VMs, the targets or what can be reached changed, and once a second; only services with a connection of our own are looked at for a takeover.

--- a/crates/proxy/src/connection/pool.rs
+++ b/crates/proxy/src/connection/pool.rs
@@ -115,6 +115,12 @@
         self.state.lock().budget.total()
     }
 
+    /// Whether there are no connections, nobody waits for one, and none failed.
+    pub fn rests(&self) -> bool {
+        let state = self.state.lock();
+        state.budget.total() == 0 && state.waiting.is_empty() && state.failing.is_none()
+    }
+
     /// Whether the last try to connect failed.
     pub fn is_failing(&self) -> bool {
         self.state.lock().failing.is_some()
--- a/crates/proxy/src/sessions/process/gateway.rs
+++ b/crates/proxy/src/sessions/process/gateway.rs
@@ -30,6 +30,7 @@
 use crate::sessions::process::services::ServiceState;
 use crate::sessions::process::stop::StopPhase;
 use crate::sessions::process::stop::StopState;
+use crate::sessions::process::target_table::TargetTable;
 use crate::sessions::process::targets::TargetState;
 use crate::sessions::process::ways::Ways;
 use crate::sessions::store::VmAddress;
@@ -80,7 +81,9 @@
     next_session: AtomicU64,
     pub(super) view: ArcSwap<View>,
     pub(super) changed: watch::Sender<u64>,
-    targets: RwLock<FastMap<Arc<str>, Arc<TargetState<C>>>>,
+    targets: ArcSwap<TargetTable<C>>,
+    /// When all ways were last looked at, in microseconds; zero if something changed since.
+    looked_us: AtomicU64,
     services: RwLock<FastMap<Arc<str>, Arc<ServiceState>>>,
 }
 
@@ -111,7 +114,8 @@
             next_session: AtomicU64::new(1),
             view: ArcSwap::default(),
             changed: watch::Sender::new(0),
-            targets: RwLock::default(),
+            targets: ArcSwap::default(),
+            looked_us: AtomicU64::new(0),
             services: RwLock::default(),
         }
     }
@@ -173,20 +177,17 @@
 
     /// A target by id.
     pub fn target(&self, id: &str) -> Option<Arc<TargetState<C>>> {
-        self.targets.read().get(id).cloned()
+        self.targets.load().get(id).cloned()
     }
 
     /// All targets.
-    pub fn targets(&self) -> Vec<Arc<TargetState<C>>> {
-        self.targets.read().values().cloned().collect()
+    pub fn targets(&self) -> Arc<TargetTable<C>> {
+        self.targets.load_full()
     }
 
     /// The listed targets of a service.
     pub fn members(&self, service: &str) -> Vec<Arc<TargetState<C>>> {
-        let view = self.view.load();
-        let targets = self.targets.read();
-        let listed = view.members(service).iter();
-        listed.filter_map(|member| targets.get(&member.record.id).cloned()).collect()
+        self.targets.load().members(service).to_vec()
     }
 
     /// What the traffic showed of a service.
@@ -231,13 +232,25 @@
 
     /// Brings the pools to what is believed of the primaries, and lets each open and close
     /// connections.
+    ///
+    /// With hundreds of services most ways rest. Those are looked at only when what they follow from
+    /// changed, and once in a while in case that something was missed.
     pub fn maintain_pools(&self) {
         let (view, ways, now_us) = (self.view.load(), self.ways.load(), self.clock.now_us());
-        for target in self.targets() {
+        let looked_us = self.looked_us.load(Ordering::Relaxed);
+        let looks_at_all =
+            looked_us == 0 || now_us >= looked_us + limits::ALL_WAYS_US || ways.take_news();
+        if looks_at_all {
+            self.looked_us.store(now_us.max(1), Ordering::Relaxed);
+        }
+        for target in self.targets.load().all() {
+            if !looks_at_all && target.rests() {
+                continue;
+            }
             self.counters.event(Event::WaysLookedAt);
             let bounds = service_limits(view.routes.as_deref(), &target.record.service);
             if !target.must_rest(now_us) {
-                ways.lead(&target, bounds.max_connections, self.is_primary(&target), now_us);
+                ways.lead(target, bounds.max_connections, self.is_primary(target), now_us);
             }
             target.pool().maintain();
         }
@@ -246,7 +259,7 @@
     /// Whether this process has connections of its own to a target, if need be by standing in for its homes,
     /// which another VM can't reach.
     pub fn connects(&self, target: &TargetState<C>) -> bool {
-        if target.via().is_none() {
+        if target.is_own() {
             return true;
         }
         let (view, ways, now_us) = (self.view.load(), self.ways.load(), self.clock.now_us());
@@ -263,6 +276,7 @@
         let ways = Ways::new(&self.vm, &self.zone, vms.to_vec());
         self.asking.set_fleet(vms.len(), ways.asks());
         self.ways.store(Arc::new(ways));
+        self.looked_us.store(0, Ordering::Relaxed);
     }
 
     /// How many VMs are known.
@@ -308,7 +322,7 @@
     /// Whether this process looks after the primary of a service: where it has connections of its own
     /// to a member, so that not all VMs ask a primary that is in trouble.
     pub fn drives(&self, service: &str) -> bool {
-        self.members(service).iter().any(|member| member.via().is_none())
+        self.targets.load().members(service).iter().any(|member| member.is_own())
     }
 
     /// Notices of new versions and of targets that proved their lead.
@@ -336,7 +350,7 @@
     /// Brings the targets to what a version lists. The connections of a target that went are closed
     /// as they become idle.
     fn align_targets(&self, view: &View) {
-        let mut targets = self.targets.write();
+        let mut targets = self.targets.load().by_id().clone();
         let members = view.services.values().flatten();
         let listed: FastSet<&str> = members.map(|member| &*member.record.id).collect();
         let ways = self.ways.load();
@@ -358,6 +372,8 @@
             let rest_us = now_us + self.drain_us.saturating_sub(limits::LEAVING_MARGIN_US);
             known.set_leaving(member.record.leaving.then_some(rest_us));
         }
+        self.targets.store(Arc::new(TargetTable::new(targets)));
+        self.looked_us.store(0, Ordering::Relaxed);
     }
 }
 
--- a/crates/proxy/src/sessions/process/isolation.rs
+++ b/crates/proxy/src/sessions/process/isolation.rs
@@ -82,8 +82,8 @@
     }
 
     fn other_zone_targets(&self) -> Vec<Arc<TargetState<C>>> {
-        let targets = self.gateway.targets().into_iter();
-        targets.filter(|target| target.record.zone != self.gateway.zone).collect()
+        let targets = self.gateway.targets();
+        targets.all().filter(|target| target.record.zone != self.gateway.zone).cloned().collect()
     }
 
     /// Asks one target of another zone: without callers there would be no other sign.
--- a/crates/proxy/src/sessions/process/limits.rs
+++ b/crates/proxy/src/sessions/process/limits.rs
@@ -28,6 +28,9 @@
 /// How often pools are looked after.
 pub const MAINTENANCE_INTERVAL: Duration = Duration::from_millis(100);
 
+/// How often all ways are looked at, those that rest included, in microseconds.
+pub const ALL_WAYS_US: u64 = 1_000_000;
+
 /// How many connections one process has to a home of a target that it is no home of. They cost the
 /// target nothing.
 pub const PEER_CONNECTIONS: u32 = 8;
--- a/crates/proxy/src/sessions/process/metrics_text.rs
+++ b/crates/proxy/src/sessions/process/metrics_text.rs
@@ -33,7 +33,7 @@
         }
     }
     gateway.latencies.render(&mut out);
-    for target in gateway.targets() {
+    for target in gateway.targets().all() {
         let health = target.health();
         let labels =
             format!("{{service=\"{}\",target=\"{}\"}}", target.record.service, target.record.id);
--- a/crates/proxy/src/sessions/process/mod.rs
+++ b/crates/proxy/src/sessions/process/mod.rs
@@ -25,6 +25,7 @@
 pub mod stop;
 pub mod takeover;
 pub mod target_calls;
+pub mod target_table;
 pub mod targets;
 pub mod vms;
 pub mod watch;
--- a/crates/proxy/src/sessions/process/takeover/mod.rs
+++ b/crates/proxy/src/sessions/process/takeover/mod.rs
@@ -84,13 +84,12 @@
     /// Looks at all services, and starts to drive what needs it.
     pub fn look(self: &Arc<Self>) {
         self.watcher.settle_departures();
-        let view = self.gateway.view();
-        for service in view.services.keys() {
-            let Some(need) = self.needs.of(service) else { continue };
-            if !self.driven.lock().insert(Arc::clone(service)) {
+        for service in self.gateway.targets().connected_services() {
+            let Some(need) = self.needs.of(&service) else { continue };
+            if !self.driven.lock().insert(Arc::clone(&service)) {
                 continue;
             }
-            let (takeovers, service) = (Arc::clone(self), Arc::clone(service));
+            let takeovers = Arc::clone(self);
             tokio::spawn(async move {
                 takeovers.drive(&service, need).await;
                 takeovers.driven.lock().remove(&service);
--- a/crates/proxy/src/sessions/process/targets.rs
+++ b/crates/proxy/src/sessions/process/targets.rs
@@ -184,6 +184,18 @@
         self.way.load().via.clone()
     }
 
+    /// Whether this process has connections of its own to it.
+    pub fn is_own(&self) -> bool {
+        self.way.load().via.is_none()
+    }
+
+    /// Whether nothing is to be done about the way to it until somebody needs it: it leads through another VM,
+    /// has no connections, and nothing came of it that did not work.
+    pub fn rests(&self) -> bool {
+        let way = self.way.load();
+        way.via.is_some() && way.pool.rests() && self.health.lock().way_failed_since_us.is_none()
+    }
+
     /// Goes through another VM from now on, or straight. The connections of the old way are closed
     /// as they become idle.
     pub fn go_via(&self, vm: Option<&VmAddress>) {
--- a/crates/proxy/src/sessions/process/ways.rs
+++ b/crates/proxy/src/sessions/process/ways.rs
@@ -2,6 +2,8 @@
 
 use std::collections::BTreeSet;
 use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
 
 use parking_lot::Mutex;
 use skylark_core::FastMap;
@@ -32,6 +34,8 @@
     homes: Mutex<FastMap<Arc<str>, Arc<Homes>>>,
     /// When VMs last could not be reached.
     failed_us: Mutex<FastMap<Arc<str>, u64>>,
+    /// Whether a VM turned out not to be reached, so that ways through it are to change.
+    has_news: AtomicBool,
     /// Until when this VM connects to targets though it is no home of theirs.
     stands_in_us: Mutex<FastMap<Arc<str>, u64>>,
 }
@@ -114,6 +118,11 @@
         self.homes.lock().remove(target_id);
     }
 
+    /// Whether a VM turned out not to be reached since this was asked last.
+    pub fn take_news(&self) -> bool {
+        self.has_news.swap(false, Ordering::Relaxed)
+    }
+
     /// How many VMs are known.
     pub fn vm_count(&self) -> usize {
         self.vms.len()
@@ -251,8 +260,9 @@
         let mut failed_us = self.failed_us.lock();
         if let Some(via) = target.via()
             && target.pool().is_failing()
+            && failed_us.insert(via, now_us).is_none()
         {
-            failed_us.insert(via, now_us);
+            self.has_news.store(true, Ordering::Relaxed);
         }
         failed_us.retain(|_, failed_us| now_us < *failed_us + limits::HOME_AVOIDED_US);
     }
