Bring positions ahead of frequent reads only

Cause: a VM that read a service once asked a home of it for a position twice a second for 4 s: eight questions for a rare read, and a connection to each home kept open for them. With as many services as VMs that was most of what VMs sent each other. Change: positions are brought ahead from two reads in 4 s on; other reads ask as they come, for a position of three quarters of their bound on age, which homes have at hand since they bring positions while anybody asks. Questions that bring nothing are not repeated sooner.

--- a/crates/core/src/request/mod.rs
+++ b/crates/core/src/request/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod error_kind;
 pub mod lead_proof;
+pub mod position_demand;
 pub mod primary_positions;
 pub mod read_choice;
 pub mod retry;
--- a/crates/core/src/request/primary_positions.rs
+++ b/crates/core/src/request/primary_positions.rs
@@ -77,8 +77,13 @@
 
     /// The lowest known position that covers all that was acknowledged by `as_of_us`.
     pub fn covering(&self, as_of_us: u64) -> Option<LogPosition> {
+        self.first_since(as_of_us).map(|sample| sample.position)
+    }
+
+    /// The oldest sample that was taken at `as_of_us` or later.
+    pub fn first_since(&self, as_of_us: u64) -> Option<Sample> {
         let first = self.samples.partition_point(|sample| sample.taken_us < as_of_us);
-        self.samples.get(first).map(|sample| sample.position)
+        self.samples.get(first).copied()
     }
 
     /// The oldest position that is kept: what it covers was acknowledged some seconds ago.
--- a/crates/proxy/src/sessions/codec.rs
+++ b/crates/proxy/src/sessions/codec.rs
@@ -88,8 +88,11 @@
     Status,
     /// The same, at once: it takes no slot, so a target that is overrun answers as well.
     Standing,
-    /// Tell the newest position of the service's primary and its age. Only proxies understand it.
-    Position,
+    /// Tell a position of the service's primary and its age. Only proxies understand it.
+    Position {
+        /// How old it may be, in microseconds.
+        max_age_us: u64,
+    },
     /// Receive nothing more, under this term.
     Pause {
         /// The term.
--- a/crates/proxy/src/sessions/connection/peer.rs
+++ b/crates/proxy/src/sessions/connection/peer.rs
@@ -53,8 +53,9 @@
 /// The objective that bounds how long a forwarded statement waits for a connection.
 const OBJECTIVE_MS: u64 = 200;
 
-/// How old a position may be that another proxy is told, in microseconds. It asks every half second.
-const POSITION_AGE_US: u64 = 250_000;
+/// How old a position may always be that another proxy is told, in microseconds: the primary is not asked for
+/// each question.
+const LEAST_POSITION_AGE_US: u64 = 250_000;
 
 /// The precedence of forwarded statements. The other proxies have sorted theirs already.
 const PRIORITY: u32 = 1;
@@ -195,7 +196,7 @@
                     self.prepared.clear();
                     Ok(None)
                 }
-                Query::Position => self.position().await.map(Some),
+                Query::Position { max_age_us } => self.position(*max_age_us).await.map(Some),
                 Query::Standing => self.standing().await.map(Some),
                 _ => Err(Forwarded::Refused(ErrorKind::Unsupported.into())),
             };
@@ -239,20 +240,24 @@
         }
     }
 
-    /// Tells the newest position of the service's primary.
-    async fn position(&mut self) -> Result<Reply, Forwarded> {
+    /// Tells the oldest position of the service's primary that is young enough.
+    async fn position(&mut self, max_age_us: u64) -> Result<Reply, Forwarded> {
         let (gateway, service) = (&self.gateway, &self.target.record.service);
+        let state = gateway.service(service);
         let now_us = gateway.clock.now_us();
-        let newest = gateway.newest_position(service);
-        let is_old = newest.is_none_or(|newest| now_us >= newest.taken_us + POSITION_AGE_US);
-        if is_old && let Some(_sampling) = gateway.service(service).sampling.begin() {
+        state.demand.lock().needed(now_us);
+        let max_age_us = max_age_us.max(LEAST_POSITION_AGE_US);
+        let first = || state.positions.lock().first_since(now_us.saturating_sub(max_age_us));
+        if first().is_none()
+            && let Some(_sampling) = state.sampling.begin()
+        {
             // Whatever comes of it, the newest position is told.
-            let _ = sample::sample(gateway, service).await;
+            let _ = sample::sample(gateway, service, max_age_us).await;
         }
-        let newest = gateway.newest_position(service);
-        let newest = newest.ok_or(Forwarded::Refused(ErrorKind::NoPrimary.into()))?;
-        let age_us = gateway.clock.now_us().saturating_sub(newest.taken_us);
-        let row = C::encode_position(newest.position, age_us);
+        let told = first().or_else(|| state.positions.lock().newest());
+        let told = told.ok_or(Forwarded::Refused(ErrorKind::NoPrimary.into()))?;
+        let age_us = gateway.clock.now_us().saturating_sub(told.taken_us);
+        let row = C::encode_position(told.position, age_us);
         let mut rows = BytesMut::new();
         C::encode_answer(&TargetMessage::Row(&row), &mut rows);
         Ok(Reply {
--- a/crates/proxy/src/sessions/process/gateway.rs
+++ b/crates/proxy/src/sessions/process/gateway.rs
@@ -198,10 +198,25 @@
         Arc::clone(self.services.write().entry(Arc::clone(name)).or_default())
     }
 
-    /// What the traffic showed of all services.
-    pub fn services(&self) -> Vec<(Arc<str>, Arc<ServiceState>)> {
-        let services = self.services.read();
-        services.iter().map(|(name, state)| (Arc::clone(name), Arc::clone(state))).collect()
+    /// The services of whose primaries a position is to be brought now.
+    pub fn services_to_sample(&self) -> Vec<Arc<str>> {
+        let now_us = self.clock.now_us();
+        let is_due = |name: &Arc<str>, state: &ServiceState| {
+            let mut demand = state.demand.lock();
+            if !demand.is_needed(now_us) {
+                return false;
+            }
+            let newest_us = state.positions.lock().newest().map(|newest| newest.taken_us);
+            let tells_others = self.primary(name).is_some_and(|primary| primary.is_own());
+            demand.brings(tells_others, newest_us, now_us)
+        };
+        let services: Vec<(Arc<str>, Arc<ServiceState>)> = {
+            let services = self.services.read();
+            let needed = services.iter().filter(|(_, state)| state.demand.lock().is_needed(now_us));
+            needed.map(|(name, state)| (Arc::clone(name), Arc::clone(state))).collect()
+        };
+        let due = services.into_iter().filter(|(name, state)| is_due(name, state));
+        due.map(|(name, _)| name).collect()
     }
 
     /// The target to ask as the primary of a service.
--- a/crates/proxy/src/sessions/process/services.rs
+++ b/crates/proxy/src/sessions/process/services.rs
@@ -10,6 +10,7 @@
 use skylark_core::process::departures::Departures;
 use skylark_core::request::lead_proof::LeadWords;
 use skylark_core::request::lead_proof::Word;
+use skylark_core::request::position_demand::PositionDemand;
 use skylark_core::request::primary_positions::PrimaryPositions;
 
 use crate::sessions::process::leader::LeaderBelief;
@@ -33,8 +34,8 @@
     pub asking: SingleFlight,
     /// When questions ended last that nobody answered; zero if they never did.
     asked_in_vain_us: AtomicU64,
-    /// When a read last needed a position.
-    read_us: AtomicU64,
+    /// Who needs positions.
+    pub demand: Mutex<PositionDemand>,
     /// Bringing a position of the primary.
     pub sampling: SingleFlight,
 }
@@ -72,14 +73,4 @@
     pub fn past_is_known(&self) -> bool {
         self.past_is_known.load(Ordering::Relaxed)
     }
-
-    /// A read needs a position.
-    pub fn needs_position(&self, now_us: u64) {
-        self.read_us.store(now_us, Ordering::Relaxed);
-    }
-
-    /// When a read last needed a position.
-    pub fn read_us(&self) -> u64 {
-        self.read_us.load(Ordering::Relaxed)
-    }
 }
--- a/crates/proxy/src/sessions/request/read.rs
+++ b/crates/proxy/src/sessions/request/read.rs
@@ -89,7 +89,7 @@
     let floor = session.floor_of(&call.route.service);
     let known = || call.gateway.position_for(call.route, floor, call.arrived_us);
     let state = call.gateway.service(&call.route.service);
-    state.needs_position(call.now_us());
+    state.demand.lock().needed(call.now_us());
     loop {
         let sampled = state.sampling.ended();
         if let Some(position) = known() {
@@ -105,7 +105,10 @@
             }
             continue;
         };
-        return sample::sample(call.gateway, &call.route.service).await.and_then(|()| known());
+        // One from some time ago is one that more replicas have reached.
+        let max_age_us = call.route.reads.max_age_ms() * 1_000 / 4 * 3;
+        let sampled = sample::sample(call.gateway, &call.route.service, max_age_us).await;
+        return sampled.and_then(|()| known());
     }
 }
 
--- a/crates/proxy/src/sessions/request/sample.rs
+++ b/crates/proxy/src/sessions/request/sample.rs
@@ -23,8 +23,9 @@
 /// The time for the question, in microseconds. Most reads have a position from before meanwhile.
 const LIMIT_US: u64 = 250_000;
 
-/// Brings a position. None if the primary is not known, or did not prove its lead.
-pub async fn sample<C>(gateway: &Gateway<C>, service: &Arc<str>) -> Option<()>
+/// Brings a position, one of at most `max_age_us` where another process tells it. None if the primary is not
+/// known, or did not prove its lead.
+pub async fn sample<C>(gateway: &Gateway<C>, service: &Arc<str>, max_age_us: u64) -> Option<()>
 where
     C: Codec,
 {
@@ -42,7 +43,7 @@
     };
     match target.via() {
         None => by_transaction(gateway, &target, lease).await,
-        Some(_) => from_home(gateway, &target, lease).await,
+        Some(_) => from_home(gateway, &target, lease, max_age_us).await,
     }
 }
 
@@ -90,6 +91,7 @@
     gateway: &Gateway<C>,
     target: &TargetState<C>,
     mut lease: Lease<StatementLink<C>>,
+    max_age_us: u64,
 ) -> Option<()>
 where
     C: Codec,
@@ -97,7 +99,7 @@
     gateway.counters.event(Event::PositionsAsked);
     let sent_us = gateway.clock.now_us();
     let until = gateway.clock.instant_at(sent_us + LIMIT_US);
-    let reply = lease.connection().ask(&Query::Position, until).await.ok()?;
+    let reply = lease.connection().ask(&Query::Position { max_age_us }, until).await.ok()?;
     lease.give_back();
     if !matches!(reply.end, End::Complete { .. }) {
         return None;
--- a/crates/standin/src/typed/database.rs
+++ b/crates/standin/src/typed/database.rs
@@ -204,7 +204,7 @@
                 group.step_down(member, *term);
                 Ok(Ok(self.status()))
             }
-            Query::Position => Ok(Err(TargetError::Malformed)),
+            Query::Position { .. } => Ok(Err(TargetError::Malformed)),
             Query::Pause { term } => {
                 group.pause(member, *term);
                 Ok(Ok(self.status()))
