Have those that watch for a zone tell it that it is cut off

Cause: callers of a zone that is cut off were sent to its VMs until the end. Ruled out: the balancer's delay alone (refusals went on for 3.3 s after it), callers that were not let go. Change: the two that watch for a zone ask a VM of each other zone five times a second, and targets there where no VM answers. They tell their zone when nobody has answered for half a second. One that a target of another zone has just answered goes on.

--- a/crates/core/tests/isolation.rs
+++ b/crates/core/tests/isolation.rs
@@ -1,8 +1,13 @@
 //! When a process counts as cut off from other availability zones.
 
+use std::sync::Arc;
+
 use skylark_core::process::isolation;
+use skylark_core::process::isolation::CUT_OFF_US;
 use skylark_core::process::isolation::FAILING_US;
 use skylark_core::process::isolation::OtherZoneTarget;
+use skylark_core::process::isolation::SUSPECT_US;
+use skylark_core::process::isolation::ZoneReach;
 
 const NOW_US: u64 = 10_000_000;
 
@@ -19,20 +24,80 @@
 }
 
 macro_rules! verdicts {
-    ($($(#[$doc:meta])* $name:ident: $targets:expr => $verdict:literal;)*) => {
+    ($($(#[$doc:meta])* $name:ident: $targets:expr, $zone:literal => $verdict:literal;)*) => {
         $($(#[$doc])*
         #[test]
         fn $name() {
-            assert_eq!(isolation::is_isolated(&$targets, NOW_US), $verdict);
+            let zone_is_cut = $zone == "cut zone";
+            assert_eq!(isolation::is_isolated(&$targets, zone_is_cut, NOW_US), $verdict);
         })*
     };
 }
 
 verdicts! {
-    nobody_outside_is_no_isolation: [] => false;
-    all_fail: [fails(FAILING_US), fails(FAILING_US)] => true;
-    not_yet_for_long: [fails(FAILING_US - 1), fails(FAILING_US)] => false;
-    one_alone_says_nothing: [fails(FAILING_US), unasked()] => false;
-    one_answers: [fails(FAILING_US), fails(FAILING_US), answers()] => false;
-    unasked_ones_don_t_count: [fails(FAILING_US), fails(FAILING_US), unasked()] => true;
+    nobody_outside_is_no_isolation: [], "zone" => false;
+    all_fail: [fails(FAILING_US), fails(FAILING_US)], "zone" => true;
+    not_yet_for_long: [fails(FAILING_US - 1), fails(FAILING_US)], "zone" => false;
+    one_alone_says_nothing: [fails(FAILING_US), unasked()], "zone" => false;
+    one_answers: [fails(FAILING_US), fails(FAILING_US), answers()], "zone" => false;
+    unasked_ones_don_t_count: [fails(FAILING_US), fails(FAILING_US), unasked()], "zone" => true;
+    /// It serves nobody and so knows nothing by itself.
+    its_zone_is_cut_off: [unasked(), unasked()], "cut zone" => true;
+    /// Those that watch for its zone may be cut off by themselves.
+    it_reaches_others_itself: [answers(), fails(FAILING_US)], "cut zone" => false;
+}
+
+/// What a watcher sees of two other zones, asked at these times before now; none if they answer.
+fn reach(silent_us: [Option<u64>; 2]) -> ZoneReach {
+    let zones: [Arc<str>; 2] = ["a".into(), "b".into()];
+    let mut reach = ZoneReach::default();
+    reach.set_zones(&zones);
+    for (zone, silent_us) in zones.iter().zip(silent_us) {
+        reach.asked(zone, NOW_US - silent_us.unwrap_or_default());
+        if silent_us.is_none() {
+            reach.answered(zone);
+        }
+    }
+    reach
+}
+
+macro_rules! reaches {
+    ($($name:ident: $silent_us:expr => $suspect:literal, $cut_off:literal;)*) => {
+        $(#[test]
+        fn $name() {
+            let reach = reach($silent_us);
+            assert_eq!(reach.is_suspect(NOW_US), $suspect);
+            assert_eq!(reach.is_cut_off(NOW_US), $cut_off);
+        })*
+    };
+}
+
+reaches! {
+    all_answer: [None, None] => false, false;
+    one_zone_is_lost: [Some(CUT_OFF_US), None] => false, false;
+    all_are_silent_for_a_moment: [Some(SUSPECT_US - 1), Some(CUT_OFF_US)] => false, false;
+    all_are_silent_for_a_while: [Some(SUSPECT_US), Some(CUT_OFF_US)] => true, false;
+    all_are_silent_for_long: [Some(CUT_OFF_US), Some(CUT_OFF_US)] => true, true;
+}
+
+#[test]
+fn without_other_zones_nobody_is_cut_off() {
+    assert!(!ZoneReach::default().is_cut_off(NOW_US));
+}
+
+#[test]
+fn a_zone_that_is_no_longer_listed_does_not_count() {
+    let mut reach = reach([Some(CUT_OFF_US), None]);
+    reach.set_zones(&["a".into()]);
+    assert!(reach.is_cut_off(NOW_US));
+}
+
+/// The silence counts from the first question without an answer.
+#[test]
+fn asking_again_does_not_begin_anew() {
+    let mut reach = reach([Some(CUT_OFF_US), Some(CUT_OFF_US)]);
+    reach.asked("a", NOW_US);
+    assert!(reach.is_cut_off(NOW_US));
+    reach.answered("a");
+    assert!(!reach.is_cut_off(NOW_US));
 }
--- a/crates/proxy/src/process/counters.rs
+++ b/crates/proxy/src/process/counters.rs
@@ -98,6 +98,8 @@
         PositionsAsked = "positions.asked",
         /// Looks at the way to a target.
         WaysLookedAt = "ways.looked_at",
+        /// Targets of other availability zones asked, since no VM there answered.
+        OtherZonesAsked = "zones.targets_asked",
         /// Leads that other members' words proved.
         LeadsProved = "leads.proved",
         /// Leads that too few words could be had for.
--- a/crates/proxy/src/sessions/connection/peer.rs
+++ b/crates/proxy/src/sessions/connection/peer.rs
@@ -39,6 +39,7 @@
 use crate::sessions::process::gateway::Gateway;
 use crate::sessions::process::limits;
 use crate::sessions::process::targets::TargetState;
+use crate::sessions::process::zone_reach;
 use crate::sessions::request::acquire;
 use crate::sessions::request::acquire::NotTaken;
 use crate::sessions::request::call::Call;
@@ -96,6 +97,9 @@
     if let Some(known_version) = feed::subscribed_from(&message) {
         return tell::tell(gateway, stream, known_version).await;
     }
+    if zone_reach::is_question(&message) {
+        return zone_reach::answer(&stream, input).await;
+    }
     let Ok(TargetRequest::Startup { service, target_id, .. }) = C::decode_request(&message) else {
         return;
     };
--- a/crates/proxy/src/sessions/process/control.rs
+++ b/crates/proxy/src/sessions/process/control.rs
@@ -18,6 +18,7 @@
 use crate::sessions::process::takeover::Takeovers;
 use crate::sessions::process::vms;
 use crate::sessions::process::watch::Watcher;
+use crate::sessions::process::zone_reach;
 use crate::sessions::store::Promoter;
 use crate::sessions::store::StateStore;
 use crate::sessions::store::VmAddress;
@@ -69,6 +70,7 @@
     let (configuration, targets) = (Arc::clone(&watcher), Arc::clone(&watcher));
     tokio::spawn(async move { configuration.follow_configuration().await });
     tokio::spawn(async move { targets.follow_targets().await });
+    tokio::spawn(zone_reach::follow(Arc::clone(&gateway)));
     tokio::spawn(listen::listen(Arc::clone(&watcher), Arc::clone(&gateway)));
     let mut isolation = Isolation::new(&gateway);
     let mut looks = time::interval(takeover::LOOK_INTERVAL);
--- a/crates/proxy/src/sessions/process/feed/listen.rs
+++ b/crates/proxy/src/sessions/process/feed/listen.rs
@@ -316,6 +316,11 @@
     }
 
     fn take(&mut self, message: Message) -> Result<(), End> {
+        if let Message::Alive { zone_is_cut, .. } = message
+            && self.teller == Teller::Watcher
+        {
+            self.watcher.gateway.set_zone_is_cut(zone_is_cut);
+        }
         match message {
             Message::Routes(routes) => self.watcher.take_routes(routes),
             Message::Changes(changes) => {
--- a/crates/proxy/src/sessions/process/feed/mod.rs
+++ b/crates/proxy/src/sessions/process/feed/mod.rs
@@ -50,6 +50,9 @@
         relayed: bool,
         /// Whether a target that is not listed is gone.
         is_settled: bool,
+        /// Whether the watcher's availability zone is cut off from the others.
+        #[serde(default)]
+        zone_is_cut: bool,
     },
     /// What changed of the configuration since the version that was told before.
     Changes(RouteChanges),
--- a/crates/proxy/src/sessions/process/feed/outbox.rs
+++ b/crates/proxy/src/sessions/process/feed/outbox.rs
@@ -46,6 +46,8 @@
     pub news: StoreNews,
     /// Whether a target that is not listed is gone.
     pub is_settled: bool,
+    /// Whether this zone is cut off from the others.
+    pub zone_is_cut: bool,
     /// The VMs; empty while they are not known.
     pub vms: Arc<VmList>,
 }
@@ -58,6 +60,7 @@
             targets: Arc::default(),
             news: StoreNews::Away,
             is_settled: false,
+            zone_is_cut: false,
             vms: Arc::default(),
         }
     }
@@ -66,13 +69,13 @@
 impl Bulletin {
     /// The sign of life that goes with it.
     pub(super) fn sign_of_life(&self) -> Message {
-        let Bulletin { version, news, is_settled, .. } = *self;
+        let Bulletin { version, news, is_settled, zone_is_cut, .. } = *self;
         let (store_answers, relayed) = match news {
             StoreNews::Answers => (true, false),
             StoreNews::Relayed => (true, true),
             StoreNews::Away => (false, false),
         };
-        Message::Alive { version, store_answers, relayed, is_settled }
+        Message::Alive { version, store_answers, relayed, is_settled, zone_is_cut }
     }
 }
 
--- a/crates/proxy/src/sessions/process/gateway.rs
+++ b/crates/proxy/src/sessions/process/gateway.rs
@@ -8,9 +8,11 @@
 use std::time::Duration;
 
 use arc_swap::ArcSwap;
+use parking_lot::Mutex;
 use parking_lot::RwLock;
 use skylark_core::FastMap;
 use skylark_core::FastSet;
+use skylark_core::process::isolation::ZoneReach;
 use skylark_core::process::store_calls::Standing;
 use skylark_core::version::routes::Route;
 use skylark_core::version::routes::RouteTable;
@@ -68,6 +70,10 @@
     pub outbox: Outbox,
     /// Whether this process asks the store by itself.
     pub asking: Asking,
+    /// What this process hears of other availability zones, if it watches for its own.
+    pub zone_reach: Mutex<ZoneReach>,
+    /// Until when this process's zone counts as cut off, in microseconds; zero if it does not.
+    zone_cut_until_us: AtomicU64,
     /// Whether this process may be given new callers, as far as the control thread knows.
     pub serves: AtomicBool,
     /// Whether no target can run that is not listed, as far as the control thread knows.
@@ -107,6 +113,8 @@
             sessions: AtomicU32::new(0),
             outbox: Outbox::default(),
             asking: Asking::new(&settings.vm, clock),
+            zone_reach: Mutex::default(),
+            zone_cut_until_us: AtomicU64::new(0),
             serves: AtomicBool::new(false),
             list_is_complete: AtomicBool::new(false),
             stopping: AtomicBool::new(false),
@@ -340,6 +348,30 @@
         self.targets.load().members(service).iter().any(|member| member.is_own())
     }
 
+    /// The other availability zones that have VMs.
+    pub fn other_zones(&self) -> Vec<Arc<str>> {
+        self.ways.load().other_zones().to_vec()
+    }
+
+    /// The VMs of an availability zone.
+    pub fn vms_of(&self, zone: &str) -> Vec<VmAddress> {
+        self.ways.load().vms_of(zone)
+    }
+
+    /// Whether this process's zone is cut off from the others.
+    pub fn zone_is_cut(&self) -> bool {
+        self.clock.now_us() < self.zone_cut_until_us.load(Ordering::Relaxed)
+    }
+
+    /// It was heard whether this process's zone is cut off, which holds for a while. Returns whether that is
+    /// news.
+    pub fn set_zone_is_cut(&self, is_cut: bool) -> bool {
+        let was_cut = self.zone_is_cut();
+        let until_us = if is_cut { self.clock.now_us() + limits::ZONE_CUT_HOLDS_US } else { 0 };
+        self.zone_cut_until_us.store(until_us, Ordering::Relaxed);
+        was_cut != is_cut
+    }
+
     /// Notices of new versions and of targets that proved their lead.
     pub fn changes(&self) -> watch::Receiver<u64> {
         self.changed.subscribe()
--- a/crates/proxy/src/sessions/process/isolation.rs
+++ b/crates/proxy/src/sessions/process/isolation.rs
@@ -56,7 +56,7 @@
             })
             .collect();
         let was_isolated = self.since.is_some();
-        if !isolation::is_isolated(&seen, self.gateway.clock.now_us()) {
+        if !isolation::is_isolated(&seen, self.gateway.zone_is_cut(), self.gateway.clock.now_us()) {
             if was_isolated {
                 let last = outside.iter().max_by_key(|target| target.health().answered_us);
                 slog::warn!(self.gateway.log, "other availability zones are reached again";
@@ -69,7 +69,7 @@
         }
         if !was_isolated {
             slog::warn!(self.gateway.log, "cut off from other availability zones";
-                "targets" => outside.len());
+                "targets" => outside.len(), "zone_is_cut" => self.gateway.zone_is_cut());
         }
         let since = *self.since.get_or_insert_with(Instant::now);
         // The balancer would send callers that are let go at once back to this zone.
--- a/crates/proxy/src/sessions/process/known.rs
+++ b/crates/proxy/src/sessions/process/known.rs
@@ -246,9 +246,13 @@
             self.tell(&known);
         }
         let (news, is_settled) = (self.news(&known), self.is_settled(&known));
+        let zone_is_cut = self.gateway.zone_is_cut();
         self.gateway.outbox.bulletin.send_if_modified(|bulletin| {
-            let changes = bulletin.news != news || bulletin.is_settled != is_settled;
+            let changes = bulletin.news != news
+                || bulletin.is_settled != is_settled
+                || bulletin.zone_is_cut != zone_is_cut;
             bulletin.news = news;
+            bulletin.zone_is_cut = zone_is_cut;
             bulletin.is_settled = is_settled;
             changes
         });
--- a/crates/proxy/src/sessions/process/limits.rs
+++ b/crates/proxy/src/sessions/process/limits.rs
@@ -31,6 +31,10 @@
 /// How often all ways are looked at, those that rest included, in microseconds.
 pub const ALL_WAYS_US: u64 = 1_000_000;
 
+/// For how long a word that the zone is cut off holds, in microseconds. While the store is away as well, those
+/// that are told turn from one watcher to the next, and must not call themselves ready in between.
+pub const ZONE_CUT_HOLDS_US: u64 = 2_500_000;
+
 /// How many connections one process has to a home of a target that it is no home of. They cost the
 /// target nothing.
 pub const PEER_CONNECTIONS: u32 = 8;
--- a/crates/proxy/src/sessions/process/mod.rs
+++ b/crates/proxy/src/sessions/process/mod.rs
@@ -30,3 +30,4 @@
 pub mod vms;
 pub mod watch;
 pub mod ways;
+pub mod zone_reach;
--- a/crates/proxy/src/sessions/process/ways.rs
+++ b/crates/proxy/src/sessions/process/ways.rs
@@ -22,6 +22,8 @@
 pub struct Ways {
     own: Arc<str>,
     vms: Vec<VmAddress>,
+    /// The other availability zones.
+    other_zones: Vec<Arc<str>>,
     /// The VMs of this one's zone that watch the store for the others.
     watchers: Vec<VmAddress>,
     /// The VMs that watch the store for other zones.
@@ -70,18 +72,31 @@
     /// The ways of VM `own` of an availability zone among these.
     pub fn new(own: &Arc<str>, zone: &str, vms: Vec<VmAddress>) -> Ways {
         let has_many = vms.len() > limits::WATCH_ALONE;
-        let zones: BTreeSet<&str> = vms.iter().map(|vm| &*vm.zone).collect();
+        let zones: BTreeSet<&Arc<str>> = vms.iter().map(|vm| &vm.zone).collect();
+        let other_zones =
+            zones.iter().map(|it| Arc::clone(it)).filter(|it| **it != *zone).collect();
         let watchers_of = |zone: &str| {
             let near = vms.iter().filter(|vm| has_many && &*vm.zone == zone).collect();
             best(zone, near, homes::WATCHERS_PER_ZONE)
         };
-        let all_watchers: Vec<VmAddress> = zones.into_iter().flat_map(watchers_of).collect();
+        let all_watchers: Vec<VmAddress> =
+            zones.into_iter().flat_map(|zone| watchers_of(zone)).collect();
         let (watchers, far_watchers) =
             all_watchers.iter().cloned().partition(|vm| &*vm.zone == zone);
         let mut helpers = if has_many { all_watchers } else { vms.clone() };
         helpers.retain(|vm| vm.name != *own);
         let own = Arc::clone(own);
-        Ways { own, vms, watchers, far_watchers, helpers, ..Ways::default() }
+        Ways { own, vms, other_zones, watchers, far_watchers, helpers, ..Ways::default() }
+    }
+
+    /// The other availability zones.
+    pub fn other_zones(&self) -> &[Arc<str>] {
+        &self.other_zones
+    }
+
+    /// The VMs of an availability zone.
+    pub fn vms_of(&self, zone: &str) -> Vec<VmAddress> {
+        self.vms.iter().filter(|vm| &*vm.zone == zone).cloned().collect()
     }
 
     /// The VMs that watch the store for other zones.
