--- a/crates/standin/src/typed/ports.rs
+++ b/crates/standin/src/typed/ports.rs
@@ -20,8 +20,12 @@
 /// A free address of loopback. Processes that run side by side begin at different ports.
 pub async fn free_address() -> io::Result<SocketAddr> {
     let start = std::process::id().wrapping_mul(613);
-    for _ in 0..PORTS {
-        let step = NEXT.fetch_add(1, Ordering::Relaxed);
+    free_address_from(start.wrapping_add(NEXT.fetch_add(1, Ordering::Relaxed))).await
+}
+
+/// A free address of loopback, the first one from this place on.
+pub async fn free_address_from(start: u32) -> io::Result<SocketAddr> {
+    for step in 0..PORTS {
         let port = FIRST_PORT + start.wrapping_add(step) % PORTS;
         let address = SocketAddr::from(([127, 0, 0, 1], port as u16));
         // Whether somebody listens is asked by a connection: a listener of our own would be held for a moment
