--- /dev/null
+++ b/crates/proxy/src/sessions/process/fleet.rs
@@ -0,0 +1,140 @@
+//! What a process makes of the other VMs: who watches for whom, the ways to targets that follow, and whether
+//! the own availability zone is cut off.
+
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+
+use skylark_core::process::store_calls::Standing;
+
+use crate::process::counters::Event;
+use crate::sessions::codec::Codec;
+use crate::sessions::process::gateway::Gateway;
+use crate::sessions::process::gateway::service_limits;
+use crate::sessions::process::limits;
+use crate::sessions::process::targets::TargetState;
+use crate::sessions::process::ways::Ways;
+use crate::sessions::store::VmAddress;
+
+impl<C> Gateway<C>
+where
+    C: Codec,
+{
+    /// Brings the pools to what is believed of the primaries, and lets each open and close
+    /// connections.
+    ///
+    /// With hundreds of services most ways rest. Those are looked at only when what they follow from
+    /// changed, and once in a while in case that something was missed.
+    pub fn maintain_pools(&self) {
+        let (view, ways, now_us) = (self.view.load(), self.ways.load(), self.clock.now_us());
+        let looked_us = self.looked_us.load(Ordering::Relaxed);
+        let looks_at_all =
+            looked_us == 0 || now_us >= looked_us + limits::ALL_WAYS_US || ways.take_news();
+        if looks_at_all {
+            self.looked_us.store(now_us.max(1), Ordering::Relaxed);
+        }
+        for target in self.targets.load().all() {
+            if !looks_at_all && target.rests() {
+                continue;
+            }
+            self.counters.event(Event::WaysLookedAt);
+            let bounds = service_limits(view.routes.as_deref(), &target.record.service);
+            if !target.must_rest(now_us) {
+                ways.lead(target, bounds.max_connections, self.is_primary(target), now_us);
+            }
+            target.pool().maintain();
+        }
+    }
+
+    /// Whether this process has connections of its own to a target, if need be by standing in for its homes,
+    /// which another VM can't reach.
+    pub fn connects(&self, target: &TargetState<C>) -> bool {
+        if target.is_own() {
+            return true;
+        }
+        let (view, ways, now_us) = (self.view.load(), self.ways.load(), self.clock.now_us());
+        let bounds = service_limits(view.routes.as_deref(), &target.record.service);
+        if !ways.stand_in(target, bounds.max_connections, now_us) {
+            return false;
+        }
+        ways.lead(target, bounds.max_connections, self.is_primary(target), now_us);
+        true
+    }
+
+    /// Takes in the list of VMs.
+    pub fn set_vms(&self, vms: &[VmAddress]) {
+        let ways = Ways::new(&self.vm, &self.zone, vms.to_vec());
+        self.asking.set_fleet(vms.len(), ways.asks());
+        self.ways.store(Arc::new(ways));
+        self.looked_us.store(0, Ordering::Relaxed);
+    }
+
+    /// How many VMs are known.
+    pub fn vm_count(&self) -> usize {
+        self.ways.load().vm_count()
+    }
+
+    /// Whether the list of VMs is known.
+    pub fn knows_vms(&self) -> bool {
+        self.ways.load().is_known()
+    }
+
+    /// The VMs that tell this one; none if it watches the store by itself.
+    pub fn watchers(&self) -> Vec<VmAddress> {
+        self.ways.load().watchers().to_vec()
+    }
+
+    /// The VMs that watch the store for other zones.
+    pub fn far_watchers(&self) -> Vec<VmAddress> {
+        self.ways.load().far_watchers().to_vec()
+    }
+
+    /// Whether another VM tells this one what the store says.
+    pub fn is_told(&self) -> bool {
+        self.asking.standing() == Standing::Told
+    }
+
+    /// The VMs that can tell this one when the store turns it away.
+    pub fn helpers(&self) -> Vec<VmAddress> {
+        self.ways.load().helpers().to_vec()
+    }
+
+    /// Whether this process tells others that ask.
+    pub fn tells(&self) -> bool {
+        self.ways.load().asks()
+    }
+
+    /// Whether this process watches the store for others.
+    pub fn is_watcher(&self) -> bool {
+        self.ways.load().is_watcher()
+    }
+
+    /// Whether this process looks after the primary of a service: where it has connections of its own
+    /// to a member, so that not all VMs ask a primary that is in trouble.
+    pub fn drives(&self, service: &str) -> bool {
+        self.targets.load().members(service).iter().any(|member| member.is_own())
+    }
+
+    /// The other availability zones that have VMs.
+    pub fn other_zones(&self) -> Vec<Arc<str>> {
+        self.ways.load().other_zones().to_vec()
+    }
+
+    /// The VMs of an availability zone.
+    pub fn vms_of(&self, zone: &str) -> Vec<VmAddress> {
+        self.ways.load().vms_of(zone)
+    }
+
+    /// Whether this process's zone is cut off from the others.
+    pub fn zone_is_cut(&self) -> bool {
+        self.clock.now_us() < self.zone_cut_until_us.load(Ordering::Relaxed)
+    }
+
+    /// It was heard whether this process's zone is cut off, which holds for a while. Returns whether that is
+    /// news.
+    pub fn set_zone_is_cut(&self, is_cut: bool) -> bool {
+        let was_cut = self.zone_is_cut();
+        let until_us = if is_cut { self.clock.now_us() + limits::ZONE_CUT_HOLDS_US } else { 0 };
+        self.zone_cut_until_us.store(until_us, Ordering::Relaxed);
+        was_cut != is_cut
+    }
+}
--- a/crates/proxy/src/sessions/process/mod.rs
+++ b/crates/proxy/src/sessions/process/mod.rs
@@ -7,6 +7,7 @@
 pub mod daemon;
 pub mod departed;
 pub mod feed;
+pub mod fleet;
 pub mod gateway;
 pub mod isolation;
 pub mod known;
