Let callers of a VM that is cut off go within 0.4 s

Cause: a VM that is cut off let its resting callers go over 1.2 s, as one that stops and still serves them does; a caller of the former is refused until it goes. Ruled out: sooner than 2.3 s after the VM says that it is not ready, when the balancer would send them back.

--- a/crates/proxy/src/sessions/connection/caller.rs
+++ b/crates/proxy/src/sessions/connection/caller.rs
@@ -29,19 +29,13 @@
 use crate::sessions::connection::session::SessionState;
 use crate::sessions::process::gateway::Gateway;
 use crate::sessions::process::limits;
+use crate::sessions::process::stop;
 use crate::sessions::process::stop::StopPhase;
 use crate::sessions::process::stop::StopState;
 use crate::sessions::request::execute;
 use crate::sessions::request::execute::Answer;
 use crate::sessions::request::transaction;
 
-/// Resting sessions are closed over this time when the process stops, so that their callers don't
-/// all come back to the other VMs at one moment.
-const CLOSING_SPREAD_MS: u64 = 1_200;
-
-/// How many parts the spread has.
-const CLOSING_PARTS: u64 = 64;
-
 /// Why a caller's task goes on.
 enum Wake {
     /// A whole message, at the start of the input.
@@ -84,11 +78,6 @@
     }
 }
 
-/// How long after the beginning of closing a session is closed.
-fn closing_spread(session: u64) -> Duration {
-    Duration::from_millis(session % CLOSING_PARTS * CLOSING_SPREAD_MS / CLOSING_PARTS)
-}
-
 /// Serves one caller until it ends.
 pub async fn serve<C>(gateway: Arc<Gateway<C>>, stream: TcpStream)
 where
@@ -205,11 +194,12 @@
         let idle = idle.unwrap_or(Duration::from_secs(86_400));
         let is_idle = matches!(session.state, SessionState::Idle);
         let stop = &mut self.stop;
-        let (began, spread) = (self.began, closing_spread(session.number));
+        let (began, gateway) = (self.began, &self.gateway);
         let stopped = async {
             loop {
                 let state = *stop.borrow_and_update();
                 let change = stop.changed();
+                let spread = stop::closing_spread(session.number, gateway.is_stopping());
                 match leave_at(state, is_idle, began, spread) {
                     // The sender lives as long as the process's state, so a change is one.
                     None => drop(change.await),
--- a/crates/proxy/src/sessions/process/gateway.rs
+++ b/crates/proxy/src/sessions/process/gateway.rs
@@ -160,9 +160,14 @@
         self.enter(StopPhase::NotReady);
     }
 
+    /// Whether the process was told to stop.
+    pub fn is_stopping(&self) -> bool {
+        self.stopping.load(Ordering::Relaxed)
+    }
+
     /// Comes into another phase, unless the process stops, which has phases of its own.
     pub fn enter_unless_stopping(&self, phase: StopPhase) {
-        if !self.stopping.load(Ordering::Relaxed) {
+        if !self.is_stopping() {
             self.enter(phase);
         }
     }
--- a/crates/proxy/src/sessions/process/stop.rs
+++ b/crates/proxy/src/sessions/process/stop.rs
@@ -1,7 +1,24 @@
 //! How a process stops: the phases that its callers are told, and when each caller has to go.
 
+use std::time::Duration;
 use std::time::Instant;
 
+/// Resting sessions are closed over this time when the process stops, so that their callers don't
+/// all come back to the other VMs at one moment.
+const STOPPING_SPREAD_MS: u64 = 1_200;
+
+/// The same when the process is cut off: until they go, callers are refused what others could serve.
+const CUT_OFF_SPREAD_MS: u64 = 400;
+
+/// How many parts the spread has.
+const CLOSING_PARTS: u64 = 64;
+
+/// How long after the beginning of closing a session is closed.
+pub fn closing_spread(session: u64, is_stopping: bool) -> Duration {
+    let spread_ms = if is_stopping { STOPPING_SPREAD_MS } else { CUT_OFF_SPREAD_MS };
+    Duration::from_millis(session % CLOSING_PARTS * spread_ms / CLOSING_PARTS)
+}
+
 /// How far the process has come with stopping.
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Debug)]
 pub enum StopPhase {
