Ask another target each time while no VM of other zones answers

Found in reading: the same target of each zone was asked each time, and one that is dead says nothing of its zone, so a zone whose neighbours' VMs are all dead could have turned its callers away. The tests of both cases still pass.

--- a/crates/proxy/src/sessions/process/zone_reach.rs
+++ b/crates/proxy/src/sessions/process/zone_reach.rs
@@ -70,8 +70,13 @@
 where
     C: Codec,
 {
-    let mut follower =
-        Follower { gateway, asking: FastMap::default(), targets_asked_us: 0, watches: false };
+    let mut follower = Follower {
+        gateway,
+        asking: FastMap::default(),
+        targets_asked_us: 0,
+        turn: 0,
+        watches: false,
+    };
     let mut looks = time::interval(LOOK_INTERVAL);
     looks.set_missed_tick_behavior(time::MissedTickBehavior::Delay);
     loop {
@@ -88,6 +93,8 @@
     gateway: Arc<Gateway<C>>,
     asking: FastMap<Arc<str>, JoinHandle<()>>,
     targets_asked_us: u64,
+    /// How often targets were asked.
+    turn: usize,
     /// Whether this process watches for its zone. One that does not is told.
     watches: bool,
 }
@@ -124,7 +131,8 @@
         let interval_us = TARGETS_INTERVAL.as_micros() as u64;
         if is_suspect && now_us >= self.targets_asked_us + interval_us {
             self.targets_asked_us = now_us;
-            ask_targets(gateway);
+            self.turn = self.turn.wrapping_add(1);
+            ask_targets(gateway, self.turn);
         }
         if gateway.set_zone_is_cut(is_cut_off) {
             slog::warn!(gateway.log, "no other availability zone is reached by this one's watcher";
@@ -172,18 +180,18 @@
     }
 }
 
-/// Asks one target of each other zone.
-fn ask_targets<C>(gateway: &Arc<Gateway<C>>)
+/// Asks one target of each other zone, the next one each time: one that is dead says nothing of its zone.
+fn ask_targets<C>(gateway: &Arc<Gateway<C>>, turn: usize)
 where
     C: Codec,
 {
-    let mut by_zone: FastMap<Arc<str>, Arc<TargetRecord>> = FastMap::default();
+    let mut by_zone: FastMap<Arc<str>, Vec<Arc<TargetRecord>>> = FastMap::default();
     for target in gateway.targets().all().filter(|target| target.record.zone != gateway.zone) {
-        by_zone
-            .entry(Arc::clone(&target.record.zone))
-            .or_insert_with(|| Arc::clone(&target.record));
+        let record = Arc::clone(&target.record);
+        by_zone.entry(Arc::clone(&record.zone)).or_default().push(record);
     }
-    for (zone, record) in by_zone {
+    for (zone, records) in by_zone {
+        let record = Arc::clone(&records[turn % records.len()]);
         gateway.counters.event(Event::OtherZonesAsked);
         let gateway = Arc::clone(gateway);
         tokio::spawn(async move {
