--- a/crates/core/tests/primary_positions.rs
+++ b/crates/core/tests/primary_positions.rs
@@ -22,6 +22,18 @@
     assert_eq!(positions.covering(3 * SPACING_US + 1), None);
 }
 
+/// What another process is told is the same sample, with the time by which its age is reckoned.
+#[test]
+fn a_sample_is_told_with_the_time_at_which_it_was_taken() {
+    let mut positions = PrimaryPositions::default();
+    positions.saw(SPACING_US, at(1));
+    positions.saw(3 * SPACING_US, at(2));
+    let taken_us = |as_of_us| positions.first_since(as_of_us).map(|sample| sample.taken_us);
+    assert_eq!(taken_us(0), Some(SPACING_US));
+    assert_eq!(taken_us(SPACING_US + 1), Some(3 * SPACING_US));
+    assert_eq!(taken_us(3 * SPACING_US + 1), None);
+}
+
 /// The VM stood still for 4 s. Its clock counted them, so the sample from before is 4 s old and can't
 /// serve a read with a bound of 1 s; a clock that stands still would call it fresh.
 #[test]
