--- a/crates/core/src/process/connection_budget.rs
+++ b/crates/core/src/process/connection_budget.rs
@@ -190,11 +190,43 @@
         BudgetPlan { open, close, ask_again_us: self.ask_again_us(missing - open, now_us) }
     }
 
+    /// Decides what to open and close at `now_us` where idle connections are kept for their users, and
+    /// `missing` users wait for whom none is open. Where there is no room, idle ones of other users give way.
+    pub fn plan_for_users(&mut self, missing: u32, now_us: u64) -> BudgetPlan {
+        self.refill(now_us);
+        let desired = self.total().saturating_add(missing).min(self.share);
+        let limit = self.within_overshoot(desired, now_us);
+        let beyond = self.total().saturating_sub(limit).min(self.idle);
+        self.idle -= beyond;
+        let allowed =
+            if now_us < self.not_before_us { 0 } else { missing.min(self.allowed_tries()) };
+        let added = allowed.min(limit.saturating_sub(self.total()));
+        let replaced = (allowed - added).min(self.idle);
+        self.idle -= replaced;
+        let open = added + replaced;
+        self.opening += open;
+        self.tries += u64::from(open);
+        self.tokens_milli -= u64::from(open) * TRY_COST_MILLI;
+        let ask_again_us = self.ask_again_us(missing - open, now_us);
+        BudgetPlan { open, close: beyond + replaced, ask_again_us }
+    }
+
+    /// Changes how connections are kept and tries are spaced.
+    pub fn set_policy(&mut self, policy: BudgetPolicy) {
+        self.policy = policy;
+        self.tokens_milli = self.tokens_milli.min(u64::from(policy.burst) * TRY_COST_MILLI);
+    }
+
     /// Connections that are idle, in use or being opened.
     pub fn total(&self) -> u32 {
         self.idle + self.used + self.opening
     }
 
+    /// How many there may be.
+    pub fn share(&self) -> u32 {
+        self.share
+    }
+
     /// Connections that wait for a request.
     pub fn idle(&self) -> u32 {
         self.idle
@@ -225,6 +257,11 @@
         let now_needed = self.used + self.waiting;
         self.need.saw(now_needed, self.policy.need_window_us, now_us);
         let wanted = self.need.highest().saturating_add(self.policy.spare).min(self.share);
+        self.within_overshoot(wanted, now_us)
+    }
+
+    /// What may be had of as many as are wanted after the target refused some.
+    fn within_overshoot(&mut self, wanted: u32, now_us: u64) -> u32 {
         match self.overshoot {
             Some((limit, until_us)) if now_us < until_us => wanted.min(limit),
             // One more is tried; if the target refuses it again, the limit holds again.
--- a/crates/core/src/process/connection_plan.rs
+++ b/crates/core/src/process/connection_plan.rs
@@ -39,6 +39,10 @@
 /// rests, and one beside it.
 const NEEDED: u32 = 2;
 
+/// How many organisations' connections a VM needs room for to connect by itself. With less it would open one for
+/// most statements, and close another organisation's.
+const KEPT_ORGANISATIONS: usize = 12;
+
 /// By how much the needs of all VMs together may pass a target's limit, in hundredths: not all of
 /// them need theirs at once.
 const OVERSUBSCRIBED_PERCENT: u32 = 125;
@@ -62,14 +66,37 @@
     },
 }
 
-/// The plan for targets that accept so many connections from so many VMs.
-pub fn plan(max_connections: u32, vms: usize) -> ConnectionPlan {
+/// What a target's connections are divided by.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub struct Demand {
+    /// How many connections the target accepts from all VMs together.
+    pub max_connections: u32,
+    /// How many VMs there are.
+    pub vms: usize,
+    /// How many organisations need connections of their own; zero if connections serve anybody.
+    pub organisations: usize,
+}
+
+/// The plan for a target.
+pub fn plan(demand: Demand) -> ConnectionPlan {
+    let Demand { max_connections, vms, organisations } = demand;
     let vms = vms.max(1) as u32;
+    if organisations > 0 {
+        let each = max_connections / vms;
+        if each as usize >= organisations.min(KEPT_ORGANISATIONS) {
+            return ConnectionPlan::Direct { primary: each, replica: each };
+        }
+        return homes(max_connections);
+    }
     let needed = vms.saturating_mul(NEEDED);
     if needed.saturating_mul(100) <= max_connections.saturating_mul(OVERSUBSCRIBED_PERCENT) {
         let primary = (max_connections / 8).max(NEEDED);
         return ConnectionPlan::Direct { primary, replica: (primary / 2).max(1) };
     }
+    homes(max_connections)
+}
+
+fn homes(max_connections: u32) -> ConnectionPlan {
     let usable = max_connections * USABLE_PERCENT / 100;
     let share = (usable / HOMES as u32).max(1);
     let left = max_connections.saturating_sub((share + 1) * HOMES as u32);
--- a/crates/core/src/request/error_kind.rs
+++ b/crates/core/src/request/error_kind.rs
@@ -155,6 +155,15 @@
     /// The start-up names a database that no group has.
     UnknownGroup = "unknown_group", "3D000", NotRun, 0, true,
         "no group has this name";
+    /// The caller's key is no organisation's, or no longer.
+    UnknownKey = "unknown_key", "28000", NotRun, 0, true,
+        "the key is not known";
+    /// The caller's organisation runs as many operations as its limit allows, over all VMs.
+    OverLimit = "over_limit", "53400", NotRun, 500, false,
+        "the organisation's limit of operations is reached";
+    /// No VM that could say whether the organisation's limit has room can be reached.
+    LimitUnknown = "limit_unknown", "53400", NotRun, 500, false,
+        "whether the organisation's limit has room can't be asked now";
     /// A `skylark.*` parameter has a value that is not accepted.
     BadParameter = "bad_parameter", "22023", NotRun, 0, false,
         "the value of the parameter is not accepted";
--- a/crates/core/src/version/mod.rs
+++ b/crates/core/src/version/mod.rs
@@ -1,6 +1,7 @@
 //! What lives as long as one version of the configuration.
 
 pub mod objects;
+pub mod organisations;
 pub mod plan;
 pub mod route_changes;
 pub mod routes;
--- a/crates/core/src/version/route_changes.rs
+++ b/crates/core/src/version/route_changes.rs
@@ -11,6 +11,8 @@
 use serde::Serialize;
 
 use crate::FastMap;
+use crate::version::organisations::OrganisationChanges;
+use crate::version::organisations::Organisations;
 use crate::version::routes::Route;
 use crate::version::routes::RouteTable;
 use crate::version::routes::ServiceLimits;
@@ -34,6 +36,9 @@
     pub services: FastMap<Arc<str>, ServiceLimits>,
     /// How long a caller may rest inside a transaction, in milliseconds; zero for no bound.
     pub transaction_idle_ms: u64,
+    /// What changed of the organisations; none where callers need no key.
+    #[serde(default)]
+    pub organisations: Option<OrganisationChanges>,
 }
 
 impl RouteChanges {
@@ -48,6 +53,9 @@
             removed: base.routes.keys().filter(is_gone).cloned().collect(),
             services: next.services.clone(),
             transaction_idle_ms: next.transaction_idle_ms,
+            organisations: next.organisations.as_ref().map(|next| {
+                base.organisations.as_ref().unwrap_or(&Organisations::default()).changes_to(next)
+            }),
         }
     }
 
@@ -68,6 +76,9 @@
             routes,
             services: self.services.clone(),
             transaction_idle_ms: self.transaction_idle_ms,
+            organisations: self.organisations.as_ref().map(|changes| {
+                base.organisations.as_ref().unwrap_or(&Organisations::default()).with(changes)
+            }),
         })
     }
 }
--- a/crates/core/src/version/routes.rs
+++ b/crates/core/src/version/routes.rs
@@ -11,6 +11,7 @@
 use serde::Serialize;
 
 use crate::FastMap;
+use crate::version::organisations::Organisations;
 
 /// The rule for the reads of a route.
 #[derive(Clone, Copy, PartialEq, Eq, Debug, Serialize, Deserialize)]
@@ -56,6 +57,9 @@
     pub objective_ms: u64,
     /// Precedence: 0 is the highest.
     pub priority: u32,
+    /// Whether callers need no key.
+    #[serde(default)]
+    pub is_public: bool,
 }
 
 /// What holds for all targets of one service.
@@ -78,6 +82,9 @@
     pub services: FastMap<Arc<str>, ServiceLimits>,
     /// How long a caller may rest inside a transaction, in milliseconds; zero for no bound.
     pub transaction_idle_ms: u64,
+    /// The organisations; none where callers need no key at all.
+    #[serde(default)]
+    pub organisations: Option<Organisations>,
 }
 
 /// What a target believes it is.
--- a/crates/core/tests/connection_plan.rs
+++ b/crates/core/tests/connection_plan.rs
@@ -3,13 +3,19 @@
 use quickcheck::QuickCheck;
 use skylark_core::process::connection_plan;
 use skylark_core::process::connection_plan::ConnectionPlan;
+use skylark_core::process::connection_plan::Demand;
 use skylark_core::process::connection_plan::HOMES;
 
+/// A target whose connections serve anybody.
+fn demand(max_connections: u32, vms: usize) -> Demand {
+    Demand { max_connections, vms, organisations: 0 }
+}
+
 macro_rules! plans {
     ($($name:ident: $connections:literal, $vms:literal => $plan:pat,)*) => {
         $(#[test]
         fn $name() {
-            let plan = connection_plan::plan($connections, $vms);
+            let plan = connection_plan::plan(demand($connections, $vms));
             assert!(matches!(plan, $plan), "{plan:?}");
         })*
     };
@@ -28,7 +34,7 @@
 #[test]
 fn homes_never_pass_a_targets_connections() {
     fn property(connections: u16, vms: u16) -> bool {
-        match connection_plan::plan(u32::from(connections), usize::from(vms)) {
+        match connection_plan::plan(demand(u32::from(connections), usize::from(vms))) {
             ConnectionPlan::Direct { .. } => true,
             ConnectionPlan::Homes { share, .. } => {
                 share == 1 || share * HOMES as u32 <= u32::from(connections)
@@ -43,7 +49,7 @@
 #[test]
 fn homes_and_stand_ins_together_pass_no_targets_connections() {
     fn property(connections: u16, vms: u16) -> bool {
-        match connection_plan::plan(u32::from(connections), usize::from(vms)) {
+        match connection_plan::plan(demand(u32::from(connections), usize::from(vms))) {
             ConnectionPlan::Direct { .. } => true,
             ConnectionPlan::Homes { share, stand_ins } => {
                 let all = (share + 1) * HOMES as u32 + 2 * stand_ins as u32;
--- a/crates/core/tests/route_changes.rs
+++ b/crates/core/tests/route_changes.rs
@@ -23,6 +23,7 @@
             timeout_ms: u64::from(*timeout),
             objective_ms: 100,
             priority: 1,
+            is_public: false,
         };
         (database, Arc::new(route))
     };
@@ -32,6 +33,7 @@
         routes: routes.iter().map(route).collect(),
         services: FastMap::from_iter([(Arc::from("loans"), limits)]),
         transaction_idle_ms: version,
+        organisations: None,
     }
 }
 
--- a/crates/proxy/src/connection/link.rs
+++ b/crates/proxy/src/connection/link.rs
@@ -3,6 +3,7 @@
 use std::fmt::Debug;
 use std::future::Future;
 use std::io;
+use std::sync::Arc;
 use std::time::Duration;
 
 use crate::connection::target_connection::OpenError;
@@ -12,13 +13,17 @@
     /// How connections introduce themselves.
     type Login: Clone + Debug + Send + Sync + 'static;
 
-    /// Connects and passes the start-up within `timeout`.
+    /// Connects and passes the start-up within `timeout`, as `user` where the other end distinguishes users.
     fn open(
         address: &str,
         login: &Self::Login,
+        user: Option<&Arc<str>>,
         timeout: Duration,
     ) -> impl Future<Output = Result<Self, OpenError>> + Send;
 
+    /// Whether the connection may run statements of `user`; of none means whosever it is.
+    fn serves(&self, user: Option<&Arc<str>>) -> bool;
+
     /// Whether this thread's event loop watches the stream.
     fn is_here(&self) -> bool;
 
--- a/crates/proxy/src/connection/pool.rs
+++ b/crates/proxy/src/connection/pool.rs
@@ -5,6 +5,10 @@
 //! fails it is closed. Connections are opened ahead of need up to the limit. After a failure the
 //! next try waits, longer after each, and by a part that differs between processes, so that the
 //! proxies of a target that comes back don't storm it.
+//!
+//! Where the target distinguishes users, a connection serves the one that it was opened for, and the pool is a
+//! cache of users: connections stay open up to the limit, and the one that was not used for longest gives way to
+//! a user who has none.
 
 use std::collections::VecDeque;
 use std::sync::Arc;
@@ -65,30 +69,89 @@
 
 #[derive(Debug)]
 struct State<L> {
+    /// Idle connections, the one that was not used for longest first.
     idle: Vec<L>,
-    waiting: VecDeque<oneshot::Sender<Result<L, Failure>>>,
+    waiting: VecDeque<Waiting<L>>,
+    /// The users for whom connections are being opened.
+    opening: Vec<User>,
+    /// Whether connections are taken for users.
+    has_users: bool,
     budget: ConnectionBudget,
     /// Why the last try to connect failed, until one succeeds.
     failing: Option<Failure>,
 }
 
+/// Whose statements a connection is for; none if anybody's connection will do.
+type User = Option<Arc<str>>;
+
+/// A request that waits for a connection.
+#[derive(Debug)]
+struct Waiting<L> {
+    user: User,
+    sender: oneshot::Sender<Result<L, Failure>>,
+}
+
+/// What is to be done about a pool now.
+struct Upkeep<L> {
+    /// For whom connections are to be opened.
+    open: Vec<User>,
+    /// Connections to close.
+    closed: Vec<L>,
+    /// How many of them give way to another user's.
+    replaced: usize,
+}
+
 impl<L> State<L>
 where
     L: Link,
 {
-    fn plan(&mut self, now_us: u64) -> (BudgetPlan, Vec<L>) {
+    fn plan(&mut self, now_us: u64) -> Upkeep<L> {
         self.budget.set_waiting(self.waiting.len() as u32);
-        let plan = self.budget.plan(now_us);
-        let closed = self.idle.drain(..plan.close as usize).collect();
-        (plan, closed)
+        if !self.has_users {
+            let BudgetPlan { open, close, .. } = self.budget.plan(now_us);
+            let closed = self.idle.drain(..close as usize).collect();
+            let open = vec![None; open as usize];
+            self.opening.extend_from_slice(&open);
+            return Upkeep { open, closed, replaced: 0 };
+        }
+        let mut missing = self.missing_users();
+        let beyond = self.budget.total().saturating_sub(self.budget.share()) as usize;
+        let plan = self.budget.plan_for_users(missing.len() as u32, now_us);
+        missing.truncate(plan.open as usize);
+        self.opening.extend_from_slice(&missing);
+        let closed: Vec<L> = self.idle.drain(..plan.close as usize).collect();
+        let replaced = closed.len().saturating_sub(beyond);
+        Upkeep { open: missing, closed, replaced }
+    }
+
+    /// The users who wait without a connection being opened for them, in the order of their arrival.
+    fn missing_users(&self) -> Vec<User> {
+        let mut opening = self.opening.clone();
+        let mut missing = Vec::new();
+        for waiting in &self.waiting {
+            match opening.iter().position(|user| *user == waiting.user) {
+                Some(place) => {
+                    opening.swap_remove(place);
+                }
+                None => missing.push(waiting.user.clone()),
+            }
+        }
+        missing
+    }
+
+    /// The newest idle connection that serves a user, sooner one that this thread watches already.
+    fn pop_idle(&mut self, user: Option<&Arc<str>>) -> Option<L> {
+        let fits = |(_, connection): &(usize, &L)| connection.serves(user);
+        let newest = || self.idle.iter().enumerate().rev().filter(fits);
+        let mut looked_at = newest().take(LOOKED_AT);
+        let here = looked_at.find(|(_, connection)| connection.is_here());
+        let (place, _) = here.or_else(|| newest().next())?;
+        Some(self.idle.remove(place))
     }
 
-    /// The newest idle connection, sooner one that this thread watches already.
-    fn pop_idle(&mut self) -> Option<L> {
-        let mut newest = self.idle.iter().enumerate().rev().take(LOOKED_AT);
-        match newest.find(|(_, connection)| connection.is_here()) {
-            Some((place, _)) => Some(self.idle.remove(place)),
-            None => self.idle.pop(),
+    fn opening_ended(&mut self, user: &User) {
+        if let Some(place) = self.opening.iter().position(|known| known == user) {
+            self.opening.swap_remove(place);
         }
     }
 }
@@ -101,7 +164,14 @@
     pub fn new(options: PoolOptions<L::Login>, counters: Arc<Counters>) -> Pool<L> {
         let now_us = options.clock.now_us();
         let budget = ConnectionBudget::new(options.budget, 0, options.jitter_seed, now_us);
-        let state = State { idle: Vec::new(), waiting: VecDeque::new(), budget, failing: None };
+        let state = State {
+            idle: Vec::new(),
+            waiting: VecDeque::new(),
+            opening: Vec::new(),
+            has_users: false,
+            budget,
+            failing: None,
+        };
         Pool { options, counters, state: Mutex::new(state) }
     }
 
@@ -131,6 +201,11 @@
         self.state.lock().failing
     }
 
+    /// Changes how connections are kept and opened.
+    pub fn set_policy(&self, policy: BudgetPolicy) {
+        self.state.lock().budget.set_policy(policy);
+    }
+
     /// Changes how many connections the pool may have.
     pub fn set_share(&self, share: u32) {
         self.state.lock().budget.set_share(share);
@@ -138,28 +213,40 @@
 
     /// Opens connections ahead of need and closes those that are no longer needed.
     pub fn maintain(self: &Arc<Self>) {
-        let (plan, closed) = self.state.lock().plan(self.options.clock.now_us());
+        let Upkeep { open, closed, replaced } = self.state.lock().plan(self.options.clock.now_us());
         self.count_closed(closed.len());
-        for _ in 0..plan.open {
+        for _ in 0..replaced {
+            self.counters.event(Event::ConnectionsReplaced);
+        }
+        // Closed before others are opened in their place: the target counts both otherwise.
+        drop(closed);
+        for user in open {
             let pool = Arc::clone(self);
-            tokio::spawn(async move { pool.open_one().await });
+            tokio::spawn(async move { pool.open_one(user).await });
         }
     }
 
-    /// Takes a connection. The failure is one of connecting: nothing was sent.
+    /// Takes a connection for a user, or any if none is named. The failure is one of connecting: nothing was
+    /// sent.
     ///
     /// `turn` is held as long as the connection is, and lets the next request run when it goes back.
     pub async fn take(
         self: &Arc<Self>,
+        user: Option<&Arc<str>>,
         turn: Option<Turnstile>,
         deadline: Instant,
     ) -> Result<Lease<L>, Failure> {
-        if let Some(connection) = self.take_idle() {
+        if user.is_some() {
+            self.state.lock().has_users = true;
+        }
+        if let Some(connection) = self.take_idle(user) {
+            self.counters.event(Event::ConnectionsFound);
             return Ok(Lease::new(connection, self, turn));
         }
+        self.counters.event(Event::ConnectionsMissed);
         let mut receiver = {
             let (sender, receiver) = oneshot::channel();
-            self.state.lock().waiting.push_back(sender);
+            self.state.lock().waiting.push_back(Waiting { user: user.cloned(), sender });
             receiver
         };
         self.maintain();
@@ -200,24 +287,24 @@
         let waiting = std::mem::take(&mut state.waiting);
         drop(state);
         for waiting in waiting {
-            let _ = waiting.send(Err(failure));
+            let _ = waiting.sender.send(Err(failure));
         }
     }
 
     /// Stops waiting; a connection that was handed over at the last moment goes back.
-    fn take_back(&self, mut receiver: oneshot::Receiver<Result<L, Failure>>) {
+    fn take_back(self: &Arc<Self>, mut receiver: oneshot::Receiver<Result<L, Failure>>) {
         receiver.close();
         if let Ok(Ok(connection)) = receiver.try_recv() {
             self.put_back(connection);
         }
     }
 
-    /// The newest idle connection that is still good.
-    fn take_idle(&self) -> Option<L> {
+    /// The newest idle connection that serves a user and is still good.
+    fn take_idle(&self, user: Option<&Arc<str>>) -> Option<L> {
         loop {
             let connection = {
                 let mut state = self.state.lock();
-                let connection = state.pop_idle()?;
+                let connection = state.pop_idle(user)?;
                 let taken = state.budget.take(self.options.clock.now_us());
                 debug_assert!(taken, "the budget counts each idle connection");
                 connection
@@ -232,13 +319,14 @@
         }
     }
 
-    async fn open_one(self: Arc<Self>) {
+    async fn open_one(self: Arc<Self>, user: User) {
         let timeout = Duration::from_millis(self.options.connect_ms);
         let options = &self.options;
-        match L::open(&options.address, &options.login, timeout).await {
+        match L::open(&options.address, &options.login, user.as_ref(), timeout).await {
             Ok(connection) => {
                 self.counters.event(Event::ConnectionsOpened);
                 let mut state = self.state.lock();
+                state.opening_ended(&user);
                 state.budget.opened();
                 state.failing = None;
                 self.hand_over(state, connection);
@@ -249,6 +337,7 @@
                 {
                     let mut state = self.state.lock();
                     let now_us = self.options.clock.now_us();
+                    state.opening_ended(&user);
                     state.budget.open_failed(connect_failure(failure), now_us);
                     state.failing = Some(failure);
                 }
@@ -258,16 +347,20 @@
     }
 
     /// Takes back an idle connection.
-    fn put_back(&self, connection: L) {
+    fn put_back(self: &Arc<Self>, connection: L) {
         let mut state = self.state.lock();
         state.budget.gave_back();
         self.hand_over(state, connection);
     }
 
-    /// Hands a connection that counts as idle to the first who waits, or keeps it.
-    fn hand_over(&self, mut state: MutexGuard<'_, State<L>>, mut connection: L) {
-        while let Some(waiting) = state.waiting.pop_front() {
-            match waiting.send(Ok(connection)) {
+    /// Hands a connection that counts as idle to the first whom it serves, or keeps it. Where others wait it may
+    /// give way to one of theirs.
+    fn hand_over(self: &Arc<Self>, mut state: MutexGuard<'_, State<L>>, mut connection: L) {
+        let serves =
+            |waiting: &Waiting<L>, connection: &L| connection.serves(waiting.user.as_ref());
+        while let Some(place) = state.waiting.iter().position(|it| serves(it, &connection)) {
+            let Some(waiting) = state.waiting.remove(place) else { break };
+            match waiting.sender.send(Ok(connection)) {
                 Ok(()) => {
                     state.budget.take(self.options.clock.now_us());
                     return;
@@ -277,6 +370,11 @@
             }
         }
         state.idle.push(connection);
+        let others_wait = !state.waiting.is_empty();
+        drop(state);
+        if others_wait {
+            self.maintain();
+        }
     }
 
     fn forget_one(self: &Arc<Self>) {
--- a/crates/proxy/src/connection/target_connection.rs
+++ b/crates/proxy/src/connection/target_connection.rs
@@ -2,6 +2,7 @@
 
 use std::fmt;
 use std::io;
+use std::sync::Arc;
 use std::thread;
 use std::thread::ThreadId;
 use std::time::Duration;
@@ -97,6 +98,7 @@
     async fn open(
         address: &str,
         login: &Login,
+        _user: Option<&Arc<str>>,
         timeout: Duration,
     ) -> Result<TargetConnection, OpenError> {
         match time::timeout(timeout, start(address, login)).await {
@@ -105,6 +107,11 @@
         }
     }
 
+    /// The session's user is part of what is brought to the connection with each transaction.
+    fn serves(&self, _user: Option<&Arc<str>>) -> bool {
+        true
+    }
+
     fn is_here(&self) -> bool {
         self.watched_by == thread::current().id()
     }
--- a/crates/proxy/src/process/counters.rs
+++ b/crates/proxy/src/process/counters.rs
@@ -82,6 +82,20 @@
         ConnectionsFailed = "connections.failed",
         /// Connections closed.
         ConnectionsClosed = "connections.closed",
+        /// Requests that found an idle connection.
+        ConnectionsFound = "connections.found",
+        /// Requests that had to wait for a connection.
+        ConnectionsMissed = "connections.missed",
+        /// Idle connections closed in favour of another user's.
+        ConnectionsReplaced = "connections.replaced",
+        /// Operations that were granted without asking another VM.
+        LimitsGrantedHere = "limits.granted_here",
+        /// Questions to another VM whether an organisation's limit has room.
+        LimitsAsked = "limits.asked",
+        /// Such questions that brought no answer in time.
+        LimitsUnanswered = "limits.unanswered",
+        /// Sessions that ended because their key was withdrawn.
+        KeysWithdrawn = "callers.key_withdrawn",
         /// Connections reset after a transaction that may have changed their session.
         ConnectionsReset = "connections.reset",
         /// Abandoned answers drained to idle.
--- a/crates/proxy/src/request/execute.rs
+++ b/crates/proxy/src/request/execute.rs
@@ -337,12 +337,12 @@
         Place::Target(target) => {
             let entry = traffic.pools.target(published, target);
             let turn = entry.queue.admit(&context.turn(published, route.scene.group)).await?;
-            Ok(entry.pool.take(Some(turn), context.deadline).await)
+            Ok(entry.pool.take(None, Some(turn), context.deadline).await)
         }
         Place::Peer(vm, _) => {
             traffic.counters.event(Event::Forwarded);
             let pool = traffic.pools.peer(published, vm, route.scene.group);
-            Ok(pool.take(None, context.deadline).await)
+            Ok(pool.take(None, None, context.deadline).await)
         }
     }
 }
--- a/crates/proxy/src/sessions/codec.rs
+++ b/crates/proxy/src/sessions/codec.rs
@@ -30,8 +30,8 @@
     Startup {
         /// The database's name.
         database: &'a str,
-        /// Who connects.
-        user: &'a str,
+        /// The caller's key.
+        key: &'a str,
     },
     /// A statement.
     Query {
@@ -124,6 +124,12 @@
     },
     /// A request.
     Query(Query<'a>),
+    /// For whom the requests that follow run; empty for nobody in particular. It is not answered, and only
+    /// proxies understand it.
+    OnBehalf {
+        /// The organisation.
+        organisation: &'a str,
+    },
     /// The last message.
     Goodbye,
 }
@@ -178,6 +184,9 @@
     /// Writes the first message to a target.
     fn encode_startup(service: &str, user: &str, target_id: &str, out: &mut BytesMut);
 
+    /// Tells another proxy for whom the requests that follow run.
+    fn encode_on_behalf(organisation: &str, out: &mut BytesMut);
+
     /// Writes a request to a target.
     fn encode_query(query: &Query<'_>, out: &mut BytesMut);
 
--- a/crates/proxy/src/sessions/connection/caller.rs
+++ b/crates/proxy/src/sessions/connection/caller.rs
@@ -12,6 +12,7 @@
 use bytes::BytesMut;
 use skylark_core::request::error_kind::ErrorKind;
 use skylark_core::request::statement::TransactionStatus;
+use skylark_core::version::organisations::KeyDigest;
 use tokio::net::TcpStream;
 use tokio::sync::watch;
 use tokio::time;
@@ -59,6 +60,7 @@
     output: BytesMut,
     began: Instant,
     stop: watch::Receiver<StopState>,
+    keys_withdrawn: watch::Receiver<u64>,
 }
 
 /// When a resting caller has to go; never while the process serves.
@@ -87,10 +89,12 @@
         return;
     }
     let stop = gateway.stop.subscribe();
+    let keys_withdrawn = gateway.keys_withdrawn.subscribe();
     let (input, output) = (BytesMut::new(), BytesMut::new());
     gateway.sessions.fetch_add(1, Ordering::Relaxed);
     gateway.counters.event(Event::CallersAccepted);
-    let mut caller = Caller { gateway, stream, input, output, began: Instant::now(), stop };
+    let mut caller =
+        Caller { gateway, stream, input, output, began: Instant::now(), stop, keys_withdrawn };
     if let Some(mut session) = caller.welcome().await {
         caller.serve_session(&mut session).await;
         if let SessionState::Open(open) = session.state {
@@ -115,16 +119,18 @@
             Err(_) => return self.reject(ErrorKind::StartupTimedOut).await,
         };
         let message = self.input.split_to(length);
-        let Ok(CallerMessage::Startup { database, .. }) = C::decode_caller(&message) else {
+        let Ok(CallerMessage::Startup { database, key }) = C::decode_caller(&message) else {
             return self.reject(ErrorKind::ProtocolViolation).await;
         };
-        if !self.gateway.is_configured() {
-            return self.reject(ErrorKind::NotReady).await;
+        let (key, route) = (KeyDigest::of(key), self.gateway.route(database));
+        // Who has no key is not told which databases there are.
+        if let Err(kind) = self.gateway.holder(key, route.as_deref()) {
+            return self.reject(kind).await;
         }
-        if self.gateway.route(database).is_none() {
+        if route.is_none() {
             return self.reject(ErrorKind::UnknownGroup).await;
         }
-        let session = Session::new(database, self.gateway.next_session());
+        let session = Session::new(database, key, self.gateway.next_session());
         self.push_ready(TransactionStatus::Idle);
         self.flush().await.then_some(session)
     }
@@ -210,6 +216,17 @@
                 }
             }
         };
+        let keys_withdrawn = &mut self.keys_withdrawn;
+        let key_withdrawn = async {
+            loop {
+                // The sender lives as long as the process's state, so a change is one.
+                let _ = keys_withdrawn.changed().await;
+                if is_idle && !gateway.knows_key(session) {
+                    gateway.counters.event(Event::KeysWithdrawn);
+                    return;
+                }
+            }
+        };
         let read = async {
             loop {
                 self.stream.readable().await?;
@@ -227,6 +244,7 @@
                 Ok(0) | Err(_) => Some(Wake::End),
             },
             () = stopped => Some(Wake::End),
+            () = key_withdrawn => Some(Wake::End),
             () = time::sleep(idle), if holds => Some(Wake::IdleInTransaction),
         }
     }
@@ -258,6 +276,13 @@
         };
         let answer = execute::run(&self.gateway, session, id, statement, arrived_us).await;
         self.push_answer(&answer);
+        let is_over = matches!(&answer, Answer::Refused(it) if it.kind == ErrorKind::UnknownKey);
+        if is_over {
+            if self.flush().await {
+                socket::linger(&mut self.stream).await;
+            }
+            return false;
+        }
         self.push_ready(session.status());
         self.flush().await
     }
--- a/crates/proxy/src/sessions/connection/link.rs
+++ b/crates/proxy/src/sessions/connection/link.rs
@@ -63,6 +63,8 @@
     pub target_id: Arc<str>,
     /// The name of this process's VM.
     pub vm: Arc<str>,
+    /// Whether another proxy is connected to, which is told with the statements for whom they run.
+    pub to_proxy: bool,
 }
 
 /// A connection that passed its start-up.
@@ -72,6 +74,9 @@
     output: BytesMut,
     /// The transaction's status in the last complete answer.
     status: TransactionStatus,
+    /// The user that the target knows, or that the other proxy was told.
+    user: Option<Arc<str>>,
+    to_proxy: bool,
     /// How many answers are still to come.
     awaited: u32,
     values: Vec<(Box<str>, Box<str>)>,
@@ -100,6 +105,14 @@
         self.awaited += 1;
     }
 
+    /// Has the statements that follow run for a user. A target knows the connection's user from its start.
+    pub fn act_for(&mut self, user: Option<&Arc<str>>) {
+        if self.to_proxy && self.user.as_ref() != user {
+            C::encode_on_behalf(user.map_or("", |user| user), &mut self.output);
+            self.user = user.cloned();
+        }
+    }
+
     /// Sends what was pushed. After an error the connection is of no further use.
     pub async fn send(&mut self) -> Result<(), Lost> {
         let sent = socket::write_all(&self.stream, &self.output, SEND_STALL).await;
@@ -237,7 +250,8 @@
 
     async fn begin_session(&mut self, login: &TargetLogin) -> Result<(), OpenError> {
         let mut startup = BytesMut::new();
-        C::encode_startup(&login.service, &login.vm, &login.target_id, &mut startup);
+        let user = self.user.as_ref().unwrap_or(&login.vm);
+        C::encode_startup(&login.service, user, &login.target_id, &mut startup);
         socket::write_all(&self.stream, &startup, SEND_STALL).await.map_err(OpenError::Io)?;
         let message = self.next_message().await.map_err(OpenError::Io)?;
         match C::decode_target(&message) {
@@ -277,6 +291,7 @@
     async fn open(
         address: &str,
         login: &TargetLogin,
+        user: Option<&Arc<str>>,
         timeout: Duration,
     ) -> Result<StatementLink<C>, OpenError> {
         let opening = async {
@@ -287,6 +302,8 @@
                 input: BytesMut::new(),
                 output: BytesMut::new(),
                 status: TransactionStatus::Idle,
+                user: user.filter(|_| !login.to_proxy).cloned(),
+                to_proxy: login.to_proxy,
                 awaited: 0,
                 values: Vec::new(),
                 prepared: FastMap::default(),
@@ -300,6 +317,10 @@
         time::timeout(timeout, opening).await.unwrap_or(Err(OpenError::TimedOut))
     }
 
+    fn serves(&self, user: Option<&Arc<str>>) -> bool {
+        self.to_proxy || user.is_none() || self.user.as_ref() == user
+    }
+
     fn is_here(&self) -> bool {
         self.watched_by == thread::current().id()
     }
--- a/crates/proxy/src/sessions/connection/peer.rs
+++ b/crates/proxy/src/sessions/connection/peer.rs
@@ -38,6 +38,7 @@
 use crate::sessions::process::feed::tell;
 use crate::sessions::process::gateway::Gateway;
 use crate::sessions::process::limits;
+use crate::sessions::process::quota::answer;
 use crate::sessions::process::targets::TargetState;
 use crate::sessions::process::zone_reach;
 use crate::sessions::request::acquire;
@@ -73,6 +74,8 @@
     number: u64,
     route: Arc<Route>,
     target: Arc<TargetState<C>>,
+    /// For whom the statements run, as the other proxy says; none if it says nothing.
+    user: Option<Arc<str>>,
     values: Vec<(Box<str>, Box<str>)>,
     prepared: FastMap<Box<str>, Prepared>,
     /// The connection of the open transaction.
@@ -97,6 +100,9 @@
     if let Some(known_version) = feed::subscribed_from(&message) {
         return tell::tell(gateway, stream, known_version).await;
     }
+    if answer::is_question(&message) {
+        return answer::answer(&gateway, &stream, message, input).await;
+    }
     if zone_reach::is_question(&message) {
         return zone_reach::answer(&stream, input).await;
     }
@@ -119,6 +125,7 @@
         timeout_ms: TIMEOUT_MS,
         objective_ms: OBJECTIVE_MS,
         priority: PRIORITY,
+        is_public: false,
     };
     let number = gateway.next_session();
     let mut peer = Peer {
@@ -129,6 +136,7 @@
         number,
         route: Arc::new(route),
         target,
+        user: None,
         values: Vec::new(),
         prepared: FastMap::default(),
         held: None,
@@ -164,7 +172,14 @@
         let Some(message) = next_message::<C>(&self.stream, &mut self.input).await else {
             return false;
         };
-        let Ok(TargetRequest::Query(query)) = C::decode_request(&message) else { return false };
+        let query = match C::decode_request(&message) {
+            Ok(TargetRequest::Query(query)) => query,
+            Ok(TargetRequest::OnBehalf { organisation }) => {
+                self.user = (!organisation.is_empty()).then(|| organisation.into());
+                return true;
+            }
+            Ok(TargetRequest::Startup { .. } | TargetRequest::Goodbye) | Err(_) => return false,
+        };
         self.gateway.counters.event(Event::ForwardsReceived);
         match self.run(&query).await {
             Ok(Some(reply)) => self.push_reply(&reply),
@@ -289,10 +304,14 @@
     ) -> Result<Reply, Forwarded> {
         let gateway = Arc::clone(&self.gateway);
         let (route, now_us) = (Arc::clone(&self.route), gateway.clock.now_us());
+        // A proxy that names nobody must not have its statements run on an organisation's connection.
+        let nobody = gateway.has_organisations().then(|| Arc::clone(&gateway.vm));
+        let user = self.user.clone().or(nobody);
         let call = Call {
             gateway: &gateway,
             id: id.unwrap_or("-"),
             session: self.number,
+            user: user.as_ref(),
             route: &route,
             arrived_us: now_us,
             began_us: now_us,
--- a/crates/proxy/src/sessions/connection/session.rs
+++ b/crates/proxy/src/sessions/connection/session.rs
@@ -8,12 +8,14 @@
 use skylark_core::request::statement::Prepared;
 use skylark_core::request::statement::PreparedShape;
 use skylark_core::request::statement::TransactionStatus;
+use skylark_core::version::organisations::KeyDigest;
 use skylark_core::version::routes::Route;
 
 use crate::connection::pool::Lease;
 use crate::sessions::codec::Codec;
 use crate::sessions::connection::link::StatementLink;
 use crate::sessions::process::targets::TargetState;
+use crate::sessions::version::holder::Holder;
 
 /// How many values or prepared statements one session may have. The users' sessions have a few; a
 /// session without a bound could take all memory of a small VM.
@@ -27,6 +29,10 @@
 {
     /// The route that it began with: a change of the route applies from the next transaction on.
     pub route: Arc<Route>,
+    /// For whom it runs.
+    pub holder: Holder,
+    /// Whether it counts towards its organisation's limit already.
+    pub is_counted: bool,
     /// Whether the caller said that it will only read.
     pub read_only: bool,
     /// When its first byte had arrived at the latest.
@@ -75,6 +81,8 @@
 {
     /// The database that the caller connected to.
     pub database: Arc<str>,
+    /// The caller's key.
+    pub key: KeyDigest,
     /// Distinguishes this session from the process's others.
     pub number: u64,
     /// The last commit that it was told of, and the service that it belongs to.
@@ -92,9 +100,10 @@
     C: Codec,
 {
     /// A new session of a database.
-    pub fn new(database: &str, number: u64) -> Session<C> {
+    pub fn new(database: &str, key: KeyDigest, number: u64) -> Session<C> {
         Session {
             database: database.into(),
+            key,
             number,
             floor: None,
             values: Vec::new(),
--- a/crates/proxy/src/sessions/process/daemon.rs
+++ b/crates/proxy/src/sessions/process/daemon.rs
@@ -25,6 +25,7 @@
 use crate::sessions::process::gateway::Gateway;
 use crate::sessions::process::limits;
 use crate::sessions::process::sampler;
+use crate::sessions::process::settings::SessionSettings;
 use crate::sessions::process::stop::StopPhase;
 use crate::sessions::store::Promoter;
 use crate::sessions::store::StateStore;
@@ -34,10 +35,6 @@
 /// descriptors: trying again at once would only burn the processor.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
-/// How long the balancer may go on sending new callers after the process said that it is not ready:
-/// it asks once a second and believes the second miss.
-pub const BALANCER_NOTICES: Duration = Duration::from_millis(2_300);
-
 /// Nobody is accepted any more this long before the process would be killed: a statement that is
 /// taken later may not be answered in time.
 const LAST_MARGIN: Duration = Duration::from_millis(1_500);
@@ -48,23 +45,6 @@
 /// How often a stopping process looks whether its callers are gone.
 const STOP_LOOK: Duration = Duration::from_millis(50);
 
-/// What the process needs to know to start.
-#[derive(Clone, PartialEq, Eq, Debug)]
-pub struct SessionSettings {
-    /// The name of this process's VM.
-    pub vm: String,
-    /// Its availability zone.
-    pub zone: String,
-    /// Where callers connect.
-    pub callers_address: SocketAddr,
-    /// Where other proxies send statements for targets that this VM is home to.
-    pub peer_address: SocketAddr,
-    /// How long a target that announced its stop may be given work, in milliseconds.
-    pub drain_ms: u64,
-    /// How long the process has between being told to stop and being killed, in milliseconds.
-    pub grace_ms: u64,
-}
-
 /// Why the process can't run.
 #[derive(Debug)]
 pub enum StartError {
@@ -222,7 +202,7 @@
     match () {
         _ if passed >= grace.saturating_sub(LAST_MARGIN) => StopPhase::Last,
         _ if passed >= grace / 2 => StopPhase::Ending,
-        _ if passed >= BALANCER_NOTICES.min(grace / 2) => StopPhase::ClosingIdle,
+        _ if passed >= limits::BALANCER_NOTICES.min(grace / 2) => StopPhase::ClosingIdle,
         _ => StopPhase::NotReady,
     }
 }
--- a/crates/proxy/src/sessions/process/fleet.rs
+++ b/crates/proxy/src/sessions/process/fleet.rs
@@ -4,7 +4,10 @@
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 
+use skylark_core::process::connection_plan::Demand;
 use skylark_core::process::store_calls::Standing;
+use skylark_core::version::organisations::Organisations;
+use skylark_core::version::routes::RouteTable;
 
 use crate::process::counters::Event;
 use crate::sessions::codec::Codec;
@@ -37,9 +40,9 @@
                 continue;
             }
             self.counters.event(Event::WaysLookedAt);
-            let bounds = service_limits(view.routes.as_deref(), &target.record.service);
+            let demand = demand(view.routes.as_deref(), &target.record.service, &ways);
             if !target.must_rest(now_us) {
-                ways.lead(target, bounds.max_connections, self.is_primary(target), now_us);
+                ways.lead(target, demand, self.is_primary(target), now_us);
             }
             target.pool().maintain();
         }
@@ -52,17 +55,18 @@
             return true;
         }
         let (view, ways, now_us) = (self.view.load(), self.ways.load(), self.clock.now_us());
-        let bounds = service_limits(view.routes.as_deref(), &target.record.service);
-        if !ways.stand_in(target, bounds.max_connections, now_us) {
+        let demand = demand(view.routes.as_deref(), &target.record.service, &ways);
+        if !ways.stand_in(target, demand, now_us) {
             return false;
         }
-        ways.lead(target, bounds.max_connections, self.is_primary(target), now_us);
+        ways.lead(target, demand, self.is_primary(target), now_us);
         true
     }
 
     /// Takes in the list of VMs.
     pub fn set_vms(&self, vms: &[VmAddress]) {
         let ways = Ways::new(&self.vm, &self.zone, vms.to_vec());
+        self.quotas.set_vms(vms);
         self.asking.set_fleet(vms.len(), ways.asks());
         self.ways.store(Arc::new(ways));
         self.looked_us.store(0, Ordering::Relaxed);
@@ -138,3 +142,13 @@
         was_cut != is_cut
     }
 }
+
+/// What the connections of a service's targets are divided by.
+fn demand(routes: Option<&RouteTable>, service: &str, ways: &Ways) -> Demand {
+    let organisations = routes.and_then(|routes| routes.organisations.as_ref());
+    Demand {
+        max_connections: service_limits(routes, service).max_connections,
+        vms: ways.vm_count(),
+        organisations: organisations.map_or(0, Organisations::len),
+    }
+}
--- a/crates/proxy/src/sessions/process/gateway.rs
+++ b/crates/proxy/src/sessions/process/gateway.rs
@@ -13,6 +13,8 @@
 use skylark_core::FastMap;
 use skylark_core::FastSet;
 use skylark_core::process::isolation::ZoneReach;
+use skylark_core::request::error_kind::ErrorKind;
+use skylark_core::version::organisations::KeyDigest;
 use skylark_core::version::routes::Route;
 use skylark_core::version::routes::RouteTable;
 use skylark_core::version::routes::ServiceLimits;
@@ -21,18 +23,21 @@
 use crate::process::clock::MonotonicClock;
 use crate::process::counters::Counters;
 use crate::sessions::codec::Codec;
+use crate::sessions::connection::session::Session;
 use crate::sessions::process::asking::Asking;
-use crate::sessions::process::daemon::SessionSettings;
 use crate::sessions::process::feed::outbox::Outbox;
 use crate::sessions::process::latencies::Latencies;
 use crate::sessions::process::limits;
 use crate::sessions::process::log_budget::LogBudget;
+use crate::sessions::process::quota::Quotas;
 use crate::sessions::process::services::ServiceState;
+use crate::sessions::process::settings::SessionSettings;
 use crate::sessions::process::stop::StopPhase;
 use crate::sessions::process::stop::StopState;
 use crate::sessions::process::target_table::TargetTable;
 use crate::sessions::process::targets::TargetState;
 use crate::sessions::process::ways::Ways;
+use crate::sessions::version::holder::Holder;
 use crate::sessions::version::view::View;
 
 /// The limits of a service that no configuration names: its targets are listed, and nobody is sent
@@ -59,6 +64,10 @@
     pub log: slog::Logger,
     /// The bound on log lines.
     pub log_budget: LogBudget,
+    /// The limits of organisations.
+    pub quotas: Quotas,
+    /// Grows when keys are withdrawn or go to other organisations.
+    pub keys_withdrawn: watch::Sender<u64>,
     /// How far the process has come with stopping.
     pub stop: watch::Sender<StopState>,
     /// The number of open sessions.
@@ -97,12 +106,17 @@
     /// A process that knows nothing yet.
     pub fn new(settings: &SessionSettings, log: slog::Logger) -> Gateway<C> {
         let clock = MonotonicClock::start();
+        let (vm, zone) = (settings.vm.as_str().into(), settings.zone.as_str().into());
+        let counters = Arc::default();
+        let quotas = Quotas::new(&vm, &zone, settings.quota, clock, &counters);
         Gateway {
-            vm: settings.vm.as_str().into(),
-            zone: settings.zone.as_str().into(),
+            vm,
+            zone,
             drain_us: settings.drain_ms * 1_000,
             clock,
-            counters: Arc::default(),
+            counters,
+            quotas,
+            keys_withdrawn: watch::Sender::new(0),
             latencies: Latencies::default(),
             log,
             log_budget: LogBudget::default(),
@@ -136,6 +150,34 @@
         view.routes.as_ref()?.routes.get(database).cloned()
     }
 
+    /// The organisation that a caller with this key runs statements for in the configuration in force; none where
+    /// callers need no key.
+    ///
+    /// # Errors
+    ///
+    /// `UnknownKey` if the key is nobody's, and the route asks for one.
+    pub fn holder(&self, key: KeyDigest, route: Option<&Route>) -> Result<Holder, ErrorKind> {
+        let view = self.view.load();
+        let routes = view.routes.as_ref().ok_or(ErrorKind::NotReady)?;
+        let Some(organisations) = &routes.organisations else { return Ok(Holder::NotNeeded) };
+        match organisations.holder(key) {
+            Some(organisation) => Ok(Holder::Organisation(Arc::clone(organisation))),
+            None if route.is_some_and(|route| route.is_public) => Ok(Holder::Nobody),
+            None => Err(ErrorKind::UnknownKey),
+        }
+    }
+
+    /// Whether a session's key may still be used.
+    pub fn knows_key(&self, session: &Session<C>) -> bool {
+        self.holder(session.key, self.route(&session.database).as_deref()).is_ok()
+    }
+
+    /// Whether callers are told apart by organisation.
+    pub fn has_organisations(&self) -> bool {
+        let view = self.view.load();
+        view.routes.as_ref().is_some_and(|routes| routes.organisations.is_some())
+    }
+
     /// Whether there is a configuration.
     pub fn is_configured(&self) -> bool {
         self.view.load().routes.is_some()
@@ -273,8 +315,11 @@
             leader.keep(is_listed);
             state.words.lock().keep(is_listed);
         }
-        self.view.store(Arc::new(view));
+        let before = self.view.swap(Arc::new(view));
         self.changed.send_modify(|number| *number += 1);
+        if withdraws_keys(&before, &self.view.load()) {
+            self.keys_withdrawn.send_modify(|number| *number += 1);
+        }
     }
 
     /// Brings the targets to what a version lists. The connections of a target that went are closed
@@ -307,6 +352,16 @@
     }
 }
 
+/// Whether a key of one version is another organisation's or nobody's in the next.
+fn withdraws_keys(before: &View, now: &View) -> bool {
+    let organisations = |view: &View| view.routes.as_ref()?.organisations.clone();
+    match (organisations(before), organisations(now)) {
+        (Some(before), Some(now)) => before.keys_differ_in(&now),
+        (None, Some(_)) => true,
+        (_, None) => false,
+    }
+}
+
 /// The limits of a service in a configuration.
 pub fn service_limits(routes: Option<&RouteTable>, service: &str) -> ServiceLimits {
     routes.and_then(|routes| routes.services.get(service)).copied().unwrap_or(UNKNOWN_SERVICE)
--- a/crates/proxy/src/sessions/process/isolation.rs
+++ b/crates/proxy/src/sessions/process/isolation.rs
@@ -9,8 +9,8 @@
 
 use crate::sessions::codec::Codec;
 use crate::sessions::codec::Query;
-use crate::sessions::process::daemon::BALANCER_NOTICES;
 use crate::sessions::process::gateway::Gateway;
+use crate::sessions::process::limits;
 use crate::sessions::process::stop::StopPhase;
 use crate::sessions::process::target_calls;
 use crate::sessions::process::target_calls::Said;
@@ -73,7 +73,7 @@
         }
         let since = *self.since.get_or_insert_with(Instant::now);
         // The balancer would send callers that are let go at once back to this zone.
-        let phase = match since.elapsed() >= BALANCER_NOTICES {
+        let phase = match since.elapsed() >= limits::BALANCER_NOTICES {
             true => StopPhase::ClosingIdle,
             false => StopPhase::NotReady,
         };
--- a/crates/proxy/src/sessions/process/limits.rs
+++ b/crates/proxy/src/sessions/process/limits.rs
@@ -120,3 +120,12 @@
     burst: 1,
     overshoot_us: 300_000,
 };
+
+/// The same where connections serve one organisation each. A statement of an organisation without one waits for
+/// its connection to be opened, so several are opened at a time; idle ones stay until others need their room.
+pub const ORGANISATIONS_POLICY: BudgetPolicy =
+    BudgetPolicy { tries_per_second: 60, burst: 6, ..CONNECTION_POLICY };
+
+/// How long the balancer may go on sending new callers after the process said that it is not ready:
+/// it asks once a second and believes the second miss.
+pub const BALANCER_NOTICES: Duration = Duration::from_millis(2_300);
--- /dev/null
+++ b/crates/proxy/src/sessions/process/quota/ask.rs
@@ -0,0 +1,112 @@
+//! Asking another VM to grant operations. All that is asked while an answer is awaited goes into the next
+//! message, so what questions cost does not grow with the operations.
+
+use std::io;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::BytesMut;
+use parking_lot::Mutex;
+use skylark_core::FastMap;
+use skylark_core::process::quota::Grant;
+use tokio::net::TcpStream;
+use tokio::sync::mpsc;
+use tokio::sync::oneshot;
+use tokio::time;
+
+use crate::connection::socket;
+use crate::process::counters::Counters;
+use crate::process::counters::Event;
+use crate::sessions::process::quota::answer;
+use crate::sessions::store::VmAddress;
+
+/// The time that another VM has to answer, a new connection included.
+const ANSWER_LIMIT: Duration = Duration::from_millis(60);
+
+/// After which time without a question a connection is closed. The other VM waits for longer.
+const IDLE_LIMIT: Duration = Duration::from_secs(3);
+
+/// How many questions wait for one VM at most.
+const MOST_WAITING: usize = 1_024;
+
+/// How many organisations one message asks about at most.
+const MOST_IN_MESSAGE: usize = 64;
+
+/// One operation of an organisation that is to be granted.
+#[derive(Debug)]
+struct Question {
+    organisation: Arc<str>,
+    answer: oneshot::Sender<Grant>,
+}
+
+/// The questions to other VMs.
+#[derive(Debug)]
+pub struct Questions {
+    counters: Arc<Counters>,
+    by_vm: Mutex<FastMap<Arc<str>, mpsc::Sender<Question>>>,
+}
+
+impl Questions {
+    /// Nothing was asked yet.
+    pub fn new(counters: &Arc<Counters>) -> Questions {
+        Questions { counters: Arc::clone(counters), by_vm: Mutex::default() }
+    }
+
+    /// Asks a VM to grant one operation. None if it does not answer, or allocates nothing.
+    pub async fn ask(&self, vm: &VmAddress, organisation: &Arc<str>) -> Option<Grant> {
+        self.counters.event(Event::LimitsAsked);
+        let (answer, answered) = oneshot::channel();
+        let question = Question { organisation: Arc::clone(organisation), answer };
+        // A full queue is as good as no answer.
+        self.sender_to(vm).try_send(question).ok()?;
+        let answered = time::timeout(ANSWER_LIMIT, answered).await;
+        let grant = answered.ok().and_then(Result::ok);
+        if grant.is_none() {
+            self.counters.event(Event::LimitsUnanswered);
+        }
+        grant
+    }
+
+    fn sender_to(&self, vm: &VmAddress) -> mpsc::Sender<Question> {
+        let mut by_vm = self.by_vm.lock();
+        if let Some(sender) = by_vm.get(&vm.name).filter(|sender| !sender.is_closed()) {
+            return sender.clone();
+        }
+        let (sender, receiver) = mpsc::channel(MOST_WAITING);
+        by_vm.insert(Arc::clone(&vm.name), sender.clone());
+        tokio::spawn(talk(vm.clone(), receiver));
+        sender
+    }
+}
+
+/// Asks a VM what there is to ask until nothing was for a while, or it does not answer.
+async fn talk(vm: VmAddress, mut questions: mpsc::Receiver<Question>) {
+    let connected = time::timeout(ANSWER_LIMIT, TcpStream::connect(vm.peer_address)).await;
+    let Ok(Ok(stream)) = connected else { return };
+    // Without it small messages wait for each other, which is slow but works.
+    let _ = stream.set_nodelay(true);
+    let mut input = BytesMut::new();
+    let mut batch = Vec::new();
+    loop {
+        batch.clear();
+        let received = questions.recv_many(&mut batch, MOST_IN_MESSAGE);
+        if time::timeout(IDLE_LIMIT, received).await.is_err() || batch.is_empty() {
+            return;
+        }
+        let names = batch.iter().map(|question| &*question.organisation);
+        let message = answer::question(names);
+        let answered = time::timeout(ANSWER_LIMIT, exchange(&stream, &mut input, &message)).await;
+        let Ok(Ok(line)) = answered else { return };
+        for (question, grant) in batch.drain(..).zip(answer::grants(&line)) {
+            if let Some(grant) = grant {
+                // One who waits no longer has given its operation up.
+                let _ = question.answer.send(grant);
+            }
+        }
+    }
+}
+
+async fn exchange(stream: &TcpStream, input: &mut BytesMut, message: &str) -> io::Result<BytesMut> {
+    socket::write_all(stream, message.as_bytes(), ANSWER_LIMIT).await?;
+    answer::next_line(stream, input).await
+}
--- /dev/null
+++ b/crates/proxy/src/sessions/process/quota/mod.rs
@@ -0,0 +1,223 @@
+//! Keeping the limits of organisations: who is asked for an operation, and what this VM grants to others.
+//!
+//! `skylark_core::process::quota` says how a limit is divided among allocators. Here an operation asks them one
+//! after the other, those of the own availability zone first ([`ask`]), and answers are given to the other VMs
+//! ([`answer`]). What an allocator said is remembered until it may say something else, so that operations far
+//! beyond a limit are refused without a message.
+
+pub mod allocators;
+pub mod answer;
+pub mod ask;
+
+use std::sync::Arc;
+
+use parking_lot::Mutex;
+use skylark_core::FastMap;
+use skylark_core::process::quota;
+use skylark_core::process::quota::Grant;
+use skylark_core::process::quota::QuotaTolerance;
+use skylark_core::process::quota::TokenBucket;
+use skylark_core::request::error_kind::ErrorKind;
+use skylark_core::version::organisations::Organisation;
+use skylark_core::version::organisations::RateLimit;
+
+use crate::process::clock::MonotonicClock;
+use crate::process::counters::Counters;
+use crate::process::counters::Event;
+use crate::request::refusal::Refusal;
+use crate::sessions::process::quota::allocators::Allocators;
+use crate::sessions::process::quota::ask::Questions;
+use crate::sessions::store::VmAddress;
+
+/// For how long an allocator that did not answer is passed over, in microseconds.
+const SILENT_PASSED_OVER_US: u64 = 1_000_000;
+
+/// How long after a change of the list of VMs a VM that became an allocator begins to earn tokens, in
+/// microseconds. Others may ask its predecessor until they have the list as well.
+const TAKE_OVER_US: u64 = 1_500_000;
+
+/// Microseconds in a millisecond.
+const MS_US: u64 = 1_000;
+
+/// What one VM knows and grants of limits.
+#[derive(Debug)]
+pub struct Quotas {
+    own: Arc<str>,
+    zone: Arc<str>,
+    tolerance: QuotaTolerance,
+    clock: MonotonicClock,
+    counters: Arc<Counters>,
+    questions: Questions,
+    state: Mutex<State>,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    vms: Vec<VmAddress>,
+    /// From when buckets that are new earn tokens.
+    earns_from_us: u64,
+    allocators: FastMap<Arc<str>, Arc<Allocators>>,
+    /// The buckets that this VM grants from.
+    buckets: FastMap<Arc<str>, TokenBucket>,
+    /// Until when an allocator has nothing for an organisation, by organisation and VM.
+    empty_until_us: FastMap<(Arc<str>, Arc<str>), u64>,
+    /// Until when a VM that did not answer is passed over.
+    silent_until_us: FastMap<Arc<str>, u64>,
+}
+
+/// What came of asking one allocator.
+enum Asked {
+    Granted,
+    Empty { retry_after_us: u64 },
+    Silent,
+}
+
+impl Quotas {
+    /// A VM that knows no others yet.
+    pub fn new(
+        own: &Arc<str>,
+        zone: &Arc<str>,
+        tolerance: QuotaTolerance,
+        clock: MonotonicClock,
+        counters: &Arc<Counters>,
+    ) -> Quotas {
+        Quotas {
+            own: Arc::clone(own),
+            zone: Arc::clone(zone),
+            tolerance,
+            clock,
+            counters: Arc::clone(counters),
+            questions: Questions::new(counters),
+            state: Mutex::default(),
+        }
+    }
+
+    /// Takes in the list of VMs. Buckets of organisations that this VM no longer allocates are given up.
+    pub fn set_vms(&self, vms: &[VmAddress]) {
+        let mut state = self.state.lock();
+        if state.vms == vms {
+            return;
+        }
+        let is_first = state.vms.is_empty();
+        state.vms = vms.to_vec();
+        let now_us = self.clock.now_us();
+        state.earns_from_us = if is_first { now_us } else { now_us + TAKE_OVER_US };
+        let known = std::mem::take(&mut state.allocators);
+        for (name, before) in known {
+            let now = Allocators::rank(&name, &state.vms, &self.own, &self.zone, before.per_zone);
+            if !now.includes_own {
+                state.buckets.remove(&name);
+            }
+        }
+    }
+
+    /// Has one operation of an organisation counted.
+    ///
+    /// # Errors
+    ///
+    /// A refusal if its limit has no room, or if nobody can be asked.
+    pub async fn admit(&self, organisation: &Organisation) -> Result<(), Refusal> {
+        let Some(limit) = organisation.limit else { return Ok(()) };
+        let allocators = self.allocators_of(&organisation.name, limit);
+        let mut soonest_us = None;
+        for vm in &allocators.in_turn {
+            match self.ask(&organisation.name, limit, vm, &allocators).await {
+                Asked::Granted => return Ok(()),
+                Asked::Empty { retry_after_us } => {
+                    soonest_us =
+                        Some(soonest_us.map_or(retry_after_us, |it: u64| it.min(retry_after_us)));
+                }
+                Asked::Silent => (),
+            }
+        }
+        match soonest_us {
+            Some(retry_after_us) => {
+                Err(Refusal::after(ErrorKind::OverLimit, retry_after_us.div_ceil(MS_US)))
+            }
+            None => Err(ErrorKind::LimitUnknown.into()),
+        }
+    }
+
+    /// Grants operations of an organisation out of this VM's part; none if it allocates nothing of it.
+    pub fn grant(&self, name: &Arc<str>, limit: RateLimit, wanted: u32) -> Option<Grant> {
+        let allocators = self.allocators_of(name, limit);
+        if !allocators.includes_own {
+            return None;
+        }
+        let part = quota::part_of(limit, self.tolerance, allocators.in_turn.len());
+        let now_us = self.clock.now_us();
+        let mut state = self.state.lock();
+        let since_us = state.earns_from_us;
+        let bucket = state
+            .buckets
+            .entry(Arc::clone(name))
+            .or_insert_with(|| TokenBucket::starting_empty(part, since_us));
+        bucket.set_part(part, now_us);
+        Some(bucket.take(wanted, now_us))
+    }
+
+    async fn ask(
+        &self,
+        name: &Arc<str>,
+        limit: RateLimit,
+        vm: &VmAddress,
+        allocators: &Allocators,
+    ) -> Asked {
+        if allocators.includes_own && vm.name == self.own {
+            let Some(grant) = self.grant(name, limit, 1) else { return Asked::Silent };
+            self.counters.event(Event::LimitsGrantedHere);
+            return match grant.granted {
+                0 => Asked::Empty { retry_after_us: grant.retry_after_us },
+                _ => Asked::Granted,
+            };
+        }
+        if let Some(known) = self.known_answer(name, vm) {
+            return known;
+        }
+        let answer = self.questions.ask(vm, name).await;
+        let now_us = self.clock.now_us();
+        let mut state = self.state.lock();
+        match answer {
+            Some(grant) if grant.granted > 0 => Asked::Granted,
+            Some(Grant { retry_after_us, .. }) => {
+                let key = (Arc::clone(name), Arc::clone(&vm.name));
+                state.empty_until_us.insert(key, now_us + retry_after_us);
+                Asked::Empty { retry_after_us }
+            }
+            None => {
+                let until_us = now_us + SILENT_PASSED_OVER_US;
+                state.silent_until_us.insert(Arc::clone(&vm.name), until_us);
+                Asked::Silent
+            }
+        }
+    }
+
+    /// What an allocator would say, as far as it said so before.
+    fn known_answer(&self, name: &Arc<str>, vm: &VmAddress) -> Option<Asked> {
+        let now_us = self.clock.now_us();
+        let mut state = self.state.lock();
+        if state.silent_until_us.get(&vm.name).is_some_and(|until_us| now_us < *until_us) {
+            return Some(Asked::Silent);
+        }
+        let key = (Arc::clone(name), Arc::clone(&vm.name));
+        let until_us = *state.empty_until_us.get(&key)?;
+        if now_us < until_us {
+            return Some(Asked::Empty { retry_after_us: until_us - now_us });
+        }
+        state.empty_until_us.remove(&key);
+        None
+    }
+
+    fn allocators_of(&self, name: &Arc<str>, limit: RateLimit) -> Arc<Allocators> {
+        let mut state = self.state.lock();
+        let zones = allocators::zones_of(&state.vms);
+        let per_zone = quota::allocators_per_zone(limit, self.tolerance, zones);
+        if let Some(known) = state.allocators.get(name).filter(|it| it.per_zone == per_zone) {
+            return Arc::clone(known);
+        }
+        let ranked = Allocators::rank(name, &state.vms, &self.own, &self.zone, per_zone);
+        let ranked = Arc::new(ranked);
+        state.allocators.insert(Arc::clone(name), Arc::clone(&ranked));
+        ranked
+    }
+}
--- a/crates/proxy/src/sessions/process/target_calls.rs
+++ b/crates/proxy/src/sessions/process/target_calls.rs
@@ -58,9 +58,11 @@
         service: Arc::clone(&record.service),
         target_id: Arc::clone(&record.name),
         vm: Arc::clone(vm),
+        to_proxy: false,
     };
     let address = record.address.to_string();
-    let mut link: StatementLink<C> = match StatementLink::open(&address, &login, limit).await {
+    let mut link: StatementLink<C> = match StatementLink::open(&address, &login, None, limit).await
+    {
         Ok(link) => link,
         Err(OpenError::Refused(_)) => return Said::Refused,
         Err(_) => return Said::Nothing,
--- a/crates/proxy/src/sessions/process/targets.rs
+++ b/crates/proxy/src/sessions/process/targets.rs
@@ -7,6 +7,7 @@
 
 use arc_swap::ArcSwap;
 use parking_lot::Mutex;
+use skylark_core::process::connection_budget::BudgetPolicy;
 use skylark_core::process::jitter;
 use skylark_core::process::sharing::ClassShare;
 use skylark_core::process::sharing::queue::QueueLimits;
@@ -90,14 +91,36 @@
 }
 
 impl PoolParts {
-    fn pool<C>(&self, address: SocketAddr, target_id: &Arc<str>) -> Arc<Pool<StatementLink<C>>>
+    /// Connections to the target itself.
+    fn own_pool<C>(&self, record: &TargetRecord) -> Arc<Pool<StatementLink<C>>>
+    where
+        C: Codec,
+    {
+        self.pool(record.address, &record.name, false)
+    }
+
+    /// Connections to another VM that stand for connections to the target. That VM has to mean the same start of
+    /// the target; the target itself knows its name only.
+    fn pool_via<C>(&self, vm: &VmAddress, record: &TargetRecord) -> Arc<Pool<StatementLink<C>>>
+    where
+        C: Codec,
+    {
+        self.pool(vm.peer_address, &record.id, true)
+    }
+
+    fn pool<C>(
+        &self,
+        address: SocketAddr,
+        target_id: &Arc<str>,
+        to_proxy: bool,
+    ) -> Arc<Pool<StatementLink<C>>>
     where
         C: Codec,
     {
         let (vm, target) = (&self.login.vm, &self.login.target_id);
         let options = PoolOptions {
             address: address.to_string(),
-            login: TargetLogin { target_id: Arc::clone(target_id), ..self.login.clone() },
+            login: TargetLogin { target_id: Arc::clone(target_id), to_proxy, ..self.login.clone() },
             connect_ms: limits::CONNECT_MS,
             budget: limits::CONNECTION_POLICY,
             drain_ms: limits::DRAIN_MS,
@@ -144,9 +167,10 @@
             service: Arc::clone(&record.service),
             target_id: Arc::clone(&record.id),
             vm: Arc::clone(vm),
+            to_proxy: false,
         };
         let parts = PoolParts { login, clock, counters: Arc::clone(counters) };
-        let way = Way { via: None, pool: parts.pool(record.address, &record.name) };
+        let way = Way { via: None, pool: parts.own_pool(record) };
         let queue = AdmissionQueue::new(QueueLimits::default(), &class_shares(), clock);
         let health = Health {
             usual_us: INITIAL_ANSWER_US,
@@ -203,16 +227,20 @@
         if self.way.load().via == via {
             return;
         }
-        // Another VM has to mean the same start of the target; the target itself knows its name only.
         let pool = match vm {
-            Some(vm) => self.parts.pool(vm.peer_address, &self.record.id),
-            None => self.parts.pool(self.record.address, &self.record.name),
+            Some(vm) => self.parts.pool_via(vm, &self.record),
+            None => self.parts.own_pool(&self.record),
         };
         let old = self.way.swap(Arc::new(Way { via, pool }));
         old.pool.set_share(0);
         old.pool.maintain();
     }
 
+    /// Sets how connections are kept and opened.
+    pub fn set_policy(&self, policy: BudgetPolicy) {
+        self.pool().set_policy(policy);
+    }
+
     /// Sets this process's part of the connections.
     pub fn configure(&self, share: u32) {
         let running = (self.record.slots + limits::RUNNING_BEYOND_SLOTS).min(share);
--- a/crates/proxy/src/sessions/process/ways.rs
+++ b/crates/proxy/src/sessions/process/ways.rs
@@ -9,6 +9,7 @@
 use skylark_core::FastMap;
 use skylark_core::process::connection_plan;
 use skylark_core::process::connection_plan::ConnectionPlan;
+use skylark_core::process::connection_plan::Demand;
 use skylark_core::process::homes;
 use skylark_core::process::jitter;
 
@@ -149,16 +150,16 @@
     }
 
     /// Sets the way to a target, and how many connections it has.
-    pub fn lead<C>(
-        &self,
-        target: &TargetState<C>,
-        max_connections: u32,
-        is_primary: bool,
-        now_us: u64,
-    ) where
+    pub fn lead<C>(&self, target: &TargetState<C>, demand: Demand, is_primary: bool, now_us: u64)
+    where
         C: Codec,
     {
-        match connection_plan::plan(max_connections, self.vms.len()) {
+        let policy = match demand.organisations {
+            0 => limits::CONNECTION_POLICY,
+            _ => limits::ORGANISATIONS_POLICY,
+        };
+        target.set_policy(policy);
+        match connection_plan::plan(demand) {
             ConnectionPlan::Direct { primary, replica } => {
                 target.go_via(None);
                 target.configure(if is_primary { primary } else { replica });
@@ -214,11 +215,11 @@
     }
 
     /// Has this VM stand in for the homes of a target for a while, if it may. Returns whether it does.
-    pub fn stand_in<C>(&self, target: &TargetState<C>, max_connections: u32, now_us: u64) -> bool
+    pub fn stand_in<C>(&self, target: &TargetState<C>, demand: Demand, now_us: u64) -> bool
     where
         C: Codec,
     {
-        let plan = connection_plan::plan(max_connections, self.vms.len());
+        let plan = connection_plan::plan(demand);
         let ConnectionPlan::Homes { stand_ins, .. } = plan else { return false };
         if self.homes_of(target, stand_ins).role != HomeRole::StandIn {
             return false;
--- a/crates/proxy/src/sessions/request/acquire.rs
+++ b/crates/proxy/src/sessions/request/acquire.rs
@@ -65,7 +65,11 @@
     let request = TurnRequest { class, caller, deadline_us: until_us };
     let turn = target.queue.admit(&request).await.map_err(NotTaken::Queue)?;
     let until = call.gateway.clock.instant_at(until_us);
-    target.pool().take(Some(turn), until).await.map_err(NotTaken::NotConnected)
+    let pool = target.pool();
+    let taken = pool.take(call.user, Some(turn), until).await;
+    let mut lease = taken.map_err(NotTaken::NotConnected)?;
+    lease.connection().act_for(call.user);
+    Ok(lease)
 }
 
 /// Whether the target has as many connections as it accepts, which does not speak against it.
--- a/crates/proxy/src/sessions/request/call.rs
+++ b/crates/proxy/src/sessions/request/call.rs
@@ -89,6 +89,8 @@
     pub id: &'a str,
     /// The number of the session.
     pub session: u64,
+    /// Whose name targets are told; none where they are told no organisation's.
+    pub user: Option<&'a Arc<str>>,
     /// The rules for it.
     pub route: &'a Arc<Route>,
     /// When its first byte had arrived at the latest, or that of its transaction.
--- a/crates/proxy/src/sessions/request/execute.rs
+++ b/crates/proxy/src/sessions/request/execute.rs
@@ -22,6 +22,7 @@
 use crate::sessions::request::call::Work;
 use crate::sessions::request::read;
 use crate::sessions::request::transaction;
+use crate::sessions::version::holder::Holder;
 
 /// The answer to one statement.
 #[derive(Debug)]
@@ -89,8 +90,15 @@
         return Err(ErrorKind::ProtocolViolation.into());
     }
     let route = route(gateway, session)?;
-    let transaction =
-        Transaction { route, read_only, began_us: arrived_us, wrote: false, held: None };
+    let transaction = Transaction {
+        holder: gateway.holder(session.key, Some(&route))?,
+        route,
+        is_counted: false,
+        read_only,
+        began_us: arrived_us,
+        wrote: false,
+        held: None,
+    };
     session.state = SessionState::Open(Box::new(transaction));
     gateway.counters.event(Event::AnsweredLocally);
     Ok(Answer::Done)
@@ -150,12 +158,28 @@
             };
             Err(refusal)
         }
-        SessionState::Open(open) => {
+        SessionState::Open(mut open) => {
             let route = Arc::clone(&open.route);
+            let holder = match holder_of_open(gateway, session, &open) {
+                Ok(holder) => holder,
+                Err(refusal) => {
+                    transaction::roll_back(open);
+                    session.state = transaction::after_refusal(&work);
+                    return Err(refusal);
+                }
+            };
+            if !open.is_counted {
+                if let Err(refusal) = count(gateway, id, &holder).await {
+                    session.state = transaction::after_refusal(&work);
+                    return Err(refusal);
+                }
+                open.is_counted = true;
+            }
             let call = Call {
                 gateway,
                 id,
                 session: number,
+                user: holder.user(&gateway.vm),
                 route: &route,
                 arrived_us: open.began_us,
                 began_us: arrived_us,
@@ -168,10 +192,13 @@
                 return Err(ErrorKind::ProtocolViolation.into());
             }
             let route = route(gateway, session)?;
+            let holder = gateway.holder(session.key, Some(&route))?;
+            count(gateway, id, &holder).await?;
             let call = Call {
                 gateway,
                 id,
                 session: number,
+                user: holder.user(&gateway.vm),
                 route: &route,
                 arrived_us,
                 began_us: arrived_us,
@@ -188,6 +215,49 @@
     }
 }
 
+/// For whom the next statement of an open transaction runs.
+///
+/// # Errors
+///
+/// `TransactionLost` if the key was withdrawn or went to another organisation meanwhile: the transaction runs
+/// under a name that the caller may not use any more.
+fn holder_of_open<C>(
+    gateway: &Gateway<C>,
+    session: &Session<C>,
+    open: &Transaction<C>,
+) -> Result<Holder, Refusal>
+where
+    C: Codec,
+{
+    match gateway.holder(session.key, Some(&open.route)) {
+        Ok(holder) if holder.is_same(&open.holder) => Ok(holder),
+        _ => Err(ErrorKind::TransactionLost.into()),
+    }
+}
+
+/// Counts an operation towards the limit of its organisation.
+async fn count<C>(gateway: &Gateway<C>, id: &str, holder: &Holder) -> Result<(), Refusal>
+where
+    C: Codec,
+{
+    let Holder::Organisation(organisation) = holder else { return Ok(()) };
+    let counted = gateway.quotas.admit(organisation).await;
+    if let Err(refusal) = &counted {
+        let name = refusal.kind.answer().name;
+        if let Some(left_out) = gateway.log_budget.take(name, gateway.clock.now_us()) {
+            slog::info!(gateway.log, "refused";
+                "request" => id,
+                "kind" => name,
+                "organisation" => &*organisation.name,
+                "limit" => ?organisation.limit,
+                "retry_after_ms" => refusal.retry_after_ms,
+                "configuration" => gateway.view().routes.as_ref().map_or(0, |it| it.version),
+                "left_out" => left_out);
+        }
+    }
+    counted
+}
+
 fn finish<C>(call: &Call<'_, C>, result: Result<Reply, Refusal>) -> Result<Answer, Refusal>
 where
     C: Codec,
--- a/crates/proxy/src/sessions/request/prove.rs
+++ b/crates/proxy/src/sessions/request/prove.rs
@@ -271,7 +271,7 @@
     gateway.counters.event(Event::WordsAsked);
     let now_us = gateway.clock.now_us();
     let until = gateway.clock.instant_at(until_us.min(now_us + limits::WORD_US));
-    let mut lease = member.pool().take(None, until).await?;
+    let mut lease = member.pool().take(None, None, until).await?;
     match lease.connection().ask(&Query::Standing, until).await {
         Ok(reply) => {
             lease.give_back();
--- a/crates/proxy/src/sessions/request/sample.rs
+++ b/crates/proxy/src/sessions/request/sample.rs
@@ -31,7 +31,7 @@
 {
     let target = gateway.primary(service)?;
     let until = gateway.clock.instant_at(gateway.clock.now_us() + LIMIT_US);
-    let lease = match target.pool().take(None, until).await {
+    let lease = match target.pool().take(None, None, until).await {
         Ok(lease) => lease,
         Err(failure) => {
             if let Some(left_out) = gateway.log_budget.take("no way", gateway.clock.now_us()) {
--- a/crates/proxy/src/sessions/request/transaction.rs
+++ b/crates/proxy/src/sessions/request/transaction.rs
@@ -55,7 +55,7 @@
 }
 
 /// A transaction whose first statement did not come about is over, unless it was ended by it.
-fn after_refusal<C>(work: &Work<'_>) -> SessionState<C>
+pub fn after_refusal<C>(work: &Work<'_>) -> SessionState<C>
 where
     C: Codec,
 {
--- a/crates/proxy/tests/feed_frames.rs
+++ b/crates/proxy/tests/feed_frames.rs
@@ -24,6 +24,7 @@
             timeout_ms: number,
             objective_ms: 100,
             priority: 1,
+            is_public: false,
         };
         (database, Arc::new(route))
     };
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -10,12 +10,13 @@
 
 use parking_lot::Mutex;
 use skylark_core::FastMap;
+use skylark_core::process::quota::QuotaTolerance;
 use skylark_core::version::routes::ReadRule;
 use skylark_core::version::routes::Route;
 use skylark_core::version::routes::RouteTable;
 use skylark_core::version::routes::ServiceLimits;
 use skylark_platform::settings::PlatformSettings;
-use skylark_proxy::sessions::process::daemon::SessionSettings;
+use skylark_proxy::sessions::process::settings::SessionSettings;
 use skylark_standin::typed::deployment::Deployment;
 use skylark_standin::typed::group::GroupOptions;
 use skylark_standin::typed::platform::Named;
@@ -92,6 +93,7 @@
             peer_address: ports::free_address().await?,
             drain_ms: 7_000,
             grace_ms: 4_000,
+            quota: QuotaTolerance::default(),
         };
         addresses.push(sessions.callers_address);
         let settings = PlatformSettings {
@@ -224,6 +226,7 @@
             timeout_ms: 1_000,
             objective_ms: 400,
             priority: 1,
+            is_public: false,
         };
         (Arc::from(database), Arc::new(route))
     };
@@ -233,6 +236,7 @@
         routes: rules.into_iter().map(route).collect(),
         services: FastMap::from_iter([(Arc::from(SERVICE), limits)]),
         transaction_idle_ms: 3_000,
+        organisations: None,
     }
 }
 
--- a/crates/standin/src/typed/database.rs
+++ b/crates/standin/src/typed/database.rs
@@ -154,7 +154,9 @@
             let message = self.message().await?;
             let request = Lines::decode_request(&message).map_err(|_| Ended::Closed)?;
             match request {
-                TargetRequest::Goodbye | TargetRequest::Startup { .. } => {
+                TargetRequest::Goodbye
+                | TargetRequest::Startup { .. }
+                | TargetRequest::OnBehalf { .. } => {
                     return Err(Ended::Closed);
                 }
                 TargetRequest::Query(query) => {
