--- /dev/null
+++ b/crates/proxy/tests/pool_users.rs
@@ -0,0 +1,198 @@
+//! A pool whose target distinguishes users: who gets which connection, and which one gives way.
+
+use std::io;
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicU32;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+use std::time::Instant;
+
+use skylark_core::process::connection_budget::BudgetPolicy;
+use skylark_core::request::retry::Failure;
+use skylark_proxy::connection::link::Link;
+use skylark_proxy::connection::pool::Lease;
+use skylark_proxy::connection::pool::Pool;
+use skylark_proxy::connection::pool::PoolOptions;
+use skylark_proxy::connection::target_connection::OpenError;
+use skylark_proxy::process::clock::MonotonicClock;
+
+/// Far beyond what any of these tests waits for.
+const LONG: Duration = Duration::from_secs(5);
+
+/// What the target of a pool does.
+#[derive(Debug, Default)]
+struct Target {
+    /// Whether it refuses new connections because it is leaving.
+    leaves: AtomicBool,
+    open: AtomicU32,
+    most_open: AtomicU32,
+}
+
+/// A connection that only knows whose it is.
+#[derive(Debug)]
+struct FakeLink {
+    target: Arc<Target>,
+    user: Option<Arc<str>>,
+}
+
+impl Drop for FakeLink {
+    fn drop(&mut self) {
+        self.target.open.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
+impl Link for FakeLink {
+    type Login = Arc<Target>;
+
+    async fn open(
+        _address: &str,
+        login: &Arc<Target>,
+        user: Option<&Arc<str>>,
+        _timeout: Duration,
+    ) -> Result<FakeLink, OpenError> {
+        tokio::task::yield_now().await;
+        if login.leaves.load(Ordering::Relaxed) {
+            return Err(OpenError::Refused("57P03".to_owned()));
+        }
+        let open = login.open.fetch_add(1, Ordering::Relaxed) + 1;
+        login.most_open.fetch_max(open, Ordering::Relaxed);
+        Ok(FakeLink { target: Arc::clone(login), user: user.cloned() })
+    }
+
+    fn serves(&self, user: Option<&Arc<str>>) -> bool {
+        user.is_none() || self.user.as_ref() == user
+    }
+
+    fn is_here(&self) -> bool {
+        true
+    }
+
+    fn brought_here(self) -> io::Result<FakeLink> {
+        Ok(self)
+    }
+
+    fn is_quiet(&mut self) -> bool {
+        true
+    }
+
+    fn is_idle(&self) -> bool {
+        true
+    }
+
+    fn needs_reset(&self) -> bool {
+        false
+    }
+
+    async fn recover(&mut self, _timeout: Duration) -> io::Result<()> {
+        Ok(())
+    }
+
+    async fn terminate(&mut self, _timeout: Duration) -> io::Result<()> {
+        Ok(())
+    }
+}
+
+/// A pool of at most `share` connections to a target.
+fn pool(share: u32) -> (Arc<Target>, Arc<Pool<FakeLink>>) {
+    let target = Arc::new(Target::default());
+    let policy =
+        BudgetPolicy { spare: 0, tries_per_second: 1_000, burst: 16, ..BudgetPolicy::default() };
+    let options = PoolOptions {
+        address: "127.0.0.1:1".to_owned(),
+        login: Arc::clone(&target),
+        connect_ms: 1_000,
+        budget: policy,
+        drain_ms: 1_000,
+        reset_always: false,
+        jitter_seed: 1,
+        clock: MonotonicClock::start(),
+    };
+    let pool = Arc::new(Pool::new(options, Arc::default()));
+    pool.set_share(share);
+    (target, pool)
+}
+
+async fn take(pool: &Arc<Pool<FakeLink>>, user: &str) -> Result<Lease<FakeLink>, Failure> {
+    let user = (!user.is_empty()).then(|| Arc::from(user));
+    pool.take(user.as_ref(), None, Instant::now() + LONG).await
+}
+
+/// Whose connection it is.
+fn user_of(lease: &mut Lease<FakeLink>) -> String {
+    lease.connection().user.as_deref().unwrap_or("").to_owned()
+}
+
+/// Has each user take a connection and give it back.
+async fn use_for(pool: &Arc<Pool<FakeLink>>, users: &[&str]) {
+    for user in users {
+        let mut lease = take(pool, user).await.expect("a connection can be opened");
+        assert_eq!(user_of(&mut lease), *user);
+        lease.give_back();
+    }
+}
+
+macro_rules! cases {
+    ($($(#[$doc:meta])* $name:ident $body:block)*) => {
+        $($(#[$doc])* #[tokio::test]
+        async fn $name() $body)*
+    };
+}
+
+cases! {
+    /// A statement of one organisation must never run on another's connection, though that is idle.
+    a_connection_serves_the_user_that_it_was_opened_for {
+        let (target, pool) = pool(4);
+        use_for(&pool, &["lake", "hill", "lake", "hill"]).await;
+        assert_eq!(target.open.load(Ordering::Relaxed), 2);
+    }
+
+    /// A pool at its limit: the connection that was not used for longest gives way, and the target never sees
+    /// more than the limit.
+    the_least_recently_used_connection_gives_way {
+        let (target, pool) = pool(2);
+        use_for(&pool, &["lake", "hill", "lake", "wood"]).await;
+        let (mut kept, mut new) = (take(&pool, "lake").await, take(&pool, "wood").await);
+        assert_eq!(kept.as_mut().map(user_of), Ok("lake".to_owned()));
+        assert_eq!(new.as_mut().map(user_of), Ok("wood".to_owned()));
+        assert_eq!(target.open.load(Ordering::Relaxed), 2);
+        assert_eq!(target.most_open.load(Ordering::Relaxed), 2);
+    }
+
+    /// All connections are in use by one organisation, and another one's statement waits.
+    /// 1. Both connections are held. 2. One goes back. 3. It gives way to the one that is waited for.
+    a_connection_that_goes_back_gives_way_to_one_that_is_waited_for {
+        let (target, pool) = pool(2);
+        let held = take(&pool, "lake").await.expect("it can be opened");
+        let _other = take(&pool, "lake").await.expect("it can be opened");
+        let waiting = tokio::spawn({
+            let pool = Arc::clone(&pool);
+            async move { take(&pool, "hill").await.map(|mut lease| user_of(&mut lease)) }
+        });
+        tokio::task::yield_now().await;
+        held.give_back();
+        assert_eq!(waiting.await.expect("it ends"), Ok("hill".to_owned()));
+        assert_eq!(target.most_open.load(Ordering::Relaxed), 2);
+    }
+
+    /// A question that is nobody's runs on whatever connection is idle instead of having one closed for it.
+    a_question_takes_any_connection {
+        let (target, pool) = pool(1);
+        use_for(&pool, &["lake"]).await;
+        let mut lease = take(&pool, "").await.expect("one is idle");
+        assert_eq!(user_of(&mut lease), "lake");
+        assert_eq!(target.open.load(Ordering::Relaxed), 1);
+    }
+
+    /// A leaving target refuses new connections while one of its own is in a transaction.
+    /// 1. One connection is held. 2. The target leaves. 3. Whoever needs another connection is told at once: it
+    /// would wait for one that can only be refused.
+    a_target_that_refuses_connections_is_not_waited_for {
+        let (target, pool) = pool(4);
+        let _held = take(&pool, "").await.expect("it can be opened");
+        target.leaves.store(true, Ordering::Relaxed);
+        let refused = take(&pool, "").await.map(|_| ());
+        let Err(Failure::Said { sqlstate, .. }) = refused else { panic!("{refused:?}") };
+        assert_eq!(&sqlstate, b"57P03");
+    }
+}
