Refuse those who wait for a connection that the target refuses

Cause: when a target refused a new connection (57P03, leaving), requests that waited for one went on waiting while any other connection was open, until their time limit. Change: a refusal other than for the number of connections is passed on to those who wait for the same user's connection.

--- a/crates/proxy/src/connection/pool.rs
+++ b/crates/proxy/src/connection/pool.rs
@@ -291,6 +291,22 @@
         }
     }
 
+    /// A target that refuses connections, for instance because it is leaving, would refuse the statements of
+    /// those who wait for one as well. Without this they wait for a connection that is in use until their time
+    /// is up.
+    fn refuse_waiting(&self, user: &User, failure: Failure) {
+        let mut state = self.state.lock();
+        let all = std::mem::take(&mut state.waiting);
+        let (refused, others): (VecDeque<_>, VecDeque<_>) =
+            all.into_iter().partition(|waiting| waiting.user == *user);
+        state.waiting = others;
+        drop(state);
+        for waiting in refused {
+            // One whose time is up waits no longer.
+            let _ = waiting.sender.send(Err(failure));
+        }
+    }
+
     /// Stops waiting; a connection that was handed over at the last moment goes back.
     fn take_back(self: &Arc<Self>, mut receiver: oneshot::Receiver<Result<L, Failure>>) {
         receiver.close();
@@ -341,6 +357,9 @@
                     state.budget.open_failed(connect_failure(failure), now_us);
                     state.failing = Some(failure);
                 }
+                if is_refusal(failure) {
+                    self.refuse_waiting(&user, failure);
+                }
                 self.give_up_if_unreachable();
             }
         }
@@ -420,6 +439,11 @@
     }
 }
 
+/// Whether the target answered that it takes no connection, for another reason than their number.
+fn is_refusal(failure: Failure) -> bool {
+    matches!(failure, Failure::Said { .. }) && connect_failure(failure) != ConnectFailure::TooMany
+}
+
 fn connect_failure(failure: Failure) -> ConnectFailure {
     match failure {
         Failure::Said { sqlstate, .. } if &sqlstate == b"53300" => ConnectFailure::TooMany,
