Wait in a test for the target to run the statement before its connection is cut

Cause: an_undeclared_read_is_not_repeated paused for a fixed time, and once in 120 runs the statement had not been sent, so that "not run" was true. It and the test before it now wait for the target's count.

--- a/crates/proxy/tests/traffic_retry.rs
+++ b/crates/proxy/tests/traffic_retry.rs
@@ -33,8 +33,10 @@
     a_write_whose_answer_is_lost_is_not_repeated {
         let (world, mut client) = with_table(TrafficLimits::default()).await;
         world.gates[0].hold_answers(true);
+        let commits = || world.targets[0].target().counters().commits.get();
+        let before = commits();
         client.send("INSERT INTO chairs VALUES (1)").await;
-        tokio::time::sleep(SHORT).await;
+        eventually("the target runs it", || commits() > before).await;
         world.gates[0].cut().await;
         let lost = client.answer().await;
         assert_eq!((lost.error().sqlstate.as_str(), lost.error().detail.as_str()),
@@ -58,8 +60,10 @@
     an_undeclared_read_is_not_repeated {
         let (world, mut client) = with_table(TrafficLimits::default()).await;
         world.gates[0].hold_answers(true);
+        let reads = || world.targets[0].target().counters().reads.get();
+        let before = reads();
         client.send("SELECT 1").await;
-        tokio::time::sleep(SHORT).await;
+        eventually("the target runs it", || reads() > before).await;
         world.gates[0].cut().await;
         assert_eq!(client.answer().await.error().detail, "outcome unknown");
     }
