Keep an organisation's connections to a target at one home

Cause: a VM chose one home for all organisations, so each of a target's four homes had connections of the same organisations: 62 % of requests opened one. Change: homes are ranked by target and organisation, a VM divides organisations among those that it reaches; a home sends on what another home has, and what was sent on goes no further.

--- a/crates/core/src/process/homes.rs
+++ b/crates/core/src/process/homes.rs
@@ -25,6 +25,7 @@
 /// Seeds of the hashes. They are part of the protocol: proxies with other seeds disagree.
 const VM_SEED: u64 = 0x5b1d_03c7_9e42_a6f1;
 const TARGET_SEED: u64 = 0x2c94_7ae5_613b_d08f;
+const USER_SEED: u64 = 0x81f6_22d9_0c4b_e735;
 const PAIR_SEED: u64 = 0xd30f_86b2_47c9_51e4;
 
 /// The part of a target's connections that the home of this rank may open.
@@ -253,6 +254,13 @@
     (score(key, vm_hash), vm_hash)
 }
 
+/// The place of a home in the ranking of a target's homes for one user's connections: higher is better. All VMs
+/// find the same one, so that a user's connections to a target lie in one process.
+pub fn user_score(target: &str, user: &str, vm: &str) -> u64 {
+    let key = hash_name(target, TARGET_SEED) ^ hash_name(user, USER_SEED);
+    score(key, hash_name(vm, VM_SEED))
+}
+
 fn hash_name(name: &str, seed: u64) -> u64 {
     xxh3::xxh3_64_with_seed(name.as_bytes(), seed)
 }
--- a/crates/proxy/src/sessions/connection/peer.rs
+++ b/crates/proxy/src/sessions/connection/peer.rs
@@ -321,7 +321,7 @@
                 held.statement_started();
                 held
             }
-            None => acquire::take(&call, &self.target, call.offer_until_us())
+            None => acquire::take_own(&call, &self.target, call.offer_until_us())
                 .await
                 .map_err(|not_taken| self.refused(&not_taken))?,
         };
--- a/crates/proxy/src/sessions/process/fleet.rs
+++ b/crates/proxy/src/sessions/process/fleet.rs
@@ -44,7 +44,7 @@
             if !target.must_rest(now_us) {
                 ways.lead(target, demand, self.is_primary(target), now_us);
             }
-            target.pool().maintain();
+            target.maintain();
         }
     }
 
--- a/crates/proxy/src/sessions/process/gateway.rs
+++ b/crates/proxy/src/sessions/process/gateway.rs
@@ -334,7 +334,7 @@
             if !keep {
                 ways.forget(id);
                 target.set_leaving(Some(self.clock.now_us()));
-                target.pool().set_share(0);
+                target.close();
             }
             keep
         });
--- a/crates/proxy/src/sessions/process/limits.rs
+++ b/crates/proxy/src/sessions/process/limits.rs
@@ -126,6 +126,11 @@
 pub const ORGANISATIONS_POLICY: BudgetPolicy =
     BudgetPolicy { tries_per_second: 60, burst: 6, ..CONNECTION_POLICY };
 
+/// The same for connections to other proxies, of which there is one pool for each home of each target. They cost
+/// targets nothing, and opening one delays a statement by two round trips.
+pub const ORGANISATIONS_PEER_POLICY: BudgetPolicy =
+    BudgetPolicy { need_window_us: 30_000_000, burst: 4, ..CONNECTION_POLICY };
+
 /// How long the balancer may go on sending new callers after the process said that it is not ready:
 /// it asks once a second and believes the second miss.
 pub const BALANCER_NOTICES: Duration = Duration::from_millis(2_300);
--- a/crates/proxy/src/sessions/process/metrics_text.rs
+++ b/crates/proxy/src/sessions/process/metrics_text.rs
@@ -38,7 +38,8 @@
         let labels =
             format!("{{service=\"{}\",target=\"{}\"}}", target.record.service, target.record.id);
         line(&mut out, "target_usual_answer_us", &labels, health.usual_us);
-        line(&mut out, "target_connections", &labels, u64::from(target.pool().total()));
+        let connections = target.ways().iter().map(|way| u64::from(way.pool.total())).sum();
+        line(&mut out, "target_connections", &labels, connections);
     }
     out
 }
--- a/crates/proxy/src/sessions/process/targets.rs
+++ b/crates/proxy/src/sessions/process/targets.rs
@@ -7,7 +7,7 @@
 
 use arc_swap::ArcSwap;
 use parking_lot::Mutex;
-use skylark_core::process::connection_budget::BudgetPolicy;
+use skylark_core::process::homes;
 use skylark_core::process::jitter;
 use skylark_core::process::sharing::ClassShare;
 use skylark_core::process::sharing::queue::QueueLimits;
@@ -82,6 +82,17 @@
     pub pool: Arc<Pool<StatementLink<C>>>,
 }
 
+impl<C> Way<C>
+where
+    C: Codec,
+{
+    /// Closes the connections as they become idle.
+    fn close(&self) {
+        self.pool.set_share(0);
+        self.pool.maintain();
+    }
+}
+
 /// What the connections to a target need to know.
 #[derive(Clone, Debug)]
 struct PoolParts {
@@ -144,6 +155,8 @@
     rest_from_us: AtomicU64,
     /// The way to it.
     way: ArcSwap<Way<C>>,
+    /// The ways that users are divided among, this one's included; empty if all go the same way.
+    user_ways: ArcSwap<Vec<Arc<Way<C>>>>,
     parts: PoolParts,
     /// The queue in front of the connections.
     pub queue: Arc<AdmissionQueue>,
@@ -189,6 +202,7 @@
             record: Arc::clone(record),
             rest_from_us: AtomicU64::new(0),
             way: ArcSwap::from_pointee(way),
+            user_ways: ArcSwap::default(),
             parts,
             queue: Arc::new(queue),
             health: Mutex::new(health),
@@ -203,6 +217,71 @@
         Arc::clone(&self.way.load().pool)
     }
 
+    /// The way to it.
+    pub fn way(&self) -> Arc<Way<C>> {
+        self.way.load_full()
+    }
+
+    /// The way of a user's statements: each user's connections lie in one of the processes that connect.
+    pub fn way_for(&self, user: Option<&Arc<str>>) -> Arc<Way<C>> {
+        let ways = self.user_ways.load();
+        let Some(user) = user else { return self.way() };
+        let score = |way: &&Arc<Way<C>>| {
+            let vm = way.via.as_deref().unwrap_or(&self.parts.login.vm);
+            homes::user_score(&self.record.id, user, vm)
+        };
+        ways.iter().max_by_key(score).cloned().unwrap_or_else(|| self.way())
+    }
+
+    /// Divides users among these VMs, of which none stands for this one. With fewer than two all users go the same
+    /// way.
+    pub fn divide_users(&self, vms: &[Option<&VmAddress>]) {
+        let known = self.user_ways.load_full();
+        let own = self.way();
+        let vms = if vms.len() < 2 { &[] } else { vms };
+        let way_to = |vm: &Option<&VmAddress>| {
+            let via = vm.map(|vm| &vm.name);
+            if own.via.as_ref() == via {
+                return Arc::clone(&own);
+            }
+            let known = known.iter().find(|way| way.via.as_ref() == via);
+            known.cloned().unwrap_or_else(|| self.new_way(*vm))
+        };
+        let ways: Vec<Arc<Way<C>>> = vms.iter().map(way_to).collect();
+        let is_same = ways.len() == known.len()
+            && ways.iter().zip(known.iter()).all(|(way, known)| Arc::ptr_eq(way, known));
+        if is_same {
+            return;
+        }
+        for way in known.iter() {
+            let is_kept = Arc::ptr_eq(way, &own) || ways.iter().any(|it| Arc::ptr_eq(it, way));
+            if !is_kept {
+                way.close();
+            }
+        }
+        self.user_ways.store(Arc::new(ways));
+    }
+
+    fn new_way(&self, vm: Option<&VmAddress>) -> Arc<Way<C>> {
+        let pool = match vm {
+            Some(vm) => self.parts.pool_via(vm, &self.record),
+            None => self.parts.own_pool(&self.record),
+        };
+        Arc::new(Way { via: vm.map(|vm| Arc::clone(&vm.name)), pool })
+    }
+
+    /// All ways that are in use.
+    pub fn ways(&self) -> Vec<Arc<Way<C>>> {
+        let (own, users) = (self.way(), self.user_ways.load());
+        let others = users.iter().filter(|way| !Arc::ptr_eq(way, &own)).cloned();
+        others.chain([Arc::clone(&own)]).collect()
+    }
+
+    /// Closes all connections as they become idle.
+    pub fn close(&self) {
+        self.ways().iter().for_each(|way| way.close());
+    }
+
     /// The VM that statements go through; none if this process has connections of its own.
     pub fn via(&self) -> Option<Arc<str>> {
         self.way.load().via.clone()
@@ -216,8 +295,8 @@
     /// Whether nothing is to be done about the way to it until somebody needs it: it leads through another VM,
     /// has no connections, and nothing came of it that did not work.
     pub fn rests(&self) -> bool {
-        let way = self.way.load();
-        way.via.is_some() && way.pool.rests() && self.health.lock().way_failed_since_us.is_none()
+        let is_at_rest = |way: &Arc<Way<C>>| way.via.is_some() && way.pool.rests();
+        self.ways().iter().all(is_at_rest) && self.health.lock().way_failed_since_us.is_none()
     }
 
     /// Goes through another VM from now on, or straight. The connections of the old way are closed
@@ -227,18 +306,35 @@
         if self.way.load().via == via {
             return;
         }
-        let pool = match vm {
-            Some(vm) => self.parts.pool_via(vm, &self.record),
-            None => self.parts.own_pool(&self.record),
-        };
-        let old = self.way.swap(Arc::new(Way { via, pool }));
-        old.pool.set_share(0);
-        old.pool.maintain();
+        let known = self.user_ways.load().iter().find(|way| way.via == via).cloned();
+        let next = known.unwrap_or_else(|| self.new_way(vm));
+        let old = self.way.swap(next);
+        let is_kept = self.user_ways.load().iter().any(|way| Arc::ptr_eq(way, &old));
+        if !is_kept {
+            old.close();
+        }
     }
 
-    /// Sets how connections are kept and opened.
-    pub fn set_policy(&self, policy: BudgetPolicy) {
-        self.pool().set_policy(policy);
+    /// Lets the pools of all ways open and close connections.
+    pub fn maintain(&self) {
+        self.ways().iter().for_each(|way| way.pool.maintain());
+    }
+
+    /// Sets how connections are kept and opened, by whether they serve one organisation each.
+    pub fn set_policy(&self, has_organisations: bool) {
+        for way in self.ways() {
+            let (share, policy) = match (&way.via, has_organisations) {
+                (Some(_), true) => {
+                    (Some(limits::PEER_CONNECTIONS), limits::ORGANISATIONS_PEER_POLICY)
+                }
+                (None, true) => (None, limits::ORGANISATIONS_POLICY),
+                (_, false) => (None, limits::CONNECTION_POLICY),
+            };
+            way.pool.set_policy(policy);
+            if let Some(share) = share {
+                way.pool.set_share(share + 1);
+            }
+        }
     }
 
     /// Sets this process's part of the connections.
@@ -357,8 +453,8 @@
     }
 
     /// It could not be reached: itself, or the VM that leads to it.
-    pub fn unreached(&self, failure: Failure, now_us: u64) {
-        match self.via() {
+    pub fn unreached(&self, way: &Way<C>, failure: Failure, now_us: u64) {
+        match &way.via {
             None => self.failed(now_us),
             // The VM answered, and knows no way to the target.
             Some(_) if matches!(failure, Failure::Said { .. }) => (),
--- a/crates/proxy/src/sessions/process/ways.rs
+++ b/crates/proxy/src/sessions/process/ways.rs
@@ -154,14 +154,18 @@
     where
         C: Codec,
     {
-        let policy = match demand.organisations {
-            0 => limits::CONNECTION_POLICY,
-            _ => limits::ORGANISATIONS_POLICY,
-        };
-        target.set_policy(policy);
+        self.lead_all(target, demand, is_primary, now_us);
+        target.set_policy(demand.organisations > 0);
+    }
+
+    fn lead_all<C>(&self, target: &TargetState<C>, demand: Demand, is_primary: bool, now_us: u64)
+    where
+        C: Codec,
+    {
         match connection_plan::plan(demand) {
             ConnectionPlan::Direct { primary, replica } => {
                 target.go_via(None);
+                target.divide_users(&[]);
                 target.configure(if is_primary { primary } else { replica });
             }
             ConnectionPlan::Homes { share, stand_ins } => {
@@ -178,6 +182,7 @@
                 };
                 if connects {
                     target.go_via(None);
+                    self.divide_users(target, &homes, demand, now_us);
                     target.configure(if homes.role == HomeRole::Home { share } else { 1 });
                     return;
                 }
@@ -185,11 +190,38 @@
                 if home.is_some() || target.via().is_none() {
                     target.go_via(home.or(homes.vms.first()));
                 }
+                self.divide_users(target, &homes, demand, now_us);
                 target.configure(limits::PEER_CONNECTIONS);
             }
         }
     }
 
+    /// Divides organisations among the homes that may be reached. A home does so with its own callers' statements;
+    /// one that stands in for the homes reaches none.
+    fn divide_users<C>(&self, target: &TargetState<C>, homes: &Homes, demand: Demand, now_us: u64)
+    where
+        C: Codec,
+    {
+        let stands_in = homes.role != HomeRole::Home && target.is_own();
+        if demand.organisations == 0 || stands_in {
+            target.divide_users(&[]);
+            return;
+        }
+        let failed_us = self.failed_us.lock();
+        let reached_for = |span_us: u64| -> Vec<Option<&VmAddress>> {
+            let did_not_fail = |vm: &&VmAddress| {
+                failed_us.get(&vm.name).is_none_or(|failed_us| now_us >= failed_us + span_us)
+            };
+            let reached = homes.vms[..homes.homes].iter().filter(did_not_fail);
+            reached.map(|vm| (vm.name != self.own).then_some(vm)).collect()
+        };
+        let mut reached = reached_for(limits::HOME_AVOIDED_US);
+        if reached.is_empty() {
+            reached = reached_for(limits::HOME_PASSED_OVER_US);
+        }
+        target.divide_users(&reached);
+    }
+
     /// Whether this VM has had no way to a target for so long that it connects by itself. It goes on doing so
     /// for a while.
     fn is_left_alone<C>(&self, target: &TargetState<C>, homes: &Homes, now_us: u64) -> bool
@@ -274,11 +306,13 @@
         C: Codec,
     {
         let mut failed_us = self.failed_us.lock();
-        if let Some(via) = target.via()
-            && target.pool().is_failing()
-            && failed_us.insert(via, now_us).is_none()
-        {
-            self.has_news.store(true, Ordering::Relaxed);
+        for way in target.ways() {
+            if let Some(via) = &way.via
+                && way.pool.is_failing()
+                && failed_us.insert(Arc::clone(via), now_us).is_none()
+            {
+                self.has_news.store(true, Ordering::Relaxed);
+            }
         }
         failed_us.retain(|_, failed_us| now_us < *failed_us + limits::HOME_AVOIDED_US);
     }
--- a/crates/proxy/src/sessions/request/acquire.rs
+++ b/crates/proxy/src/sessions/request/acquire.rs
@@ -7,6 +7,7 @@
 
 use crate::connection::admission::TurnRequest;
 use crate::connection::pool::Lease;
+use crate::connection::pool::Pool;
 use crate::request::refusal::Refusal;
 use crate::sessions::codec::Codec;
 use crate::sessions::connection::link::StatementLink;
@@ -14,6 +15,7 @@
 use crate::sessions::connection::reply::Reply;
 use crate::sessions::process::latencies::Stage;
 use crate::sessions::process::targets::TargetState;
+use crate::sessions::process::targets::Way;
 use crate::sessions::request::call::Call;
 use crate::sessions::request::call::Work;
 
@@ -26,28 +28,52 @@
     NotConnected(Failure),
 }
 
-/// Waits for a turn at a target and a connection to it.
+/// Waits for a turn at a target and a connection to it, or to the VM that has its user's connections.
 pub async fn take<C>(
     call: &Call<'_, C>,
     target: &Arc<TargetState<C>>,
     until_us: u64,
 ) -> Result<Lease<StatementLink<C>>, NotTaken>
+where
+    C: Codec,
+{
+    take_on(call, target, &target.way_for(call.user), until_us).await
+}
+
+/// The same on the way that this VM takes itself, whosever the statement is.
+pub async fn take_own<C>(
+    call: &Call<'_, C>,
+    target: &Arc<TargetState<C>>,
+    until_us: u64,
+) -> Result<Lease<StatementLink<C>>, NotTaken>
+where
+    C: Codec,
+{
+    take_on(call, target, &target.way(), until_us).await
+}
+
+async fn take_on<C>(
+    call: &Call<'_, C>,
+    target: &Arc<TargetState<C>>,
+    way: &Way<C>,
+    until_us: u64,
+) -> Result<Lease<StatementLink<C>>, NotTaken>
 where
     C: Codec,
 {
     target.queued();
     let asked_us = call.now_us();
-    let taken = take_counted(call, target, until_us).await;
+    let taken = take_counted(call, target, &way.pool, until_us).await;
     target.unqueued();
     call.took(Stage::Queue, asked_us);
     if let Err(NotTaken::NotConnected(failure)) = &taken {
         // A wait that ran out says nothing of the target, but the last try to connect may.
         let seen = match failure {
-            Failure::TimedOut => target.pool().failing(),
+            Failure::TimedOut => way.pool.failing(),
             other => Some(*other),
         };
         if let Some(failure) = seen.filter(|failure| !is_full(*failure)) {
-            target.unreached(failure, call.now_us());
+            target.unreached(way, failure, call.now_us());
         }
     }
     taken
@@ -56,6 +82,7 @@
 async fn take_counted<C>(
     call: &Call<'_, C>,
     target: &Arc<TargetState<C>>,
+    pool: &Arc<Pool<StatementLink<C>>>,
     until_us: u64,
 ) -> Result<Lease<StatementLink<C>>, NotTaken>
 where
@@ -65,7 +92,6 @@
     let request = TurnRequest { class, caller, deadline_us: until_us };
     let turn = target.queue.admit(&request).await.map_err(NotTaken::Queue)?;
     let until = call.gateway.clock.instant_at(until_us);
-    let pool = target.pool();
     let taken = pool.take(call.user, Some(turn), until).await;
     let mut lease = taken.map_err(NotTaken::NotConnected)?;
     lease.connection().act_for(call.user);
--- a/crates/proxy/src/sessions/request/prove.rs
+++ b/crates/proxy/src/sessions/request/prove.rs
@@ -271,7 +271,8 @@
     gateway.counters.event(Event::WordsAsked);
     let now_us = gateway.clock.now_us();
     let until = gateway.clock.instant_at(until_us.min(now_us + limits::WORD_US));
-    let mut lease = member.pool().take(None, None, until).await?;
+    let way = member.way();
+    let mut lease = way.pool.take(None, None, until).await?;
     match lease.connection().ask(&Query::Standing, until).await {
         Ok(reply) => {
             lease.give_back();
@@ -279,7 +280,7 @@
             Ok(reply)
         }
         Err(lost) => {
-            member.unreached(lost.failure, gateway.clock.now_us());
+            member.unreached(&way, lost.failure, gateway.clock.now_us());
             Err(lost.failure)
         }
     }
