Wait for room in a limit, and let buckets start with part of the tolerance

Ruled out: parts of single allocators (all zones refused alike). Change: a bucket starts with a part of the tolerance that is kept free for it; an operation waits where the limit has room before it has to be offered; a VM without a configuration yet counts as empty for a moment instead of silent.

--- a/crates/core/src/process/quota.rs
+++ b/crates/core/src/process/quota.rs
@@ -5,9 +5,10 @@
 //! more, so the grants of all of them keep the limit though they exchange nothing. A VM asks the allocator
 //! nearest to it for each operation, and the next one where that has nothing left or can't be reached.
 //!
-//! Three things keep the sum below the limit. A token that is not used soon expires. A bucket starts empty, so
-//! a process that starts again has forgotten nothing that could be granted twice. And an allocator that is lost
-//! is not replaced while it is listed: its part is not granted meanwhile.
+//! Three things keep the sum below the limit. An operation is granted after the caller sent it and before a target
+//! has it, so that no grant is carried into another window. A process that starts again doesn't know what it
+//! granted before, so its bucket starts with no more than a part of the tolerance, which is kept free for that.
+//! And an allocator that is lost is not replaced while it is listed: its part is not granted meanwhile.
 //!
 //! Token buckets: Turner, "New directions in communications" (1986). Dividing one limit among many limiters:
 //! Raghavan et al., "Cloud control with distributed rate limiting" (2007), where parts follow demand; here
@@ -22,9 +23,6 @@
 /// one operation would never be granted.
 const LEAST_BURST: u64 = 2;
 
-/// For how long a token that was granted may be used, in microseconds.
-pub const TOKEN_LIFE_US: u64 = 250_000;
-
 /// What one operation costs, in thousandths of a token.
 pub const OPERATION_MILLI: u64 = 1_000;
 
@@ -49,19 +47,25 @@
     }
 }
 
+/// The parts of the tolerance, in sixths: what widens the buckets, since an operation may be refused by one
+/// allocator while another has tokens left, and what buckets start with. All allocators may start again twice in
+/// one window; the sixth that is left is for operations that reach targets more than once.
+const WIDENED_SIXTHS: u64 = 1;
+const START_SIXTHS: u64 = 2;
+
+impl QuotaTolerance {
+    /// How many operations of a limit may come on top in one window, in thousandths.
+    fn milli(&self, limit: RateLimit) -> u64 {
+        let in_window_milli = limit.rate_milli_per_s.saturating_mul(self.window_ms) / 1_000;
+        let window_milli = in_window_milli.saturating_add(limit.burst_milli);
+        let excess_milli = window_milli.saturating_mul(self.excess_milli) / 1_000;
+        excess_milli.saturating_add(self.slack.saturating_mul(OPERATION_MILLI))
+    }
+}
+
 /// The burst of all allocators together, in thousandths of an operation.
-///
-/// Half of the tolerance widens it, since an operation may be refused by one allocator while another has tokens
-/// left. The other half stays free for operations that reach a target more than once.
 fn widened_burst_milli(limit: RateLimit, tolerance: QuotaTolerance) -> u64 {
-    let RateLimit { rate_milli_per_s, burst_milli } = limit;
-    let in_window_milli = rate_milli_per_s.saturating_mul(tolerance.window_ms) / 1_000;
-    let window_milli = in_window_milli.saturating_add(burst_milli);
-    let half_excess_milli = window_milli.saturating_mul(tolerance.excess_milli) / 2_000;
-    let half_slack_milli = tolerance.slack.saturating_mul(OPERATION_MILLI) / 2;
-    let carried_over_milli = rate_milli_per_s.saturating_mul(TOKEN_LIFE_US) / SECOND_US;
-    let widened_milli = burst_milli.saturating_add(half_excess_milli + half_slack_milli);
-    widened_milli.saturating_sub(carried_over_milli)
+    limit.burst_milli.saturating_add(tolerance.milli(limit) * WIDENED_SIXTHS / 6)
 }
 
 /// Among how many allocators of each availability zone a limit is divided.
@@ -71,12 +75,29 @@
     affordable.clamp(1, ALLOCATORS_PER_ZONE)
 }
 
-/// The part of a limit that one of `allocators` grants.
-pub fn part_of(limit: RateLimit, tolerance: QuotaTolerance, allocators: usize) -> RateLimit {
-    let allocators = allocators.max(1) as u64;
-    RateLimit {
-        rate_milli_per_s: limit.rate_milli_per_s / allocators,
-        burst_milli: widened_burst_milli(limit, tolerance) / allocators,
+/// The part of a limit that one allocator grants.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub struct LimitPart {
+    /// What the bucket earns, and holds at most.
+    pub limit: RateLimit,
+    /// What the bucket of a process that has just started holds, in thousandths of an operation.
+    pub start_milli: u64,
+    /// How many allocators there are.
+    pub allocators: u64,
+}
+
+impl LimitPart {
+    /// The part of one of `allocators`.
+    pub fn of(limit: RateLimit, tolerance: QuotaTolerance, allocators: usize) -> LimitPart {
+        let allocators = allocators.max(1) as u64;
+        let burst_milli = widened_burst_milli(limit, tolerance) / allocators;
+        let start_milli = tolerance.milli(limit) * START_SIXTHS / 6 / allocators;
+        let rate_milli_per_s = limit.rate_milli_per_s / allocators;
+        LimitPart {
+            limit: RateLimit { rate_milli_per_s, burst_milli },
+            start_milli: start_milli.min(burst_milli),
+            allocators,
+        }
     }
 }
 
@@ -92,7 +113,7 @@
 /// The bucket of one organisation at one of its allocators.
 #[derive(Clone, Debug)]
 pub struct TokenBucket {
-    part: RateLimit,
+    part: LimitPart,
     tokens_milli: u64,
     /// Until when tokens were earned.
     earned_us: u64,
@@ -102,17 +123,22 @@
 }
 
 impl TokenBucket {
-    /// A bucket that has earned tokens since the process started at `since_us`, when it was empty.
-    pub fn starting_empty(part: RateLimit, since_us: u64) -> TokenBucket {
-        TokenBucket { part, tokens_milli: 0, earned_us: since_us, turned_away_milli: 0 }
+    /// The bucket of a process that may grant from `since_us` on.
+    pub fn starting(part: LimitPart, since_us: u64) -> TokenBucket {
+        TokenBucket {
+            part,
+            tokens_milli: part.start_milli,
+            earned_us: since_us,
+            turned_away_milli: 0,
+        }
     }
 
     /// Brings the bucket to another limit. Tokens above a lowered burst are gone.
-    pub fn set_part(&mut self, part: RateLimit, now_us: u64) {
+    pub fn set_part(&mut self, part: LimitPart, now_us: u64) {
         if self.part != part {
             self.earn(now_us);
             self.part = part;
-            self.tokens_milli = self.tokens_milli.min(part.burst_milli);
+            self.tokens_milli = self.tokens_milli.min(part.limit.burst_milli);
         }
     }
 
@@ -125,8 +151,9 @@
             return Grant { granted: wanted, retry_after_us: 0 };
         }
         let retry_after_us = self.next_token_us();
-        let most_milli = self.part.rate_milli_per_s.max(OPERATION_MILLI);
-        let missed_milli = (u64::from(wanted) - granted) * OPERATION_MILLI;
+        // Whoever is turned away here asks the other allocators as well.
+        let most_milli = self.part.limit.rate_milli_per_s.max(OPERATION_MILLI);
+        let missed_milli = (u64::from(wanted) - granted) * OPERATION_MILLI / self.part.allocators;
         self.turned_away_milli = (self.turned_away_milli + missed_milli).min(most_milli);
         Grant { granted: granted as u32, retry_after_us }
     }
@@ -135,19 +162,19 @@
     /// none ever can.
     fn next_token_us(&self) -> u64 {
         let missing_milli = OPERATION_MILLI.saturating_sub(self.tokens_milli);
-        if self.part.rate_milli_per_s == 0 || self.part.burst_milli < OPERATION_MILLI {
+        if self.part.limit.rate_milli_per_s == 0 || self.part.limit.burst_milli < OPERATION_MILLI {
             return SECOND_US;
         }
         let ahead_milli = missing_milli + self.turned_away_milli;
-        (ahead_milli * SECOND_US).div_ceil(self.part.rate_milli_per_s).min(SECOND_US)
+        (ahead_milli * SECOND_US).div_ceil(self.part.limit.rate_milli_per_s).min(SECOND_US)
     }
 
     fn earn(&mut self, now_us: u64) {
         let passed_us = now_us.saturating_sub(self.earned_us);
         // A remainder below a thousandth of a token stays to be earned.
-        let earned_milli = (u128::from(passed_us) * u128::from(self.part.rate_milli_per_s)
+        let earned_milli = (u128::from(passed_us) * u128::from(self.part.limit.rate_milli_per_s)
             / u128::from(SECOND_US)) as u64;
-        let counted_us = match self.part.rate_milli_per_s {
+        let counted_us = match self.part.limit.rate_milli_per_s {
             0 => passed_us,
             rate => {
                 (u128::from(earned_milli) * u128::from(SECOND_US)).div_ceil(u128::from(rate)) as u64
@@ -156,6 +183,6 @@
         self.earned_us += counted_us.min(passed_us);
         self.turned_away_milli = self.turned_away_milli.saturating_sub(earned_milli);
         self.tokens_milli =
-            self.tokens_milli.saturating_add(earned_milli).min(self.part.burst_milli);
+            self.tokens_milli.saturating_add(earned_milli).min(self.part.limit.burst_milli);
     }
 }
--- a/crates/proxy/src/sessions/process/quota/answer.rs
+++ b/crates/proxy/src/sessions/process/quota/answer.rs
@@ -15,6 +15,7 @@
 use crate::connection::socket;
 use crate::sessions::codec::Codec;
 use crate::sessions::process::gateway::Gateway;
+use crate::sessions::process::quota::ask::Answer;
 
 /// The word that begins a question.
 const GRANT: &str = "GRANT";
@@ -51,15 +52,15 @@
 }
 
 /// What an answer says, in the order of the question.
-pub fn grants(line: &[u8]) -> impl Iterator<Item = Option<Grant>> {
+pub fn answers(line: &[u8]) -> impl Iterator<Item = Answer> {
     let text = std::str::from_utf8(line).unwrap_or_default();
     text.split_whitespace().map(|word| match word {
-        NOT_HERE => None,
-        "1" => Some(Grant { granted: 1, retry_after_us: 0 }),
-        _ => {
-            let retry_after_us = word.strip_prefix("0:")?.parse().ok()?;
-            Some(Grant { granted: 0, retry_after_us })
-        }
+        NOT_HERE => Answer::NotHere,
+        "1" => Answer::Grant(Grant { granted: 1, retry_after_us: 0 }),
+        _ => match word.strip_prefix("0:").and_then(|after| after.parse().ok()) {
+            Some(retry_after_us) => Answer::Grant(Grant { granted: 0, retry_after_us }),
+            None => Answer::Nothing,
+        },
     })
 }
 
--- a/crates/proxy/src/sessions/process/quota/ask.rs
+++ b/crates/proxy/src/sessions/process/quota/ask.rs
@@ -21,7 +21,7 @@
 use crate::sessions::store::VmAddress;
 
 /// The time that another VM has to answer, a new connection included.
-const ANSWER_LIMIT: Duration = Duration::from_millis(60);
+const ANSWER_LIMIT: Duration = Duration::from_millis(100);
 
 /// After which time without a question a connection is closed. The other VM waits for longer.
 const IDLE_LIMIT: Duration = Duration::from_secs(3);
@@ -36,7 +36,18 @@
 #[derive(Debug)]
 struct Question {
     organisation: Arc<str>,
-    answer: oneshot::Sender<Grant>,
+    answer: oneshot::Sender<Answer>,
+}
+
+/// What another VM says.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub enum Answer {
+    /// It allocates the organisation's operations.
+    Grant(Grant),
+    /// It allocates nothing of the organisation as far as it knows.
+    NotHere,
+    /// Nothing in time.
+    Nothing,
 }
 
 /// The questions to other VMs.
@@ -52,19 +63,20 @@
         Questions { counters: Arc::clone(counters), by_vm: Mutex::default() }
     }
 
-    /// Asks a VM to grant one operation. None if it does not answer, or allocates nothing.
-    pub async fn ask(&self, vm: &VmAddress, organisation: &Arc<str>) -> Option<Grant> {
+    /// Asks a VM to grant one operation.
+    pub async fn ask(&self, vm: &VmAddress, organisation: &Arc<str>) -> Answer {
         self.counters.event(Event::LimitsAsked);
         let (answer, answered) = oneshot::channel();
         let question = Question { organisation: Arc::clone(organisation), answer };
-        // A full queue is as good as no answer.
-        self.sender_to(vm).try_send(question).ok()?;
-        let answered = time::timeout(ANSWER_LIMIT, answered).await;
-        let grant = answered.ok().and_then(Result::ok);
-        if grant.is_none() {
-            self.counters.event(Event::LimitsUnanswered);
+        // A full queue is as good as no answer: the question is dropped, and the answer with it.
+        let _ = self.sender_to(vm).try_send(question);
+        match time::timeout(ANSWER_LIMIT, answered).await {
+            Ok(Ok(answer)) => answer,
+            _ => {
+                self.counters.event(Event::LimitsUnanswered);
+                Answer::Nothing
+            }
         }
-        grant
     }
 
     fn sender_to(&self, vm: &VmAddress) -> mpsc::Sender<Question> {
@@ -97,11 +109,9 @@
         let message = answer::question(names);
         let answered = time::timeout(ANSWER_LIMIT, exchange(&stream, &mut input, &message)).await;
         let Ok(Ok(line)) = answered else { return };
-        for (question, grant) in batch.drain(..).zip(answer::grants(&line)) {
-            if let Some(grant) = grant {
-                // One who waits no longer has given its operation up.
-                let _ = question.answer.send(grant);
-            }
+        for (question, answer) in batch.drain(..).zip(answer::answers(&line)) {
+            // One who waits no longer has given its operation up.
+            let _ = question.answer.send(answer);
         }
     }
 }
--- a/crates/proxy/src/sessions/process/quota/mod.rs
+++ b/crates/proxy/src/sessions/process/quota/mod.rs
@@ -10,27 +10,35 @@
 pub mod ask;
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use parking_lot::Mutex;
 use skylark_core::FastMap;
 use skylark_core::process::quota;
 use skylark_core::process::quota::Grant;
+use skylark_core::process::quota::LimitPart;
 use skylark_core::process::quota::QuotaTolerance;
 use skylark_core::process::quota::TokenBucket;
 use skylark_core::request::error_kind::ErrorKind;
 use skylark_core::version::organisations::Organisation;
 use skylark_core::version::organisations::RateLimit;
+use tokio::time;
 
 use crate::process::clock::MonotonicClock;
 use crate::process::counters::Counters;
 use crate::process::counters::Event;
 use crate::request::refusal::Refusal;
 use crate::sessions::process::quota::allocators::Allocators;
+use crate::sessions::process::quota::ask::Answer;
 use crate::sessions::process::quota::ask::Questions;
 use crate::sessions::store::VmAddress;
 
 /// For how long an allocator that did not answer is passed over, in microseconds.
-const SILENT_PASSED_OVER_US: u64 = 1_000_000;
+const SILENT_PASSED_OVER_US: u64 = 500_000;
+
+/// For how long one that allocates nothing of an organisation, as it has no configuration yet, is not asked again,
+/// in microseconds.
+const NOT_HERE_US: u64 = 50_000;
 
 /// How long after a change of the list of VMs a VM that became an allocator begins to earn tokens, in
 /// microseconds. Others may ask its predecessor until they have the list as well.
@@ -101,7 +109,8 @@
         let is_first = state.vms.is_empty();
         state.vms = vms.to_vec();
         let now_us = self.clock.now_us();
-        state.earns_from_us = if is_first { now_us } else { now_us + TAKE_OVER_US };
+        // What a process allocates by the first list it allocates from its start.
+        state.earns_from_us = if is_first { 0 } else { now_us + TAKE_OVER_US };
         let known = std::mem::take(&mut state.allocators);
         for (name, before) in known {
             let now = Allocators::rank(&name, &state.vms, &self.own, &self.zone, before.per_zone);
@@ -111,31 +120,43 @@
         }
     }
 
-    /// Has one operation of an organisation counted.
+    /// Has one operation of an organisation counted. Where the limit will have room before `until_us` that is
+    /// waited for: after a start of all processes there is little to grant for a moment.
     ///
     /// # Errors
     ///
     /// A refusal if its limit has no room, or if nobody can be asked.
-    pub async fn admit(&self, organisation: &Organisation) -> Result<(), Refusal> {
+    pub async fn admit(&self, organisation: &Organisation, until_us: u64) -> Result<(), Refusal> {
         let Some(limit) = organisation.limit else { return Ok(()) };
-        let allocators = self.allocators_of(&organisation.name, limit);
+        loop {
+            let asked = self.ask_in_turn(&organisation.name, limit).await;
+            let retry_after_us = match asked {
+                Asked::Granted => return Ok(()),
+                Asked::Silent => return Err(ErrorKind::LimitUnknown.into()),
+                Asked::Empty { retry_after_us } => retry_after_us,
+            };
+            if self.clock.now_us() + retry_after_us > until_us {
+                let retry_after_ms = retry_after_us.div_ceil(MS_US);
+                return Err(Refusal::after(ErrorKind::OverLimit, retry_after_ms));
+            }
+            time::sleep(Duration::from_micros(retry_after_us)).await;
+        }
+    }
+
+    /// Asks one allocator after the other. The one that has room soonest counts if none has.
+    async fn ask_in_turn(&self, name: &Arc<str>, limit: RateLimit) -> Asked {
+        let allocators = self.allocators_of(name, limit);
         let mut soonest_us = None;
         for vm in &allocators.in_turn {
-            match self.ask(&organisation.name, limit, vm, &allocators).await {
-                Asked::Granted => return Ok(()),
+            match self.ask(name, limit, vm, &allocators).await {
+                Asked::Granted => return Asked::Granted,
                 Asked::Empty { retry_after_us } => {
-                    soonest_us =
-                        Some(soonest_us.map_or(retry_after_us, |it: u64| it.min(retry_after_us)));
+                    soonest_us = soonest_us.into_iter().chain([retry_after_us]).min();
                 }
                 Asked::Silent => (),
             }
         }
-        match soonest_us {
-            Some(retry_after_us) => {
-                Err(Refusal::after(ErrorKind::OverLimit, retry_after_us.div_ceil(MS_US)))
-            }
-            None => Err(ErrorKind::LimitUnknown.into()),
-        }
+        soonest_us.map_or(Asked::Silent, |retry_after_us| Asked::Empty { retry_after_us })
     }
 
     /// Grants operations of an organisation out of this VM's part; none if it allocates nothing of it.
@@ -144,14 +165,14 @@
         if !allocators.includes_own {
             return None;
         }
-        let part = quota::part_of(limit, self.tolerance, allocators.in_turn.len());
+        let part = LimitPart::of(limit, self.tolerance, allocators.in_turn.len());
         let now_us = self.clock.now_us();
         let mut state = self.state.lock();
         let since_us = state.earns_from_us;
         let bucket = state
             .buckets
             .entry(Arc::clone(name))
-            .or_insert_with(|| TokenBucket::starting_empty(part, since_us));
+            .or_insert_with(|| TokenBucket::starting(part, since_us));
         bucket.set_part(part, now_us);
         Some(bucket.take(wanted, now_us))
     }
@@ -178,13 +199,18 @@
         let now_us = self.clock.now_us();
         let mut state = self.state.lock();
         match answer {
-            Some(grant) if grant.granted > 0 => Asked::Granted,
-            Some(Grant { retry_after_us, .. }) => {
+            Answer::Grant(grant) if grant.granted > 0 => Asked::Granted,
+            Answer::Grant(Grant { retry_after_us, .. }) => {
                 let key = (Arc::clone(name), Arc::clone(&vm.name));
                 state.empty_until_us.insert(key, now_us + retry_after_us);
                 Asked::Empty { retry_after_us }
             }
-            None => {
+            Answer::NotHere => {
+                let key = (Arc::clone(name), Arc::clone(&vm.name));
+                state.empty_until_us.insert(key, now_us + NOT_HERE_US);
+                Asked::Empty { retry_after_us: NOT_HERE_US }
+            }
+            Answer::Nothing => {
                 let until_us = now_us + SILENT_PASSED_OVER_US;
                 state.silent_until_us.insert(Arc::clone(&vm.name), until_us);
                 Asked::Silent
--- a/crates/proxy/src/sessions/request/execute.rs
+++ b/crates/proxy/src/sessions/request/execute.rs
@@ -18,6 +18,7 @@
 use crate::sessions::process::gateway::Gateway;
 use crate::sessions::process::latencies::Stage;
 use crate::sessions::request::at_primary;
+use crate::sessions::request::call;
 use crate::sessions::request::call::Call;
 use crate::sessions::request::call::Work;
 use crate::sessions::request::read;
@@ -169,7 +170,8 @@
                 }
             };
             if !open.is_counted {
-                if let Err(refusal) = count(gateway, id, &holder).await {
+                let until_us = call::offer_until_us(&route, arrived_us);
+                if let Err(refusal) = count(gateway, id, &holder, until_us).await {
                     session.state = transaction::after_refusal(&work);
                     return Err(refusal);
                 }
@@ -193,7 +195,7 @@
             }
             let route = route(gateway, session)?;
             let holder = gateway.holder(session.key, Some(&route))?;
-            count(gateway, id, &holder).await?;
+            count(gateway, id, &holder, call::offer_until_us(&route, arrived_us)).await?;
             let call = Call {
                 gateway,
                 id,
@@ -236,12 +238,17 @@
 }
 
 /// Counts an operation towards the limit of its organisation.
-async fn count<C>(gateway: &Gateway<C>, id: &str, holder: &Holder) -> Result<(), Refusal>
+async fn count<C>(
+    gateway: &Gateway<C>,
+    id: &str,
+    holder: &Holder,
+    until_us: u64,
+) -> Result<(), Refusal>
 where
     C: Codec,
 {
     let Holder::Organisation(organisation) = holder else { return Ok(()) };
-    let counted = gateway.quotas.admit(organisation).await;
+    let counted = gateway.quotas.admit(organisation, until_us).await;
     if let Err(refusal) = &counted {
         let name = refusal.kind.answer().name;
         if let Some(left_out) = gateway.log_budget.take(name, gateway.clock.now_us()) {
