Divide small limits among fewer allocators, and test limits and keys

A limit is now divided among fewer zones where it has to be. changes_lead_to_the_later_version failed: a key of an organisation that is listed twice stayed known after a whole version, not after changes.

--- a/crates/core/src/process/quota.rs
+++ b/crates/core/src/process/quota.rs
@@ -68,11 +68,31 @@
     limit.burst_milli.saturating_add(tolerance.milli(limit) * WIDENED_SIXTHS / 6)
 }
 
-/// Among how many allocators of each availability zone a limit is divided.
-pub fn allocators_per_zone(limit: RateLimit, tolerance: QuotaTolerance, zones: usize) -> usize {
-    let burst = widened_burst_milli(limit, tolerance) / OPERATION_MILLI;
-    let affordable = (burst / LEAST_BURST) as usize / zones.max(1);
-    affordable.clamp(1, ALLOCATORS_PER_ZONE)
+/// Among how many allocators a limit is divided.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub struct Division {
+    /// How many availability zones have some.
+    pub zones: usize,
+    /// How many each of these has.
+    pub per_zone: usize,
+}
+
+impl Division {
+    /// Among how many a limit is divided where there are so many availability zones.
+    pub fn of(limit: RateLimit, tolerance: QuotaTolerance, zones: usize) -> Division {
+        let zones = zones.max(1);
+        let burst = widened_burst_milli(limit, tolerance) / OPERATION_MILLI;
+        let affordable = ((burst / LEAST_BURST) as usize).max(1);
+        Division {
+            zones: affordable.min(zones),
+            per_zone: (affordable / zones).clamp(1, ALLOCATORS_PER_ZONE),
+        }
+    }
+
+    /// How many there are in all.
+    pub fn allocators(&self) -> usize {
+        self.zones * self.per_zone
+    }
 }
 
 /// The part of a limit that one allocator grants.
--- a/crates/core/src/version/organisations.rs
+++ b/crates/core/src/version/organisations.rs
@@ -94,17 +94,20 @@
 }
 
 impl From<Vec<Arc<Organisation>>> for Organisations {
-    /// A key that two organisations list belongs to the one whose name sorts first, on every VM.
-    fn from(mut all: Vec<Arc<Organisation>>) -> Organisations {
-        all.sort_by(|a, b| a.name.cmp(&b.name));
-        let mut organisations = Organisations::default();
-        for organisation in all {
+    /// Of two with the same name the later one counts. A key that two organisations list belongs to the one whose
+    /// name sorts first, on every VM.
+    fn from(all: Vec<Arc<Organisation>>) -> Organisations {
+        let by_name: FastMap<Arc<str>, Arc<Organisation>> =
+            all.into_iter().map(|it| (Arc::clone(&it.name), it)).collect();
+        let mut sorted: Vec<&Arc<Organisation>> = by_name.values().collect();
+        sorted.sort_by(|a, b| a.name.cmp(&b.name));
+        let mut by_key = FastMap::default();
+        for organisation in sorted {
             for key in &organisation.keys {
-                organisations.by_key.entry(*key).or_insert_with(|| Arc::clone(&organisation));
+                by_key.entry(*key).or_insert_with(|| Arc::clone(organisation));
             }
-            organisations.by_name.insert(Arc::clone(&organisation.name), organisation);
         }
-        organisations
+        Organisations { by_name, by_key }
     }
 }
 
--- /dev/null
+++ b/crates/core/tests/organisations.rs
@@ -0,0 +1,80 @@
+//! Who holds which key in which version.
+
+use std::sync::Arc;
+
+use quickcheck::QuickCheck;
+use skylark_core::version::organisations::KeyDigest;
+use skylark_core::version::organisations::Organisation;
+use skylark_core::version::organisations::Organisations;
+
+fn organisations(all: &[(&str, &[&str])]) -> Organisations {
+    let organisation = |(name, keys): &(&str, &[&str])| {
+        let keys = keys.iter().map(|key| KeyDigest::of(key)).collect();
+        Arc::new(Organisation { name: (*name).into(), keys, limit: None })
+    };
+    all.iter().map(organisation).collect::<Vec<_>>().into()
+}
+
+fn holder<'a>(organisations: &'a Organisations, key: &str) -> Option<&'a str> {
+    organisations.holder(KeyDigest::of(key)).map(|holder| &*holder.name)
+}
+
+/// A key that moves, one that is withdrawn, and one that stays.
+#[test]
+fn each_version_says_who_holds_a_key() {
+    let before = organisations(&[("lake", &["a", "b"]), ("hill", &["c"])]);
+    let after = organisations(&[("lake", &["a"]), ("hill", &["b"])]);
+    assert_eq!(
+        [holder(&before, "a"), holder(&before, "b"), holder(&before, "c")],
+        [Some("lake"), Some("lake"), Some("hill")]
+    );
+    assert_eq!(
+        [holder(&after, "a"), holder(&after, "b"), holder(&after, "c")],
+        [Some("lake"), Some("hill"), None]
+    );
+    assert!(before.keys_differ_in(&after));
+}
+
+/// Sessions are only looked at when a key went: added keys and changed limits end none.
+#[test]
+fn an_added_key_withdraws_none() {
+    let before = organisations(&[("lake", &["a"])]);
+    assert!(!before.keys_differ_in(&organisations(&[("lake", &["a", "b"]), ("hill", &["c"])])));
+    assert!(!before.keys_differ_in(&before));
+}
+
+/// A key that two organisations list is the same one's on all VMs, in whatever order they are listed.
+#[test]
+fn a_key_listed_twice_has_one_holder() {
+    let one = organisations(&[("lake", &["a"]), ("hill", &["a"])]);
+    let other = organisations(&[("hill", &["a"]), ("lake", &["a"])]);
+    assert_eq!(holder(&one, "a"), Some("hill"));
+    assert_eq!(holder(&other, "a"), Some("hill"));
+}
+
+/// A VM that is told what changed knows what one knows that is told all.
+#[test]
+fn changes_lead_to_the_later_version() {
+    fn property(before: Vec<(u8, Vec<u8>)>, after: Vec<(u8, Vec<u8>)>) -> bool {
+        let table = |all: &[(u8, Vec<u8>)]| -> Organisations {
+            let organisation = |(name, keys): &(u8, Vec<u8>)| {
+                let keys = keys.iter().map(|key| KeyDigest::of(&key.to_string())).collect();
+                Arc::new(Organisation { name: name.to_string().into(), keys, limit: None })
+            };
+            all.iter().map(organisation).collect::<Vec<_>>().into()
+        };
+        let (before, after) = (table(&before), table(&after));
+        before.with(&before.changes_to(&after)) == after
+    }
+    QuickCheck::new().quickcheck(property as fn(Vec<(u8, Vec<u8>)>, Vec<(u8, Vec<u8>)>) -> bool);
+}
+
+/// Versions travel between VMs as JSON, and keys are in none of it.
+#[test]
+fn what_is_passed_on_holds_no_keys() {
+    let known = organisations(&[("lake", &["iikdrbn4ryrbbkf83fgf"])]);
+    let text = serde_json::to_string(&known).expect("it can be written");
+    assert!(!text.contains("iikdrbn4"), "{text}");
+    assert_eq!(serde_json::from_str::<Organisations>(&text).expect("it can be read"), known);
+    assert!(!format!("{known:?}").contains("iikdrbn4"));
+}
--- a/crates/proxy/src/sessions/process/quota/allocators.rs
+++ b/crates/proxy/src/sessions/process/quota/allocators.rs
@@ -5,6 +5,7 @@
 
 use skylark_core::process::homes;
 use skylark_core::process::jitter;
+use skylark_core::process::quota::Division;
 
 use crate::sessions::store::VmAddress;
 
@@ -15,8 +16,8 @@
     pub in_turn: Vec<VmAddress>,
     /// Whether this VM is one of them.
     pub includes_own: bool,
-    /// How many each availability zone has.
-    pub per_zone: usize,
+    /// Among how many the limit is divided.
+    pub division: Division,
 }
 
 /// How many availability zones have VMs.
@@ -24,10 +25,10 @@
     by_zone(vms).len()
 }
 
-fn by_zone(vms: &[VmAddress]) -> BTreeMap<&Arc<str>, Vec<&VmAddress>> {
-    let mut zones: BTreeMap<&Arc<str>, Vec<&VmAddress>> = BTreeMap::new();
+fn by_zone(vms: &[VmAddress]) -> BTreeMap<&str, Vec<&VmAddress>> {
+    let mut zones: BTreeMap<&str, Vec<&VmAddress>> = BTreeMap::new();
     for vm in vms {
-        zones.entry(&vm.zone).or_default().push(vm);
+        zones.entry(&*vm.zone).or_default().push(vm);
     }
     zones
 }
@@ -40,12 +41,15 @@
         vms: &[VmAddress],
         own: &Arc<str>,
         zone: &str,
-        per_zone: usize,
+        division: Division,
     ) -> Allocators {
+        let by_zone = by_zone(vms);
+        let zones: Vec<&str> = by_zone.keys().copied().collect();
+        let chosen = homes::rank_names(organisation, &zones, division.zones);
         let mut in_turn: Vec<VmAddress> = Vec::new();
-        for vms in by_zone(vms).into_values() {
+        for vms in chosen.into_iter().filter_map(|place| by_zone.get(zones[place])) {
             let names: Vec<&str> = vms.iter().map(|vm| &*vm.name).collect();
-            let places = homes::rank_names(organisation, &names, per_zone);
+            let places = homes::rank_names(organisation, &names, division.per_zone);
             in_turn.extend(places.into_iter().map(|place| vms[place].clone()));
         }
         let includes_own = in_turn.iter().any(|vm| vm.name == *own);
@@ -53,6 +57,6 @@
         // Half of a zone's VMs ask each of its allocators first.
         let order = |vm: &VmAddress| jitter::seed_of(&vm.name) ^ seed;
         in_turn.sort_by_key(|vm| (vm.name != *own, &*vm.zone != zone, order(vm)));
-        Allocators { in_turn, includes_own, per_zone }
+        Allocators { in_turn, includes_own, division }
     }
 }
--- a/crates/proxy/src/sessions/process/quota/mod.rs
+++ b/crates/proxy/src/sessions/process/quota/mod.rs
@@ -14,7 +14,7 @@
 
 use parking_lot::Mutex;
 use skylark_core::FastMap;
-use skylark_core::process::quota;
+use skylark_core::process::quota::Division;
 use skylark_core::process::quota::Grant;
 use skylark_core::process::quota::LimitPart;
 use skylark_core::process::quota::QuotaTolerance;
@@ -113,7 +113,7 @@
         state.earns_from_us = if is_first { 0 } else { now_us + TAKE_OVER_US };
         let known = std::mem::take(&mut state.allocators);
         for (name, before) in known {
-            let now = Allocators::rank(&name, &state.vms, &self.own, &self.zone, before.per_zone);
+            let now = Allocators::rank(&name, &state.vms, &self.own, &self.zone, before.division);
             if !now.includes_own {
                 state.buckets.remove(&name);
             }
@@ -237,11 +237,11 @@
     fn allocators_of(&self, name: &Arc<str>, limit: RateLimit) -> Arc<Allocators> {
         let mut state = self.state.lock();
         let zones = allocators::zones_of(&state.vms);
-        let per_zone = quota::allocators_per_zone(limit, self.tolerance, zones);
-        if let Some(known) = state.allocators.get(name).filter(|it| it.per_zone == per_zone) {
+        let division = Division::of(limit, self.tolerance, zones);
+        if let Some(known) = state.allocators.get(name).filter(|it| it.division == division) {
             return Arc::clone(known);
         }
-        let ranked = Allocators::rank(name, &state.vms, &self.own, &self.zone, per_zone);
+        let ranked = Allocators::rank(name, &state.vms, &self.own, &self.zone, division);
         let ranked = Arc::new(ranked);
         state.allocators.insert(Arc::clone(name), Arc::clone(&ranked));
         ranked
