--- a/crates/proxy/src/sessions/process/quota/mod.rs
+++ b/crates/proxy/src/sessions/process/quota/mod.rs
@@ -186,11 +186,11 @@
     ) -> Asked {
         if allocators.includes_own && vm.name == self.own {
             let Some(grant) = self.grant(name, limit, 1) else { return Asked::Silent };
+            if grant.granted == 0 {
+                return Asked::Empty { retry_after_us: grant.retry_after_us };
+            }
             self.counters.event(Event::LimitsGrantedHere);
-            return match grant.granted {
-                0 => Asked::Empty { retry_after_us: grant.retry_after_us },
-                _ => Asked::Granted,
-            };
+            return Asked::Granted;
         }
         if let Some(known) = self.known_answer(name, vm) {
             return known;
--- a/crates/standin/src/typed/database.rs
+++ b/crates/standin/src/typed/database.rs
@@ -84,6 +84,7 @@
     stream: TcpStream,
     input: BytesMut,
     output: BytesMut,
+    user: String,
     open: Open,
     values: FastMap<String, String>,
     prepared: FastMap<String, (Effect, String)>,
@@ -118,6 +119,7 @@
             stream,
             input: BytesMut::new(),
             output: BytesMut::new(),
+            user: String::new(),
             open: Open::Nothing,
             values: FastMap::default(),
             prepared: FastMap::default(),
@@ -169,10 +171,12 @@
 
     async fn startup(&mut self) -> Result<(), Ended> {
         let message = self.message().await?;
-        let Ok(TargetRequest::Startup { service, target_id, .. }) = Lines::decode_request(&message)
+        let Ok(TargetRequest::Startup { service, user, target_id }) =
+            Lines::decode_request(&message)
         else {
             return Err(Ended::Closed);
         };
+        self.user = user.to_owned();
         let group = &self.database.group;
         let is_meant = service == &*group.options.service
             && (target_id.is_empty() || target_id == &*self.database.id());
@@ -352,7 +356,8 @@
         let values = self.values.iter().map(|(name, value)| (name.clone(), value.clone()));
         let mut values: Vec<(String, String)> = values.collect();
         values.sort();
-        let run = Run { target: self.database.id(), id: id.to_owned(), text, values };
+        let (id, user) = (id.to_owned(), self.user.clone());
+        let run = Run { target: self.database.id(), id, user, text, values };
         match self.database.group.ran(self.database.member, run) {
             true => Ok(()),
             false => Err(Ended::AnswerLost),
--- a/crates/standin/src/typed/deployment.rs
+++ b/crates/standin/src/typed/deployment.rs
@@ -8,6 +8,7 @@
 use skylark_core::version::routes::TargetRecord;
 use skylark_core::version::routes::TargetRole;
 use skylark_platform::objects;
+use skylark_platform::objects::TenantBody;
 use skylark_platform::store;
 
 use crate::typed::database::Database;
@@ -65,6 +66,13 @@
         let (kind, name) = store::CONFIGURATION;
         self.platform.objects.put(kind, name, objects::body_of(table));
     }
+
+    /// The same with organisations.
+    pub fn configure_with(&self, table: &RouteTable, organisations: &[TenantBody]) {
+        let (kind, name) = store::CONFIGURATION;
+        let body = objects::body_with(table, Some(organisations));
+        self.platform.objects.put(kind, name, body);
+    }
 }
 
 /// Writes the entries of the targets that run, and removes those of the others.
--- a/crates/standin/src/typed/group.rs
+++ b/crates/standin/src/typed/group.rs
@@ -88,6 +88,8 @@
     pub target: Arc<str>,
     /// The caller's id of the statement; empty for one of the proxy's own.
     pub id: String,
+    /// As whom the connection was opened.
+    pub user: String,
     /// The statement.
     pub text: String,
     /// The session values on the connection, sorted.
