Prefer one replica for an organisation's reads

Cause: each replica held connections of all organisations. Ways compared: as it was (by answer time and zone), and with 20 ms for a replica that is not the organisation's own by rendezvous hashing.

--- a/crates/core/src/request/read_choice.rs
+++ b/crates/core/src/request/read_choice.rs
@@ -13,6 +13,10 @@
 /// that can run writes.
 pub const PRIMARY_US: u64 = 20_000;
 
+/// What a read costs at a member that is not its organisation's own choice, beyond its answer time: a connection
+/// has to be opened there as often as not, which takes a slot, and another organisation's gives way to it.
+pub const NOT_PREFERRED_US: u64 = 20_000;
+
 /// One member that may serve the read.
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
 pub struct ReadCandidate {
@@ -24,6 +28,8 @@
     pub usual_us: u64,
     /// How many statements this process has under way or waiting there.
     pub under_way: u32,
+    /// Whether reads of the same organisation usually go there.
+    pub is_preferred: bool,
     /// Whether it lately refused a read for lagging behind.
     pub lags: bool,
     /// Whether it lately did not answer.
@@ -35,7 +41,8 @@
     fn cost_us(&self) -> u64 {
         let zone_us = if self.same_zone { 0 } else { OTHER_ZONE_US };
         let primary_us = if self.is_primary { PRIMARY_US } else { 0 };
-        self.usual_us * u64::from(1 + self.under_way) + zone_us + primary_us
+        let user_us = if self.is_preferred { 0 } else { NOT_PREFERRED_US };
+        self.usual_us * u64::from(1 + self.under_way) + zone_us + primary_us + user_us
     }
 }
 
--- a/crates/core/tests/read_choice.rs
+++ b/crates/core/tests/read_choice.rs
@@ -9,6 +9,7 @@
         is_primary: false,
         usual_us: 10_000,
         under_way: 0,
+        is_preferred: true,
         lags: false,
         fails: false,
     }
@@ -33,6 +34,14 @@
         [ReadCandidate { same_zone: false, ..candidate() }, ReadCandidate { under_way: 2, ..candidate() }]
         => Some(0);
     the_primary_is_spared: [ReadCandidate { is_primary: true, ..candidate() }, candidate()] => Some(1);
+    /// An organisation's connections lie at one replica, which is worth another zone's way.
+    an_organisations_own_choice_is_preferred:
+        [ReadCandidate { is_preferred: false, ..candidate() }, ReadCandidate { same_zone: false, ..candidate() }]
+        => Some(1);
+    /// Its own choice has several statements under way, and a connection elsewhere takes less time than they do.
+    a_busy_choice_is_not:
+        [ReadCandidate { is_preferred: false, ..candidate() }, ReadCandidate { under_way: 3, ..candidate() }]
+        => Some(0);
     one_that_lags_comes_after_all_that_don_t:
         [ReadCandidate { lags: true, ..candidate() },
          ReadCandidate { same_zone: false, under_way: 5, ..candidate() }] => Some(1);
--- a/crates/proxy/src/sessions/request/read.rs
+++ b/crates/proxy/src/sessions/request/read.rs
@@ -9,6 +9,7 @@
 use std::time::Duration;
 
 use skylark_core::log_position::LogPosition;
+use skylark_core::process::homes;
 use skylark_core::request::error_kind::ErrorKind;
 use skylark_core::request::read_choice;
 use skylark_core::request::read_choice::ReadCandidate;
@@ -134,6 +135,7 @@
     let members = call.gateway.members(&call.route.service);
     let fit = members.into_iter().filter(|member| !member.is_leaving());
     let fit: Vec<_> = fit.filter(|member| !tried.contains(&member.record.id)).collect();
+    let preferred = call.user.and_then(|user| preferred(call, user, &fit));
     let candidates: Vec<ReadCandidate> = fit
         .iter()
         .map(|member| {
@@ -141,6 +143,7 @@
             ReadCandidate {
                 same_zone: member.record.zone == call.gateway.zone,
                 is_primary: call.gateway.is_primary(member),
+                is_preferred: preferred.is_none_or(|preferred| Arc::ptr_eq(preferred, member)),
                 usual_us: health.usual_us,
                 under_way: health.queued + health.in_flight,
                 lags: health.lagged_us > 0
@@ -155,6 +158,20 @@
     (!is_poor || tried.is_empty()).then(|| Arc::clone(&fit[best]))
 }
 
+/// The replica that a user's reads go to unless another answers sooner: each replica holds connections of a part of
+/// the users then, instead of all replicas those of all.
+fn preferred<'a, C>(
+    call: &Call<'_, C>,
+    user: &str,
+    members: &'a [Arc<TargetState<C>>],
+) -> Option<&'a Arc<TargetState<C>>>
+where
+    C: Codec,
+{
+    let replicas = members.iter().filter(|member| !call.gateway.is_primary(member));
+    replicas.max_by_key(|member| homes::user_score(&call.route.service, user, &member.record.id))
+}
+
 /// How long a read may go without an answer before another member is asked.
 pub fn patience_until_us<C>(call: &Call<'_, C>) -> u64
 where
