--- a/crates/proxy/src/sessions/process/quota/mod.rs
+++ b/crates/proxy/src/sessions/process/quota/mod.rs
@@ -44,6 +44,14 @@
 /// microseconds. Others may ask its predecessor until they have the list as well.
 const TAKE_OVER_US: u64 = 1_500_000;
 
+/// How long an operation waits for room in its organisation's limit at most, in microseconds. One that waited for
+/// longer would be late as often as not, and holds up those of its organisation that come after it.
+const LONGEST_WAIT_US: u64 = 50_000;
+
+/// For how long after its start a process waits for longer, in microseconds: all may have started together, with
+/// little to grant at first and all their callers back.
+const STARTING_US: u64 = 5_000_000;
+
 /// Microseconds in a millisecond.
 const MS_US: u64 = 1_000;
 
@@ -128,6 +136,11 @@
     /// A refusal if its limit has no room, or if nobody can be asked.
     pub async fn admit(&self, organisation: &Organisation, until_us: u64) -> Result<(), Refusal> {
         let Some(limit) = organisation.limit else { return Ok(()) };
+        let now_us = self.clock.now_us();
+        let until_us = match now_us < STARTING_US {
+            true => until_us,
+            false => until_us.min(now_us + LONGEST_WAIT_US),
+        };
         loop {
             let asked = self.ask_in_turn(&organisation.name, limit).await;
             let retry_after_us = match asked {
