--- a/crates/bench/src/surge/mod.rs
+++ b/crates/bench/src/surge/mod.rs
@@ -2,7 +2,7 @@
 //!
 //! The very queue of the product (`skylark_core::process::sharing`) stands in front of a target of a
 //! few slots. Every strategy meets the same arrivals with the same run times. The figures and what
-//! follows from them are in `docs/decisions/sharing-in-a-surge.md`.
+//! follows from them are in `docs/design/sharing-in-a-surge.md`.
 
 pub mod outcome;
 pub mod simulation;
--- a/crates/core/src/process/quota.rs
+++ b/crates/core/src/process/quota.rs
@@ -96,7 +96,7 @@
 }
 
 /// The part of a limit that one allocator grants.
-#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+#[derive(Clone, Copy, PartialEq, Eq, Hash, Debug)]
 pub struct LimitPart {
     /// What the bucket earns, and holds at most.
     pub limit: RateLimit,
@@ -131,7 +131,7 @@
 }
 
 /// The bucket of one organisation at one of its allocators.
-#[derive(Clone, Debug)]
+#[derive(Clone, PartialEq, Eq, Hash, Debug)]
 pub struct TokenBucket {
     part: LimitPart,
     tokens_milli: u64,
@@ -143,7 +143,7 @@
 }
 
 impl TokenBucket {
-    /// The bucket of a process that may grant from `since_us` on.
+    /// The bucket of a process that may grant from `since_us` on, and nothing before.
     pub fn starting(part: LimitPart, since_us: u64) -> TokenBucket {
         TokenBucket {
             part,
@@ -164,6 +164,9 @@
 
     /// Grants up to `wanted` operations.
     pub fn take(&mut self, wanted: u32, now_us: u64) -> Grant {
+        if now_us < self.earned_us {
+            return Grant { granted: 0, retry_after_us: self.earned_us - now_us };
+        }
         self.earn(now_us);
         let granted = u64::from(wanted).min(self.tokens_milli / OPERATION_MILLI);
         self.tokens_milli -= granted * OPERATION_MILLI;
--- a/crates/core/src/process/sharing/class_queue.rs
+++ b/crates/core/src/process/sharing/class_queue.rs
@@ -1,7 +1,7 @@
 //! The waiting requests of one class, in arrival order, with a count for each caller.
 //!
 //! A bound on what one caller may have waiting keeps it from filling the queue of its class. An order
-//! that takes turns between callers was measured too (`docs/decisions/sharing-in-a-surge.md`): later
+//! that takes turns between callers was measured too (`docs/design/sharing-in-a-surge.md`): later
 //! requests of other callers then pass a waiting one without end, so that no wait can be predicted.
 
 use std::collections;
--- a/crates/core/src/process/sharing/mod.rs
+++ b/crates/core/src/process/sharing/mod.rs
@@ -3,7 +3,7 @@
 //! A home keeps one [`queue::TargetQueue`] for each of its targets. The queue bounds what waits and
 //! what runs; a [`SharingStrategy`] chooses which class goes next. The product has one strategy,
 //! [`weighted`], which was the best of four on a recorded surge: see
-//! `docs/decisions/sharing-in-a-surge.md`, and `crates/bench/examples/surge.rs` for trying another.
+//! `docs/design/sharing-in-a-surge.md`, and `crates/bench/examples/surge.rs` for trying another.
 
 pub mod class_queue;
 pub mod queue;
--- a/crates/core/src/version/organisations.rs
+++ b/crates/core/src/version/organisations.rs
@@ -7,6 +7,7 @@
 use std::sync::Arc;
 
 use serde::Deserialize;
+use serde::Deserializer;
 use serde::Serialize;
 use sha2::Digest;
 use sha2::Sha256;
@@ -66,7 +67,7 @@
 }
 
 /// How many operations an organisation may run, over all VMs together.
-#[derive(Clone, Copy, PartialEq, Eq, Debug, Serialize, Deserialize)]
+#[derive(Clone, Copy, PartialEq, Eq, Hash, Debug, Serialize, Deserialize)]
 pub struct RateLimit {
     /// Thousandths of an operation per second.
     pub rate_milli_per_s: u64,
@@ -178,3 +179,17 @@
     /// The names of those that are gone.
     pub removed: Vec<Arc<str>>,
 }
+
+/// Reads a field that may be null but not missing. A process of an earlier version leaves it out, and would have
+/// this one serve callers without a key.
+///
+/// # Errors
+///
+/// The field is missing, or can't be read.
+pub fn present<'de, D, T>(deserializer: D) -> Result<Option<T>, D::Error>
+where
+    D: Deserializer<'de>,
+    T: Deserialize<'de>,
+{
+    Option::deserialize(deserializer)
+}
--- a/crates/core/src/version/route_changes.rs
+++ b/crates/core/src/version/route_changes.rs
@@ -11,6 +11,7 @@
 use serde::Serialize;
 
 use crate::FastMap;
+use crate::version::organisations;
 use crate::version::organisations::OrganisationChanges;
 use crate::version::organisations::Organisations;
 use crate::version::routes::Route;
@@ -37,7 +38,7 @@
     /// How long a caller may rest inside a transaction, in milliseconds; zero for no bound.
     pub transaction_idle_ms: u64,
     /// What changed of the organisations; none where callers need no key.
-    #[serde(default)]
+    #[serde(deserialize_with = "organisations::present")]
     pub organisations: Option<OrganisationChanges>,
 }
 
--- a/crates/core/src/version/routes.rs
+++ b/crates/core/src/version/routes.rs
@@ -11,6 +11,7 @@
 use serde::Serialize;
 
 use crate::FastMap;
+use crate::version::organisations;
 use crate::version::organisations::Organisations;
 
 /// The rule for the reads of a route.
@@ -83,7 +84,7 @@
     /// How long a caller may rest inside a transaction, in milliseconds; zero for no bound.
     pub transaction_idle_ms: u64,
     /// The organisations; none where callers need no key at all.
-    #[serde(default)]
+    #[serde(deserialize_with = "organisations::present")]
     pub organisations: Option<Organisations>,
 }
 
--- a/crates/core/tests/organisations.rs
+++ b/crates/core/tests/organisations.rs
@@ -6,6 +6,7 @@
 use skylark_core::version::organisations::KeyDigest;
 use skylark_core::version::organisations::Organisation;
 use skylark_core::version::organisations::Organisations;
+use skylark_core::version::routes::RouteTable;
 
 fn organisations(all: &[(&str, &[&str])]) -> Organisations {
     let organisation = |(name, keys): &(&str, &[&str])| {
@@ -78,3 +79,14 @@
     assert_eq!(serde_json::from_str::<Organisations>(&text).expect("it can be read"), known);
     assert!(!format!("{known:?}").contains("iikdrbn4"));
 }
+
+/// While VMs are replaced by a newer version one after the other, a VM may be told by one of the older version, which
+/// knows no organisations. What it tells is not taken for a configuration in which nobody needs a key.
+#[test]
+fn a_version_that_leaves_organisations_out_is_not_read() {
+    let told = r#"{"version":7,"routes":{},"services":{},"transaction_idle_ms":0}"#;
+    assert!(serde_json::from_str::<RouteTable>(told).is_err());
+    let table = RouteTable::default();
+    let text = serde_json::to_string(&table).expect("it can be written");
+    assert_eq!(serde_json::from_str::<RouteTable>(&text).expect("it can be read"), table);
+}
--- a/crates/core/tests/quota.rs
+++ b/crates/core/tests/quota.rs
@@ -168,3 +168,12 @@
         }
     }
 }
+
+/// A VM that takes the place of an allocator which others still ask grants nothing until they know better.
+#[test]
+fn a_new_allocator_grants_nothing_at_first() {
+    let mut bucket = TokenBucket::starting(LimitPart::of(limit(10), TOLERANCE, 2), 2 * SECOND_US);
+    let early = bucket.take(1, SECOND_US);
+    assert_eq!((early.granted, early.retry_after_us), (0, SECOND_US));
+    assert_eq!(bucket.take(1, 2 * SECOND_US).granted, 1);
+}
--- a/crates/proxy/src/connection/admission.rs
+++ b/crates/proxy/src/connection/admission.rs
@@ -21,7 +21,7 @@
 use crate::process::clock::MonotonicClock;
 use crate::request::refusal::Refusal;
 
-/// The strategy that the measurements chose, see `docs/decisions/sharing-in-a-surge.md`.
+/// The strategy that the measurements chose, see `docs/design/sharing-in-a-surge.md`.
 pub type Strategy = skylark_core::process::sharing::weighted::WeightedMaxMin;
 
 /// Who asks for a turn.
--- a/crates/proxy/src/connection/event_loops.rs
+++ b/crates/proxy/src/connection/event_loops.rs
@@ -3,7 +3,7 @@
 //! Threads that share one loop hand each other the tasks that it wakes. For requests of a few
 //! microseconds the handing over costs more than the work, and several threads served no more than
 //! one. A caller's task stays on the thread that it was given to, and the target connections that
-//! it uses are brought there. See `docs/decisions/transaction-pooling.md`.
+//! it uses are brought there. See `docs/design/transaction-pooling.md`.
 
 use std::io;
 use std::thread;
--- a/crates/proxy/src/sessions/process/limits.rs
+++ b/crates/proxy/src/sessions/process/limits.rs
@@ -59,6 +59,10 @@
 /// wait for longer than the objectives allow.
 pub const QUEUED_PER_TARGET: usize = 128;
 
+/// How many requests of one organisation wait for one target at most while others wait as well, so that one which
+/// sends many times its usual delays the others by a part of the queue only.
+pub const QUEUED_PER_ORGANISATION: usize = 32;
+
 /// Statements beyond a target's slots that one process lets run, so that a slot is not idle while
 /// an answer travels.
 pub const RUNNING_BEYOND_SLOTS: u32 = 1;
--- a/crates/proxy/src/sessions/process/targets.rs
+++ b/crates/proxy/src/sessions/process/targets.rs
@@ -208,7 +208,7 @@
             health: Mutex::new(health),
             telling: SingleFlight::default(),
         };
-        state.configure(1);
+        state.configure(1, false);
         state
     }
 
@@ -337,8 +337,8 @@
         }
     }
 
-    /// Sets this process's part of the connections.
-    pub fn configure(&self, share: u32) {
+    /// Sets this process's part of the connections, and whether an organisation may fill the queue in front of them.
+    pub fn configure(&self, share: u32, has_organisations: bool) {
         let running = (self.record.slots + limits::RUNNING_BEYOND_SLOTS).min(share);
         let queued = limits::QUEUED_PER_TARGET;
         let bounds = QueueLimits {
@@ -346,7 +346,10 @@
             connections: share,
             queued,
             queued_per_class: queued,
-            queued_per_caller: queued,
+            queued_per_caller: match has_organisations {
+                true => limits::QUEUED_PER_ORGANISATION,
+                false => queued,
+            },
             ..QueueLimits::default()
         };
         // One more than the queue gives out, for the question for a position: it takes no slot, and
--- a/crates/proxy/src/sessions/process/ways.rs
+++ b/crates/proxy/src/sessions/process/ways.rs
@@ -162,11 +162,13 @@
     where
         C: Codec,
     {
+        let has_organisations = demand.organisations > 0;
         match connection_plan::plan(demand) {
             ConnectionPlan::Direct { primary, replica } => {
                 target.go_via(None);
                 target.divide_users(&[]);
-                target.configure(if is_primary { primary } else { replica });
+                let share = if is_primary { primary } else { replica };
+                target.configure(share, has_organisations);
             }
             ConnectionPlan::Homes { share, stand_ins } => {
                 let homes = self.homes_of(target, stand_ins);
@@ -183,7 +185,8 @@
                 if connects {
                     target.go_via(None);
                     self.divide_users(target, &homes, demand, now_us);
-                    target.configure(if homes.role == HomeRole::Home { share } else { 1 });
+                    let share = if homes.role == HomeRole::Home { share } else { 1 };
+                    target.configure(share, has_organisations);
                     return;
                 }
                 // Without any home that may be reached, the way that fails is as good as another.
@@ -191,7 +194,7 @@
                     target.go_via(home.or(homes.vms.first()));
                 }
                 self.divide_users(target, &homes, demand, now_us);
-                target.configure(limits::PEER_CONNECTIONS);
+                target.configure(limits::PEER_CONNECTIONS, has_organisations);
             }
         }
     }
--- a/crates/proxy/src/sessions/request/call.rs
+++ b/crates/proxy/src/sessions/request/call.rs
@@ -4,6 +4,7 @@
 
 use skylark_core::ids::ClassId;
 use skylark_core::log_position::LogPosition;
+use skylark_core::process::jitter;
 use skylark_core::process::sharing::class_queue::CallerId;
 use skylark_core::request::error_kind::ErrorKind;
 use skylark_core::request::retry::Effect;
@@ -128,9 +129,9 @@
         ClassId(self.route.priority.min(CLASSES as u32 - 1))
     }
 
-    /// Its caller, for the queue.
+    /// Its caller, for the queue: the organisation where there are any.
     pub fn caller(&self) -> CallerId {
-        CallerId(self.session)
+        CallerId(self.user.map_or(self.session, |user| jitter::seed_of(user)))
     }
 
     /// Counts the time that a stage took which began at `since_us`.
--- a/crates/spec/src/case.rs
+++ b/crates/spec/src/case.rs
@@ -9,6 +9,7 @@
 use crate::floors;
 use crate::lead;
 use crate::plans;
+use crate::quota;
 use crate::repetition;
 use crate::spreading;
 
@@ -48,6 +49,7 @@
         spreading::cases::CASES,
         repetition::cases::CASES,
         answers::cases::CASES,
+        quota::cases::CASES,
     ]
     .concat()
 }
--- a/crates/spec/src/lib.rs
+++ b/crates/spec/src/lib.rs
@@ -15,6 +15,7 @@
 //! - [`plans`]: operators who race each other over a platform that loses answers.
 //! - [`repetition`]: what is sent again, and what a caller is told about it.
 //! - [`spreading`]: accepted settings on their way to every process.
+//! - [`quota`]: one limit divided among allocators that exchange nothing.
 //! - [`answers`]: when a connection may serve the next caller.
 
 pub mod acknowledgement;
@@ -26,5 +27,6 @@
 pub mod intern;
 pub mod lead;
 pub mod plans;
+pub mod quota;
 pub mod repetition;
 pub mod spreading;
--- /dev/null
+++ b/crates/spec/src/quota/model.rs
@@ -0,0 +1,221 @@
+//! The states, transitions and invariants of the quota model.
+
+use std::fmt;
+
+use skylark_core::process::quota::LimitPart;
+use skylark_core::process::quota::QuotaTolerance;
+use skylark_core::process::quota::TokenBucket;
+use skylark_core::version::organisations::RateLimit;
+
+use super::Safeguard;
+use crate::explore::Model;
+
+/// One step of time.
+const SECOND_US: u64 = 1_000_000;
+
+/// How many seconds are explored, and how many where grants are kept: buckets fill slowly.
+const END_S: u64 = 9;
+const END_WITH_STOCK_S: u64 = 13;
+
+/// The VMs: two allocators, and one that a new list puts in the place of the first.
+const VMS: usize = 3;
+const REPLACED: usize = 0;
+const REPLACING: usize = 2;
+const ALLOCATORS: usize = 2;
+
+/// The limit, and by how much one window may exceed it.
+const LIMIT: RateLimit = RateLimit { rate_milli_per_s: 2_000, burst_milli: 12_000 };
+const TOLERANCE: QuotaTolerance = QuotaTolerance { window_ms: 2_000, excess_milli: 0, slack: 12 };
+
+/// The seconds at which operations of one window run, both ends included.
+const WINDOW: usize = 3;
+
+/// How many operations may run in one window.
+const MOST_IN_WINDOW: u32 = 2 * 2 + 12 + 12;
+
+/// How many faults there are, of which a restart is one and a new list two.
+const FAULTS: u8 = 4;
+const NEW_LIST_FAULTS: u8 = 2;
+
+/// How long VMs may differ about the list, and how long one that becomes an allocator waits.
+const LIST_SPREADS_S: u64 = 1;
+const TAKE_OVER_S: u64 = 2;
+
+/// A state.
+#[derive(Clone, PartialEq, Eq, Hash, Debug)]
+pub struct State {
+    now_s: u64,
+    buckets: [Option<TokenBucket>; VMS],
+    /// Who knows the new list.
+    knows_new_list: [bool; VMS],
+    /// When the first VM learned of it.
+    list_since_s: Option<u64>,
+    faults: u8,
+    /// How many operations ran in each second of the window, the present one first.
+    ran: [u32; WINDOW],
+    /// Grants that are kept for later.
+    stock: u32,
+}
+
+/// What happens between two states.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub enum Step {
+    /// Callers run all that an allocator grants.
+    Ask(usize),
+    /// Callers take all that an allocator grants, for later.
+    Keep(usize),
+    /// Callers run what was granted before.
+    RunKept,
+    /// An allocator's process starts again.
+    Restart(usize),
+    /// A VM learns the new list.
+    Learn(usize),
+    /// A second passes.
+    Second,
+}
+
+impl fmt::Display for Step {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Step::Ask(vm) => write!(f, "callers run all that vm{vm} grants"),
+            Step::Keep(vm) => write!(f, "callers keep all that vm{vm} grants"),
+            Step::RunKept => f.write_str("callers run what they kept"),
+            Step::Restart(vm) => write!(f, "vm{vm} starts again"),
+            Step::Learn(vm) => write!(f, "vm{vm} learns the new list"),
+            Step::Second => f.write_str("a second passes"),
+        }
+    }
+}
+
+/// The model.
+#[derive(Clone, Copy, Debug)]
+pub struct QuotaModel {
+    /// The safeguard that is switched off.
+    pub without: Option<Safeguard>,
+}
+
+type Next = Vec<(Step, State)>;
+
+impl QuotaModel {
+    fn has(&self, safeguard: Safeguard) -> bool {
+        self.without != Some(safeguard)
+    }
+
+    /// Grants that are kept make far more states, and need no faults to show what they do.
+    fn faults(&self) -> u8 {
+        if self.has(Safeguard::NoStock) { FAULTS } else { 0 }
+    }
+
+    fn end_s(&self) -> u64 {
+        if self.has(Safeguard::NoStock) { END_S } else { END_WITH_STOCK_S }
+    }
+
+    fn part(&self) -> LimitPart {
+        let allocators = if self.has(Safeguard::Divide) { ALLOCATORS } else { 1 };
+        let part = LimitPart::of(LIMIT, TOLERANCE, allocators);
+        match self.has(Safeguard::StartPart) {
+            true => part,
+            false => LimitPart { start_milli: part.limit.burst_milli, ..part },
+        }
+    }
+
+    fn bucket_steps(&self, state: &State, vm: usize, next: &mut Next) {
+        let Some(bucket) = &state.buckets[vm] else { return };
+        let mut bucket = bucket.clone();
+        let granted = bucket.take(u32::MAX, state.now_s * SECOND_US).granted;
+        if granted > 0 {
+            let mut ran = state.clone();
+            ran.buckets[vm] = Some(bucket.clone());
+            ran.ran[0] += granted;
+            next.push((Step::Ask(vm), ran));
+            if !self.has(Safeguard::NoStock) {
+                let mut kept = state.clone();
+                kept.buckets[vm] = Some(bucket);
+                kept.stock += granted;
+                next.push((Step::Keep(vm), kept));
+            }
+        }
+        if state.faults < self.faults() {
+            let mut after = state.clone();
+            after.faults += 1;
+            after.buckets[vm] = Some(TokenBucket::starting(self.part(), state.now_s * SECOND_US));
+            next.push((Step::Restart(vm), after));
+        }
+    }
+
+    fn learn(&self, state: &State, vm: usize) -> State {
+        let mut after = state.clone();
+        after.knows_new_list[vm] = true;
+        if after.list_since_s.is_none() {
+            after.list_since_s = Some(state.now_s);
+            after.faults += NEW_LIST_FAULTS;
+        }
+        match vm {
+            REPLACED => after.buckets[vm] = None,
+            REPLACING => {
+                let since_s = match self.has(Safeguard::TakeOverPause) {
+                    true => state.now_s + TAKE_OVER_S,
+                    false => 0,
+                };
+                after.buckets[vm] = Some(TokenBucket::starting(self.part(), since_s * SECOND_US));
+            }
+            _ => (),
+        }
+        after
+    }
+}
+
+impl Model for QuotaModel {
+    type State = State;
+    type Step = Step;
+
+    fn initial(&self) -> State {
+        let bucket = || Some(TokenBucket::starting(self.part(), 0));
+        State {
+            now_s: 0,
+            buckets: [bucket(), bucket(), None],
+            knows_new_list: [false; VMS],
+            list_since_s: None,
+            faults: 0,
+            ran: [0; WINDOW],
+            stock: 0,
+        }
+    }
+
+    fn steps(&self, state: &State, next: &mut Next) {
+        for vm in 0..VMS {
+            self.bucket_steps(state, vm, next);
+            let is_new = state.list_since_s.is_none();
+            let may_learn = !is_new || state.faults + NEW_LIST_FAULTS <= self.faults();
+            let learns = [REPLACED, REPLACING].contains(&vm) && !state.knows_new_list[vm];
+            if may_learn && learns {
+                next.push((Step::Learn(vm), self.learn(state, vm)));
+            }
+        }
+        if state.stock > 0 {
+            let mut after = state.clone();
+            after.ran[0] += std::mem::take(&mut after.stock);
+            next.push((Step::RunKept, after));
+        }
+        let all_learn = state.list_since_s.is_none_or(|since_s| {
+            let all_know = state.knows_new_list[REPLACED] && state.knows_new_list[REPLACING];
+            all_know || state.now_s < since_s + LIST_SPREADS_S
+        });
+        if state.now_s < self.end_s() && all_learn {
+            let mut after = state.clone();
+            after.now_s += 1;
+            after.ran.rotate_right(1);
+            after.ran[0] = 0;
+            next.push((Step::Second, after));
+        }
+    }
+
+    fn violation(&self, state: &State) -> Option<&'static str> {
+        let in_window: u32 = state.ran.iter().sum();
+        (in_window > MOST_IN_WINDOW).then_some("a window has more operations than the limit allows")
+    }
+
+    fn describe(&self, state: &State) -> String {
+        format!("at {} s, ran {:?}, kept {}", state.now_s, state.ran, state.stock)
+    }
+}
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -1,7 +1,7 @@
 //! Small stand-ins of the platform's object API and of target databases.
 //!
 //! They stand in at the interfaces of `docs/INTERFACES.md`, and are no simulator of a cluster:
-//! targets of one process replicate within it, and faults act on connections. `docs/decisions`
+//! targets of one process replicate within it, and faults act on connections. `docs/design`
 //! tells what is simplified.
 //!
 //! - [`target`]: a PostgreSQL server over an embedded engine, with terms, a log and replication.
