Count availability zones once for each list of VMs, and bound notes of empty allocators

Read in the diff: each operation and each grant grouped all VMs by zone anew, and notes of allocators without room stayed until they were asked about again. No decision changes.

--- a/crates/proxy/src/sessions/process/quota/mod.rs
+++ b/crates/proxy/src/sessions/process/quota/mod.rs
@@ -40,6 +40,9 @@
 /// in microseconds.
 const NOT_HERE_US: u64 = 50_000;
 
+/// How many notes of empty allocators are kept before those that are over are dropped.
+const MOST_EMPTY: usize = 4_096;
+
 /// How long after a change of the list of VMs a VM that became an allocator begins to earn tokens, in
 /// microseconds. Others may ask its predecessor until they have the list as well.
 const TAKE_OVER_US: u64 = 1_500_000;
@@ -70,6 +73,8 @@
 #[derive(Debug, Default)]
 struct State {
     vms: Vec<VmAddress>,
+    /// How many availability zones these are in.
+    zones: usize,
     /// From when buckets that are new earn tokens.
     earns_from_us: u64,
     allocators: FastMap<Arc<str>, Arc<Allocators>>,
@@ -81,6 +86,17 @@
     silent_until_us: FastMap<Arc<str>, u64>,
 }
 
+impl State {
+    /// Notes that an allocator has nothing for an organisation until then.
+    fn set_empty(&mut self, name: &Arc<str>, vm: &VmAddress, until_us: u64, now_us: u64) {
+        if self.empty_until_us.len() >= MOST_EMPTY {
+            self.empty_until_us.retain(|_, until_us| now_us < *until_us);
+        }
+        let key = (Arc::clone(name), Arc::clone(&vm.name));
+        self.empty_until_us.insert(key, until_us);
+    }
+}
+
 /// What came of asking one allocator.
 enum Asked {
     Granted,
@@ -116,6 +132,7 @@
         }
         let is_first = state.vms.is_empty();
         state.vms = vms.to_vec();
+        state.zones = allocators::zones_of(vms);
         let now_us = self.clock.now_us();
         // What a process allocates by the first list it allocates from its start.
         state.earns_from_us = if is_first { 0 } else { now_us + TAKE_OVER_US };
@@ -214,13 +231,11 @@
         match answer {
             Answer::Grant(grant) if grant.granted > 0 => Asked::Granted,
             Answer::Grant(Grant { retry_after_us, .. }) => {
-                let key = (Arc::clone(name), Arc::clone(&vm.name));
-                state.empty_until_us.insert(key, now_us + retry_after_us);
+                state.set_empty(name, vm, now_us + retry_after_us, now_us);
                 Asked::Empty { retry_after_us }
             }
             Answer::NotHere => {
-                let key = (Arc::clone(name), Arc::clone(&vm.name));
-                state.empty_until_us.insert(key, now_us + NOT_HERE_US);
+                state.set_empty(name, vm, now_us + NOT_HERE_US, now_us);
                 Asked::Empty { retry_after_us: NOT_HERE_US }
             }
             Answer::Nothing => {
@@ -249,8 +264,7 @@
 
     fn allocators_of(&self, name: &Arc<str>, limit: RateLimit) -> Arc<Allocators> {
         let mut state = self.state.lock();
-        let zones = allocators::zones_of(&state.vms);
-        let division = Division::of(limit, self.tolerance, zones);
+        let division = Division::of(limit, self.tolerance, state.zones);
         if let Some(known) = state.allocators.get(name).filter(|it| it.division == division) {
             return Arc::clone(known);
         }
