Look at ways without building lists of them, and set policies when they change

Now ways are visited in place, a policy is set when organisations come or go, and a pool has its policy and share from the start. No decision changes.

--- a/crates/proxy/src/sessions/process/isolation.rs
+++ b/crates/proxy/src/sessions/process/isolation.rs
@@ -96,7 +96,7 @@
         let target = Arc::clone(&outside[turn as usize % outside.len()]);
         let gateway = Arc::clone(&self.gateway);
         tokio::spawn(async move {
-            if target.via().is_some() {
+            if !target.is_own() {
                 // Reaching the target by itself would not serve callers, whose statements go another way.
                 let until_us = gateway.clock.now_us() + ASK_LIMIT.as_micros() as u64;
                 let _ = prove::standing_of(&gateway, &target, until_us).await;
--- a/crates/proxy/src/sessions/process/metrics_text.rs
+++ b/crates/proxy/src/sessions/process/metrics_text.rs
@@ -38,8 +38,7 @@
         let labels =
             format!("{{service=\"{}\",target=\"{}\"}}", target.record.service, target.record.id);
         line(&mut out, "target_usual_answer_us", &labels, health.usual_us);
-        let connections = target.ways().iter().map(|way| u64::from(way.pool.total())).sum();
-        line(&mut out, "target_connections", &labels, connections);
+        line(&mut out, "target_connections", &labels, u64::from(target.connections()));
     }
     out
 }
--- a/crates/proxy/src/sessions/process/targets.rs
+++ b/crates/proxy/src/sessions/process/targets.rs
@@ -2,11 +2,13 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 
 use arc_swap::ArcSwap;
 use parking_lot::Mutex;
+use skylark_core::process::connection_budget::BudgetPolicy;
 use skylark_core::process::homes;
 use skylark_core::process::jitter;
 use skylark_core::process::sharing::ClassShare;
@@ -102,21 +104,23 @@
 }
 
 impl PoolParts {
-    /// Connections to the target itself.
-    fn own_pool<C>(&self, record: &TargetRecord) -> Arc<Pool<StatementLink<C>>>
-    where
-        C: Codec,
-    {
-        self.pool(record.address, &record.name, false)
-    }
-
-    /// Connections to another VM that stand for connections to the target. That VM has to mean the same start of
-    /// the target; the target itself knows its name only.
-    fn pool_via<C>(&self, vm: &VmAddress, record: &TargetRecord) -> Arc<Pool<StatementLink<C>>>
+    /// Connections to the target itself, or to another VM that stands in its place. That VM has to mean the same
+    /// start of the target; the target itself knows its name only.
+    fn way<C>(
+        &self,
+        vm: Option<&VmAddress>,
+        record: &TargetRecord,
+        has_organisations: bool,
+    ) -> Way<C>
     where
         C: Codec,
     {
-        self.pool(vm.peer_address, &record.id, true)
+        let (address, id) = match vm {
+            Some(vm) => (vm.peer_address, &record.id),
+            None => (record.address, &record.name),
+        };
+        let pool = self.pool(address, id, vm.is_some(), has_organisations);
+        Way { via: vm.map(|vm| Arc::clone(&vm.name)), pool }
     }
 
     fn pool<C>(
@@ -124,6 +128,7 @@
         address: SocketAddr,
         target_id: &Arc<str>,
         to_proxy: bool,
+        has_organisations: bool,
     ) -> Arc<Pool<StatementLink<C>>>
     where
         C: Codec,
@@ -133,7 +138,7 @@
             address: address.to_string(),
             login: TargetLogin { target_id: Arc::clone(target_id), to_proxy, ..self.login.clone() },
             connect_ms: limits::CONNECT_MS,
-            budget: limits::CONNECTION_POLICY,
+            budget: policy(to_proxy, has_organisations),
             drain_ms: limits::DRAIN_MS,
             reset_always: false,
             jitter_seed: jitter::seed_of(vm) ^ jitter::seed_of(target),
@@ -157,6 +162,8 @@
     way: ArcSwap<Way<C>>,
     /// The ways that users are divided among, this one's included; empty if all go the same way.
     user_ways: ArcSwap<Vec<Arc<Way<C>>>>,
+    /// Whether connections serve one organisation each.
+    has_organisations: AtomicBool,
     parts: PoolParts,
     /// The queue in front of the connections.
     pub queue: Arc<AdmissionQueue>,
@@ -183,7 +190,7 @@
             to_proxy: false,
         };
         let parts = PoolParts { login, clock, counters: Arc::clone(counters) };
-        let way = Way { via: None, pool: parts.own_pool(record) };
+        let way = parts.way(None, record, false);
         let queue = AdmissionQueue::new(QueueLimits::default(), &class_shares(), clock);
         let health = Health {
             usual_us: INITIAL_ANSWER_US,
@@ -203,6 +210,7 @@
             rest_from_us: AtomicU64::new(0),
             way: ArcSwap::from_pointee(way),
             user_ways: ArcSwap::default(),
+            has_organisations: AtomicBool::new(false),
             parts,
             queue: Arc::new(queue),
             health: Mutex::new(health),
@@ -263,23 +271,34 @@
     }
 
     fn new_way(&self, vm: Option<&VmAddress>) -> Arc<Way<C>> {
-        let pool = match vm {
-            Some(vm) => self.parts.pool_via(vm, &self.record),
-            None => self.parts.own_pool(&self.record),
-        };
-        Arc::new(Way { via: vm.map(|vm| Arc::clone(&vm.name)), pool })
+        let has_organisations = self.has_organisations.load(Ordering::Relaxed);
+        let way = self.parts.way(vm, &self.record, has_organisations);
+        if vm.is_some() {
+            way.pool.set_share(limits::PEER_CONNECTIONS + 1);
+        }
+        Arc::new(way)
+    }
+
+    /// Does something with each way that is in use.
+    pub fn for_each_way<F>(&self, mut act: F)
+    where
+        F: FnMut(&Way<C>),
+    {
+        let (own, users) = (self.way.load(), self.user_ways.load());
+        act(&own);
+        users.iter().filter(|way| !Arc::ptr_eq(way, &own)).for_each(|way| act(way));
     }
 
-    /// All ways that are in use.
-    pub fn ways(&self) -> Vec<Arc<Way<C>>> {
-        let (own, users) = (self.way(), self.user_ways.load());
-        let others = users.iter().filter(|way| !Arc::ptr_eq(way, &own)).cloned();
-        others.chain([Arc::clone(&own)]).collect()
+    /// How many connections are open or being opened, on all ways.
+    pub fn connections(&self) -> u32 {
+        let mut total = 0;
+        self.for_each_way(|way| total += way.pool.total());
+        total
     }
 
     /// Closes all connections as they become idle.
     pub fn close(&self) {
-        self.ways().iter().for_each(|way| way.close());
+        self.for_each_way(Way::close);
     }
 
     /// The VM that statements go through; none if this process has connections of its own.
@@ -296,7 +315,9 @@
     /// has no connections, and nothing came of it that did not work.
     pub fn rests(&self) -> bool {
         let is_at_rest = |way: &Arc<Way<C>>| way.via.is_some() && way.pool.rests();
-        self.ways().iter().all(is_at_rest) && self.health.lock().way_failed_since_us.is_none()
+        is_at_rest(&self.way.load())
+            && self.user_ways.load().iter().all(is_at_rest)
+            && self.health.lock().way_failed_since_us.is_none()
     }
 
     /// Goes through another VM from now on, or straight. The connections of the old way are closed
@@ -317,24 +338,17 @@
 
     /// Lets the pools of all ways open and close connections.
     pub fn maintain(&self) {
-        self.ways().iter().for_each(|way| way.pool.maintain());
-    }
-
-    /// Sets how connections are kept and opened, by whether they serve one organisation each.
-    pub fn set_policy(&self, has_organisations: bool) {
-        for way in self.ways() {
-            let (share, policy) = match (&way.via, has_organisations) {
-                (Some(_), true) => {
-                    (Some(limits::PEER_CONNECTIONS), limits::ORGANISATIONS_PEER_POLICY)
-                }
-                (None, true) => (None, limits::ORGANISATIONS_POLICY),
-                (_, false) => (None, limits::CONNECTION_POLICY),
-            };
-            way.pool.set_policy(policy);
-            if let Some(share) = share {
-                way.pool.set_share(share + 1);
-            }
+        self.for_each_way(|way| way.pool.maintain());
+    }
+
+    /// Sets whether connections serve one organisation each, which they are kept and opened by.
+    pub fn set_has_organisations(&self, has_organisations: bool) {
+        if self.has_organisations.swap(has_organisations, Ordering::Relaxed) == has_organisations {
+            return;
         }
+        self.for_each_way(|way| {
+            way.pool.set_policy(policy(way.via.is_some(), has_organisations));
+        });
     }
 
     /// Sets this process's part of the connections, and whether an organisation may fill the queue in front of them.
@@ -434,7 +448,7 @@
             Some(TargetError::Unreachable) => self.failed(now_us),
             // The proxy may say so by itself: a VM of a zone that was cut off took that for a sign of the other
             // zones.
-            Some(TargetError::Busy) if self.via().is_some() => {
+            Some(TargetError::Busy) if !self.is_own() => {
                 self.health.lock().way_failed_since_us = None;
             }
             _ => self.answered(now_us, took_us),
@@ -490,6 +504,15 @@
     }
 }
 
+/// How connections to a target, or to another proxy, are kept and opened.
+fn policy(to_proxy: bool, has_organisations: bool) -> BudgetPolicy {
+    match (to_proxy, has_organisations) {
+        (true, true) => limits::ORGANISATIONS_PEER_POLICY,
+        (false, true) => limits::ORGANISATIONS_POLICY,
+        (_, false) => limits::CONNECTION_POLICY,
+    }
+}
+
 /// The classes of requests by precedence.
 fn class_shares() -> [ClassShare; CLASSES] {
     std::array::from_fn(|class| ClassShare {
--- a/crates/proxy/src/sessions/process/ways.rs
+++ b/crates/proxy/src/sessions/process/ways.rs
@@ -155,7 +155,7 @@
         C: Codec,
     {
         self.lead_all(target, demand, is_primary, now_us);
-        target.set_policy(demand.organisations > 0);
+        target.set_has_organisations(demand.organisations > 0);
     }
 
     fn lead_all<C>(&self, target: &TargetState<C>, demand: Demand, is_primary: bool, now_us: u64)
@@ -309,14 +309,14 @@
         C: Codec,
     {
         let mut failed_us = self.failed_us.lock();
-        for way in target.ways() {
+        target.for_each_way(|way| {
             if let Some(via) = &way.via
                 && way.pool.is_failing()
                 && failed_us.insert(Arc::clone(via), now_us).is_none()
             {
                 self.has_news.store(true, Ordering::Relaxed);
             }
-        }
+        });
         failed_us.retain(|_, failed_us| now_us < *failed_us + limits::HOME_AVOIDED_US);
     }
 
--- a/crates/proxy/src/sessions/request/sample.rs
+++ b/crates/proxy/src/sessions/request/sample.rs
@@ -41,9 +41,9 @@
             return None;
         }
     };
-    match target.via() {
-        None => by_transaction(gateway, &target, lease).await,
-        Some(_) => from_home(gateway, &target, lease, max_age_us).await,
+    match target.is_own() {
+        true => by_transaction(gateway, &target, lease).await,
+        false => from_home(gateway, &target, lease, max_age_us).await,
     }
 }
 
