Serve twins by one piece of code, and compute once what was computed twice

Read in the diff. Written and removed entries of a version were worked out for routes and again for organisations (version/map_changes.rs); both plans of a budget ended alike; which connections gave way was derived again in the pool, and wrongly while a target had refused some (the counter only); each publication copied all organisations to compare keys, also when the configuration was the same; a call's values were passed one by one to count it; taking a connection had a wrapper for one caller.

--- a/crates/core/src/process/connection_budget.rs
+++ b/crates/core/src/process/connection_budget.rs
@@ -70,6 +70,8 @@
     pub open: u32,
     /// How many idle connections to close. They count as closed from now on.
     pub close: u32,
+    /// How many of these give way to connections of other users.
+    pub replaced: u32,
     /// When to ask again even if nothing happens.
     pub ask_again_us: Option<u64>,
 }
@@ -183,11 +185,10 @@
         let close = total.saturating_sub(wanted).min(self.idle);
         self.idle -= close;
         let missing = wanted.saturating_sub(total);
-        let open = if now_us < self.not_before_us { 0 } else { missing.min(self.allowed_tries()) };
-        self.opening += open;
-        self.tries += u64::from(open);
-        self.tokens_milli -= u64::from(open) * TRY_COST_MILLI;
-        BudgetPlan { open, close, ask_again_us: self.ask_again_us(missing - open, now_us) }
+        let open = self.allowed_now(missing, now_us);
+        self.began_tries(open);
+        let ask_again_us = self.ask_again_us(missing - open, now_us);
+        BudgetPlan { open, close, replaced: 0, ask_again_us }
     }
 
     /// Decides what to open and close at `now_us` where idle connections are kept for their users, and
@@ -198,17 +199,14 @@
         let limit = self.within_overshoot(desired, now_us);
         let beyond = self.total().saturating_sub(limit).min(self.idle);
         self.idle -= beyond;
-        let allowed =
-            if now_us < self.not_before_us { 0 } else { missing.min(self.allowed_tries()) };
+        let allowed = self.allowed_now(missing, now_us);
         let added = allowed.min(limit.saturating_sub(self.total()));
         let replaced = (allowed - added).min(self.idle);
         self.idle -= replaced;
         let open = added + replaced;
-        self.opening += open;
-        self.tries += u64::from(open);
-        self.tokens_milli -= u64::from(open) * TRY_COST_MILLI;
+        self.began_tries(open);
         let ask_again_us = self.ask_again_us(missing - open, now_us);
-        BudgetPlan { open, close: beyond + replaced, ask_again_us }
+        BudgetPlan { open, close: beyond + replaced, replaced, ask_again_us }
     }
 
     /// Changes how connections are kept and tries are spaced.
@@ -222,11 +220,6 @@
         self.idle + self.used + self.opening
     }
 
-    /// How many there may be.
-    pub fn share(&self) -> u32 {
-        self.share
-    }
-
     /// Connections that wait for a request.
     pub fn idle(&self) -> u32 {
         self.idle
@@ -297,6 +290,17 @@
         self.not_before_us = now_us + jitter::upper_half_us(self.seed, self.tries, delay_us).max(1);
     }
 
+    /// How many of the tries that are wanted may begin now.
+    fn allowed_now(&self, wanted: u32, now_us: u64) -> u32 {
+        if now_us < self.not_before_us { 0 } else { wanted.min(self.allowed_tries()) }
+    }
+
+    fn began_tries(&mut self, tries: u32) {
+        self.opening += tries;
+        self.tries += u64::from(tries);
+        self.tokens_milli -= u64::from(tries) * TRY_COST_MILLI;
+    }
+
     /// After a failure one try at a time finds out whether the target is back.
     fn allowed_tries(&self) -> u32 {
         let tokens = (self.tokens_milli / TRY_COST_MILLI) as u32;
--- a/crates/core/src/version/mod.rs
+++ b/crates/core/src/version/mod.rs
@@ -1,5 +1,6 @@
 //! What lives as long as one version of the configuration.
 
+pub mod map_changes;
 pub mod objects;
 pub mod organisations;
 pub mod plan;
--- a/crates/core/src/version/organisations.rs
+++ b/crates/core/src/version/organisations.rs
@@ -13,6 +13,8 @@
 use sha2::Sha256;
 
 use crate::FastMap;
+use crate::version::map_changes;
+use crate::version::map_changes::ByName;
 
 /// The SHA-256 digest of an API key.
 #[derive(Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
@@ -90,16 +92,21 @@
 #[derive(Clone, PartialEq, Eq, Debug, Default, Serialize, Deserialize)]
 #[serde(from = "Vec<Arc<Organisation>>", into = "Vec<Arc<Organisation>>")]
 pub struct Organisations {
-    by_name: FastMap<Arc<str>, Arc<Organisation>>,
+    by_name: ByName<Organisation>,
     by_key: FastMap<KeyDigest, Arc<Organisation>>,
 }
 
 impl From<Vec<Arc<Organisation>>> for Organisations {
-    /// Of two with the same name the later one counts. A key that two organisations list belongs to the one whose
-    /// name sorts first, on every VM.
+    /// Of two with the same name the later one counts.
     fn from(all: Vec<Arc<Organisation>>) -> Organisations {
-        let by_name: FastMap<Arc<str>, Arc<Organisation>> =
-            all.into_iter().map(|it| (Arc::clone(&it.name), it)).collect();
+        let by_name = all.into_iter().map(|it| (Arc::clone(&it.name), it));
+        by_name.collect::<ByName<Organisation>>().into()
+    }
+}
+
+impl From<ByName<Organisation>> for Organisations {
+    /// A key that two organisations list belongs to the one whose name sorts first, on every VM.
+    fn from(by_name: ByName<Organisation>) -> Organisations {
         let mut sorted: Vec<&Arc<Organisation>> = by_name.values().collect();
         sorted.sort_by(|a, b| a.name.cmp(&b.name));
         let mut by_key = FastMap::default();
@@ -149,25 +156,16 @@
 
     /// What turns this version into `next`.
     pub fn changes_to(&self, next: &Organisations) -> OrganisationChanges {
-        let is_new =
-            |it: &&Arc<Organisation>| self.by_name.get(&it.name).is_none_or(|known| known != *it);
-        let is_gone = |name: &&Arc<str>| !next.by_name.contains_key(*name);
         OrganisationChanges {
-            written: next.by_name.values().filter(is_new).cloned().collect(),
-            removed: self.by_name.keys().filter(is_gone).cloned().collect(),
+            written: map_changes::written(&self.by_name, &next.by_name),
+            removed: map_changes::removed(&self.by_name, &next.by_name),
         }
     }
 
     /// The version that follows from these changes.
     pub fn with(&self, changes: &OrganisationChanges) -> Organisations {
-        let mut by_name = self.by_name.clone();
-        for name in &changes.removed {
-            by_name.remove(name);
-        }
-        for organisation in &changes.written {
-            by_name.insert(Arc::clone(&organisation.name), Arc::clone(organisation));
-        }
-        by_name.into_values().collect::<Vec<_>>().into()
+        let OrganisationChanges { written, removed } = changes;
+        map_changes::applied(&self.by_name, written, removed, |it| &it.name).into()
     }
 }
 
--- a/crates/core/src/version/route_changes.rs
+++ b/crates/core/src/version/route_changes.rs
@@ -11,6 +11,7 @@
 use serde::Serialize;
 
 use crate::FastMap;
+use crate::version::map_changes;
 use crate::version::organisations;
 use crate::version::organisations::OrganisationChanges;
 use crate::version::organisations::Organisations;
@@ -45,13 +46,11 @@
 impl RouteChanges {
     /// The changes that lead from `base` to `next`.
     pub fn between(base: &RouteTable, next: &RouteTable) -> RouteChanges {
-        let is_new = |route: &&Arc<Route>| base.routes.get(&route.database) != Some(*route);
-        let is_gone = |database: &&Arc<str>| !next.routes.contains_key(*database);
         RouteChanges {
             base_version: base.version,
             version: next.version,
-            written: next.routes.values().filter(is_new).cloned().collect(),
-            removed: base.routes.keys().filter(is_gone).cloned().collect(),
+            written: map_changes::written(&base.routes, &next.routes),
+            removed: map_changes::removed(&base.routes, &next.routes),
             services: next.services.clone(),
             transaction_idle_ms: next.transaction_idle_ms,
             organisations: next.organisations.as_ref().map(|next| {
@@ -65,13 +64,9 @@
         if base.version != self.base_version {
             return None;
         }
-        let mut routes = base.routes.clone();
-        for database in &self.removed {
-            routes.remove(database);
-        }
-        for route in &self.written {
-            routes.insert(Arc::clone(&route.database), Arc::clone(route));
-        }
+        let routes = map_changes::applied(&base.routes, &self.written, &self.removed, |route| {
+            &route.database
+        });
         Some(RouteTable {
             version: self.version,
             routes,
--- a/crates/proxy/src/connection/pool.rs
+++ b/crates/proxy/src/connection/pool.rs
@@ -17,7 +17,6 @@
 
 use parking_lot::Mutex;
 use parking_lot::MutexGuard;
-use skylark_core::process::connection_budget::BudgetPlan;
 use skylark_core::process::connection_budget::BudgetPolicy;
 use skylark_core::process::connection_budget::ConnectFailure;
 use skylark_core::process::connection_budget::ConnectionBudget;
@@ -98,7 +97,7 @@
     /// Connections to close.
     closed: Vec<L>,
     /// How many of them give way to another user's.
-    replaced: usize,
+    replaced: u32,
 }
 
 impl<L> State<L>
@@ -106,22 +105,22 @@
     L: Link,
 {
     fn plan(&mut self, now_us: u64) -> Upkeep<L> {
-        self.budget.set_waiting(self.waiting.len() as u32);
-        if !self.has_users {
-            let BudgetPlan { open, close, .. } = self.budget.plan(now_us);
-            let closed = self.idle.drain(..close as usize).collect();
-            let open = vec![None; open as usize];
-            self.opening.extend_from_slice(&open);
-            return Upkeep { open, closed, replaced: 0 };
-        }
-        let mut missing = self.missing_users();
-        let beyond = self.budget.total().saturating_sub(self.budget.share()) as usize;
-        let plan = self.budget.plan_for_users(missing.len() as u32, now_us);
-        missing.truncate(plan.open as usize);
-        self.opening.extend_from_slice(&missing);
-        let closed: Vec<L> = self.idle.drain(..plan.close as usize).collect();
-        let replaced = closed.len().saturating_sub(beyond);
-        Upkeep { open: missing, closed, replaced }
+        let (plan, open) = match self.has_users {
+            true => {
+                let mut missing = self.missing_users();
+                let plan = self.budget.plan_for_users(missing.len() as u32, now_us);
+                missing.truncate(plan.open as usize);
+                (plan, missing)
+            }
+            false => {
+                self.budget.set_waiting(self.waiting.len() as u32);
+                let plan = self.budget.plan(now_us);
+                (plan, vec![None; plan.open as usize])
+            }
+        };
+        self.opening.extend_from_slice(&open);
+        let closed = self.idle.drain(..plan.close as usize).collect();
+        Upkeep { open, closed, replaced: plan.replaced }
     }
 
     /// The users who wait without a connection being opened for them, in the order of their arrival.
--- a/crates/proxy/src/sessions/connection/peer.rs
+++ b/crates/proxy/src/sessions/connection/peer.rs
@@ -305,8 +305,8 @@
         let gateway = Arc::clone(&self.gateway);
         let (route, now_us) = (Arc::clone(&self.route), gateway.clock.now_us());
         // A proxy that names nobody must not have its statements run on an organisation's connection.
-        let nobody = gateway.has_organisations().then(|| Arc::clone(&gateway.vm));
-        let user = self.user.clone().or(nobody);
+        let nobody = || gateway.has_organisations().then(|| Arc::clone(&gateway.vm));
+        let user = self.user.clone().or_else(nobody);
         let call = Call {
             gateway: &gateway,
             id: id.unwrap_or("-"),
@@ -321,9 +321,12 @@
                 held.statement_started();
                 held
             }
-            None => acquire::take_own(&call, &self.target, call.offer_until_us())
-                .await
-                .map_err(|not_taken| self.refused(&not_taken))?,
+            // Whosever the statement is: what was sent on goes no further.
+            None => {
+                acquire::take_on(&call, &self.target, &self.target.way(), call.offer_until_us())
+                    .await
+                    .map_err(|not_taken| self.refused(&not_taken))?
+            }
         };
         let is_durable = match self.status {
             TransactionStatus::Idle => work.writes(),
--- a/crates/proxy/src/sessions/process/gateway.rs
+++ b/crates/proxy/src/sessions/process/gateway.rs
@@ -254,13 +254,9 @@
     pub fn services_to_sample(&self) -> Vec<Arc<str>> {
         let now_us = self.clock.now_us();
         let is_due = |name: &Arc<str>, state: &ServiceState| {
-            let mut demand = state.demand.lock();
-            if !demand.is_needed(now_us) {
-                return false;
-            }
             let newest_us = state.positions.lock().newest().map(|newest| newest.taken_us);
             let tells_others = self.primary(name).is_some_and(|primary| primary.is_own());
-            demand.brings(tells_others, newest_us, now_us)
+            state.demand.lock().brings(tells_others, newest_us, now_us)
         };
         let services: Vec<(Arc<str>, Arc<ServiceState>)> = {
             let services = self.services.read();
@@ -352,13 +348,20 @@
     }
 }
 
-/// Whether a key of one version is another organisation's or nobody's in the next.
+/// Whether a key of one version is another organisation's or nobody's in the next. Most publications bring other
+/// targets and the configuration of before.
 fn withdraws_keys(before: &View, now: &View) -> bool {
-    let organisations = |view: &View| view.routes.as_ref()?.organisations.clone();
-    match (organisations(before), organisations(now)) {
-        (Some(before), Some(now)) => before.keys_differ_in(&now),
-        (None, Some(_)) => true,
-        (_, None) => false,
+    let Some(now) = &now.routes else { return false };
+    match &before.routes {
+        Some(before) if Arc::ptr_eq(before, now) => false,
+        before => {
+            let before = before.as_ref().and_then(|routes| routes.organisations.as_ref());
+            match (before, &now.organisations) {
+                (Some(before), Some(now)) => before.keys_differ_in(now),
+                (None, Some(_)) => true,
+                (_, None) => false,
+            }
+        }
     }
 }
 
--- a/crates/proxy/src/sessions/process/quota/mod.rs
+++ b/crates/proxy/src/sessions/process/quota/mod.rs
@@ -178,7 +178,7 @@
         let allocators = self.allocators_of(name, limit);
         let mut soonest_us = None;
         for vm in &allocators.in_turn {
-            match self.ask(name, limit, vm, &allocators).await {
+            match self.ask(name, limit, vm).await {
                 Asked::Granted => return Asked::Granted,
                 Asked::Empty { retry_after_us } => {
                     soonest_us = soonest_us.into_iter().chain([retry_after_us]).min();
@@ -207,14 +207,8 @@
         Some(bucket.take(wanted, now_us))
     }
 
-    async fn ask(
-        &self,
-        name: &Arc<str>,
-        limit: RateLimit,
-        vm: &VmAddress,
-        allocators: &Allocators,
-    ) -> Asked {
-        if allocators.includes_own && vm.name == self.own {
+    async fn ask(&self, name: &Arc<str>, limit: RateLimit, vm: &VmAddress) -> Asked {
+        if vm.name == self.own {
             let Some(grant) = self.grant(name, limit, 1) else { return Asked::Silent };
             if grant.granted == 0 {
                 return Asked::Empty { retry_after_us: grant.retry_after_us };
--- a/crates/proxy/src/sessions/request/acquire.rs
+++ b/crates/proxy/src/sessions/request/acquire.rs
@@ -40,19 +40,8 @@
     take_on(call, target, &target.way_for(call.user), until_us).await
 }
 
-/// The same on the way that this VM takes itself, whosever the statement is.
-pub async fn take_own<C>(
-    call: &Call<'_, C>,
-    target: &Arc<TargetState<C>>,
-    until_us: u64,
-) -> Result<Lease<StatementLink<C>>, NotTaken>
-where
-    C: Codec,
-{
-    take_on(call, target, &target.way(), until_us).await
-}
-
-async fn take_on<C>(
+/// The same on one of the ways to the target.
+pub async fn take_on<C>(
     call: &Call<'_, C>,
     target: &Arc<TargetState<C>>,
     way: &Way<C>,
--- a/crates/proxy/src/sessions/request/call.rs
+++ b/crates/proxy/src/sessions/request/call.rs
@@ -111,7 +111,8 @@
 
     /// Until when it has to be offered to a target.
     pub fn offer_until_us(&self) -> u64 {
-        offer_until_us(self.route, self.began_us)
+        let part_us = self.route.objective_ms * 1_000 / limits::OFFER_DIVISOR;
+        self.began_us + part_us.max(limits::LEAST_OFFER_US)
     }
 
     /// Until when a further target has to be offered it: there is a little time for each.
@@ -171,12 +172,6 @@
     }
 }
 
-/// Until when a statement that arrived at `began_us` has to be offered to a target.
-pub fn offer_until_us(route: &Route, began_us: u64) -> u64 {
-    let part_us = route.objective_ms * 1_000 / limits::OFFER_DIVISOR;
-    began_us + part_us.max(limits::LEAST_OFFER_US)
-}
-
 /// A refusal for want of a usable primary.
 pub fn no_primary() -> Refusal {
     Refusal::from(ErrorKind::NoPrimary)
--- a/crates/proxy/src/sessions/request/execute.rs
+++ b/crates/proxy/src/sessions/request/execute.rs
@@ -18,7 +18,6 @@
 use crate::sessions::process::gateway::Gateway;
 use crate::sessions::process::latencies::Stage;
 use crate::sessions::request::at_primary;
-use crate::sessions::request::call;
 use crate::sessions::request::call::Call;
 use crate::sessions::request::call::Work;
 use crate::sessions::request::read;
@@ -169,14 +168,6 @@
                     return Err(refusal);
                 }
             };
-            if !open.is_counted {
-                let until_us = call::offer_until_us(&route, arrived_us);
-                if let Err(refusal) = count(gateway, id, &holder, until_us).await {
-                    session.state = transaction::after_refusal(&work);
-                    return Err(refusal);
-                }
-                open.is_counted = true;
-            }
             let call = Call {
                 gateway,
                 id,
@@ -186,6 +177,13 @@
                 arrived_us: open.began_us,
                 began_us: arrived_us,
             };
+            if !open.is_counted {
+                if let Err(refusal) = count(&call, &holder).await {
+                    session.state = transaction::after_refusal(&work);
+                    return Err(refusal);
+                }
+                open.is_counted = true;
+            }
             let result = transaction::run(&call, session, open, &work).await;
             finish(&call, result)
         }
@@ -195,7 +193,6 @@
             }
             let route = route(gateway, session)?;
             let holder = gateway.holder(session.key, Some(&route))?;
-            count(gateway, id, &holder, call::offer_until_us(&route, arrived_us)).await?;
             let call = Call {
                 gateway,
                 id,
@@ -205,6 +202,7 @@
                 arrived_us,
                 began_us: arrived_us,
             };
+            count(&call, &holder).await?;
             let result = match (work.effect(), route.reads) {
                 (Effect::Read, ReadRule::Primary) => at_primary::read(&call, session, &work).await,
                 (Effect::Read, _) => read::run(&call, session, &work).await,
@@ -238,22 +236,18 @@
 }
 
 /// Counts an operation towards the limit of its organisation.
-async fn count<C>(
-    gateway: &Gateway<C>,
-    id: &str,
-    holder: &Holder,
-    until_us: u64,
-) -> Result<(), Refusal>
+async fn count<C>(call: &Call<'_, C>, holder: &Holder) -> Result<(), Refusal>
 where
     C: Codec,
 {
     let Holder::Organisation(organisation) = holder else { return Ok(()) };
-    let counted = gateway.quotas.admit(organisation, until_us).await;
+    let gateway = call.gateway;
+    let counted = gateway.quotas.admit(organisation, call.offer_until_us()).await;
     if let Err(refusal) = &counted {
         let name = refusal.kind.answer().name;
-        if let Some(left_out) = gateway.log_budget.take(name, gateway.clock.now_us()) {
+        if let Some(left_out) = gateway.log_budget.take(name, call.now_us()) {
             slog::info!(gateway.log, "refused";
-                "request" => id,
+                "request" => call.id,
                 "kind" => name,
                 "organisation" => &*organisation.name,
                 "limit" => ?organisation.limit,
