Show use against limit by organisation, and check the scraped metrics' table

Operators could not see how much of its limit an organisation uses. The page's table of scraped metrics is compared with the code by a test.

Also: one bound in place of two on the pause of claims, and the primary is chosen from the targets of its service, without looking each of them up twice.

--- a/crates/ctl/tests/pages.rs
+++ b/crates/ctl/tests/pages.rs
@@ -6,6 +6,7 @@
 use skylark_core::request::error_kind::ErrorKind;
 use skylark_ctl::exit::Exit;
 use skylark_proxy::process::counters::Counters;
+use skylark_proxy::sessions::process::metrics_text::Metric;
 
 fn page(name: &str) -> String {
     let path = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../docs/operators").join(name);
@@ -69,3 +70,12 @@
     assert_eq!(named, expected);
     assert!(rows.iter().all(|row| row.len() == 2 && !row[1].is_empty()));
 }
+
+#[test]
+fn scraped_metrics() {
+    let rows = rows(&page("refusals-and-metrics.md"), "<!-- metrics -->");
+    let named: Vec<String> = rows.iter().map(|row| row[0].clone()).collect();
+    let expected = Metric::ALL.map(|metric| format!("`{}`", metric.name()));
+    assert_eq!(named, expected);
+    assert!(rows.iter().all(|row| row.len() == 3 && !row[2].is_empty()));
+}
--- a/crates/proxy/src/sessions/process/claims.rs
+++ b/crates/proxy/src/sessions/process/claims.rs
@@ -19,10 +19,10 @@
 /// The pause after a claim that was not written.
 const CONFLICT_PAUSE: Duration = Duration::from_millis(15);
 
-/// The first and the longest pause after a claim that could not be read. All homes of all services in
-/// trouble ask at the same time, and a store that is slow under that must not be asked as often.
+/// The first pause after a claim that could not be read, in microseconds. It doubles with each failure: all
+/// homes of all services in trouble ask at the same time, and a store that is slow under that must not be
+/// asked as often.
 const FIRST_RETRY_PAUSE_US: u64 = 120_000;
-const LAST_RETRY_PAUSE_US: u64 = 960_000;
 
 /// How often a pause is doubled at most.
 const MAX_DOUBLINGS: u32 = 3;
@@ -118,8 +118,7 @@
     /// The pause after a claim that could not be read, and this many before it.
     fn retry_pause(&self, failures: u32) -> Duration {
         let seed = jitter::seed_of(&self.gateway.vm);
-        let doubled_us = FIRST_RETRY_PAUSE_US << failures.min(MAX_DOUBLINGS);
-        let pause_us = doubled_us.min(LAST_RETRY_PAUSE_US);
+        let pause_us = FIRST_RETRY_PAUSE_US << failures.min(MAX_DOUBLINGS);
         Duration::from_micros(jitter::upper_half_us(seed, u64::from(failures), pause_us))
     }
 
--- a/crates/proxy/src/sessions/process/gateway.rs
+++ b/crates/proxy/src/sessions/process/gateway.rs
@@ -270,14 +270,14 @@
     /// The target to ask as the primary of a service.
     pub fn primary(&self, service: &Arc<str>) -> Option<Arc<TargetState<C>>> {
         let state = self.service(service);
-        let view = self.view.load();
+        let targets = self.targets.load();
         let now_us = self.clock.now_us();
-        let may_ask = |id: &&Arc<str>| self.target(id).is_some_and(|t| !t.must_rest(now_us));
-        let members = view.members(service).iter();
-        let ids: Vec<&Arc<str>> = members.map(|member| &member.record.id).filter(may_ask).collect();
-        let leaving = |id: &str| self.target(id).is_none_or(|target| target.is_leaving());
+        let may_ask = |member: &&Arc<TargetState<C>>| !member.must_rest(now_us);
+        let members = targets.members(service).iter().filter(may_ask);
+        let ids: Vec<&Arc<str>> = members.map(|member| &member.record.id).collect();
+        let leaving = |id: &str| targets.get(id).is_none_or(|target| target.is_leaving());
         let id = state.leader.lock().ask(&ids, leaving, now_us)?;
-        self.target(&id)
+        targets.get(&id).cloned()
     }
 
     /// Whether a target is the one believed to lead.
--- a/crates/proxy/src/sessions/process/latencies.rs
+++ b/crates/proxy/src/sessions/process/latencies.rs
@@ -1,10 +1,10 @@
 //! How long statements take, by class and stage.
 
-use std::fmt::Write;
-
 use hdrhistogram::Histogram;
 use parking_lot::Mutex;
 
+use crate::sessions::process::metrics_text;
+use crate::sessions::process::metrics_text::Metric;
 use crate::sessions::process::targets::CLASSES;
 
 /// The longest time that is told apart, in microseconds: beyond every time limit of the users.
@@ -69,12 +69,14 @@
 
 fn render(histogram: &Histogram<u32>, stage: &str, class: usize, out: &mut String) {
     let labels = format!("stage=\"{stage}\",class=\"{class}\"");
-    // Writing to a string does not fail.
+    let bucket = |out: &mut String, bound: &str, count: u64| {
+        let labels = format!("{{{labels},le=\"{bound}\"}}");
+        metrics_text::line(out, Metric::StatementTimes.name(), &labels, count);
+    };
     for bound_ms in BOUNDS_MS {
-        let count = histogram.count_between(0, bound_ms * 1_000);
-        let _ = writeln!(out, "skylark_statement_ms_bucket{{{labels},le=\"{bound_ms}\"}} {count}");
+        bucket(out, &bound_ms.to_string(), histogram.count_between(0, bound_ms * 1_000));
     }
     let count = histogram.len();
-    let _ = writeln!(out, "skylark_statement_ms_bucket{{{labels},le=\"+Inf\"}} {count}");
-    let _ = writeln!(out, "skylark_statement_ms_count{{{labels}}} {count}");
+    bucket(out, "+Inf", count);
+    metrics_text::line(out, Metric::StatementCount.name(), &format!("{{{labels}}}"), count);
 }
--- a/crates/proxy/src/sessions/process/metrics_text.rs
+++ b/crates/proxy/src/sessions/process/metrics_text.rs
@@ -6,6 +6,78 @@
 use crate::sessions::codec::Codec;
 use crate::sessions::process::gateway::Gateway;
 
+/// What begins the name of each metric.
+const PREFIX: &str = "skylark_";
+
+/// What is shown beside the counters.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub enum Metric {
+    /// The version of the configuration in force.
+    ConfigurationVersion,
+    /// Sessions of callers that are open.
+    Sessions,
+    /// Whether the balancer is told that this VM takes callers.
+    Ready,
+    /// VMs that this one tells what the platform says.
+    FeedSubscribers,
+    /// Whether another VM tells this one.
+    FeedTold,
+    /// Age of the newest known position of a service's primary, in milliseconds.
+    PrimaryPositionAge,
+    /// Statements that took up to a bound in milliseconds, by stage and class.
+    StatementTimes,
+    /// Statements of a stage and class.
+    StatementCount,
+    /// Average time of a target's answers, in microseconds.
+    TargetUsualAnswer,
+    /// Connections to a target, or to the VMs that lead to it.
+    TargetConnections,
+    /// An organisation's limit over all VMs, in thousandths of an operation a second.
+    OrganisationLimit,
+    /// Operations of an organisation's limit that this VM granted.
+    OrganisationGranted,
+    /// Operations of an organisation that this VM did not grant.
+    OrganisationTurnedAway,
+}
+
+impl Metric {
+    /// Every metric, in the order of their lines.
+    pub const ALL: [Metric; 13] = [
+        Metric::ConfigurationVersion,
+        Metric::Sessions,
+        Metric::Ready,
+        Metric::FeedSubscribers,
+        Metric::FeedTold,
+        Metric::PrimaryPositionAge,
+        Metric::StatementTimes,
+        Metric::StatementCount,
+        Metric::TargetUsualAnswer,
+        Metric::TargetConnections,
+        Metric::OrganisationLimit,
+        Metric::OrganisationGranted,
+        Metric::OrganisationTurnedAway,
+    ];
+
+    /// Its name, without labels.
+    pub fn name(self) -> &'static str {
+        match self {
+            Metric::ConfigurationVersion => "skylark_configuration_version",
+            Metric::Sessions => "skylark_sessions",
+            Metric::Ready => "skylark_ready",
+            Metric::FeedSubscribers => "skylark_feed_subscribers",
+            Metric::FeedTold => "skylark_feed_told",
+            Metric::PrimaryPositionAge => "skylark_primary_position_age_ms",
+            Metric::StatementTimes => "skylark_statement_ms_bucket",
+            Metric::StatementCount => "skylark_statement_ms_count",
+            Metric::TargetUsualAnswer => "skylark_target_usual_answer_us",
+            Metric::TargetConnections => "skylark_target_connections",
+            Metric::OrganisationLimit => "skylark_organisation_limit_milli_per_s",
+            Metric::OrganisationGranted => "skylark_organisation_granted",
+            Metric::OrganisationTurnedAway => "skylark_organisation_turned_away",
+        }
+    }
+}
+
 /// All counters and gauges, a line each.
 pub fn render<C>(gateway: &Gateway<C>) -> String
 where
@@ -13,37 +85,68 @@
 {
     let mut out = String::new();
     for (name, value) in gateway.counters.snapshot() {
-        line(&mut out, &name.replace('.', "_"), "", value);
+        line(&mut out, &format!("{PREFIX}{}", name.replace('.', "_")), "", value);
     }
+    render_process(gateway, &mut out);
+    gateway.latencies.render(&mut out);
+    render_targets(gateway, &mut out);
+    render_organisations(gateway, &mut out);
+    out
+}
+
+fn render_process<C>(gateway: &Gateway<C>, out: &mut String)
+where
+    C: Codec,
+{
     let view = gateway.view();
     let version = view.routes.as_ref().map_or(0, |routes| routes.version);
-    line(&mut out, "configuration_version", "", version);
-    line(&mut out, "sessions", "", u64::from(gateway.sessions.load(Ordering::Relaxed)));
-    line(&mut out, "ready", "", u64::from(gateway.is_ready()));
-    line(&mut out, "feed_subscribers", "", gateway.outbox.bulletin.receiver_count() as u64);
-    line(&mut out, "feed_told", "", u64::from(gateway.is_told()));
+    let subscribers = gateway.outbox.bulletin.receiver_count() as u64;
+    let sessions = u64::from(gateway.sessions.load(Ordering::Relaxed));
+    line(out, Metric::ConfigurationVersion.name(), "", version);
+    line(out, Metric::Sessions.name(), "", sessions);
+    line(out, Metric::Ready.name(), "", u64::from(gateway.is_ready()));
+    line(out, Metric::FeedSubscribers.name(), "", subscribers);
+    line(out, Metric::FeedTold.name(), "", u64::from(gateway.is_told()));
     let now_us = gateway.clock.now_us();
     for service in view.services.keys() {
         let state = gateway.service(service);
         let newest = state.positions.lock().newest();
-        let age_ms = newest.map(|newest| now_us.saturating_sub(newest.taken_us) / 1_000);
-        let labels = format!("{{service=\"{service}\"}}");
-        if let Some(age_ms) = age_ms {
-            line(&mut out, "primary_position_age_ms", &labels, age_ms);
+        if let Some(newest) = newest {
+            let age_ms = now_us.saturating_sub(newest.taken_us) / 1_000;
+            let labels = format!("{{service=\"{service}\"}}");
+            line(out, Metric::PrimaryPositionAge.name(), &labels, age_ms);
         }
     }
-    gateway.latencies.render(&mut out);
+}
+
+fn render_targets<C>(gateway: &Gateway<C>, out: &mut String)
+where
+    C: Codec,
+{
     for target in gateway.targets().all() {
         let health = target.health();
         let labels =
             format!("{{service=\"{}\",target=\"{}\"}}", target.record.service, target.record.id);
-        line(&mut out, "target_usual_answer_us", &labels, health.usual_us);
-        line(&mut out, "target_connections", &labels, u64::from(target.connections()));
+        line(out, Metric::TargetUsualAnswer.name(), &labels, health.usual_us);
+        line(out, Metric::TargetConnections.name(), &labels, u64::from(target.connections()));
+    }
+}
+
+/// What this VM granted of the limits of organisations. The sum over all VMs is what the organisation used.
+fn render_organisations<C>(gateway: &Gateway<C>, out: &mut String)
+where
+    C: Codec,
+{
+    for (organisation, usage) in gateway.quotas.usage() {
+        let labels = format!("{{organisation=\"{organisation}\"}}");
+        line(out, Metric::OrganisationLimit.name(), &labels, usage.limit_milli_per_s);
+        line(out, Metric::OrganisationGranted.name(), &labels, usage.granted);
+        line(out, Metric::OrganisationTurnedAway.name(), &labels, usage.turned_away);
     }
-    out
 }
 
-fn line(out: &mut String, name: &str, labels: &str, value: u64) {
+/// Writes one metric. `labels` is empty or stands in braces.
+pub fn line(out: &mut String, name: &str, labels: &str, value: u64) {
     // Writing to a string does not fail.
-    let _ = writeln!(out, "skylark_{name}{labels} {value}");
+    let _ = writeln!(out, "{name}{labels} {value}");
 }
--- a/crates/proxy/src/sessions/process/quota/mod.rs
+++ b/crates/proxy/src/sessions/process/quota/mod.rs
@@ -78,14 +78,32 @@
     /// From when buckets that are new earn tokens.
     earns_from_us: u64,
     allocators: FastMap<Arc<str>, Arc<Allocators>>,
-    /// The buckets that this VM grants from.
-    buckets: FastMap<Arc<str>, TokenBucket>,
+    /// What this VM grants, by organisation.
+    granting: FastMap<Arc<str>, Granting>,
     /// Until when an allocator has nothing for an organisation, by organisation and VM.
     empty_until_us: FastMap<(Arc<str>, Arc<str>), u64>,
     /// Until when a VM that did not answer is passed over.
     silent_until_us: FastMap<Arc<str>, u64>,
 }
 
+/// The part of an organisation's limit that this VM grants.
+#[derive(Debug)]
+struct Granting {
+    bucket: TokenBucket,
+    usage: Usage,
+}
+
+/// What an allocator granted of an organisation's operations since it became one.
+#[derive(Clone, Copy, PartialEq, Eq, Debug, Default)]
+pub struct Usage {
+    /// Operations that were granted.
+    pub granted: u64,
+    /// Operations that were asked for and not granted. One that is refused by several allocators counts at each.
+    pub turned_away: u64,
+    /// The limit of the organisation over all VMs, in thousandths of an operation a second.
+    pub limit_milli_per_s: u64,
+}
+
 impl State {
     /// Notes that an allocator has nothing for an organisation until then.
     fn set_empty(&mut self, name: &Arc<str>, vm: &VmAddress, until_us: u64, now_us: u64) {
@@ -140,7 +158,7 @@
         for (name, before) in known {
             let now = Allocators::rank(&name, &state.vms, &self.own, &self.zone, before.division);
             if !now.includes_own {
-                state.buckets.remove(&name);
+                state.granting.remove(&name);
             }
         }
     }
@@ -199,12 +217,25 @@
         let now_us = self.clock.now_us();
         let mut state = self.state.lock();
         let since_us = state.earns_from_us;
-        let bucket = state
-            .buckets
-            .entry(Arc::clone(name))
-            .or_insert_with(|| TokenBucket::starting(part, since_us));
+        let new =
+            || Granting { bucket: TokenBucket::starting(part, since_us), usage: Usage::default() };
+        let Granting { bucket, usage } = state.granting.entry(Arc::clone(name)).or_insert_with(new);
         bucket.set_part(part, now_us);
-        Some(bucket.take(wanted, now_us))
+        let grant = bucket.take(wanted, now_us);
+        usage.granted += u64::from(grant.granted);
+        usage.turned_away += u64::from(wanted - grant.granted);
+        usage.limit_milli_per_s = limit.rate_milli_per_s;
+        Some(grant)
+    }
+
+    /// What this VM granted, by organisation, in the order of their names.
+    pub fn usage(&self) -> Vec<(Arc<str>, Usage)> {
+        let state = self.state.lock();
+        let mut all: Vec<(Arc<str>, Usage)> =
+            state.granting.iter().map(|(name, it)| (Arc::clone(name), it.usage)).collect();
+        drop(state);
+        all.sort_unstable_by(|a, b| a.0.cmp(&b.0));
+        all
     }
 
     async fn ask(&self, name: &Arc<str>, limit: RateLimit, vm: &VmAddress) -> Asked {
