--- a/crates/core/src/process/connection_plan.rs
+++ b/crates/core/src/process/connection_plan.rs
@@ -16,8 +16,8 @@
 
 /// How many VMs may stand in for the homes of a target, at least and at most. With ten VMs that may connect
 /// one is left where any two thirds are lost.
-const FEWEST_STAND_INS: u32 = 2;
-const MOST_STAND_INS: u32 = 12;
+const FEWEST_FALLBACKS: u32 = 2;
+const MOST_FALLBACKS: u32 = 12;
 
 /// After which time without any way to a target twice as many VMs may connect by themselves, in
 /// microseconds. A cut that ends soon has few of them do so; where nearly all VMs are gone, those that are left
@@ -29,7 +29,7 @@
 
 /// What each stand-in takes of a target's connections: one for statements, and one more for questions that
 /// pass its queue.
-const STAND_IN_CONNECTIONS: u32 = 2;
+const FALLBACK_CONNECTIONS: u32 = 2;
 
 /// The part of a target's connections that homes keep open, in hundredths. The rest is for the
 /// questions of takeovers, and for homes that see the list of VMs differently for a moment.
@@ -62,7 +62,7 @@
         /// Of each home.
         share: u32,
         /// How many others may connect where the homes can't be reached, with one connection each.
-        stand_ins: usize,
+        fallbacks: usize,
     },
 }
 
@@ -100,14 +100,14 @@
     let usable = max_connections * USABLE_PERCENT / 100;
     let share = (usable / HOMES as u32).max(1);
     let left = max_connections.saturating_sub((share + 1) * HOMES as u32);
-    let stand_ins = (left / STAND_IN_CONNECTIONS).clamp(FEWEST_STAND_INS, MOST_STAND_INS);
-    ConnectionPlan::Homes { share, stand_ins: stand_ins as usize }
+    let fallbacks = (left / FALLBACK_CONNECTIONS).clamp(FEWEST_FALLBACKS, MOST_FALLBACKS);
+    ConnectionPlan::Homes { share, fallbacks: fallbacks as usize }
 }
 
 /// How many VMs, the highest ranked ones, may connect by themselves after so long without any way to a target.
-pub fn may_connect(stand_ins: usize, without_way_us: u64) -> usize {
+pub fn may_connect(fallbacks: usize, without_way_us: u64) -> usize {
     match (without_way_us / DOUBLES_AFTER_US).min(MAX_DOUBLINGS) {
         0 => 0,
-        doublings => stand_ins << doublings,
+        doublings => fallbacks << doublings,
     }
 }
--- a/crates/core/tests/connection_plan.rs
+++ b/crates/core/tests/connection_plan.rs
@@ -25,9 +25,9 @@
     the_small_site_of_sfax_connects: 16, 6 => ConnectionPlan::Direct { primary: 2, replica: 1 },
     with_its_spare_vms_too: 16, 9 => ConnectionPlan::Direct { .. },
     the_small_site_of_mittelland_connects: 32, 8 => ConnectionPlan::Direct { primary: 4, replica: 2 },
-    the_grown_site_of_sfax_has_homes: 26, 86 => ConnectionPlan::Homes { share: 4, stand_ins: 3 },
-    the_large_site_of_sfax_has_homes: 88, 295 => ConnectionPlan::Homes { share: 16, stand_ins: 10 },
-    the_grown_site_of_mittelland_has_homes: 98, 68 => ConnectionPlan::Homes { share: 18, stand_ins: 11 },
+    the_grown_site_of_sfax_has_homes: 26, 86 => ConnectionPlan::Homes { share: 4, fallbacks: 3 },
+    the_large_site_of_sfax_has_homes: 88, 295 => ConnectionPlan::Homes { share: 16, fallbacks: 10 },
+    the_grown_site_of_mittelland_has_homes: 98, 68 => ConnectionPlan::Homes { share: 18, fallbacks: 11 },
     a_vm_that_knows_no_other_connects: 16, 0 => ConnectionPlan::Direct { .. },
 }
 
@@ -51,8 +51,8 @@
     fn property(connections: u16, vms: u16) -> bool {
         match connection_plan::plan(demand(u32::from(connections), usize::from(vms))) {
             ConnectionPlan::Direct { .. } => true,
-            ConnectionPlan::Homes { share, stand_ins } => {
-                let all = (share + 1) * HOMES as u32 + 2 * stand_ins as u32;
+            ConnectionPlan::Homes { share, fallbacks } => {
+                let all = (share + 1) * HOMES as u32 + 2 * fallbacks as u32;
                 // The fewest that may connect at all.
                 let least = 2 * HOMES as u32 + 4;
                 all <= u32::from(connections).max(least) + 4
--- a/crates/proxy/src/process/counters.rs
+++ b/crates/proxy/src/process/counters.rs
@@ -111,7 +111,7 @@
         /// Homes asked for a position of a primary.
         PositionsAsked = "positions.asked",
         /// Looks at the way to a target.
-        WaysLookedAt = "ways.looked_at",
+        PathsChecked = "paths.checked",
         /// Targets of other availability zones asked, since no VM there answered.
         OtherZonesAsked = "zones.targets_asked",
         /// Leads that other members' words proved.
--- a/crates/proxy/src/sessions/connection/peer.rs
+++ b/crates/proxy/src/sessions/connection/peer.rs
@@ -290,8 +290,8 @@
 
     /// Passes on what the target says of itself.
     async fn standing(&mut self) -> Result<Reply, Forwarded> {
-        let until_us = self.gateway.clock.now_us() + limits::WORD_US;
-        let standing = prove::standing_of(&self.gateway, &self.target, until_us).await;
+        let until_us = self.gateway.clock.now_us() + limits::STATUS_TIMEOUT_US;
+        let standing = prove::status_of(&self.gateway, &self.target, until_us).await;
         standing.map_err(|_| Forwarded::Refused(ErrorKind::TargetUnreachable.into()))
     }
 
@@ -323,7 +323,7 @@
             }
             // Whosever the statement is: what was sent on goes no further.
             None => {
-                acquire::take_on(&call, &self.target, &self.target.way(), call.offer_until_us())
+                acquire::take_on(&call, &self.target, &self.target.path(), call.offer_until_us())
                     .await
                     .map_err(|not_taken| self.refused(&not_taken))?
             }
--- a/crates/proxy/src/sessions/process/known.rs
+++ b/crates/proxy/src/sessions/process/cluster_state.rs
@@ -14,7 +14,7 @@
 use crate::sessions::codec::Codec;
 use crate::sessions::process::feed::listing::TargetList;
 use crate::sessions::process::feed::listing::VmList;
-use crate::sessions::process::watch::Known;
+use crate::sessions::process::watch::ClusterState;
 use crate::sessions::process::watch::Watcher;
 use crate::sessions::store::ListedTarget;
 use crate::sessions::store::StateStore;
@@ -22,7 +22,7 @@
 use crate::sessions::version::view::Member;
 use crate::sessions::version::view::View;
 
-impl Known {
+impl ClusterState {
     /// The listed target of this name.
     fn named(&self, name: &str) -> Option<Arc<str>> {
         let named = self.targets.values().find(|member| &*member.record.name == name);
@@ -76,7 +76,7 @@
         true
     }
 
-    fn put_in_force(&self, known: &mut Known, routes: Arc<RouteTable>) {
+    fn put_in_force(&self, known: &mut ClusterState, routes: Arc<RouteTable>) {
         // A stale answer must not bring back what was changed.
         if known.routes.as_ref().is_some_and(|present| present.version >= routes.version) {
             return;
@@ -105,7 +105,7 @@
         }
     }
 
-    fn replace_all(&self, known: &mut Known, revision: u64, members: Vec<Member>) {
+    fn replace_all(&self, known: &mut ClusterState, revision: u64, members: Vec<Member>) {
         known.targets_revision = revision;
         let now_us = self.gateway.clock.now_us();
         let mut previous = std::mem::take(&mut known.targets);
@@ -178,7 +178,7 @@
     /// A target is no longer listed. One that may have lapsed only because the store was away is kept
     /// until the list is settled: the targets that live are back within 2 s, and without them all
     /// requests of their services would be refused until then.
-    fn missing(&self, known: &mut Known, member: Member) {
+    fn missing(&self, known: &mut ClusterState, member: Member) {
         let may_be_back = !member.record.leaving && !self.is_settled(known);
         if may_be_back {
             slog::info!(self.gateway.log, "target lapsed, perhaps for a moment";
@@ -190,7 +190,7 @@
         }
     }
 
-    fn leave(&self, known: &mut Known, member: &Member) {
+    fn leave(&self, known: &mut ClusterState, member: &Member) {
         slog::info!(self.gateway.log, "target no longer listed";
             "target" => &*member.record.id,
             "service" => &*member.record.service,
@@ -210,7 +210,7 @@
             "role_since" => member.role_since);
     }
 
-    fn publish(&self, known: &mut Known) {
+    fn publish(&self, known: &mut ClusterState) {
         known.number += 1;
         let mut services: FastMap<Arc<str>, Vec<Member>> = FastMap::default();
         for member in known.targets.values() {
@@ -227,7 +227,7 @@
 
     /// Puts what is known where those that this process tells find it. That costs processor time, so it is
     /// left out where nobody would be told.
-    fn tell(&self, known: &Known) {
+    fn tell(&self, known: &ClusterState) {
         let outbox = &self.gateway.outbox;
         if !self.gateway.is_watcher() && outbox.bulletin.receiver_count() == 0 {
             return;
--- a/crates/proxy/src/sessions/process/departed.rs
+++ b/crates/proxy/src/sessions/process/departed.rs
@@ -6,11 +6,11 @@
 use skylark_core::version::routes::TargetRecord;
 
 use crate::sessions::codec::Codec;
-use crate::sessions::process::watch::Known;
+use crate::sessions::process::watch::ClusterState;
 use crate::sessions::process::watch::Watcher;
 use crate::sessions::store::StateStore;
 
-impl Known {
+impl ClusterState {
     /// Whether a target of this name is listed. The name of one that started again stands for its new
     /// start, which holds nothing of what the earlier one held and must not answer for it.
     fn lists(&self, name: &str) -> bool {
@@ -51,7 +51,7 @@
     }
 
     /// Puts what is known of departures where requests find it.
-    pub(super) fn tell_departures(&self, known: &Known) {
+    pub(super) fn tell_departures(&self, known: &ClusterState) {
         for (service, departures) in &known.departures {
             self.gateway.service(service).set_departed(departures);
         }
--- a/crates/proxy/src/sessions/process/fleet.rs
+++ b/crates/proxy/src/sessions/process/fleet.rs
@@ -1,4 +1,4 @@
-//! What a process makes of the other VMs: who watches for whom, the ways to targets that follow, and whether
+//! What a process makes of the other VMs: who watches for whom, the peer_routes to targets that follow, and whether
 //! the own availability zone is cut off.
 
 use std::sync::Arc;
@@ -14,8 +14,8 @@
 use crate::sessions::process::gateway::Gateway;
 use crate::sessions::process::gateway::service_limits;
 use crate::sessions::process::limits;
+use crate::sessions::process::peer_routes::PeerRoutes;
 use crate::sessions::process::targets::TargetState;
-use crate::sessions::process::ways::Ways;
 use crate::sessions::store::VmAddress;
 
 impl<C> Gateway<C>
@@ -25,13 +25,14 @@
     /// Brings the pools to what is believed of the primaries, and lets each open and close
     /// connections.
     ///
-    /// With hundreds of services most ways rest. Those are looked at only when what they follow from
+    /// With hundreds of services most peer_routes rest. Those are looked at only when what they follow from
     /// changed, and once in a while in case that something was missed.
     pub fn maintain_pools(&self) {
-        let (view, ways, now_us) = (self.view.load(), self.ways.load(), self.clock.now_us());
+        let (view, peer_routes, now_us) =
+            (self.view.load(), self.peer_routes.load(), self.clock.now_us());
         let looked_us = self.looked_us.load(Ordering::Relaxed);
         let looks_at_all =
-            looked_us == 0 || now_us >= looked_us + limits::ALL_WAYS_US || ways.take_news();
+            looked_us == 0 || now_us >= looked_us + limits::ALL_PATHS_US || peer_routes.take_news();
         if looks_at_all {
             self.looked_us.store(now_us.max(1), Ordering::Relaxed);
         }
@@ -39,10 +40,10 @@
             if !looks_at_all && target.rests() {
                 continue;
             }
-            self.counters.event(Event::WaysLookedAt);
-            let demand = demand(view.routes.as_deref(), &target.record.service, &ways);
+            self.counters.event(Event::PathsChecked);
+            let demand = demand(view.routes.as_deref(), &target.record.service, &peer_routes);
             if !target.must_rest(now_us) {
-                ways.lead(target, demand, self.is_primary(target), now_us);
+                peer_routes.lead(target, demand, self.is_primary(target), now_us);
             }
             target.maintain();
         }
@@ -54,42 +55,43 @@
         if target.is_own() {
             return true;
         }
-        let (view, ways, now_us) = (self.view.load(), self.ways.load(), self.clock.now_us());
-        let demand = demand(view.routes.as_deref(), &target.record.service, &ways);
-        if !ways.stand_in(target, demand, now_us) {
+        let (view, peer_routes, now_us) =
+            (self.view.load(), self.peer_routes.load(), self.clock.now_us());
+        let demand = demand(view.routes.as_deref(), &target.record.service, &peer_routes);
+        if !peer_routes.become_fallback(target, demand, now_us) {
             return false;
         }
-        ways.lead(target, demand, self.is_primary(target), now_us);
+        peer_routes.lead(target, demand, self.is_primary(target), now_us);
         true
     }
 
     /// Takes in the list of VMs.
     pub fn set_vms(&self, vms: &[VmAddress]) {
-        let ways = Ways::new(&self.vm, &self.zone, vms.to_vec());
+        let peer_routes = PeerRoutes::new(&self.vm, &self.zone, vms.to_vec());
         self.quotas.set_vms(vms);
-        self.asking.set_fleet(vms.len(), ways.asks());
-        self.ways.store(Arc::new(ways));
+        self.asking.set_fleet(vms.len(), peer_routes.asks());
+        self.peer_routes.store(Arc::new(peer_routes));
         self.looked_us.store(0, Ordering::Relaxed);
     }
 
     /// How many VMs are known.
     pub fn vm_count(&self) -> usize {
-        self.ways.load().vm_count()
+        self.peer_routes.load().vm_count()
     }
 
     /// Whether the list of VMs is known.
     pub fn knows_vms(&self) -> bool {
-        self.ways.load().is_known()
+        self.peer_routes.load().is_known()
     }
 
     /// The VMs that tell this one; none if it watches the store by itself.
     pub fn watchers(&self) -> Vec<VmAddress> {
-        self.ways.load().watchers().to_vec()
+        self.peer_routes.load().watchers().to_vec()
     }
 
     /// The VMs that watch the store for other zones.
     pub fn far_watchers(&self) -> Vec<VmAddress> {
-        self.ways.load().far_watchers().to_vec()
+        self.peer_routes.load().far_watchers().to_vec()
     }
 
     /// Whether another VM tells this one what the store says.
@@ -99,17 +101,17 @@
 
     /// The VMs that can tell this one when the store turns it away.
     pub fn helpers(&self) -> Vec<VmAddress> {
-        self.ways.load().helpers().to_vec()
+        self.peer_routes.load().helpers().to_vec()
     }
 
     /// Whether this process tells others that ask.
     pub fn tells(&self) -> bool {
-        self.ways.load().asks()
+        self.peer_routes.load().asks()
     }
 
     /// Whether this process watches the store for others.
     pub fn is_watcher(&self) -> bool {
-        self.ways.load().is_watcher()
+        self.peer_routes.load().is_watcher()
     }
 
     /// Whether this process looks after the primary of a service: where it has connections of its own
@@ -120,12 +122,12 @@
 
     /// The other availability zones that have VMs.
     pub fn other_zones(&self) -> Vec<Arc<str>> {
-        self.ways.load().other_zones().to_vec()
+        self.peer_routes.load().other_zones().to_vec()
     }
 
     /// The VMs of an availability zone.
     pub fn vms_of(&self, zone: &str) -> Vec<VmAddress> {
-        self.ways.load().vms_of(zone)
+        self.peer_routes.load().vms_of(zone)
     }
 
     /// Whether this process's zone is cut off from the others.
@@ -144,11 +146,11 @@
 }
 
 /// What the connections of a service's targets are divided by.
-fn demand(routes: Option<&RouteTable>, service: &str, ways: &Ways) -> Demand {
+fn demand(routes: Option<&RouteTable>, service: &str, peer_routes: &PeerRoutes) -> Demand {
     let organisations = routes.and_then(|routes| routes.organisations.as_ref());
     Demand {
         max_connections: service_limits(routes, service).max_connections,
-        vms: ways.vm_count(),
+        vms: peer_routes.vm_count(),
         organisations: organisations.map_or(0, Organisations::len),
     }
 }
--- a/crates/proxy/src/sessions/process/gateway.rs
+++ b/crates/proxy/src/sessions/process/gateway.rs
@@ -29,6 +29,7 @@
 use crate::sessions::process::latencies::Latencies;
 use crate::sessions::process::limits;
 use crate::sessions::process::log_budget::LogBudget;
+use crate::sessions::process::peer_routes::PeerRoutes;
 use crate::sessions::process::quota::Quotas;
 use crate::sessions::process::services::ServiceState;
 use crate::sessions::process::settings::SessionSettings;
@@ -36,7 +37,6 @@
 use crate::sessions::process::stop::StopState;
 use crate::sessions::process::target_table::TargetTable;
 use crate::sessions::process::targets::TargetState;
-use crate::sessions::process::ways::Ways;
 use crate::sessions::version::holder::Holder;
 use crate::sessions::version::view::View;
 
@@ -86,15 +86,15 @@
     pub list_is_complete: AtomicBool,
     /// Whether the process was told to stop.
     stopping: AtomicBool,
-    /// The VMs, and the ways to targets that follow from them.
-    pub(super) ways: ArcSwap<Ways>,
+    /// The VMs, and the peer_routes to targets that follow from them.
+    pub(super) peer_routes: ArcSwap<PeerRoutes>,
     /// How long a leaving target may be given work, in microseconds.
     drain_us: u64,
     next_session: AtomicU64,
     pub(super) view: ArcSwap<View>,
     pub(super) changed: watch::Sender<u64>,
     pub(super) targets: ArcSwap<TargetTable<C>>,
-    /// When all ways were last looked at, in microseconds; zero if something changed since.
+    /// When all peer_routes were last looked at, in microseconds; zero if something changed since.
     pub(super) looked_us: AtomicU64,
     services: RwLock<FastMap<Arc<str>, Arc<ServiceState>>>,
 }
@@ -129,7 +129,7 @@
             serves: AtomicBool::new(false),
             list_is_complete: AtomicBool::new(false),
             stopping: AtomicBool::new(false),
-            ways: ArcSwap::default(),
+            peer_routes: ArcSwap::default(),
             next_session: AtomicU64::new(1),
             view: ArcSwap::default(),
             changed: watch::Sender::new(0),
@@ -324,11 +324,11 @@
         let mut targets = self.targets.load().by_id().clone();
         let members = view.services.values().flatten();
         let listed: FastSet<&str> = members.map(|member| &*member.record.id).collect();
-        let ways = self.ways.load();
+        let peer_routes = self.peer_routes.load();
         targets.retain(|id, target| {
             let keep = listed.contains(&**id);
             if !keep {
-                ways.forget(id);
+                peer_routes.forget(id);
                 target.set_leaving(Some(self.clock.now_us()));
                 target.close();
             }
--- a/crates/proxy/src/sessions/process/isolation.rs
+++ b/crates/proxy/src/sessions/process/isolation.rs
@@ -51,7 +51,7 @@
             .iter()
             .map(|target| {
                 let health = target.health();
-                let failed_since_us = health.failed_since_us.or(health.way_failed_since_us);
+                let failed_since_us = health.failed_since_us.or(health.path_failed_since_us);
                 OtherZoneTarget { answered_us: health.answered_us, failed_since_us }
             })
             .collect();
@@ -99,7 +99,7 @@
             if !target.is_own() {
                 // Reaching the target by itself would not serve callers, whose statements go another way.
                 let until_us = gateway.clock.now_us() + ASK_LIMIT.as_micros() as u64;
-                let _ = prove::standing_of(&gateway, &target, until_us).await;
+                let _ = prove::status_of(&gateway, &target, until_us).await;
                 return;
             }
             let (record, query) = (&target.record, Query::Status);
--- a/crates/proxy/src/sessions/process/ways.rs
+++ b/crates/proxy/src/sessions/process/peer_routes.rs
@@ -1,4 +1,4 @@
-//! Which VMs hold connections to which targets, and the way that this process takes to each.
+//! Which VMs hold connections to which targets, and the path that this process takes to each.
 
 use std::collections::BTreeSet;
 use std::sync::Arc;
@@ -20,7 +20,7 @@
 
 /// The VMs, and what was seen of them.
 #[derive(Debug, Default)]
-pub struct Ways {
+pub struct PeerRoutes {
     own: Arc<str>,
     vms: Vec<VmAddress>,
     /// The other availability zones.
@@ -37,10 +37,10 @@
     homes: Mutex<FastMap<Arc<str>, Arc<Homes>>>,
     /// When VMs last could not be reached.
     failed_us: Mutex<FastMap<Arc<str>, u64>>,
-    /// Whether a VM turned out not to be reached, so that ways through it are to change.
+    /// Whether a VM turned out not to be reached, so that paths through it are to change.
     has_news: AtomicBool,
     /// Until when this VM connects to targets though it is no home of theirs.
-    stands_in_us: Mutex<FastMap<Arc<str>, u64>>,
+    fallback_until_us: Mutex<FastMap<Arc<str>, u64>>,
 }
 
 /// The VMs that may have connections of their own to a target.
@@ -51,7 +51,7 @@
     /// How many of them are homes.
     homes: usize,
     /// How many others were asked for.
-    may_stand_in: usize,
+    fallbacks: usize,
     /// What this VM is of these.
     role: HomeRole,
     /// How many VMs rank before this one.
@@ -64,14 +64,14 @@
     /// One of its homes.
     Home,
     /// It may stand in for them.
-    StandIn,
+    Fallback,
     /// It goes through the others.
     Neither,
 }
 
-impl Ways {
-    /// The ways of VM `own` of an availability zone among these.
-    pub fn new(own: &Arc<str>, zone: &str, vms: Vec<VmAddress>) -> Ways {
+impl PeerRoutes {
+    /// The paths of VM `own` of an availability zone among these.
+    pub fn new(own: &Arc<str>, zone: &str, vms: Vec<VmAddress>) -> PeerRoutes {
         let has_many = vms.len() > limits::WATCH_ALONE;
         let zones: BTreeSet<&Arc<str>> = vms.iter().map(|vm| &vm.zone).collect();
         let other_zones =
@@ -87,7 +87,15 @@
         let mut helpers = if has_many { all_watchers } else { vms.clone() };
         helpers.retain(|vm| vm.name != *own);
         let own = Arc::clone(own);
-        Ways { own, vms, other_zones, watchers, far_watchers, helpers, ..Ways::default() }
+        PeerRoutes {
+            own,
+            vms,
+            other_zones,
+            watchers,
+            far_watchers,
+            helpers,
+            ..PeerRoutes::default()
+        }
     }
 
     /// The other availability zones.
@@ -149,7 +157,7 @@
         !self.vms.is_empty()
     }
 
-    /// Sets the way to a target, and how many connections it has.
+    /// Sets the path to a target, and how many connections it has.
     pub fn lead<C>(&self, target: &TargetState<C>, demand: Demand, is_primary: bool, now_us: u64)
     where
         C: Codec,
@@ -170,15 +178,15 @@
                 let share = if is_primary { primary } else { replica };
                 target.configure(share, has_organisations);
             }
-            ConnectionPlan::Homes { share, stand_ins } => {
-                let homes = self.homes_of(target, stand_ins);
-                self.pass_over_failing(target, now_us);
+            ConnectionPlan::Homes { share, fallbacks } => {
+                let homes = self.homes_of(target, fallbacks);
+                self.eject_failing(target, now_us);
                 let home = self.home_for(&homes, now_us);
                 let connects = match homes.role {
                     HomeRole::Home => true,
-                    HomeRole::StandIn => home.is_none() || self.stands_in(target, now_us),
+                    HomeRole::Fallback => home.is_none() || self.is_fallback(target, now_us),
                     HomeRole::Neither => {
-                        self.stands_in(target, now_us)
+                        self.is_fallback(target, now_us)
                             || (home.is_none() && self.is_left_alone(target, &homes, now_us))
                     }
                 };
@@ -189,7 +197,7 @@
                     target.configure(share, has_organisations);
                     return;
                 }
-                // Without any home that may be reached, the way that fails is as good as another.
+                // Without any home that may be reached, the path that fails is as good as another.
                 if home.is_some() || target.via().is_none() {
                     target.go_via(home.or(homes.vms.first()));
                 }
@@ -205,8 +213,8 @@
     where
         C: Codec,
     {
-        let stands_in = homes.role != HomeRole::Home && target.is_own();
-        if demand.organisations == 0 || stands_in {
+        let is_fallback = homes.role != HomeRole::Home && target.is_own();
+        if demand.organisations == 0 || is_fallback {
             target.divide_users(&[]);
             return;
         }
@@ -218,106 +226,106 @@
             let reached = homes.vms[..homes.homes].iter().filter(did_not_fail);
             reached.map(|vm| (vm.name != self.own).then_some(vm)).collect()
         };
-        let mut reached = reached_for(limits::HOME_AVOIDED_US);
+        let mut reached = reached_for(limits::HOME_EJECTION_US);
         if reached.is_empty() {
-            reached = reached_for(limits::HOME_PASSED_OVER_US);
+            reached = reached_for(limits::LEAST_HOME_EJECTION_US);
         }
         target.divide_users(&reached);
     }
 
-    /// Whether this VM has had no way to a target for so long that it connects by itself. It goes on doing so
+    /// Whether this VM has had no path to a target for so long that it connects by itself. It goes on doing so
     /// for a while.
     fn is_left_alone<C>(&self, target: &TargetState<C>, homes: &Homes, now_us: u64) -> bool
     where
         C: Codec,
     {
-        let Some(since_us) = target.health().way_failed_since_us else { return false };
+        let Some(since_us) = target.health().path_failed_since_us else { return false };
         let without_way_us = now_us.saturating_sub(since_us);
-        let may_connect = connection_plan::may_connect(homes.may_stand_in, without_way_us);
+        let may_connect = connection_plan::may_connect(homes.fallbacks, without_way_us);
         if homes.rank >= may_connect {
             return false;
         }
-        self.set_stands_in(target, now_us);
+        self.set_fallback(target, now_us);
         true
     }
 
-    fn set_stands_in<C>(&self, target: &TargetState<C>, now_us: u64)
+    fn set_fallback<C>(&self, target: &TargetState<C>, now_us: u64)
     where
         C: Codec,
     {
-        let until_us = now_us + limits::STANDS_IN_US;
-        self.stands_in_us.lock().insert(Arc::clone(&target.record.id), until_us);
+        let until_us = now_us + limits::FALLBACK_US;
+        self.fallback_until_us.lock().insert(Arc::clone(&target.record.id), until_us);
     }
 
     /// Has this VM stand in for the homes of a target for a while, if it may. Returns whether it does.
-    pub fn stand_in<C>(&self, target: &TargetState<C>, demand: Demand, now_us: u64) -> bool
+    pub fn become_fallback<C>(&self, target: &TargetState<C>, demand: Demand, now_us: u64) -> bool
     where
         C: Codec,
     {
         let plan = connection_plan::plan(demand);
-        let ConnectionPlan::Homes { stand_ins, .. } = plan else { return false };
-        if self.homes_of(target, stand_ins).role != HomeRole::StandIn {
+        let ConnectionPlan::Homes { fallbacks, .. } = plan else { return false };
+        if self.homes_of(target, fallbacks).role != HomeRole::Fallback {
             return false;
         }
-        self.set_stands_in(target, now_us);
+        self.set_fallback(target, now_us);
         true
     }
 
-    fn stands_in<C>(&self, target: &TargetState<C>, now_us: u64) -> bool
+    fn is_fallback<C>(&self, target: &TargetState<C>, now_us: u64) -> bool
     where
         C: Codec,
     {
-        let mut stands_in_us = self.stands_in_us.lock();
-        stands_in_us.retain(|_, until_us| now_us < *until_us);
-        stands_in_us.contains_key(&target.record.id)
+        let mut fallback_until_us = self.fallback_until_us.lock();
+        fallback_until_us.retain(|_, until_us| now_us < *until_us);
+        fallback_until_us.contains_key(&target.record.id)
     }
 
     /// The VMs that may connect to a target: homes of its availability zone, or of all if there are none
     /// there, and stand-ins of the other zones.
-    fn homes_of<C>(&self, target: &TargetState<C>, stand_ins: usize) -> Arc<Homes>
+    fn homes_of<C>(&self, target: &TargetState<C>, fallbacks: usize) -> Arc<Homes>
     where
         C: Codec,
     {
         let id = &target.record.id;
         let mut known = self.homes.lock();
-        if let Some(homes) = known.get(id).filter(|homes| homes.may_stand_in == stand_ins) {
+        if let Some(homes) = known.get(id).filter(|homes| homes.fallbacks == fallbacks) {
             return Arc::clone(homes);
         }
-        let homes = Arc::new(self.rank_homes(id, &target.record.zone, stand_ins));
+        let homes = Arc::new(self.rank_homes(id, &target.record.zone, fallbacks));
         known.insert(Arc::clone(id), Arc::clone(&homes));
         homes
     }
 
-    fn rank_homes(&self, target_id: &str, zone: &str, stand_ins: usize) -> Homes {
+    fn rank_homes(&self, target_id: &str, zone: &str, fallbacks: usize) -> Homes {
         let (near, far): (Vec<_>, Vec<_>) = self.vms.iter().partition(|vm| &*vm.zone == zone);
         let (fit, others) = if near.is_empty() { (far, Vec::new()) } else { (near, far) };
         let mut vms = best(target_id, fit, connection_plan::HOMES);
         let homes = vms.len();
-        vms.extend(best(target_id, others, stand_ins));
+        vms.extend(best(target_id, others, fallbacks));
         let role = match vms.iter().position(|vm| vm.name == self.own) {
             None => HomeRole::Neither,
             Some(place) if place < homes => HomeRole::Home,
-            Some(_) => HomeRole::StandIn,
+            Some(_) => HomeRole::Fallback,
         };
         let names: Vec<&str> = self.vms.iter().map(|vm| &*vm.name).collect();
         let rank = homes::rank_of(target_id, &names, &self.own);
-        Homes { vms, homes, may_stand_in: stand_ins, role, rank }
+        Homes { vms, homes, fallbacks, role, rank }
     }
 
-    fn pass_over_failing<C>(&self, target: &TargetState<C>, now_us: u64)
+    fn eject_failing<C>(&self, target: &TargetState<C>, now_us: u64)
     where
         C: Codec,
     {
         let mut failed_us = self.failed_us.lock();
-        target.for_each_way(|way| {
-            if let Some(via) = &way.via
-                && way.pool.is_failing()
+        target.for_each_path(|path| {
+            if let Some(via) = &path.via
+                && path.pool.is_failing()
                 && failed_us.insert(Arc::clone(via), now_us).is_none()
             {
                 self.has_news.store(true, Ordering::Relaxed);
             }
         });
-        failed_us.retain(|_, failed_us| now_us < *failed_us + limits::HOME_AVOIDED_US);
+        failed_us.retain(|_, failed_us| now_us < *failed_us + limits::HOME_EJECTION_US);
     }
 
     /// The VM that this process sends its statements through: another home for each process, the next one
@@ -327,15 +335,15 @@
         let did_not_fail_for = |vm: &VmAddress, span_us: u64| {
             failed_us.get(&vm.name).is_none_or(|failed_us| now_us >= *failed_us + span_us)
         };
-        let (first, stand_ins) = homes.vms.split_at(homes.homes);
+        let (first, fallbacks) = homes.vms.split_at(homes.homes);
         let turn = jitter::seed_of(&self.own) as usize % first.len().max(1);
         let in_turn = || first.iter().cycle().skip(turn).take(first.len());
         let may_be_reached = |home: &&VmAddress| {
-            home.name != self.own && did_not_fail_for(home, limits::HOME_PASSED_OVER_US)
+            home.name != self.own && did_not_fail_for(home, limits::LEAST_HOME_EJECTION_US)
         };
-        let is_unfailing = |home: &&VmAddress| did_not_fail_for(home, limits::HOME_AVOIDED_US);
+        let is_unfailing = |home: &&VmAddress| did_not_fail_for(home, limits::HOME_EJECTION_US);
         let best = in_turn().filter(may_be_reached).find(is_unfailing);
-        best.or_else(|| in_turn().chain(stand_ins).find(may_be_reached))
+        best.or_else(|| in_turn().chain(fallbacks).find(may_be_reached))
     }
 }
 
--- a/crates/proxy/src/sessions/process/services.rs
+++ b/crates/proxy/src/sessions/process/services.rs
@@ -55,7 +55,7 @@
     /// Whether questions had ended just before `came_us` that nobody answered.
     pub fn was_asked_in_vain(&self, came_us: u64) -> bool {
         let ended_us = self.asked_in_vain_us.load(Ordering::Relaxed);
-        (1..=came_us).contains(&ended_us) && came_us < ended_us + limits::NO_WORD_US
+        (1..=came_us).contains(&ended_us) && came_us < ended_us + limits::UNPROVED_BACKOFF_US
     }
 
     /// What is known of members that left.
--- a/crates/proxy/src/sessions/process/takeover/drive.rs
+++ b/crates/proxy/src/sessions/process/takeover/drive.rs
@@ -7,7 +7,7 @@
 use skylark_core::process::takeover_claim::LATE_EFFECT_US;
 use skylark_core::version::routes::TargetRecord;
 
-use crate::sessions::process::need::Need;
+use crate::sessions::process::takeover_trigger::TakeoverTrigger;
 
 /// How long a driver works at one takeover before it gives up and undoes its pauses, in
 /// microseconds. The next look begins anew if it is still needed.
@@ -29,7 +29,7 @@
 /// One takeover under way.
 pub(super) struct Drive {
     pub(super) service: Arc<str>,
-    pub(super) need: Need,
+    pub(super) need: TakeoverTrigger,
     pub(super) began_us: u64,
     /// The target that is replaced.
     pub(super) old: Option<Arc<TargetRecord>>,
@@ -56,6 +56,6 @@
     /// is acknowledged anyway. A replica that comes back before the promotion takes effect would have them
     /// acknowledged after all, and they were lost with the promotion: 21 to 60 commits of a soak seed.
     pub(super) fn has_to_step_down(&self) -> bool {
-        self.need == Need::CommitsStuck && !self.stepped_down
+        self.need == TakeoverTrigger::CommitsStuck && !self.stepped_down
     }
 }
--- a/crates/proxy/src/sessions/process/takeover/mod.rs
+++ b/crates/proxy/src/sessions/process/takeover/mod.rs
@@ -1,4 +1,4 @@
-//! Drives a change of primary where `need.rs` sees one: claims it, and carries the steps of
+//! Drives a change of primary where `takeover_trigger.rs` sees one: claims it, and carries the steps of
 //! `skylark_core::process::takeover` out (`steps.rs`, and `promote.rs` for the last one).
 //!
 //! A process that is cut off by itself reaches neither the store nor the replicas, so it can't harm a
@@ -21,13 +21,13 @@
 use crate::sessions::codec::Query;
 use crate::sessions::process::claims::Claims;
 use crate::sessions::process::gateway::Gateway;
-use crate::sessions::process::need::Need;
-use crate::sessions::process::need::Needs;
 use crate::sessions::process::replicas;
 use crate::sessions::process::step_down;
 use crate::sessions::process::takeover::drive::DRIVE_LIMIT_US;
 use crate::sessions::process::takeover::drive::Drive;
 use crate::sessions::process::takeover::drive::Outcome;
+use crate::sessions::process::takeover_trigger::TakeoverTrigger;
+use crate::sessions::process::takeover_trigger::TakeoverTriggers;
 use crate::sessions::process::target_calls;
 use crate::sessions::process::target_calls::Said;
 use crate::sessions::process::watch::Watcher;
@@ -55,7 +55,7 @@
     promoter: P,
     /// The services that this process works at.
     driven: Mutex<FastSet<Arc<str>>>,
-    needs: Needs<C, S>,
+    needs: TakeoverTriggers<C, S>,
 }
 
 impl<C, S, P> Takeovers<C, S, P>
@@ -77,7 +77,7 @@
             claims: Claims::new(gateway, store),
             promoter,
             driven: Mutex::default(),
-            needs: Needs::new(gateway, watcher),
+            needs: TakeoverTriggers::new(gateway, watcher),
         }
     }
 
@@ -97,9 +97,9 @@
         }
     }
 
-    async fn drive(&self, service: &Arc<str>, need: Need) {
+    async fn drive(&self, service: &Arc<str>, need: TakeoverTrigger) {
         let began_us = self.gateway.clock.now_us();
-        if need == Need::Silent && self.needs.primary_answers(service).await {
+        if need == TakeoverTrigger::Silent && self.needs.primary_answers(service).await {
             return;
         }
         slog::warn!(self.gateway.log, "the primary has to be replaced";
@@ -107,15 +107,17 @@
             "primary" => self.needs.present_primary(service).map(|p| p.record.id.to_string()),
             "need" => ?need);
         let handed_over = match need {
-            Need::Leaving => self.primarys_log(service).await,
-            Need::Silent | Need::CommitsStuck | Need::Unled => None,
+            TakeoverTrigger::Leaving => self.primarys_log(service).await,
+            TakeoverTrigger::Silent | TakeoverTrigger::CommitsStuck | TakeoverTrigger::Unled => {
+                None
+            }
         };
         if handed_over.is_none() && !self.watcher.may_promote(service) {
             slog::info!(self.gateway.log, "too new to judge who may lead"; "service" => &**service);
             time::sleep(RETRY_PAUSE).await;
             return;
         }
-        if need == Need::CommitsStuck && self.resume_left_behind(service).await {
+        if need == TakeoverTrigger::CommitsStuck && self.resume_left_behind(service).await {
             return;
         }
         let is_needed = || self.needs.of(service).is_some();
--- a/crates/proxy/src/sessions/process/need.rs
+++ b/crates/proxy/src/sessions/process/takeover_trigger.rs
@@ -45,7 +45,7 @@
 
 /// Why a primary has to be replaced.
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
-pub enum Need {
+pub enum TakeoverTrigger {
     /// It announced that it will stop.
     Leaving,
     /// It does not answer.
@@ -58,7 +58,7 @@
 
 /// The needs of all services.
 #[derive(Debug)]
-pub struct Needs<C, S>
+pub struct TakeoverTriggers<C, S>
 where
     C: Codec,
 {
@@ -68,19 +68,19 @@
     unled_since_us: Mutex<FastMap<Arc<str>, u64>>,
 }
 
-impl<C, S> Needs<C, S>
+impl<C, S> TakeoverTriggers<C, S>
 where
     C: Codec,
     S: StateStore,
 {
     /// Nothing was looked at yet.
-    pub fn new(gateway: &Arc<Gateway<C>>, watcher: &Arc<Watcher<C, S>>) -> Needs<C, S> {
+    pub fn new(gateway: &Arc<Gateway<C>>, watcher: &Arc<Watcher<C, S>>) -> TakeoverTriggers<C, S> {
         let (gateway, watcher) = (Arc::clone(gateway), Arc::clone(watcher));
-        Needs { gateway, watcher, unled_since_us: Mutex::default() }
+        TakeoverTriggers { gateway, watcher, unled_since_us: Mutex::default() }
     }
 
     /// Whether the primary of a service has to be replaced.
-    pub fn of(&self, service: &Arc<str>) -> Option<Need> {
+    pub fn of(&self, service: &Arc<str>) -> Option<TakeoverTrigger> {
         if !self.gateway.drives(service) {
             return None;
         }
@@ -91,11 +91,11 @@
             let since_us = *unled.entry(Arc::clone(service)).or_insert(now_us);
             let is_unled = now_us >= since_us + UNLED_US && self.watcher.list_is_settled();
             let may_act = view.routes.is_some() && self.watcher.may_promote(service);
-            return (is_unled && may_act).then_some(Need::Unled);
+            return (is_unled && may_act).then_some(TakeoverTrigger::Unled);
         };
         self.unled_since_us.lock().remove(service);
         if primary.record.leaving {
-            return Some(Need::Leaving);
+            return Some(TakeoverTrigger::Leaving);
         }
         if !self.watcher.may_promote(service) {
             return None;
@@ -103,15 +103,15 @@
         let health = self.gateway.target(&primary.record.id)?.health();
         let stuck_since_us = health.commits_stuck_since_us.filter(|_| health.commits_waiting > 0);
         if stuck_since_us.is_some_and(|since_us| now_us >= since_us + COMMITS_STUCK_US) {
-            return Some(Need::CommitsStuck);
+            return Some(TakeoverTrigger::CommitsStuck);
         }
         let unanswered_since_us = health.unanswered_since_us.filter(|_| health.in_flight > 0);
         if unanswered_since_us.is_some_and(|since_us| now_us >= since_us + UNANSWERED_US) {
-            return Some(Need::Silent);
+            return Some(TakeoverTrigger::Silent);
         }
         let is_fresh = now_us < health.failed_us + EVIDENCE_US;
         let failed_since_us = health.failed_since_us.filter(|_| is_fresh)?;
-        (now_us >= failed_since_us + SUSPECT_US).then_some(Need::Silent)
+        (now_us >= failed_since_us + SUSPECT_US).then_some(TakeoverTrigger::Silent)
     }
 
     /// The target that leads as far as is known, if it is listed.
--- a/crates/proxy/src/sessions/process/targets.rs
+++ b/crates/proxy/src/sessions/process/targets.rs
@@ -61,9 +61,9 @@
     pub failed_since_us: Option<u64>,
     /// When it failed last.
     pub failed_us: u64,
-    /// The first failure to reach the VM that leads to it since anything came back that way. It says nothing
+    /// The first failure to reach the VM that leads to it since anything came back through it. It says nothing
     /// of the target.
-    pub way_failed_since_us: Option<u64>,
+    pub path_failed_since_us: Option<u64>,
     /// How many commits wait for their answer.
     pub commits_waiting: u32,
     /// Since when commits wait without any of them being acknowledged.
@@ -74,7 +74,7 @@
 
 /// How this process comes to a target.
 #[derive(Debug)]
-pub struct Way<C>
+pub struct TargetPath<C>
 where
     C: Codec,
 {
@@ -84,7 +84,7 @@
     pub pool: Arc<Pool<StatementLink<C>>>,
 }
 
-impl<C> Way<C>
+impl<C> TargetPath<C>
 where
     C: Codec,
 {
@@ -106,12 +106,12 @@
 impl PoolParts {
     /// Connections to the target itself, or to another VM that stands in its place. That VM has to mean the same
     /// start of the target; the target itself knows its name only.
-    fn way<C>(
+    fn path<C>(
         &self,
         vm: Option<&VmAddress>,
         record: &TargetRecord,
         has_organisations: bool,
-    ) -> Way<C>
+    ) -> TargetPath<C>
     where
         C: Codec,
     {
@@ -120,7 +120,7 @@
             None => (record.address, &record.name),
         };
         let pool = self.pool(address, id, vm.is_some(), has_organisations);
-        Way { via: vm.map(|vm| Arc::clone(&vm.name)), pool }
+        TargetPath { via: vm.map(|vm| Arc::clone(&vm.name)), pool }
     }
 
     fn pool<C>(
@@ -158,10 +158,10 @@
     pub record: Arc<TargetRecord>,
     /// When it may be given no more work because it leaves; zero while it stays.
     rest_from_us: AtomicU64,
-    /// The way to it.
-    way: ArcSwap<Way<C>>,
-    /// The ways that users are divided among, this one's included; empty if all go the same way.
-    user_ways: ArcSwap<Vec<Arc<Way<C>>>>,
+    /// The path to it.
+    path: ArcSwap<TargetPath<C>>,
+    /// The paths that users are divided among, this one's included; empty if all take the same one.
+    user_paths: ArcSwap<Vec<Arc<TargetPath<C>>>>,
     /// Whether connections serve one organisation each.
     has_organisations: AtomicBool,
     parts: PoolParts,
@@ -190,7 +190,7 @@
             to_proxy: false,
         };
         let parts = PoolParts { login, clock, counters: Arc::clone(counters) };
-        let way = parts.way(None, record, false);
+        let path = parts.path(None, record, false);
         let queue = AdmissionQueue::new(QueueLimits::default(), &class_shares(), clock);
         let health = Health {
             usual_us: INITIAL_ANSWER_US,
@@ -200,7 +200,7 @@
             answered_us: 0,
             failed_since_us: None,
             failed_us: 0,
-            way_failed_since_us: None,
+            path_failed_since_us: None,
             commits_waiting: 0,
             commits_stuck_since_us: None,
             lagged_us: 0,
@@ -208,8 +208,8 @@
         let state = TargetState {
             record: Arc::clone(record),
             rest_from_us: AtomicU64::new(0),
-            way: ArcSwap::from_pointee(way),
-            user_ways: ArcSwap::default(),
+            path: ArcSwap::from_pointee(path),
+            user_paths: ArcSwap::default(),
             has_organisations: AtomicBool::new(false),
             parts,
             queue: Arc::new(queue),
@@ -222,123 +222,123 @@
 
     /// The connections to it.
     pub fn pool(&self) -> Arc<Pool<StatementLink<C>>> {
-        Arc::clone(&self.way.load().pool)
+        Arc::clone(&self.path.load().pool)
     }
 
-    /// The way to it.
-    pub fn way(&self) -> Arc<Way<C>> {
-        self.way.load_full()
+    /// The path to it.
+    pub fn path(&self) -> Arc<TargetPath<C>> {
+        self.path.load_full()
     }
 
-    /// The way of a user's statements: each user's connections lie in one of the processes that connect.
-    pub fn way_for(&self, user: Option<&Arc<str>>) -> Arc<Way<C>> {
-        let ways = self.user_ways.load();
-        let Some(user) = user else { return self.way() };
-        let score = |way: &&Arc<Way<C>>| {
-            let vm = way.via.as_deref().unwrap_or(&self.parts.login.vm);
+    /// The path of a user's statements: each user's connections lie in one of the processes that connect.
+    pub fn path_for(&self, user: Option<&Arc<str>>) -> Arc<TargetPath<C>> {
+        let paths = self.user_paths.load();
+        let Some(user) = user else { return self.path() };
+        let score = |path: &&Arc<TargetPath<C>>| {
+            let vm = path.via.as_deref().unwrap_or(&self.parts.login.vm);
             homes::user_score(&self.record.id, user, vm)
         };
-        ways.iter().max_by_key(score).cloned().unwrap_or_else(|| self.way())
+        paths.iter().max_by_key(score).cloned().unwrap_or_else(|| self.path())
     }
 
-    /// Divides users among these VMs, of which none stands for this one. With fewer than two all users go the same
-    /// way.
+    /// Divides users among these VMs, of which none stands for this one. With fewer than two all users take
+    /// the same path.
     pub fn divide_users(&self, vms: &[Option<&VmAddress>]) {
-        let known = self.user_ways.load_full();
-        let own = self.way();
+        let known = self.user_paths.load_full();
+        let own = self.path();
         let vms = if vms.len() < 2 { &[] } else { vms };
-        let way_to = |vm: &Option<&VmAddress>| {
+        let path_to = |vm: &Option<&VmAddress>| {
             let via = vm.map(|vm| &vm.name);
             if own.via.as_ref() == via {
                 return Arc::clone(&own);
             }
-            let known = known.iter().find(|way| way.via.as_ref() == via);
-            known.cloned().unwrap_or_else(|| self.new_way(*vm))
+            let known = known.iter().find(|path| path.via.as_ref() == via);
+            known.cloned().unwrap_or_else(|| self.new_path(*vm))
         };
-        let ways: Vec<Arc<Way<C>>> = vms.iter().map(way_to).collect();
-        let is_same = ways.len() == known.len()
-            && ways.iter().zip(known.iter()).all(|(way, known)| Arc::ptr_eq(way, known));
+        let paths: Vec<Arc<TargetPath<C>>> = vms.iter().map(path_to).collect();
+        let is_same = paths.len() == known.len()
+            && paths.iter().zip(known.iter()).all(|(path, known)| Arc::ptr_eq(path, known));
         if is_same {
             return;
         }
-        for way in known.iter() {
-            let is_kept = Arc::ptr_eq(way, &own) || ways.iter().any(|it| Arc::ptr_eq(it, way));
+        for path in known.iter() {
+            let is_kept = Arc::ptr_eq(path, &own) || paths.iter().any(|it| Arc::ptr_eq(it, path));
             if !is_kept {
-                way.close();
+                path.close();
             }
         }
-        self.user_ways.store(Arc::new(ways));
+        self.user_paths.store(Arc::new(paths));
     }
 
-    fn new_way(&self, vm: Option<&VmAddress>) -> Arc<Way<C>> {
+    fn new_path(&self, vm: Option<&VmAddress>) -> Arc<TargetPath<C>> {
         let has_organisations = self.has_organisations.load(Ordering::Relaxed);
-        let way = self.parts.way(vm, &self.record, has_organisations);
+        let path = self.parts.path(vm, &self.record, has_organisations);
         if vm.is_some() {
-            way.pool.set_share(limits::PEER_CONNECTIONS + 1);
+            path.pool.set_share(limits::PEER_CONNECTIONS + 1);
         }
-        Arc::new(way)
+        Arc::new(path)
     }
 
-    /// Does something with each way that is in use.
-    pub fn for_each_way<F>(&self, mut act: F)
+    /// Does something with each path that is in use.
+    pub fn for_each_path<F>(&self, mut act: F)
     where
-        F: FnMut(&Way<C>),
+        F: FnMut(&TargetPath<C>),
     {
-        let (own, users) = (self.way.load(), self.user_ways.load());
+        let (own, users) = (self.path.load(), self.user_paths.load());
         act(&own);
-        users.iter().filter(|way| !Arc::ptr_eq(way, &own)).for_each(|way| act(way));
+        users.iter().filter(|path| !Arc::ptr_eq(path, &own)).for_each(|path| act(path));
     }
 
-    /// How many connections are open or being opened, on all ways.
+    /// How many connections are open or being opened, on all paths.
     pub fn connections(&self) -> u32 {
         let mut total = 0;
-        self.for_each_way(|way| total += way.pool.total());
+        self.for_each_path(|path| total += path.pool.total());
         total
     }
 
     /// Closes all connections as they become idle.
     pub fn close(&self) {
-        self.for_each_way(Way::close);
+        self.for_each_path(TargetPath::close);
     }
 
     /// The VM that statements go through; none if this process has connections of its own.
     pub fn via(&self) -> Option<Arc<str>> {
-        self.way.load().via.clone()
+        self.path.load().via.clone()
     }
 
     /// Whether this process has connections of its own to it.
     pub fn is_own(&self) -> bool {
-        self.way.load().via.is_none()
+        self.path.load().via.is_none()
     }
 
-    /// Whether nothing is to be done about the way to it until somebody needs it: it leads through another VM,
+    /// Whether nothing is to be done about the path to it until somebody needs it: it leads through another VM,
     /// has no connections, and nothing came of it that did not work.
     pub fn rests(&self) -> bool {
-        let is_at_rest = |way: &Arc<Way<C>>| way.via.is_some() && way.pool.rests();
-        is_at_rest(&self.way.load())
-            && self.user_ways.load().iter().all(is_at_rest)
-            && self.health.lock().way_failed_since_us.is_none()
+        let is_at_rest = |path: &Arc<TargetPath<C>>| path.via.is_some() && path.pool.rests();
+        is_at_rest(&self.path.load())
+            && self.user_paths.load().iter().all(is_at_rest)
+            && self.health.lock().path_failed_since_us.is_none()
     }
 
-    /// Goes through another VM from now on, or straight. The connections of the old way are closed
+    /// Goes through another VM from now on, or straight. The connections of the old path are closed
     /// as they become idle.
     pub fn go_via(&self, vm: Option<&VmAddress>) {
         let via = vm.map(|vm| Arc::clone(&vm.name));
-        if self.way.load().via == via {
+        if self.path.load().via == via {
             return;
         }
-        let known = self.user_ways.load().iter().find(|way| way.via == via).cloned();
-        let next = known.unwrap_or_else(|| self.new_way(vm));
-        let old = self.way.swap(next);
-        let is_kept = self.user_ways.load().iter().any(|way| Arc::ptr_eq(way, &old));
+        let known = self.user_paths.load().iter().find(|path| path.via == via).cloned();
+        let next = known.unwrap_or_else(|| self.new_path(vm));
+        let old = self.path.swap(next);
+        let is_kept = self.user_paths.load().iter().any(|path| Arc::ptr_eq(path, &old));
         if !is_kept {
             old.close();
         }
     }
 
-    /// Lets the pools of all ways open and close connections.
+    /// Lets the pools of all paths open and close connections.
     pub fn maintain(&self) {
-        self.for_each_way(|way| way.pool.maintain());
+        self.for_each_path(|path| path.pool.maintain());
     }
 
     /// Sets whether connections serve one organisation each, which they are kept and opened by.
@@ -346,8 +346,8 @@
         if self.has_organisations.swap(has_organisations, Ordering::Relaxed) == has_organisations {
             return;
         }
-        self.for_each_way(|way| {
-            way.pool.set_policy(policy(way.via.is_some(), has_organisations));
+        self.for_each_path(|path| {
+            path.pool.set_policy(policy(path.via.is_some(), has_organisations));
         });
     }
 
@@ -434,7 +434,7 @@
         let mut health = self.health.lock();
         health.answered_us = now_us;
         health.failed_since_us = None;
-        health.way_failed_since_us = None;
+        health.path_failed_since_us = None;
         health.unanswered_since_us = (health.in_flight > 0).then_some(now_us);
         if let Some(took_us) = took_us {
             let kept_us = health.usual_us - health.usual_us / AVERAGE_DIVISOR;
@@ -449,17 +449,17 @@
             // The proxy may say so by itself: a VM of a zone that was cut off took that for a sign of the other
             // zones.
             Some(TargetError::Busy) if !self.is_own() => {
-                self.health.lock().way_failed_since_us = None;
+                self.health.lock().path_failed_since_us = None;
             }
             _ => self.answered(now_us, took_us),
         }
     }
 
     /// Whether requests pass it over, because it failed just now and nothing came from it since.
-    pub fn is_passed_over(&self, now_us: u64) -> bool {
+    pub fn is_ejected(&self, now_us: u64) -> bool {
         let health = self.health.lock();
         health.failed_since_us.is_some()
-            && now_us < health.failed_us + limits::FAILING_PASSED_OVER_US
+            && now_us < health.failed_us + limits::FAILED_MEMBER_EJECTION_US
     }
 
     /// It can't be reached, broke off, or did not answer in time.
@@ -470,13 +470,13 @@
     }
 
     /// It could not be reached: itself, or the VM that leads to it.
-    pub fn unreached(&self, way: &Way<C>, failure: Failure, now_us: u64) {
-        match &way.via {
+    pub fn unreached(&self, path: &TargetPath<C>, failure: Failure, now_us: u64) {
+        match &path.via {
             None => self.failed(now_us),
-            // The VM answered, and knows no way to the target.
+            // The VM answered, and knows no path to the target.
             Some(_) if matches!(failure, Failure::Said { .. }) => (),
             Some(_) => {
-                self.health.lock().way_failed_since_us.get_or_insert(now_us);
+                self.health.lock().path_failed_since_us.get_or_insert(now_us);
             }
         }
     }
--- a/crates/proxy/src/sessions/process/watch.rs
+++ b/crates/proxy/src/sessions/process/watch.rs
@@ -2,7 +2,7 @@
 //!
 //! A process watches both by itself while no other process tells it (`feed.rs`): a waiting watch is one
 //! call. When that is, and what happens while the store does not answer, is decided by `asking.rs`. What
-//! a watch brings is put together into one version and published (`known.rs`). Versions of the
+//! a watch brings is put together into one version and published (`cluster_state.rs`). Versions of the
 //! configuration only rise.
 
 use std::sync::Arc;
@@ -120,7 +120,7 @@
 
 /// What the watches brought so far.
 #[derive(Debug, Default)]
-pub struct Known {
+pub struct ClusterState {
     pub(super) number: u64,
     pub(super) routes: Option<Arc<RouteTable>>,
     pub(super) targets: FastMap<Arc<str>, Member>,
@@ -152,7 +152,7 @@
 {
     pub(super) gateway: Arc<Gateway<C>>,
     store: S,
-    pub(super) known: Mutex<Known>,
+    pub(super) known: Mutex<ClusterState>,
 }
 
 impl<C, S> Watcher<C, S>
@@ -180,7 +180,7 @@
         was_never_away || self.is_settled(&known)
     }
 
-    pub(super) fn is_settled(&self, known: &Known) -> bool {
+    pub(super) fn is_settled(&self, known: &ClusterState) -> bool {
         if known.health.answers_targets() {
             return self.gateway.clock.now_us() >= known.store_back_us + LAPSED_BACK_US;
         }
@@ -190,7 +190,7 @@
 
     /// What this process tells others of the store. One that another one tells has nothing of its own, but
     /// for what it asks in the place of others.
-    pub(super) fn news(&self, known: &Known) -> StoreNews {
+    pub(super) fn news(&self, known: &ClusterState) -> StoreNews {
         let asks = self.gateway.asking.standing() == Standing::Asks;
         let helper = known.told.filter(|_| asks).map(|told| told.news);
         store_calls::news(known.health.answers(), helper)
--- a/crates/proxy/src/sessions/request/acquire.rs
+++ b/crates/proxy/src/sessions/request/acquire.rs
@@ -14,8 +14,8 @@
 use crate::sessions::connection::reply::Lost;
 use crate::sessions::connection::reply::Reply;
 use crate::sessions::process::latencies::Stage;
+use crate::sessions::process::targets::TargetPath;
 use crate::sessions::process::targets::TargetState;
-use crate::sessions::process::targets::Way;
 use crate::sessions::request::call::Call;
 use crate::sessions::request::call::Work;
 
@@ -37,14 +37,14 @@
 where
     C: Codec,
 {
-    take_on(call, target, &target.way_for(call.user), until_us).await
+    take_on(call, target, &target.path_for(call.user), until_us).await
 }
 
 /// The same on one of the ways to the target.
 pub async fn take_on<C>(
     call: &Call<'_, C>,
     target: &Arc<TargetState<C>>,
-    way: &Way<C>,
+    path: &TargetPath<C>,
     until_us: u64,
 ) -> Result<Lease<StatementLink<C>>, NotTaken>
 where
@@ -52,17 +52,17 @@
 {
     target.queued();
     let asked_us = call.now_us();
-    let taken = take_counted(call, target, &way.pool, until_us).await;
+    let taken = take_counted(call, target, &path.pool, until_us).await;
     target.unqueued();
     call.took(Stage::Queue, asked_us);
     if let Err(NotTaken::NotConnected(failure)) = &taken {
         // A wait that ran out says nothing of the target, but the last try to connect may.
         let seen = match failure {
-            Failure::TimedOut => way.pool.failing(),
+            Failure::TimedOut => path.pool.failing(),
             other => Some(*other),
         };
         if let Some(failure) = seen.filter(|failure| !is_full(*failure)) {
-            target.unreached(way, failure, call.now_us());
+            target.unreached(path, failure, call.now_us());
         }
     }
     taken
--- a/crates/proxy/src/sessions/request/at_primary.rs
+++ b/crates/proxy/src/sessions/request/at_primary.rs
@@ -41,7 +41,7 @@
 
 /// What shows that a primary has all that the reads of a transaction must see.
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
-pub enum Ground {
+pub enum ReadGuarantee {
     /// Its log goes at least to this position, or it refuses.
     Position(LogPosition),
     /// A proof that it still led when the first byte of the request had arrived.
@@ -62,8 +62,8 @@
     let mut tries = 0;
     loop {
         tries += 1;
-        let ground = read::ground(call, session, work);
-        let held = open(call, session, work, ground).await?;
+        let guarantee = read::read_guarantee(call, session, work);
+        let held = open(call, session, work, guarantee).await?;
         match read_once(call, held, work).await {
             Ok(reply) => return Ok(reply),
             Err(lost) => {
@@ -90,7 +90,7 @@
     work.push(link, call.id, None);
     // Sent along: whatever becomes of the read, its transaction ends.
     link.push_own(Statement::Rollback);
-    let until = call.gateway.clock.instant_at(read::patience_until_us(call));
+    let until = call.gateway.clock.instant_at(read::hedge_at_us(call));
     let answered = link.exchange(until).await;
     target.ended();
     call.took(Stage::Target, sent_us);
@@ -180,27 +180,27 @@
     }
 }
 
-/// Opens a transaction that may write, on the ground that its reads need. The connection has the session
+/// Opens a transaction that may write, on the guarantee that its reads need. The connection has the session
 /// and what its first statement needs.
 pub async fn open<C>(
     call: &Call<'_, C>,
     session: &Session<C>,
     work: &Work<'_>,
-    ground: Ground,
+    guarantee: ReadGuarantee,
 ) -> Result<Held<C>, Refusal>
 where
     C: Codec,
 {
-    let at_least = match ground {
-        Ground::Position(position) => Some(position),
-        Ground::Lead | Ground::None => None,
+    let at_least = match guarantee {
+        ReadGuarantee::Position(position) => Some(position),
+        ReadGuarantee::Lead | ReadGuarantee::None => None,
     };
     loop {
         let (target, mut lease) = take(call).await?;
-        let until_us = read::patience_until_us(call);
+        let until_us = read::hedge_at_us(call);
         let sent_us = call.now_us();
         let link = lease.connection();
-        if ground == Ground::Lead
+        if guarantee == ReadGuarantee::Lead
             && prove::learn_term(call.gateway, &target, link, call.arrived_us).await.is_err()
         {
             target.failed(call.now_us());
@@ -212,32 +212,32 @@
         link.push_statement(None, at_least, Statement::Begin { read_only: false });
         target.started(sent_us);
         // The other members' words come while the primary answers, so a proof costs hardly any time.
-        let proof = prove_if(ground == Ground::Lead, call, &target);
+        let proof = prove_if(guarantee == ReadGuarantee::Lead, call, &target);
         let settled = acquire::settle(call, link, owed + 1, until_us);
         let (settled, proof) = tokio::join!(settled, proof);
         target.ended();
         let refusal = match settled {
             Ok(Some(reply)) if reply.error().is_none() => {
                 target.answered(call.now_us(), None);
-                match (ground, proof) {
-                    (Ground::Lead, Ok(())) => {
+                match (guarantee, proof) {
+                    (ReadGuarantee::Lead, Ok(())) => {
                         call.gateway.proved_lead(&target, call.arrived_us, reply.position);
                     }
-                    (Ground::Position(_) | Ground::None, _) => {
+                    (ReadGuarantee::Position(_) | ReadGuarantee::None, _) => {
                         call.gateway.answered_as_primary(&target);
                     }
-                    (Ground::Lead, Err(Unproved::Superseded)) => {
+                    (ReadGuarantee::Lead, Err(Unproved::Superseded)) => {
                         call.gateway.counters.retry(RetryReason::NotPrimary);
                         lease.give_back();
                         pause(call).await?;
                         continue;
                     }
-                    (Ground::Lead, Err(Unproved::NoWord)) => {
+                    (ReadGuarantee::Lead, Err(Unproved::NoReply)) => {
                         lease.give_back();
                         return Err(ErrorKind::LeadUnproved.into());
                     }
                 }
-                return Ok(Held { lease, target, may_read: ground != Ground::None });
+                return Ok(Held { lease, target, may_read: guarantee != ReadGuarantee::None });
             }
             Ok(Some(reply)) => {
                 target.replied(reply.error(), call.now_us(), None);
--- a/crates/proxy/src/sessions/request/prove.rs
+++ b/crates/proxy/src/sessions/request/prove.rs
@@ -37,7 +37,7 @@
     /// It was lost to another target.
     Superseded,
     /// Too few other members could be asked.
-    NoWord,
+    NoReply,
 }
 
 /// Proves that by `moment_us` nobody but `target` had acknowledged anything, or gives up at
@@ -54,7 +54,7 @@
     let result = settle(gateway, target, moment_us, until_us).await;
     match result {
         Ok(()) => gateway.counters.event(Event::LeadsProved),
-        Err(Unproved::NoWord) => gateway.counters.event(Event::LeadsUnproved),
+        Err(Unproved::NoReply) => gateway.counters.event(Event::LeadsUnproved),
         Err(Unproved::Superseded) => gateway.counters.event(Event::LeadsSuperseded),
     }
     result
@@ -88,7 +88,7 @@
         let is_hopeless = was_asked && is_hopeless(gateway, target, verdict, moment_us);
         if now_us >= until_us || is_hopeless || state.was_asked_in_vain(came_us) {
             log_unproved(gateway, target, moment_us, verdict);
-            return Err(Unproved::NoWord);
+            return Err(Unproved::NoReply);
         }
         was_asked = true;
         match state.asking.begin() {
@@ -180,7 +180,7 @@
     let now_us = gateway.clock.now_us();
     let may_say = |member: &Arc<TargetState<C>>| {
         let asked_us = state.words.lock().asked_us(&member.record.id);
-        asked_us.is_none_or(|asked_us| asked_us < moment_us) && !member.is_passed_over(now_us)
+        asked_us.is_none_or(|asked_us| asked_us < moment_us) && !member.is_ejected(now_us)
     };
     witnesses(gateway, target).into_iter().filter(may_say).count() < missing
 }
@@ -211,7 +211,7 @@
     }
     gateway.counters.event(Event::WordsAsked);
     let asked_us = gateway.clock.now_us();
-    let until = gateway.clock.instant_at(asked_us + limits::WORD_US);
+    let until = gateway.clock.instant_at(asked_us + limits::STATUS_TIMEOUT_US);
     let reply = link.ask(&Query::Standing, until).await?;
     heard(gateway, target, asked_us, &reply);
     Ok(())
@@ -244,8 +244,7 @@
     let members = gateway.members(&target.record.service).into_iter();
     let mut others: Vec<_> =
         members.filter(|member| member.record.id != target.record.id).collect();
-    others
-        .sort_by_key(|member| (member.is_passed_over(now_us), member.record.zone != gateway.zone));
+    others.sort_by_key(|member| (member.is_ejected(now_us), member.record.zone != gateway.zone));
     others
 }
 
@@ -255,12 +254,12 @@
     C: Codec,
 {
     let asked_us = gateway.clock.now_us();
-    let reply = standing_of(gateway, member, until_us).await.ok()?;
+    let reply = status_of(gateway, member, until_us).await.ok()?;
     heard(gateway, member, asked_us, &reply)
 }
 
 /// Asks a member for its standing, past the queue: it takes no slot.
-pub async fn standing_of<C>(
+pub async fn status_of<C>(
     gateway: &Gateway<C>,
     member: &TargetState<C>,
     until_us: u64,
@@ -270,9 +269,9 @@
 {
     gateway.counters.event(Event::WordsAsked);
     let now_us = gateway.clock.now_us();
-    let until = gateway.clock.instant_at(until_us.min(now_us + limits::WORD_US));
-    let way = member.way();
-    let mut lease = way.pool.take(None, None, until).await?;
+    let until = gateway.clock.instant_at(until_us.min(now_us + limits::STATUS_TIMEOUT_US));
+    let path = member.path();
+    let mut lease = path.pool.take(None, None, until).await?;
     match lease.connection().ask(&Query::Standing, until).await {
         Ok(reply) => {
             lease.give_back();
@@ -280,7 +279,7 @@
             Ok(reply)
         }
         Err(lost) => {
-            member.unreached(&way, lost.failure, gateway.clock.now_us());
+            member.unreached(&path, lost.failure, gateway.clock.now_us());
             Err(lost.failure)
         }
     }
--- a/crates/proxy/src/sessions/request/read.rs
+++ b/crates/proxy/src/sessions/request/read.rs
@@ -31,7 +31,7 @@
 use crate::sessions::request::acquire;
 use crate::sessions::request::acquire::NotTaken;
 use crate::sessions::request::at_primary;
-use crate::sessions::request::at_primary::Ground;
+use crate::sessions::request::at_primary::ReadGuarantee;
 use crate::sessions::request::call::Call;
 use crate::sessions::request::call::Work;
 use crate::sessions::request::sample;
@@ -114,15 +114,19 @@
 }
 
 /// What shows that a primary has all that the reads of this call's transaction must see.
-pub fn ground<C>(call: &Call<'_, C>, session: &Session<C>, first: &Work<'_>) -> Ground
+pub fn read_guarantee<C>(
+    call: &Call<'_, C>,
+    session: &Session<C>,
+    first: &Work<'_>,
+) -> ReadGuarantee
 where
     C: Codec,
 {
     let floor = session.floor_of(&call.route.service);
     match call.gateway.position_for(call.route, floor, call.arrived_us) {
-        Some(position) => Ground::Position(position),
-        None if first.effect() == Effect::Read => Ground::Lead,
-        None => Ground::None,
+        Some(position) => ReadGuarantee::Position(position),
+        None if first.effect() == Effect::Read => ReadGuarantee::Lead,
+        None => ReadGuarantee::None,
     }
 }
 
@@ -147,8 +151,8 @@
                 usual_us: health.usual_us,
                 under_way: health.queued + health.in_flight,
                 lags: health.lagged_us > 0
-                    && now_us < health.lagged_us + limits::LAGGING_PASSED_OVER_US,
-                fails: member.is_passed_over(now_us),
+                    && now_us < health.lagged_us + limits::LAGGING_MEMBER_EJECTION_US,
+                fails: member.is_ejected(now_us),
             }
         })
         .collect();
@@ -173,12 +177,12 @@
 }
 
 /// How long a read may go without an answer before another member is asked.
-pub fn patience_until_us<C>(call: &Call<'_, C>) -> u64
+pub fn hedge_at_us<C>(call: &Call<'_, C>) -> u64
 where
     C: Codec,
 {
-    let part_us = call.route.objective_ms * 1_000 / limits::READ_PATIENCE_DIVISOR;
-    let until_us = call.now_us() + part_us.max(limits::LEAST_READ_PATIENCE_US);
+    let part_us = call.route.objective_ms * 1_000 / limits::READ_HEDGE_DIVISOR;
+    let until_us = call.now_us() + part_us.max(limits::LEAST_READ_HEDGE_US);
     until_us.min(call.deadline_us())
 }
 
@@ -200,7 +204,7 @@
     };
     let sent_us = call.now_us();
     target.started(sent_us);
-    let until_us = patience_until_us(call);
+    let until_us = hedge_at_us(call);
     let (link, at_least) = (lease.connection(), Some(at_least));
     let answered = acquire::run(call, link, &session.values, work, at_least, until_us).await;
     target.ended();
--- a/crates/proxy/src/sessions/request/transaction.rs
+++ b/crates/proxy/src/sessions/request/transaction.rs
@@ -80,7 +80,7 @@
     {
         return Ok(held);
     }
-    at_primary::open(call, session, work, read::ground(call, session, work)).await
+    at_primary::open(call, session, work, read::read_guarantee(call, session, work)).await
 }
 
 /// Opens a transaction that only reads at a member that has what it must see.
@@ -105,7 +105,7 @@
         let link = lease.connection();
         let owed = link.push_session(&session.values, work.prepared());
         link.push_statement(None, Some(at_least), Statement::Begin { read_only: true });
-        match acquire::settle(call, link, owed + 1, read::patience_until_us(call)).await {
+        match acquire::settle(call, link, owed + 1, read::hedge_at_us(call)).await {
             Ok(Some(reply)) if reply.error().is_none() => {
                 target.answered(call.now_us(), None);
                 return Some(Held { lease, target, may_read: true });
