--- a/crates/proxy/src/process/counters.rs
+++ b/crates/proxy/src/process/counters.rs
@@ -110,8 +110,10 @@
         WordsAsked = "words.asked",
         /// Homes asked for a position of a primary.
         PositionsAsked = "positions.asked",
-        /// Looks at the way to a target.
+        /// Checks of the paths to a target.
         PathsChecked = "paths.checked",
+        /// Times that the paths to a target were set anew.
+        PathsSet = "paths.set",
         /// Targets of other availability zones asked, since no VM there answered.
         OtherZonesAsked = "zones.targets_asked",
         /// Leads that other members' words proved.
--- a/crates/proxy/src/sessions/process/fleet.rs
+++ b/crates/proxy/src/sessions/process/fleet.rs
@@ -15,6 +15,7 @@
 use crate::sessions::process::gateway::service_limits;
 use crate::sessions::process::limits;
 use crate::sessions::process::peer_routes::PeerRoutes;
+use crate::sessions::process::targets::PathInputs;
 use crate::sessions::process::targets::TargetState;
 use crate::sessions::store::VmAddress;
 
@@ -42,8 +43,11 @@
             }
             self.counters.event(Event::PathsChecked);
             let demand = demand(view.routes.as_deref(), &target.record.service, &peer_routes);
-            if !target.must_rest(now_us) {
-                peer_routes.lead(target, demand, self.is_primary(target), now_us);
+            let inputs = PathInputs { demand, is_primary: self.is_primary(target) };
+            let is_settled = target.is_settled(inputs) && !looks_at_all;
+            if !is_settled && !target.must_rest(now_us) {
+                self.counters.event(Event::PathsSet);
+                peer_routes.lead(target, inputs, now_us);
             }
             target.maintain();
         }
@@ -61,7 +65,8 @@
         if !peer_routes.become_fallback(target, demand, now_us) {
             return false;
         }
-        peer_routes.lead(target, demand, self.is_primary(target), now_us);
+        let inputs = PathInputs { demand, is_primary: self.is_primary(target) };
+        peer_routes.lead(target, inputs, now_us);
         true
     }
 
--- a/crates/proxy/src/sessions/process/peer_routes.rs
+++ b/crates/proxy/src/sessions/process/peer_routes.rs
@@ -15,6 +15,7 @@
 
 use crate::sessions::codec::Codec;
 use crate::sessions::process::limits;
+use crate::sessions::process::targets::PathInputs;
 use crate::sessions::process::targets::TargetState;
 use crate::sessions::store::VmAddress;
 
@@ -158,18 +159,19 @@
     }
 
     /// Sets the path to a target, and how many connections it has.
-    pub fn lead<C>(&self, target: &TargetState<C>, demand: Demand, is_primary: bool, now_us: u64)
+    pub fn lead<C>(&self, target: &TargetState<C>, inputs: PathInputs, now_us: u64)
     where
         C: Codec,
     {
-        self.lead_all(target, demand, is_primary, now_us);
-        target.set_has_organisations(demand.organisations > 0);
+        self.set_path(target, inputs, now_us);
+        target.set_has_organisations(inputs.demand.organisations > 0);
     }
 
-    fn lead_all<C>(&self, target: &TargetState<C>, demand: Demand, is_primary: bool, now_us: u64)
+    fn set_path<C>(&self, target: &TargetState<C>, inputs: PathInputs, now_us: u64)
     where
         C: Codec,
     {
+        let PathInputs { demand, is_primary } = inputs;
         let has_organisations = demand.organisations > 0;
         match connection_plan::plan(demand) {
             ConnectionPlan::Direct { primary, replica } => {
--- a/crates/proxy/src/sessions/process/targets.rs
+++ b/crates/proxy/src/sessions/process/targets.rs
@@ -9,6 +9,7 @@
 use arc_swap::ArcSwap;
 use parking_lot::Mutex;
 use skylark_core::process::connection_budget::BudgetPolicy;
+use skylark_core::process::connection_plan::Demand;
 use skylark_core::process::homes;
 use skylark_core::process::jitter;
 use skylark_core::process::sharing::ClassShare;
@@ -95,6 +96,15 @@
     }
 }
 
+/// What the paths to a target follow from while none of them fails.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub struct PathInputs {
+    /// What its connections are divided by.
+    pub demand: Demand,
+    /// Whether it is believed to be the primary.
+    pub is_primary: bool,
+}
+
 /// What the connections to a target need to know.
 #[derive(Clone, Debug)]
 struct PoolParts {
@@ -164,6 +174,8 @@
     user_paths: ArcSwap<Vec<Arc<TargetPath<C>>>>,
     /// Whether connections serve one organisation each.
     has_organisations: AtomicBool,
+    /// What the paths were set by last.
+    set_by: Mutex<Option<PathInputs>>,
     parts: PoolParts,
     /// The queue in front of the connections.
     pub queue: Arc<AdmissionQueue>,
@@ -211,6 +223,7 @@
             path: ArcSwap::from_pointee(path),
             user_paths: ArcSwap::default(),
             has_organisations: AtomicBool::new(false),
+            set_by: Mutex::default(),
             parts,
             queue: Arc::new(queue),
             health: Mutex::new(health),
@@ -320,6 +333,18 @@
             && self.health.lock().path_failed_since_us.is_none()
     }
 
+    /// Notes what the paths are set by. Returns whether that is as it was, and no path fails: then they stay as they
+    /// are.
+    pub fn is_settled(&self, inputs: PathInputs) -> bool {
+        let before = self.set_by.lock().replace(inputs);
+        if before != Some(inputs) || self.health.lock().path_failed_since_us.is_some() {
+            return false;
+        }
+        let mut fails = false;
+        self.for_each_path(|path| fails |= path.pool.is_failing());
+        !fails
+    }
+
     /// Goes through another VM from now on, or straight. The connections of the old path are closed
     /// as they become idle.
     pub fn go_via(&self, vm: Option<&VmAddress>) {
