--- a/crates/proxy/tests/control_support/mod.rs
+++ b/crates/proxy/tests/control_support/mod.rs
@@ -24,6 +24,8 @@
 use skylark_standin::deployment::Deployment;
 use skylark_standin::deployment::fault::Fault;
 use tokio::time;
+use tokio_postgres::Client;
+use tokio_postgres::SimpleQueryMessage;
 
 /// The group of the deployment.
 pub const GROUP: &str = "loans-1";
@@ -285,6 +287,38 @@
         text
     }
 
+    /// Runs a statement that sets a test up, again while it is refused without having run: on a machine that is
+    /// busy with other tests, members may miss status requests for a moment, and writes are refused meanwhile.
+    pub async fn set_up(&self, client: &Client, sql: &str) {
+        until(&format!("{sql} is served"), async || match client.simple_query(sql).await {
+            Ok(_) => Some(()),
+            Err(error) => {
+                let detail = error.as_db_error().and_then(|error| error.detail());
+                assert_eq!(detail, Some("not run"), "{sql}: {error:?}");
+                None
+            }
+        })
+        .await;
+    }
+
+    /// The answer to a query that has to be served. A refusal fails the test and shows what the proxies decided and
+    /// counted: the refusal alone doesn't tell which of them had no path to which target.
+    pub async fn served(&self, client: &Client, sql: &str) -> Vec<SimpleQueryMessage> {
+        let error = match client.simple_query(sql).await {
+            Ok(answer) => return answer,
+            Err(error) => error,
+        };
+        let mut counted = String::new();
+        for proxy in &self.proxies {
+            let counters = proxy.status().await.counters;
+            let counters = counters.into_iter().filter(|(_, value)| *value > 0);
+            let counters: Vec<String> =
+                counters.map(|(name, value)| format!("{name} {value}")).collect();
+            counted += &format!("{}: {}\n", proxy.vm, counters.join(", "));
+        }
+        panic!("{sql}: {error:?}\ndecisions:\n{}\ncounters:\n{counted}", self.explain().await);
+    }
+
     /// Waits until every proxy knows one primary of a term above `term`, and returns it.
     pub async fn until_led_above(&self, term: Term) -> (String, Term) {
         let agreed = async || {
