--- a/crates/bench/src/commands/mod.rs
+++ b/crates/bench/src/commands/mod.rs
@@ -6,6 +6,7 @@
 use tokio::runtime::Builder;
 use tokio::runtime::Runtime;
 
+pub mod connection_cache;
 pub mod experiment;
 pub mod failover_gap;
 pub mod fleet;
--- /dev/null
+++ b/crates/bench/src/connection_cache/pool.rs
@@ -0,0 +1,129 @@
+//! The connections of one process to one target, kept and opened as the proxies' pools do.
+
+use std::collections::VecDeque;
+
+use skylark_core::process::connection_budget::ConnectionBudget;
+use skylark_proxy::sessions::process::limits;
+
+/// The number of an organisation.
+pub type OrganisationId = usize;
+
+/// A statement that waits for a connection.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub struct Waiting {
+    /// Whose it is.
+    pub organisation: OrganisationId,
+    /// When it came.
+    pub came_us: u64,
+    /// How long it will occupy a slot.
+    pub run_us: u64,
+}
+
+/// What is to be done after a change.
+#[derive(Clone, PartialEq, Eq, Debug, Default)]
+pub struct Actions {
+    /// Statements that got a connection.
+    pub run: Vec<Waiting>,
+    /// For whom connections are to be opened.
+    pub open: Vec<OrganisationId>,
+    /// How many idle connections gave way to other organisations'.
+    pub replaced: u32,
+}
+
+/// One pool.
+#[derive(Debug)]
+pub struct SimulatedPool {
+    budget: ConnectionBudget,
+    /// Idle connections, the least recently used first.
+    idle: Vec<OrganisationId>,
+    waiting: VecDeque<Waiting>,
+    opening: Vec<OrganisationId>,
+}
+
+impl SimulatedPool {
+    /// An empty pool of at most `share` connections.
+    pub fn new(share: u32, seed: u64) -> SimulatedPool {
+        SimulatedPool {
+            budget: ConnectionBudget::new(limits::ORGANISATIONS_POLICY, share, seed, 0),
+            idle: Vec::new(),
+            waiting: VecDeque::new(),
+            opening: Vec::new(),
+        }
+    }
+
+    /// A statement comes. Returns whether an idle connection of its organisation was there.
+    pub fn arrive(&mut self, statement: Waiting, now_us: u64, actions: &mut Actions) -> bool {
+        let found = self.idle.iter().rposition(|it| *it == statement.organisation);
+        if let Some(place) = found {
+            self.idle.remove(place);
+            self.budget.take(now_us);
+            actions.run.push(statement);
+            return true;
+        }
+        self.waiting.push_back(statement);
+        self.maintain(now_us, actions);
+        false
+    }
+
+    /// A connection was opened.
+    pub fn opened(&mut self, organisation: OrganisationId, now_us: u64, actions: &mut Actions) {
+        if let Some(place) = self.opening.iter().position(|it| *it == organisation) {
+            self.opening.swap_remove(place);
+        }
+        self.budget.opened();
+        self.hand_over(organisation, now_us, actions);
+    }
+
+    /// A statement ended.
+    pub fn gave_back(&mut self, organisation: OrganisationId, now_us: u64, actions: &mut Actions) {
+        self.budget.gave_back();
+        self.hand_over(organisation, now_us, actions);
+    }
+
+    /// Opens connections for those who wait, in place of others where there is no room.
+    pub fn maintain(&mut self, now_us: u64, actions: &mut Actions) {
+        let missing = self.missing();
+        let plan = self.budget.plan_for_users(missing.len() as u32, now_us);
+        self.idle.drain(..plan.close as usize);
+        let open = missing.into_iter().take(plan.open as usize);
+        let before = actions.open.len();
+        actions.open.extend(open);
+        self.opening.extend_from_slice(&actions.open[before..]);
+        actions.replaced += plan.replaced;
+    }
+
+    /// Gives up statements that came before a moment, and returns how many.
+    pub fn give_up(&mut self, before_us: u64) -> usize {
+        let count = self.waiting.len();
+        self.waiting.retain(|statement| statement.came_us >= before_us);
+        count - self.waiting.len()
+    }
+
+    fn hand_over(&mut self, organisation: OrganisationId, now_us: u64, actions: &mut Actions) {
+        let place = self.waiting.iter().position(|it| it.organisation == organisation);
+        if let Some(statement) = place.and_then(|place| self.waiting.remove(place)) {
+            self.budget.take(now_us);
+            actions.run.push(statement);
+            return;
+        }
+        self.idle.push(organisation);
+        if !self.waiting.is_empty() {
+            self.maintain(now_us, actions);
+        }
+    }
+
+    /// The organisations that wait without a connection being opened for them.
+    fn missing(&self) -> Vec<OrganisationId> {
+        let mut opening = self.opening.clone();
+        let mut missing = Vec::new();
+        for statement in &self.waiting {
+            match opening.iter().position(|it| *it == statement.organisation) {
+                Some(place) => {
+                    opening.swap_remove(place);
+                }
+                None => missing.push(statement.organisation),
+            }
+        }
+        missing
+    }
+}
--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -8,9 +8,11 @@
 //!   accepts writes in it.
 //! - [`slopes`] measures how costs grow with the size that they depend on; [`live`] does so at
 //!   running proxies.
+//! - [`connection_cache`] compares ways to place the connections of organisations.
 //! - [`surge`] compares ways of sharing a target's slots on one recorded surge.
 
 pub mod commands;
+pub mod connection_cache;
 pub mod embedded;
 pub mod experiment;
 pub mod gap;
--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -13,6 +13,7 @@
         .about("Load and experiments over stand-ins of targets and of the platform")
         .subcommand_required(true)
         .arg_required_else_help(true)
+        .subcommand(commands::connection_cache::command())
         .subcommand(commands::experiment::command())
         .subcommand(commands::experiment::compare_command())
         .subcommand(commands::failover_gap::command())
@@ -23,6 +24,9 @@
         .subcommand(commands::quickstart::command())
         .subcommand(commands::slopes::command());
     let result = match command.get_matches().subcommand() {
+        Some((commands::connection_cache::NAME, matches)) => {
+            commands::connection_cache::run(matches)
+        }
         Some((commands::experiment::NAME, matches)) => commands::experiment::run(matches),
         Some((commands::experiment::COMPARE_NAME, matches)) => {
             commands::experiment::run_compare(matches)
