Soak organisations: keys withdrawn and limits changed among the faults

--faults organisations has three organisations with callers each, whose keys are replaced and of whose limits one changes while proxies are killed and links cut. Checked: under whose name each statement ran, operations in any window of 5 s, and that withdrawn keys are refused everywhere in the end. The checks have tests of their own; reads have ids of their own.

--- a/crates/soak/src/callers.rs
+++ b/crates/soak/src/callers.rs
@@ -24,12 +24,20 @@
 use tokio::sync::watch;
 use tokio::time;
 
+use crate::organisations::Organisations;
+
 /// How long a caller waits for an answer before it gives its connection up.
 const PATIENCE: Duration = Duration::from_millis(4_000);
 
 /// The pause after a refusal or a lost connection.
 const PAUSE: Duration = Duration::from_millis(50);
 
+/// What a proxy says to an unknown key.
+const DENIED: &[u8] = b"DENIED";
+
+/// What callers present as a key where there are no organisations.
+const NO_KEY: &str = "soak";
+
 /// The largest message, in bytes.
 const MAX_MESSAGE_BYTES: usize = 1 << 20;
 
@@ -65,6 +73,8 @@
     pub proxies: Vec<SocketAddr>,
     /// What all callers were told.
     pub told: Arc<Mutex<Told>>,
+    /// Whose keys they use, if there are organisations.
+    pub organisations: Option<Arc<Organisations>>,
     /// Whether it goes on.
     pub goes_on: watch::Receiver<bool>,
 }
@@ -84,6 +94,8 @@
     sequence: u64,
     /// The last write that was acknowledged.
     acknowledged: u64,
+    /// How many reads were sent.
+    reads: u64,
     /// Writes whose outcome is unknown. They may take effect late, after later ones.
     in_doubt: BTreeSet<u64>,
 }
@@ -103,7 +115,11 @@
         while *self.goes_on.borrow() {
             let database = if rng.random_bool(0.5) { "primary-db" } else { "own-db" };
             let proxy = self.proxies[rng.random_range(0..self.proxies.len())];
-            let Some(mut connection) = open(proxy, database).await else {
+            let key = match &self.organisations {
+                Some(organisations) => organisations.key_of(self.number),
+                None => NO_KEY.to_owned(),
+            };
+            let Some(mut connection) = open(proxy, database, &key).await else {
                 time::sleep(PAUSE).await;
                 continue;
             };
@@ -116,7 +132,7 @@
                             "primary-db" => memory.acknowledged,
                             _ => connection.floor,
                         };
-                        self.read(&mut connection, floor, &memory).await
+                        self.read(&mut connection, floor, &mut memory).await
                     }
                 };
                 if !went_on || !*self.goes_on.borrow() {
@@ -196,9 +212,11 @@
         }
     }
 
-    async fn read(&self, connection: &mut Connection, floor: u64, memory: &Memory) -> bool {
+    async fn read(&self, connection: &mut Connection, floor: u64, memory: &mut Memory) -> bool {
+        memory.reads += 1;
         let item = format!("item{}", self.number);
-        match connection.run("r", Statement::Read { item: &item }).await {
+        let id = format!("r{}x{}", self.number, memory.reads);
+        match connection.run(&id, Statement::Read { item: &item }).await {
             Outcome::Done(row) => {
                 self.check(&row.unwrap_or_default(), floor, memory);
                 true
@@ -231,17 +249,35 @@
     }
 }
 
-async fn open(proxy: SocketAddr, database: &str) -> Option<Connection> {
-    let stream = time::timeout(PATIENCE, TcpStream::connect(proxy)).await.ok()?.ok()?;
-    let mut connection = Connection { stream, input: BytesMut::new(), floor: 0 };
-    let mut startup = BytesMut::new();
-    Lines::encode_startup(database, "soak", "", &mut startup);
-    match connection.exchange(&startup).await {
+/// Opens a session with a key, if the proxy takes it.
+async fn open(proxy: SocketAddr, database: &str, key: &str) -> Option<Connection> {
+    let mut connection = connect(proxy).await?;
+    match connection.exchange(startup(database, key).as_bytes()).await {
         Outcome::Done(_) => Some(connection),
         Outcome::Failed(_) | Outcome::Lost => None,
     }
 }
 
+async fn connect(proxy: SocketAddr) -> Option<Connection> {
+    let stream = time::timeout(PATIENCE, TcpStream::connect(proxy)).await.ok()?.ok()?;
+    Some(Connection { stream, input: BytesMut::new(), floor: 0 })
+}
+
+fn startup(database: &str, key: &str) -> String {
+    format!("STARTUP {database} {key}\n")
+}
+
+/// Whether a proxy refuses a session because it does not know the key.
+pub async fn is_denied(proxy: SocketAddr, key: &str) -> bool {
+    let refused = async {
+        let mut connection = connect(proxy).await?;
+        connection.stream.write_all(startup("primary-db", key).as_bytes()).await.ok()?;
+        let message = connection.message().await?;
+        Some(message.windows(DENIED.len()).any(|part| part == DENIED))
+    };
+    time::timeout(PATIENCE, refused).await.is_ok_and(|denied| denied.unwrap_or(false))
+}
+
 impl Connection {
     async fn run(&mut self, id: &str, statement: Statement<'_>) -> Outcome {
         let query = Query::Statement { id: Some(id), at_least: None, statement };
--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -13,6 +13,7 @@
 use tokio::sync::Mutex;
 use tokio::time;
 
+use crate::organisations::Organisations;
 use crate::process::Proxy;
 use crate::relay::Relay;
 use crate::relay::Treatment;
@@ -39,6 +40,8 @@
     pub group: Arc<Group>,
     /// The platform.
     pub platform: Arc<Platform>,
+    /// The organisations, if there are any.
+    pub organisations: Option<Arc<Organisations>>,
     /// Held while a member starts again with nothing.
     pub reborn: Arc<Mutex<()>>,
 }
@@ -65,6 +68,10 @@
     ReplicaReborn,
     /// The same, and the primary dies just before the replica is back.
     ReplicaRebornAndPrimaryDies,
+    /// An organisation's key is withdrawn, and it gets another one.
+    KeyReplaced,
+    /// An organisation's limit is lowered, or raised again.
+    LimitChanged,
 }
 
 /// Which kinds of fault come. What a seed does follows from its kinds, so kinds that are added later make
@@ -75,17 +82,20 @@
     Usual,
     /// The first kinds, and targets that start again with nothing.
     WithRebirths,
+    /// The first kinds, and changes of organisations' keys and limits.
+    WithOrganisations,
 }
 
 impl FaultSet {
     /// The names on the command line.
-    pub const NAMES: [&'static str; 2] = ["usual", "rebirths"];
+    pub const NAMES: [&'static str; 3] = ["usual", "rebirths", "organisations"];
 
     /// The set of this name.
     pub fn from_name(name: &str) -> Option<FaultSet> {
         match name {
             "usual" => Some(FaultSet::Usual),
             "rebirths" => Some(FaultSet::WithRebirths),
+            "organisations" => Some(FaultSet::WithOrganisations),
             _ => None,
         }
     }
@@ -94,6 +104,7 @@
         match self {
             FaultSet::Usual => FAULTS.to_vec(),
             FaultSet::WithRebirths => [FAULTS.as_slice(), &REBIRTHS].concat(),
+            FaultSet::WithOrganisations => [FAULTS.as_slice(), &ORGANISATION_CHANGES].concat(),
         }
     }
 }
@@ -107,6 +118,15 @@
     Fault::ReplicaRebornAndPrimaryDies,
 ];
 
+const ORGANISATION_CHANGES: [Fault; 6] = [
+    Fault::KeyReplaced,
+    Fault::KeyReplaced,
+    Fault::KeyReplaced,
+    Fault::LimitChanged,
+    Fault::LimitChanged,
+    Fault::LimitChanged,
+];
+
 const FAULTS: [Fault; 20] = [
     Fault::Pause,
     Fault::Kill,
@@ -208,6 +228,10 @@
             victims.platform.set_mood(Mood::Serving);
         }
         Fault::ForgetHistory => victims.platform.objects.forget_history(),
+        Fault::KeyReplaced => {
+            victims.organisations.iter().for_each(|it| it.replace_key(which));
+        }
+        Fault::LimitChanged => victims.organisations.iter().for_each(|it| it.change_limit()),
         Fault::ReplicaReborn => reborn(victims, which, lasts, false).await,
         Fault::ReplicaRebornAndPrimaryDies => reborn(victims, which, lasts, true).await,
     }
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -10,10 +10,12 @@
 //! - [`process`]: the proxies as child processes
 //! - [`faults`]: the series of faults
 //! - [`callers`]: callers that check what they are told
+//! - [`organisations`]: keys that are withdrawn, limits that change, and what must hold for them
 //! - [`run`]: one seed from start to verdict
 
 pub mod callers;
 pub mod faults;
+pub mod organisations;
 pub mod process;
 pub mod relay;
 pub mod run;
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -10,7 +10,6 @@
 
 use parking_lot::Mutex;
 use skylark_core::FastMap;
-use skylark_core::process::quota::QuotaTolerance;
 use skylark_core::version::routes::ReadRule;
 use skylark_core::version::routes::Route;
 use skylark_core::version::routes::RouteTable;
@@ -29,6 +28,8 @@
 use crate::faults;
 use crate::faults::FaultSet;
 use crate::faults::Victims;
+use crate::organisations;
+use crate::organisations::Organisations;
 use crate::process::Proxy;
 use crate::process::ProxySetup;
 use crate::relay::Relay;
@@ -82,7 +83,15 @@
     })
     .await?;
     deployment.platform.ignore_tokens();
-    deployment.configure(&routes());
+    let organisations = match options.faults {
+        FaultSet::WithOrganisations => {
+            Some(Arc::new(Organisations::start(&deployment.platform, routes())))
+        }
+        FaultSet::Usual | FaultSet::WithRebirths => {
+            deployment.configure(&routes());
+            None
+        }
+    };
     let (mut proxies, mut to_platform, mut addresses) = (Vec::new(), Vec::new(), Vec::new());
     for number in 1..=options.proxies {
         let relay = Relay::start(deployment.platform_address).await?;
@@ -93,7 +102,7 @@
             peer_address: ports::free_address().await?,
             drain_ms: 7_000,
             grace_ms: 4_000,
-            quota: QuotaTolerance::default(),
+            quota: organisations::TOLERANCE,
         };
         addresses.push(sessions.callers_address);
         let settings = PlatformSettings {
@@ -116,6 +125,7 @@
             number,
             proxies: addresses.clone(),
             told: Arc::clone(&told),
+            organisations: organisations.clone(),
             goes_on: goes_on.subscribe(),
         };
         let caller_seed = seed.wrapping_mul(1_000).wrapping_add(number as u64);
@@ -128,6 +138,7 @@
         to_targets: to_targets.lock().clone(),
         group: Arc::clone(&group),
         platform: Arc::clone(&deployment.platform),
+        organisations: organisations.clone(),
         reborn: Arc::default(),
     };
     faults::series(victims, options.faults, seed, options.length).await;
@@ -137,6 +148,10 @@
         // A caller that panicked would have failed an assertion, and there is none.
         let _ = caller.await;
     }
+    if let Some(organisations) = &organisations {
+        violations.extend(organisations.withdrawn_keys_are_refused(&addresses).await);
+        violations.extend(organisations::violations(&group.runs()));
+    }
     for proxy in &proxies {
         let mut proxy = proxy.lock().await;
         if let Some(status) = proxy.ended_by_itself() {
--- /dev/null
+++ b/crates/soak/tests/organisations.rs
@@ -0,0 +1,54 @@
+//! The soak's checks of organisations find what breaks a promise, and nothing else.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use skylark_soak::organisations;
+use skylark_standin::typed::group::Run;
+
+fn run(id: &str, user: &str, at: Instant) -> Run {
+    Run {
+        target: "i-1".into(),
+        id: id.to_owned(),
+        user: user.to_owned(),
+        text: String::new(),
+        values: Vec::new(),
+        at,
+    }
+}
+
+/// Reads of the caller with number zero, whose organisation's limit never changes, spread over five seconds.
+fn reads(count: u32) -> Vec<Run> {
+    let began = Instant::now();
+    let read = |number: u32| {
+        let at = began + Duration::from_secs(4) * number / count;
+        run(&format!("r0x{number}"), "organisation-0", at)
+    };
+    (0..count).map(read).collect()
+}
+
+#[test]
+fn a_statement_under_another_name_is_found() {
+    let now = Instant::now();
+    let right = [run("w4x1", "organisation-1", now), run("", "vm-1", now)];
+    assert_eq!(organisations::violations(&right), Vec::<String>::new());
+    let crossed = [run("w4x1", "organisation-2", now)];
+    assert_eq!(organisations::violations(&crossed), ["crossed: w4x1 ran as organisation-2"]);
+}
+
+// 20 a second for 5 s and a burst of 10, a tenth and 20 on top: 141.
+#[test]
+fn a_window_beyond_the_limit_is_found() {
+    assert_eq!(organisations::violations(&reads(141)), Vec::<String>::new());
+    assert_eq!(organisations::violations(&reads(142)).len(), 1);
+}
+
+// A transaction is one operation, however many statements it has.
+#[test]
+fn statements_of_one_transaction_count_once() {
+    let began = Instant::now();
+    let statements: Vec<Run> = (0..500)
+        .map(|number| run(&format!("t0x{}", number / 5), "organisation-0", began))
+        .collect();
+    assert_eq!(organisations::violations(&statements), Vec::<String>::new());
+}
--- a/crates/standin/src/typed/database.rs
+++ b/crates/standin/src/typed/database.rs
@@ -3,6 +3,7 @@
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Instant;
 
 use bytes::BytesMut;
 use skylark_core::FastMap;
@@ -357,7 +358,8 @@
         let mut values: Vec<(String, String)> = values.collect();
         values.sort();
         let (id, user) = (id.to_owned(), self.user.clone());
-        let run = Run { target: self.database.id(), id, user, text, values };
+        let at = Instant::now();
+        let run = Run { target: self.database.id(), id, user, text, values, at };
         match self.database.group.ran(self.database.member, run) {
             true => Ok(()),
             false => Err(Ended::AnswerLost),
--- a/crates/standin/src/typed/group.rs
+++ b/crates/standin/src/typed/group.rs
@@ -94,6 +94,8 @@
     pub text: String,
     /// The session values on the connection, sorted.
     pub values: Vec<(String, String)>,
+    /// When it began.
+    pub at: Instant,
 }
 
 #[derive(Debug)]
