--- a/crates/core/src/process/connection_plan.rs
+++ b/crates/core/src/process/connection_plan.rs
@@ -8,13 +8,13 @@
 //!
 //! VMs that reach none of the homes must not each connect instead: many that are cut off from the others
 //! would take the connections of the homes, which serve everybody else. So some VMs of other availability
-//! zones may stand in for the homes, with connections that the homes leave, and the rest go through those.
-//! Homes and stand-ins together never pass the limit, whichever of them reach each other.
+//! zones may act as fallbacks, with connections that the homes leave, and the rest go through those.
+//! Homes and fallbacks together never pass the limit, whichever of them reach each other.
 
 /// How many homes a target has: one that is lost leaves enough, and each has several connections.
 pub const HOMES: usize = 4;
 
-/// How many VMs may stand in for the homes of a target, at least and at most. With ten VMs that may connect
+/// How many fallbacks the homes of a target have, at least and at most. With ten VMs that may connect
 /// one is left where any two thirds are lost.
 const FEWEST_FALLBACKS: u32 = 2;
 const MOST_FALLBACKS: u32 = 12;
@@ -27,7 +27,7 @@
 /// How often that number is doubled at most.
 const MAX_DOUBLINGS: u64 = 10;
 
-/// What each stand-in takes of a target's connections: one for statements, and one more for questions that
+/// What each fallback takes of a target's connections: one for statements, and one more for questions that
 /// pass its queue.
 const FALLBACK_CONNECTIONS: u32 = 2;
 
--- a/crates/proxy/src/sessions/connection/peer.rs
+++ b/crates/proxy/src/sessions/connection/peer.rs
@@ -203,7 +203,7 @@
 
     /// Runs one request; none where this proxy answers by itself.
     async fn run(&mut self, query: &Query<'_>) -> Result<Option<Reply>, Forwarded> {
-        // A stand-in may go through another one by now, which could send a statement back here for ever, so it
+        // A fallback may go through another one by now, which could send a statement back here for ever, so it
         // connects again. One that is no home any more goes through a home, which sends nothing on.
         if self.held.is_none() {
             self.gateway.connects(&self.target);
--- a/crates/proxy/src/sessions/process/fleet.rs
+++ b/crates/proxy/src/sessions/process/fleet.rs
@@ -1,4 +1,4 @@
-//! What a process makes of the other VMs: who watches for whom, the peer_routes to targets that follow, and whether
+//! What a process makes of the other VMs: who watches for whom, the paths to targets that follow, and whether
 //! the own availability zone is cut off.
 
 use std::sync::Arc;
@@ -26,8 +26,9 @@
     /// Brings the pools to what is believed of the primaries, and lets each open and close
     /// connections.
     ///
-    /// With hundreds of services most peer_routes rest. Those are looked at only when what they follow from
-    /// changed, and once in a while in case that something was missed.
+    /// With hundreds of services most paths are idle; those are left out, but for a pass over all of them now and then.
+    /// With organisations most are in use; they are set anew only when what they follow from changed, and in that
+    /// pass, since ejections end by themselves.
     pub fn maintain_pools(&self) {
         let (view, peer_routes, now_us) =
             (self.view.load(), self.peer_routes.load(), self.clock.now_us());
@@ -53,7 +54,7 @@
         }
     }
 
-    /// Whether this process has connections of its own to a target, if need be by standing in for its homes,
+    /// Whether this process has connections of its own to a target, if need be as a fallback for its homes,
     /// which another VM can't reach.
     pub fn connects(&self, target: &TargetState<C>) -> bool {
         if target.is_own() {
--- a/crates/proxy/src/sessions/process/gateway.rs
+++ b/crates/proxy/src/sessions/process/gateway.rs
@@ -86,7 +86,7 @@
     pub list_is_complete: AtomicBool,
     /// Whether the process was told to stop.
     stopping: AtomicBool,
-    /// The VMs, and the peer_routes to targets that follow from them.
+    /// The VMs, and the paths to targets that follow from them.
     pub(super) peer_routes: ArcSwap<PeerRoutes>,
     /// How long a leaving target may be given work, in microseconds.
     drain_us: u64,
@@ -94,7 +94,7 @@
     pub(super) view: ArcSwap<View>,
     pub(super) changed: watch::Sender<u64>,
     pub(super) targets: ArcSwap<TargetTable<C>>,
-    /// When all peer_routes were last looked at, in microseconds; zero if something changed since.
+    /// When all paths were last checked, in microseconds; zero if something changed since.
     pub(super) looked_us: AtomicU64,
     services: RwLock<FastMap<Arc<str>, Arc<ServiceState>>>,
 }
--- a/crates/proxy/src/sessions/process/peer_routes.rs
+++ b/crates/proxy/src/sessions/process/peer_routes.rs
@@ -47,7 +47,7 @@
 /// The VMs that may have connections of their own to a target.
 #[derive(Debug)]
 struct Homes {
-    /// Its homes first, then those that may stand in for them.
+    /// Its homes first, then their fallbacks.
     vms: Vec<VmAddress>,
     /// How many of them are homes.
     homes: usize,
@@ -64,7 +64,7 @@
 enum HomeRole {
     /// One of its homes.
     Home,
-    /// It may stand in for them.
+    /// It may connect where they can't be reached.
     Fallback,
     /// It goes through the others.
     Neither,
@@ -210,7 +210,7 @@
     }
 
     /// Divides organisations among the homes that may be reached. A home does so with its own callers' statements;
-    /// one that stands in for the homes reaches none.
+    /// a fallback reaches none.
     fn divide_users<C>(&self, target: &TargetState<C>, homes: &Homes, demand: Demand, now_us: u64)
     where
         C: Codec,
@@ -259,7 +259,7 @@
         self.fallback_until_us.lock().insert(Arc::clone(&target.record.id), until_us);
     }
 
-    /// Has this VM stand in for the homes of a target for a while, if it may. Returns whether it does.
+    /// Makes this VM a fallback for the homes of a target for a while, if it may be one. Returns whether it is.
     pub fn become_fallback<C>(&self, target: &TargetState<C>, demand: Demand, now_us: u64) -> bool
     where
         C: Codec,
@@ -283,7 +283,7 @@
     }
 
     /// The VMs that may connect to a target: homes of its availability zone, or of all if there are none
-    /// there, and stand-ins of the other zones.
+    /// there, and fallbacks of the other zones.
     fn homes_of<C>(&self, target: &TargetState<C>, fallbacks: usize) -> Arc<Homes>
     where
         C: Codec,
@@ -331,7 +331,7 @@
     }
 
     /// The VM that this process sends its statements through: another home for each process, the next one
-    /// where that could not be reached lately, and a stand-in where no home can.
+    /// where that could not be reached lately, and a fallback where no home can.
     fn home_for<'a>(&self, homes: &'a Homes, now_us: u64) -> Option<&'a VmAddress> {
         let failed_us = self.failed_us.lock();
         let did_not_fail_for = |vm: &VmAddress, span_us: u64| {
--- a/crates/proxy/src/sessions/process/quota/mod.rs
+++ b/crates/proxy/src/sessions/process/quota/mod.rs
@@ -33,8 +33,8 @@
 use crate::sessions::process::quota::ask::Questions;
 use crate::sessions::store::VmAddress;
 
-/// For how long an allocator that did not answer is passed over, in microseconds.
-const SILENT_PASSED_OVER_US: u64 = 500_000;
+/// For how long an allocator that did not answer is ejected, in microseconds.
+const SILENT_EJECTION_US: u64 = 500_000;
 
 /// For how long one that allocates nothing of an organisation, as it has no configuration yet, is not asked again,
 /// in microseconds.
@@ -82,7 +82,7 @@
     granting: FastMap<Arc<str>, Granting>,
     /// Until when an allocator has nothing for an organisation, by organisation and VM.
     empty_until_us: FastMap<(Arc<str>, Arc<str>), u64>,
-    /// Until when a VM that did not answer is passed over.
+    /// Until when a VM that did not answer is ejected.
     silent_until_us: FastMap<Arc<str>, u64>,
 }
 
@@ -264,7 +264,7 @@
                 Asked::Empty { retry_after_us: NOT_HERE_US }
             }
             Answer::Nothing => {
-                let until_us = now_us + SILENT_PASSED_OVER_US;
+                let until_us = now_us + SILENT_EJECTION_US;
                 state.silent_until_us.insert(Arc::clone(&vm.name), until_us);
                 Asked::Silent
             }
--- a/crates/proxy/src/sessions/process/targets.rs
+++ b/crates/proxy/src/sessions/process/targets.rs
@@ -114,7 +114,7 @@
 }
 
 impl PoolParts {
-    /// Connections to the target itself, or to another VM that stands in its place. That VM has to mean the same
+    /// Connections to the target itself, or to another VM that leads to it. That VM has to mean the same
     /// start of the target; the target itself knows its name only.
     fn path<C>(
         &self,
@@ -480,7 +480,7 @@
         }
     }
 
-    /// Whether requests pass it over, because it failed just now and nothing came from it since.
+    /// Whether it is ejected, because it failed just now and nothing came from it since.
     pub fn is_ejected(&self, now_us: u64) -> bool {
         let health = self.health.lock();
         health.failed_since_us.is_some()
--- a/crates/proxy/src/sessions/process/vms.rs
+++ b/crates/proxy/src/sessions/process/vms.rs
@@ -29,7 +29,7 @@
 const FIRST_PAUSES: [Duration; 3] =
     [Duration::from_millis(1_000), Duration::from_millis(2_000), Duration::from_millis(3_000)];
 
-/// The pause between later lists. VMs come and go by hand; one that is gone is passed over without.
+/// The pause between later lists. VMs come and go by hand; one that is gone is ejected without.
 const LIST_PAUSE: Duration = Duration::from_millis(5_000);
 
 /// The same for one that tells others: their lists differ for as long, and homes with them.
