--- /dev/null
+++ b/crates/proxy/src/connection/lease.rs
@@ -0,0 +1,102 @@
+//! A connection that is in use, and how it goes back to its pool.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use crate::connection::admission::Turnstile;
+use crate::connection::link::Link;
+use crate::connection::pool::Pool;
+
+/// A connection out of a pool. Dropping it closes the connection.
+#[derive(Debug)]
+pub struct Lease<L>
+where
+    L: Link,
+{
+    connection: Option<L>,
+    pool: Arc<Pool<L>>,
+    turn: Option<Turnstile>,
+}
+
+impl<L> Lease<L>
+where
+    L: Link,
+{
+    pub(super) fn new(connection: L, pool: &Arc<Pool<L>>, turn: Option<Turnstile>) -> Lease<L> {
+        Lease { connection: Some(connection), pool: Arc::clone(pool), turn }
+    }
+
+    /// The connection.
+    pub fn connection(&mut self) -> &mut L {
+        self.connection.as_mut().expect("a lease holds its connection until it ends")
+    }
+
+    /// The address of the other end.
+    pub fn address(&self) -> &str {
+        self.pool.address()
+    }
+
+    /// The statement ended and its transaction keeps the connection.
+    pub fn statement_ended(&mut self) {
+        if let Some(turn) = &mut self.turn {
+            turn.statement_ended();
+        }
+    }
+
+    /// The next statement of the transaction runs.
+    pub fn statement_started(&mut self) {
+        if let Some(turn) = &mut self.turn {
+            turn.statement_started();
+        }
+    }
+
+    /// Gives the connection back. One that is not at idle, or whose session may have changed, goes
+    /// to another caller only once it is as new.
+    pub fn give_back(mut self) {
+        let Some(connection) = self.connection.take() else { return };
+        let is_idle = connection.is_idle();
+        if is_idle && !connection.needs_reset() && !self.pool.options.reset_always {
+            self.pool.put_back(connection);
+            return;
+        }
+        let pool = Arc::clone(&self.pool);
+        let turn = self.turn.take();
+        tokio::spawn(async move {
+            pool.recover(connection, !is_idle).await;
+            // The turn ends with the recovery: the target is still busy with it.
+            drop(turn);
+        });
+    }
+}
+
+impl<L> Lease<L>
+where
+    L: Link,
+{
+    /// Closes a connection that still works. Its place is free once the other end has closed too:
+    /// until then the target counts it, and would refuse a new one.
+    pub fn close(mut self) {
+        let Some(mut connection) = self.connection.take() else { return };
+        let timeout = Duration::from_millis(self.pool.options.drain_ms);
+        let pool = Arc::clone(&self.pool);
+        let turn = self.turn.take();
+        tokio::spawn(async move {
+            // A connection that does not end in time is reset by being dropped.
+            let _ = connection.terminate(timeout).await;
+            drop(connection);
+            pool.forget_one();
+            drop(turn);
+        });
+    }
+}
+
+impl<L> Drop for Lease<L>
+where
+    L: Link,
+{
+    fn drop(&mut self) {
+        if self.connection.take().is_some() {
+            self.pool.forget_one();
+        }
+    }
+}
--- a/crates/proxy/src/connection/pinned.rs
+++ b/crates/proxy/src/connection/pinned.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use crate::connection::cancel::CancelSlot;
-use crate::connection::pool::Lease;
+use crate::connection::lease::Lease;
 use crate::connection::target_connection::TargetConnection;
 use crate::request::context::Scene;
 use crate::request::exchange::Ending;
--- a/crates/proxy/src/connection/pool.rs
+++ b/crates/proxy/src/connection/pool.rs
@@ -1,4 +1,4 @@
-//! The connections to one target, or to one proxy that stands in for it.
+//! The connections to one target, or to one proxy that leads to it.
 //!
 //! A connection serves one transaction at a time and comes back only at idle. One whose answer was
 //! abandoned, or whose session may have changed, is first brought back to a new session; where that
@@ -25,15 +25,17 @@
 use tokio::time;
 
 use crate::connection::admission::Turnstile;
+use crate::connection::lease::Lease;
 use crate::connection::link::Link;
+use crate::connection::pool_state::State;
+use crate::connection::pool_state::Upkeep;
+use crate::connection::pool_state::User;
+use crate::connection::pool_state::Waiting;
 use crate::connection::target_connection::OpenError;
 use crate::process::clock::MonotonicClock;
 use crate::process::counters::Counters;
 use crate::process::counters::Event;
 
-/// How many of the newest idle connections are looked at for one that this thread watches.
-const LOOKED_AT: usize = 32;
-
 /// What a pool needs to know to work.
 #[derive(Clone, Debug)]
 pub struct PoolOptions<Login> {
@@ -61,100 +63,11 @@
 where
     L: Link,
 {
-    options: PoolOptions<L::Login>,
+    pub(super) options: PoolOptions<L::Login>,
     counters: Arc<Counters>,
     state: Mutex<State<L>>,
 }
 
-#[derive(Debug)]
-struct State<L> {
-    /// Idle connections, the one that was not used for longest first.
-    idle: Vec<L>,
-    waiting: VecDeque<Waiting<L>>,
-    /// The users for whom connections are being opened.
-    opening: Vec<User>,
-    /// Whether connections are taken for users.
-    has_users: bool,
-    budget: ConnectionBudget,
-    /// Why the last try to connect failed, until one succeeds.
-    failing: Option<Failure>,
-}
-
-/// Whose statements a connection is for; none if anybody's connection will do.
-type User = Option<Arc<str>>;
-
-/// A request that waits for a connection.
-#[derive(Debug)]
-struct Waiting<L> {
-    user: User,
-    sender: oneshot::Sender<Result<L, Failure>>,
-}
-
-/// What is to be done about a pool now.
-struct Upkeep<L> {
-    /// For whom connections are to be opened.
-    open: Vec<User>,
-    /// Connections to close.
-    closed: Vec<L>,
-    /// How many of them give way to another user's.
-    replaced: u32,
-}
-
-impl<L> State<L>
-where
-    L: Link,
-{
-    fn plan(&mut self, now_us: u64) -> Upkeep<L> {
-        let (plan, open) = match self.has_users {
-            true => {
-                let mut missing = self.missing_users();
-                let plan = self.budget.plan_for_users(missing.len() as u32, now_us);
-                missing.truncate(plan.open as usize);
-                (plan, missing)
-            }
-            false => {
-                self.budget.set_waiting(self.waiting.len() as u32);
-                let plan = self.budget.plan(now_us);
-                (plan, vec![None; plan.open as usize])
-            }
-        };
-        self.opening.extend_from_slice(&open);
-        let closed = self.idle.drain(..plan.close as usize).collect();
-        Upkeep { open, closed, replaced: plan.replaced }
-    }
-
-    /// The users who wait without a connection being opened for them, in the order of their arrival.
-    fn missing_users(&self) -> Vec<User> {
-        let mut opening = self.opening.clone();
-        let mut missing = Vec::new();
-        for waiting in &self.waiting {
-            match opening.iter().position(|user| *user == waiting.user) {
-                Some(place) => {
-                    opening.swap_remove(place);
-                }
-                None => missing.push(waiting.user.clone()),
-            }
-        }
-        missing
-    }
-
-    /// The newest idle connection that serves a user, sooner one that this thread watches already.
-    fn pop_idle(&mut self, user: Option<&Arc<str>>) -> Option<L> {
-        let fits = |(_, connection): &(usize, &L)| connection.serves(user);
-        let newest = || self.idle.iter().enumerate().rev().filter(fits);
-        let mut looked_at = newest().take(LOOKED_AT);
-        let here = looked_at.find(|(_, connection)| connection.is_here());
-        let (place, _) = here.or_else(|| newest().next())?;
-        Some(self.idle.remove(place))
-    }
-
-    fn opening_ended(&mut self, user: &User) {
-        if let Some(place) = self.opening.iter().position(|known| known == user) {
-            self.opening.swap_remove(place);
-        }
-    }
-}
-
 impl<L> Pool<L>
 where
     L: Link,
@@ -163,15 +76,7 @@
     pub fn new(options: PoolOptions<L::Login>, counters: Arc<Counters>) -> Pool<L> {
         let now_us = options.clock.now_us();
         let budget = ConnectionBudget::new(options.budget, 0, options.jitter_seed, now_us);
-        let state = State {
-            idle: Vec::new(),
-            waiting: VecDeque::new(),
-            opening: Vec::new(),
-            has_users: false,
-            budget,
-            failing: None,
-        };
-        Pool { options, counters, state: Mutex::new(state) }
+        Pool { options, counters, state: Mutex::new(State::new(budget)) }
     }
 
     /// The address that the pool connects to.
@@ -365,7 +270,7 @@
     }
 
     /// Takes back an idle connection.
-    fn put_back(self: &Arc<Self>, connection: L) {
+    pub(super) fn put_back(self: &Arc<Self>, connection: L) {
         let mut state = self.state.lock();
         state.budget.gave_back();
         self.hand_over(state, connection);
@@ -395,7 +300,7 @@
         }
     }
 
-    fn forget_one(self: &Arc<Self>) {
+    pub(super) fn forget_one(self: &Arc<Self>) {
         self.state.lock().budget.used_closed();
         self.count_closed(1);
         self.maintain();
@@ -408,7 +313,7 @@
     }
 
     /// Brings a connection back to a new session, or closes it.
-    async fn recover(self: Arc<Self>, mut connection: L, abandoned: bool) {
+    pub(super) async fn recover(self: Arc<Self>, mut connection: L, abandoned: bool) {
         let timeout = Duration::from_millis(self.options.drain_ms);
         let recovered = connection.recover(timeout).await.is_ok();
         let event = match (recovered, abandoned) {
@@ -449,97 +354,3 @@
         _ => ConnectFailure::Failed,
     }
 }
-
-/// A connection out of a pool. Dropping it closes the connection.
-#[derive(Debug)]
-pub struct Lease<L>
-where
-    L: Link,
-{
-    connection: Option<L>,
-    pool: Arc<Pool<L>>,
-    turn: Option<Turnstile>,
-}
-
-impl<L> Lease<L>
-where
-    L: Link,
-{
-    fn new(connection: L, pool: &Arc<Pool<L>>, turn: Option<Turnstile>) -> Lease<L> {
-        Lease { connection: Some(connection), pool: Arc::clone(pool), turn }
-    }
-
-    /// The connection.
-    pub fn connection(&mut self) -> &mut L {
-        self.connection.as_mut().expect("a lease holds its connection until it ends")
-    }
-
-    /// The address of the other end.
-    pub fn address(&self) -> &str {
-        self.pool.address()
-    }
-
-    /// The statement ended and its transaction keeps the connection.
-    pub fn statement_ended(&mut self) {
-        if let Some(turn) = &mut self.turn {
-            turn.statement_ended();
-        }
-    }
-
-    /// The next statement of the transaction runs.
-    pub fn statement_started(&mut self) {
-        if let Some(turn) = &mut self.turn {
-            turn.statement_started();
-        }
-    }
-
-    /// Gives the connection back. One that is not at idle, or whose session may have changed, goes
-    /// to another caller only once it is as new.
-    pub fn give_back(mut self) {
-        let Some(connection) = self.connection.take() else { return };
-        let is_idle = connection.is_idle();
-        if is_idle && !connection.needs_reset() && !self.pool.options.reset_always {
-            self.pool.put_back(connection);
-            return;
-        }
-        let pool = Arc::clone(&self.pool);
-        let turn = self.turn.take();
-        tokio::spawn(async move {
-            pool.recover(connection, !is_idle).await;
-            // The turn ends with the recovery: the target is still busy with it.
-            drop(turn);
-        });
-    }
-}
-
-impl<L> Lease<L>
-where
-    L: Link,
-{
-    /// Closes a connection that still works. Its place is free once the other end has closed too:
-    /// until then the target counts it, and would refuse a new one.
-    pub fn close(mut self) {
-        let Some(mut connection) = self.connection.take() else { return };
-        let timeout = Duration::from_millis(self.pool.options.drain_ms);
-        let pool = Arc::clone(&self.pool);
-        let turn = self.turn.take();
-        tokio::spawn(async move {
-            // A connection that does not end in time is reset by being dropped.
-            let _ = connection.terminate(timeout).await;
-            drop(connection);
-            pool.forget_one();
-            drop(turn);
-        });
-    }
-}
-
-impl<L> Drop for Lease<L>
-where
-    L: Link,
-{
-    fn drop(&mut self) {
-        if self.connection.take().is_some() {
-            self.pool.forget_one();
-        }
-    }
-}
--- /dev/null
+++ b/crates/proxy/src/connection/pool_state.rs
@@ -0,0 +1,116 @@
+//! What a pool holds: idle connections by their last use, those who wait, and the budget.
+
+use std::collections::VecDeque;
+use std::sync::Arc;
+
+use skylark_core::process::connection_budget::ConnectionBudget;
+use skylark_core::request::retry::Failure;
+use tokio::sync::oneshot;
+
+use crate::connection::link::Link;
+
+/// How many of the newest idle connections are looked at for one that this thread watches.
+const LOOKED_AT: usize = 32;
+
+/// The connections of a pool and who waits for them.
+#[derive(Debug)]
+pub(super) struct State<L> {
+    /// Idle connections, the one that was not used for longest first.
+    pub(super) idle: Vec<L>,
+    pub(super) waiting: VecDeque<Waiting<L>>,
+    /// The users for whom connections are being opened.
+    pub(super) opening: Vec<User>,
+    /// Whether connections are taken for users.
+    pub(super) has_users: bool,
+    pub(super) budget: ConnectionBudget,
+    /// Why the last try to connect failed, until one succeeds.
+    pub(super) failing: Option<Failure>,
+}
+
+/// Whose statements a connection is for; none if anybody's connection will do.
+pub(super) type User = Option<Arc<str>>;
+
+/// A request that waits for a connection.
+#[derive(Debug)]
+pub(super) struct Waiting<L> {
+    pub(super) user: User,
+    pub(super) sender: oneshot::Sender<Result<L, Failure>>,
+}
+
+/// What is to be done about a pool now.
+pub(super) struct Upkeep<L> {
+    /// For whom connections are to be opened.
+    pub(super) open: Vec<User>,
+    /// Connections to close.
+    pub(super) closed: Vec<L>,
+    /// How many of them give way to another user's.
+    pub(super) replaced: u32,
+}
+
+impl<L> State<L>
+where
+    L: Link,
+{
+    /// No connections, and nobody who waits.
+    pub(super) fn new(budget: ConnectionBudget) -> State<L> {
+        State {
+            idle: Vec::new(),
+            waiting: VecDeque::new(),
+            opening: Vec::new(),
+            has_users: false,
+            budget,
+            failing: None,
+        }
+    }
+
+    /// Decides which connections are opened and closed now.
+    pub(super) fn plan(&mut self, now_us: u64) -> Upkeep<L> {
+        let (plan, open) = match self.has_users {
+            true => {
+                let mut missing = self.missing_users();
+                let plan = self.budget.plan_for_users(missing.len() as u32, now_us);
+                missing.truncate(plan.open as usize);
+                (plan, missing)
+            }
+            false => {
+                self.budget.set_waiting(self.waiting.len() as u32);
+                let plan = self.budget.plan(now_us);
+                (plan, vec![None; plan.open as usize])
+            }
+        };
+        self.opening.extend_from_slice(&open);
+        let closed = self.idle.drain(..plan.close as usize).collect();
+        Upkeep { open, closed, replaced: plan.replaced }
+    }
+
+    /// The users who wait without a connection being opened for them, in the order of their arrival.
+    fn missing_users(&self) -> Vec<User> {
+        let mut opening = self.opening.clone();
+        let mut missing = Vec::new();
+        for waiting in &self.waiting {
+            match opening.iter().position(|user| *user == waiting.user) {
+                Some(place) => {
+                    opening.swap_remove(place);
+                }
+                None => missing.push(waiting.user.clone()),
+            }
+        }
+        missing
+    }
+
+    /// The newest idle connection that serves a user, sooner one that this thread watches already.
+    pub(super) fn pop_idle(&mut self, user: Option<&Arc<str>>) -> Option<L> {
+        let fits = |(_, connection): &(usize, &L)| connection.serves(user);
+        let newest = || self.idle.iter().enumerate().rev().filter(fits);
+        let mut looked_at = newest().take(LOOKED_AT);
+        let here = looked_at.find(|(_, connection)| connection.is_here());
+        let (place, _) = here.or_else(|| newest().next())?;
+        Some(self.idle.remove(place))
+    }
+
+    pub(super) fn opening_ended(&mut self, user: &User) {
+        if let Some(place) = self.opening.iter().position(|known| known == user) {
+            self.opening.swap_remove(place);
+        }
+    }
+}
--- a/crates/proxy/src/request/answer.rs
+++ b/crates/proxy/src/request/answer.rs
@@ -12,9 +12,9 @@
 
 use crate::connection::caller::Caller;
 use crate::connection::frames;
+use crate::connection::lease::Lease;
 use crate::connection::pinned;
 use crate::connection::pinned::Pinned;
-use crate::connection::pool::Lease;
 use crate::connection::relay::COMMIT_PARAMETER;
 use crate::connection::relay::SERVED_PARAMETER;
 use crate::connection::socket;
--- a/crates/proxy/src/request/execute.rs
+++ b/crates/proxy/src/request/execute.rs
@@ -19,9 +19,9 @@
 use tokio::time;
 
 use crate::connection::caller::Caller;
+use crate::connection::lease::Lease;
 use crate::connection::pinned;
 use crate::connection::pinned::Pinned;
-use crate::connection::pool::Lease;
 use crate::connection::target_connection::TargetConnection;
 use crate::process::control_handle::ControlEvent;
 use crate::process::control_handle::TargetEvidence;
--- a/crates/proxy/src/sessions/connection/peer.rs
+++ b/crates/proxy/src/sessions/connection/peer.rs
@@ -20,7 +20,7 @@
 use tokio::net::TcpStream;
 use tokio::time;
 
-use crate::connection::pool::Lease;
+use crate::connection::lease::Lease;
 use crate::connection::socket;
 use crate::process::counters::Event;
 use crate::request::refusal::Refusal;
--- a/crates/proxy/src/sessions/connection/session.rs
+++ b/crates/proxy/src/sessions/connection/session.rs
@@ -11,7 +11,7 @@
 use skylark_core::version::organisations::KeyDigest;
 use skylark_core::version::routes::Route;
 
-use crate::connection::pool::Lease;
+use crate::connection::lease::Lease;
 use crate::sessions::codec::Codec;
 use crate::sessions::connection::link::StatementLink;
 use crate::sessions::process::targets::TargetState;
--- a/crates/proxy/src/sessions/process/fleet.rs
+++ b/crates/proxy/src/sessions/process/fleet.rs
@@ -15,7 +15,7 @@
 use crate::sessions::process::gateway::service_limits;
 use crate::sessions::process::limits;
 use crate::sessions::process::peer_routes::PeerRoutes;
-use crate::sessions::process::targets::PathInputs;
+use crate::sessions::process::target_path::PathInputs;
 use crate::sessions::process::targets::TargetState;
 use crate::sessions::store::VmAddress;
 
--- a/crates/proxy/src/sessions/process/mod.rs
+++ b/crates/proxy/src/sessions/process/mod.rs
@@ -29,6 +29,7 @@
 pub mod takeover;
 pub mod takeover_trigger;
 pub mod target_calls;
+pub mod target_path;
 pub mod target_table;
 pub mod targets;
 pub mod vms;
--- a/crates/proxy/src/sessions/process/peer_routes.rs
+++ b/crates/proxy/src/sessions/process/peer_routes.rs
@@ -15,7 +15,7 @@
 
 use crate::sessions::codec::Codec;
 use crate::sessions::process::limits;
-use crate::sessions::process::targets::PathInputs;
+use crate::sessions::process::target_path::PathInputs;
 use crate::sessions::process::targets::TargetState;
 use crate::sessions::store::VmAddress;
 
--- /dev/null
+++ b/crates/proxy/src/sessions/process/target_path.rs
@@ -0,0 +1,113 @@
+//! How this process comes to a target: by connections of its own, or through another VM.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use skylark_core::process::connection_budget::BudgetPolicy;
+use skylark_core::process::connection_plan::Demand;
+use skylark_core::process::jitter;
+use skylark_core::version::routes::TargetRecord;
+
+use crate::connection::pool::Pool;
+use crate::connection::pool::PoolOptions;
+use crate::process::clock::MonotonicClock;
+use crate::process::counters::Counters;
+use crate::sessions::codec::Codec;
+use crate::sessions::connection::link::StatementLink;
+use crate::sessions::connection::link::TargetLogin;
+use crate::sessions::process::limits;
+use crate::sessions::store::VmAddress;
+
+/// How this process comes to a target.
+#[derive(Debug)]
+pub struct TargetPath<C>
+where
+    C: Codec,
+{
+    /// The VM that the statements go through; none if this process has connections of its own.
+    pub via: Option<Arc<str>>,
+    /// The connections to the target, or to that VM.
+    pub pool: Arc<Pool<StatementLink<C>>>,
+}
+
+impl<C> TargetPath<C>
+where
+    C: Codec,
+{
+    /// Closes the connections as they become idle.
+    pub(super) fn close(&self) {
+        self.pool.set_share(0);
+        self.pool.maintain();
+    }
+}
+
+/// What the paths to a target follow from while none of them fails.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub struct PathInputs {
+    /// What its connections are divided by.
+    pub demand: Demand,
+    /// Whether it is believed to be the primary.
+    pub is_primary: bool,
+}
+
+/// What the connections to a target need to know.
+#[derive(Clone, Debug)]
+pub(super) struct PoolParts {
+    pub(super) login: TargetLogin,
+    pub(super) clock: MonotonicClock,
+    pub(super) counters: Arc<Counters>,
+}
+
+impl PoolParts {
+    /// Connections to the target itself, or to another VM that leads to it. That VM has to mean the same
+    /// start of the target; the target itself knows its name only.
+    pub(super) fn path<C>(
+        &self,
+        vm: Option<&VmAddress>,
+        record: &TargetRecord,
+        has_organisations: bool,
+    ) -> TargetPath<C>
+    where
+        C: Codec,
+    {
+        let (address, id) = match vm {
+            Some(vm) => (vm.peer_address, &record.id),
+            None => (record.address, &record.name),
+        };
+        let pool = self.pool(address, id, vm.is_some(), has_organisations);
+        TargetPath { via: vm.map(|vm| Arc::clone(&vm.name)), pool }
+    }
+
+    fn pool<C>(
+        &self,
+        address: SocketAddr,
+        target_id: &Arc<str>,
+        to_proxy: bool,
+        has_organisations: bool,
+    ) -> Arc<Pool<StatementLink<C>>>
+    where
+        C: Codec,
+    {
+        let (vm, target) = (&self.login.vm, &self.login.target_id);
+        let options = PoolOptions {
+            address: address.to_string(),
+            login: TargetLogin { target_id: Arc::clone(target_id), to_proxy, ..self.login.clone() },
+            connect_ms: limits::CONNECT_MS,
+            budget: policy(to_proxy, has_organisations),
+            drain_ms: limits::DRAIN_MS,
+            reset_always: false,
+            jitter_seed: jitter::seed_of(vm) ^ jitter::seed_of(target),
+            clock: self.clock,
+        };
+        Arc::new(Pool::new(options, Arc::clone(&self.counters)))
+    }
+}
+
+/// How connections to a target, or to another proxy, are kept and opened.
+pub(super) fn policy(to_proxy: bool, has_organisations: bool) -> BudgetPolicy {
+    match (to_proxy, has_organisations) {
+        (true, true) => limits::ORGANISATIONS_PEER_POLICY,
+        (false, true) => limits::ORGANISATIONS_POLICY,
+        (_, false) => limits::CONNECTION_POLICY,
+    }
+}
--- a/crates/proxy/src/sessions/process/targets.rs
+++ b/crates/proxy/src/sessions/process/targets.rs
@@ -1,6 +1,5 @@
 //! What the process knows of one target and holds of it.
 
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicU64;
@@ -8,10 +7,7 @@
 
 use arc_swap::ArcSwap;
 use parking_lot::Mutex;
-use skylark_core::process::connection_budget::BudgetPolicy;
-use skylark_core::process::connection_plan::Demand;
 use skylark_core::process::homes;
-use skylark_core::process::jitter;
 use skylark_core::process::sharing::ClassShare;
 use skylark_core::process::sharing::queue::QueueLimits;
 use skylark_core::request::retry::Failure;
@@ -20,7 +16,6 @@
 
 use crate::connection::admission::AdmissionQueue;
 use crate::connection::pool::Pool;
-use crate::connection::pool::PoolOptions;
 use crate::process::clock::MonotonicClock;
 use crate::process::counters::Counters;
 use crate::sessions::codec::Codec;
@@ -28,6 +23,10 @@
 use crate::sessions::connection::link::TargetLogin;
 use crate::sessions::process::limits;
 use crate::sessions::process::single_flight::SingleFlight;
+use crate::sessions::process::target_path;
+use crate::sessions::process::target_path::PathInputs;
+use crate::sessions::process::target_path::PoolParts;
+use crate::sessions::process::target_path::TargetPath;
 use crate::sessions::store::VmAddress;
 
 /// The weight of the newest answer time in the average, as one part in this many.
@@ -73,91 +72,6 @@
     pub lagged_us: u64,
 }
 
-/// How this process comes to a target.
-#[derive(Debug)]
-pub struct TargetPath<C>
-where
-    C: Codec,
-{
-    /// The VM that the statements go through; none if this process has connections of its own.
-    pub via: Option<Arc<str>>,
-    /// The connections to the target, or to that VM.
-    pub pool: Arc<Pool<StatementLink<C>>>,
-}
-
-impl<C> TargetPath<C>
-where
-    C: Codec,
-{
-    /// Closes the connections as they become idle.
-    fn close(&self) {
-        self.pool.set_share(0);
-        self.pool.maintain();
-    }
-}
-
-/// What the paths to a target follow from while none of them fails.
-#[derive(Clone, Copy, PartialEq, Eq, Debug)]
-pub struct PathInputs {
-    /// What its connections are divided by.
-    pub demand: Demand,
-    /// Whether it is believed to be the primary.
-    pub is_primary: bool,
-}
-
-/// What the connections to a target need to know.
-#[derive(Clone, Debug)]
-struct PoolParts {
-    login: TargetLogin,
-    clock: MonotonicClock,
-    counters: Arc<Counters>,
-}
-
-impl PoolParts {
-    /// Connections to the target itself, or to another VM that leads to it. That VM has to mean the same
-    /// start of the target; the target itself knows its name only.
-    fn path<C>(
-        &self,
-        vm: Option<&VmAddress>,
-        record: &TargetRecord,
-        has_organisations: bool,
-    ) -> TargetPath<C>
-    where
-        C: Codec,
-    {
-        let (address, id) = match vm {
-            Some(vm) => (vm.peer_address, &record.id),
-            None => (record.address, &record.name),
-        };
-        let pool = self.pool(address, id, vm.is_some(), has_organisations);
-        TargetPath { via: vm.map(|vm| Arc::clone(&vm.name)), pool }
-    }
-
-    fn pool<C>(
-        &self,
-        address: SocketAddr,
-        target_id: &Arc<str>,
-        to_proxy: bool,
-        has_organisations: bool,
-    ) -> Arc<Pool<StatementLink<C>>>
-    where
-        C: Codec,
-    {
-        let (vm, target) = (&self.login.vm, &self.login.target_id);
-        let options = PoolOptions {
-            address: address.to_string(),
-            login: TargetLogin { target_id: Arc::clone(target_id), to_proxy, ..self.login.clone() },
-            connect_ms: limits::CONNECT_MS,
-            budget: policy(to_proxy, has_organisations),
-            drain_ms: limits::DRAIN_MS,
-            reset_always: false,
-            jitter_seed: jitter::seed_of(vm) ^ jitter::seed_of(target),
-            clock: self.clock,
-        };
-        Arc::new(Pool::new(options, Arc::clone(&self.counters)))
-    }
-}
-
 /// One target.
 #[derive(Debug)]
 pub struct TargetState<C>
@@ -372,7 +286,7 @@
             return;
         }
         self.for_each_path(|path| {
-            path.pool.set_policy(policy(path.via.is_some(), has_organisations));
+            path.pool.set_policy(target_path::policy(path.via.is_some(), has_organisations));
         });
     }
 
@@ -529,15 +443,6 @@
     }
 }
 
-/// How connections to a target, or to another proxy, are kept and opened.
-fn policy(to_proxy: bool, has_organisations: bool) -> BudgetPolicy {
-    match (to_proxy, has_organisations) {
-        (true, true) => limits::ORGANISATIONS_PEER_POLICY,
-        (false, true) => limits::ORGANISATIONS_POLICY,
-        (_, false) => limits::CONNECTION_POLICY,
-    }
-}
-
 /// The classes of requests by precedence.
 fn class_shares() -> [ClassShare; CLASSES] {
     std::array::from_fn(|class| ClassShare {
--- a/crates/proxy/src/sessions/request/acquire.rs
+++ b/crates/proxy/src/sessions/request/acquire.rs
@@ -6,7 +6,7 @@
 use skylark_core::request::retry::Failure;
 
 use crate::connection::admission::TurnRequest;
-use crate::connection::pool::Lease;
+use crate::connection::lease::Lease;
 use crate::connection::pool::Pool;
 use crate::request::refusal::Refusal;
 use crate::sessions::codec::Codec;
@@ -14,7 +14,7 @@
 use crate::sessions::connection::reply::Lost;
 use crate::sessions::connection::reply::Reply;
 use crate::sessions::process::latencies::Stage;
-use crate::sessions::process::targets::TargetPath;
+use crate::sessions::process::target_path::TargetPath;
 use crate::sessions::process::targets::TargetState;
 use crate::sessions::request::call::Call;
 use crate::sessions::request::call::Work;
--- a/crates/proxy/src/sessions/request/at_primary.rs
+++ b/crates/proxy/src/sessions/request/at_primary.rs
@@ -17,7 +17,7 @@
 use skylark_core::request::statement::TargetError;
 use tokio::time;
 
-use crate::connection::pool::Lease;
+use crate::connection::lease::Lease;
 use crate::process::counters::Event;
 use crate::process::counters::RetryReason;
 use crate::request::refusal::Refusal;
--- a/crates/proxy/src/sessions/request/sample.rs
+++ b/crates/proxy/src/sessions/request/sample.rs
@@ -10,7 +10,7 @@
 use skylark_core::request::statement::Statement;
 use skylark_core::request::statement::TargetError;
 
-use crate::connection::pool::Lease;
+use crate::connection::lease::Lease;
 use crate::process::counters::Event;
 use crate::sessions::codec::Codec;
 use crate::sessions::codec::Query;
--- a/crates/proxy/tests/pool_users.rs
+++ b/crates/proxy/tests/pool_users.rs
@@ -10,8 +10,8 @@
 
 use skylark_core::process::connection_budget::BudgetPolicy;
 use skylark_core::request::retry::Failure;
+use skylark_proxy::connection::lease::Lease;
 use skylark_proxy::connection::link::Link;
-use skylark_proxy::connection::pool::Lease;
 use skylark_proxy::connection::pool::Pool;
 use skylark_proxy::connection::pool::PoolOptions;
 use skylark_proxy::connection::target_connection::OpenError;
