--- a/crates/core/tests/quota.rs
+++ b/crates/core/tests/quota.rs
@@ -118,7 +118,7 @@
         for step in 0..400 {
             let now_us = step * STEP_US;
             let turn = (now_us / gap_us) as usize;
-            let is_turn = now_us % gap_us == 0;
+            let is_turn = now_us.is_multiple_of(gap_us);
             fleet.restart(|index| is_turn && index == turn % allocators, now_us);
             fleet.ask_all(now_us);
         }
