--- a/crates/proxy/src/sessions/process/quota/mod.rs
+++ b/crates/proxy/src/sessions/process/quota/mod.rs
@@ -157,7 +157,9 @@
         let known = std::mem::take(&mut state.allocators);
         for (name, before) in known {
             let now = Allocators::rank(&name, &state.vms, &self.own, &self.zone, before.division);
-            if !now.includes_own {
+            if now.includes_own {
+                state.allocators.insert(name, Arc::new(now));
+            } else {
                 state.granting.remove(&name);
             }
         }
