Serve by one piece of code what the change wrote twice

- the users who wait for no connection that is being opened: connection_budget::missing_users, for pools and for their simulation;
- whether a home failed lately, and setting a target's share, in the choice of paths;
- names of scraped metrics by the macro of the counters;
- a configuration put in force: Platform::configure of the stand-in, for deployments and the soak;
- the organisations of a view: View::organisations;
- a pool notes that it has users with the lock that it takes anyway, and adds to counters instead of counting in a loop; TargetState knows by itself whether it has organisations.
Comments of the simulation in the field's terms.
No behaviour changes.

--- a/crates/bench/src/commands/connection_cache.rs
+++ b/crates/bench/src/commands/connection_cache.rs
@@ -1,4 +1,4 @@
-//! `connection-cache`: compares ways to place the connections of organisations.
+//! `connection-cache`: compares placement strategies for the connections of organisations.
 
 use std::io;
 use std::io::Write;
@@ -23,14 +23,14 @@
         Arg::new(name).long(name).value_name("N").help(help)
     };
     Command::new(NAME)
-        .about("Compare ways to place the connections of organisations, in virtual time")
+        .about("Compare placement strategies for the connections of organisations, in virtual time")
         .arg(number("organisations", "Organisations that send statements"))
         .arg(number("zipf-exponent", "Exponent of their sizes"))
         .arg(number("vms", "VMs that callers are spread over"))
         .arg(number("connections", "Connections that each of the three targets accepts"))
         .arg(number("slots", "Statements that a target runs at once"))
         .arg(number("per-s", "Statements a second"))
-        .arg(number("seeds", "Runs of each way").default_value("20"))
+        .arg(number("seeds", "Runs of each strategy").default_value("20"))
         .arg(
             Arg::new("plot")
                 .long("plot")
--- a/crates/bench/src/connection_cache/mod.rs
+++ b/crates/bench/src/connection_cache/mod.rs
@@ -1,8 +1,7 @@
-//! How often statements find a connection of their organisation, for different ways to place connections.
+//! Hit rates of pools that cache connections by organisation, under different placement strategies.
 //!
-//! One service with a primary and two replicas is simulated in virtual time. Where connections lie, which one gives
-//! way and how many are opened are the decisions that the proxies take: `connection_plan`, `homes` and
-//! `connection_budget`. Arrivals, run times and the targets' slots are the simulation's.
+//! One service with a primary and two replicas is simulated in virtual time. Placement, eviction and opening are
+//! the decisions that the proxies ship: `connection_plan`, `homes` and `connection_budget`. Arrivals, run times and the targets' slots are the simulation's.
 //!
 //! Left out: failures, limits, precedence between classes, and the time that messages between VMs take.
 
@@ -28,7 +27,7 @@
     Preferred,
 }
 
-/// One way to place connections.
+/// A placement strategy.
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
 pub struct Strategy {
     /// Its name in tables and plots.
@@ -39,7 +38,7 @@
     pub replica: ReplicaChoice,
 }
 
-/// The ways that are compared. The proxies use the last one.
+/// The strategies that are compared. The proxies use the last one.
 pub const STRATEGIES: [Strategy; 3] = [
     Strategy {
         name: "home by VM, any replica",
--- a/crates/bench/src/connection_cache/pool.rs
+++ b/crates/bench/src/connection_cache/pool.rs
@@ -2,6 +2,7 @@
 
 use std::collections::VecDeque;
 
+use skylark_core::process::connection_budget;
 use skylark_core::process::connection_budget::ConnectionBudget;
 use skylark_proxy::sessions::process::limits;
 
@@ -26,7 +27,7 @@
     pub run: Vec<Waiting>,
     /// For whom connections are to be opened.
     pub open: Vec<OrganisationId>,
-    /// How many idle connections gave way to other organisations'.
+    /// How many idle connections were evicted for other organisations.
     pub replaced: u32,
 }
 
@@ -82,7 +83,8 @@
 
     /// Opens connections for those who wait, in place of others where there is no room.
     pub fn maintain(&mut self, now_us: u64, actions: &mut Actions) {
-        let missing = self.missing();
+        let waiting = self.waiting.iter().map(|statement| &statement.organisation);
+        let missing = connection_budget::missing_users(waiting, &self.opening);
         let plan = self.budget.plan_for_users(missing.len() as u32, now_us);
         self.idle.drain(..plan.close as usize);
         let open = missing.into_iter().take(plan.open as usize);
@@ -111,19 +113,4 @@
             self.maintain(now_us, actions);
         }
     }
-
-    /// The organisations that wait without a connection being opened for them.
-    fn missing(&self) -> Vec<OrganisationId> {
-        let mut opening = self.opening.clone();
-        let mut missing = Vec::new();
-        for statement in &self.waiting {
-            match opening.iter().position(|it| *it == statement.organisation) {
-                Some(place) => {
-                    opening.swap_remove(place);
-                }
-                None => missing.push(statement.organisation),
-            }
-        }
-        missing
-    }
 }
--- a/crates/bench/src/connection_cache/report.rs
+++ b/crates/bench/src/connection_cache/report.rs
@@ -21,7 +21,7 @@
 
 /// The head of the table.
 pub const TABLE_HEAD: &str = "\
-| way | misses (least to most) | refused | mean wait, ms | replaced, a second | opening: primary, replicas | busier replica |
+| strategy | misses (least to most) | refused | mean wait, ms | replaced, a second | opening: primary, replicas | busier replica |
 |---|---|---|---|---|---|---|";
 
 /// The outcomes of the seeds from zero on.
@@ -53,7 +53,7 @@
     outcomes.iter().map(field).sum::<f64>() / outcomes.len().max(1) as f64
 }
 
-/// Draws the misses of each way over the connections that a target accepts.
+/// Plots the miss rate of each strategy against a target's connection limit.
 ///
 /// # Errors
 ///
--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -8,7 +8,7 @@
 //!   accepts writes in it.
 //! - [`slopes`] measures how costs grow with the size that they depend on; [`live`] does so at
 //!   running proxies.
-//! - [`connection_cache`] compares ways to place the connections of organisations.
+//! - [`connection_cache`] compares placement strategies for the connections of organisations.
 //! - [`surge`] compares ways of sharing a target's slots on one recorded surge.
 
 pub mod commands;
--- a/crates/core/src/process/connection_budget.rs
+++ b/crates/core/src/process/connection_budget.rs
@@ -76,6 +76,25 @@
     pub ask_again_us: Option<u64>,
 }
 
+/// The users who wait without a connection being opened for them, in the order of their arrival.
+pub fn missing_users<'a, U, W>(waiting: W, opening: &[U]) -> Vec<U>
+where
+    U: Clone + PartialEq + 'a,
+    W: Iterator<Item = &'a U>,
+{
+    let mut opening: Vec<&U> = opening.iter().collect();
+    let mut missing = Vec::new();
+    for user in waiting {
+        match opening.iter().position(|opened| *opened == user) {
+            Some(place) => {
+                opening.swap_remove(place);
+            }
+            None => missing.push(user.clone()),
+        }
+    }
+    missing
+}
+
 /// The connections of one home to one target.
 #[derive(Clone, Debug)]
 pub struct ConnectionBudget {
--- a/crates/ctl/tests/pages.rs
+++ b/crates/ctl/tests/pages.rs
@@ -75,7 +75,8 @@
 fn scraped_metrics() {
     let rows = rows(&page("refusals-and-metrics.md"), "<!-- metrics -->");
     let named: Vec<String> = rows.iter().map(|row| row[0].clone()).collect();
-    let expected = Metric::ALL.map(|metric| format!("`{}`", metric.name()));
+    let expected: Vec<String> =
+        Metric::ALL.iter().map(|metric| format!("`{}`", metric.name())).collect();
     assert_eq!(named, expected);
     assert!(rows.iter().all(|row| row.len() == 3 && !row[2].is_empty()));
 }
--- a/crates/proxy/src/connection/lease.rs
+++ b/crates/proxy/src/connection/lease.rs
@@ -67,12 +67,7 @@
             drop(turn);
         });
     }
-}
 
-impl<L> Lease<L>
-where
-    L: Link,
-{
     /// Closes a connection that still works. Its place is free once the other end has closed too:
     /// until then the target counts it, and would refuse a new one.
     pub fn close(mut self) {
--- a/crates/proxy/src/connection/pool.rs
+++ b/crates/proxy/src/connection/pool.rs
@@ -119,9 +119,7 @@
     pub fn maintain(self: &Arc<Self>) {
         let Upkeep { open, closed, replaced } = self.state.lock().plan(self.options.clock.now_us());
         self.count_closed(closed.len());
-        for _ in 0..replaced {
-            self.counters.event(Event::ConnectionsReplaced);
-        }
+        self.counters.add(Event::ConnectionsReplaced, u64::from(replaced));
         // Closed before others are opened in their place: the target counts both otherwise.
         drop(closed);
         for user in open {
@@ -140,9 +138,6 @@
         turn: Option<Turnstile>,
         deadline: Instant,
     ) -> Result<Lease<L>, Failure> {
-        if user.is_some() {
-            self.state.lock().has_users = true;
-        }
         if let Some(connection) = self.take_idle(user) {
             self.counters.event(Event::ConnectionsFound);
             return Ok(Lease::new(connection, self, turn));
@@ -224,6 +219,7 @@
         loop {
             let connection = {
                 let mut state = self.state.lock();
+                state.has_users |= user.is_some();
                 let connection = state.pop_idle(user)?;
                 let taken = state.budget.take(self.options.clock.now_us());
                 debug_assert!(taken, "the budget counts each idle connection");
@@ -307,9 +303,7 @@
     }
 
     fn count_closed(&self, count: usize) {
-        for _ in 0..count {
-            self.counters.event(Event::ConnectionsClosed);
-        }
+        self.counters.add(Event::ConnectionsClosed, count as u64);
     }
 
     /// Brings a connection back to a new session, or closes it.
--- a/crates/proxy/src/connection/pool_state.rs
+++ b/crates/proxy/src/connection/pool_state.rs
@@ -3,6 +3,7 @@
 use std::collections::VecDeque;
 use std::sync::Arc;
 
+use skylark_core::process::connection_budget;
 use skylark_core::process::connection_budget::ConnectionBudget;
 use skylark_core::request::retry::Failure;
 use tokio::sync::oneshot;
@@ -67,7 +68,8 @@
     pub(super) fn plan(&mut self, now_us: u64) -> Upkeep<L> {
         let (plan, open) = match self.has_users {
             true => {
-                let mut missing = self.missing_users();
+                let waiting = self.waiting.iter().map(|waiting| &waiting.user);
+                let mut missing = connection_budget::missing_users(waiting, &self.opening);
                 let plan = self.budget.plan_for_users(missing.len() as u32, now_us);
                 missing.truncate(plan.open as usize);
                 (plan, missing)
@@ -83,21 +85,6 @@
         Upkeep { open, closed, replaced: plan.replaced }
     }
 
-    /// The users who wait without a connection being opened for them, in the order of their arrival.
-    fn missing_users(&self) -> Vec<User> {
-        let mut opening = self.opening.clone();
-        let mut missing = Vec::new();
-        for waiting in &self.waiting {
-            match opening.iter().position(|user| *user == waiting.user) {
-                Some(place) => {
-                    opening.swap_remove(place);
-                }
-                None => missing.push(waiting.user.clone()),
-            }
-        }
-        missing
-    }
-
     /// The newest idle connection that serves a user, sooner one that this thread watches already.
     pub(super) fn pop_idle(&mut self, user: Option<&Arc<str>>) -> Option<L> {
         let fits = |(_, connection): &(usize, &L)| connection.serves(user);
--- a/crates/proxy/src/process/counters.rs
+++ b/crates/proxy/src/process/counters.rs
@@ -31,6 +31,8 @@
     };
 }
 
+pub(crate) use counted;
+
 counted! {
     /// Why a request was tried again. Each reason proves that it did not run, or that it is a read.
     RetryReason {
--- a/crates/proxy/src/sessions/process/fleet.rs
+++ b/crates/proxy/src/sessions/process/fleet.rs
@@ -7,7 +7,6 @@
 use skylark_core::process::connection_plan::Demand;
 use skylark_core::process::store_calls::Standing;
 use skylark_core::version::organisations::Organisations;
-use skylark_core::version::routes::RouteTable;
 
 use crate::process::counters::Event;
 use crate::sessions::codec::Codec;
@@ -18,6 +17,7 @@
 use crate::sessions::process::target_path::PathInputs;
 use crate::sessions::process::targets::TargetState;
 use crate::sessions::store::VmAddress;
+use crate::sessions::version::view::View;
 
 impl<C> Gateway<C>
 where
@@ -43,7 +43,7 @@
                 continue;
             }
             self.counters.event(Event::PathsChecked);
-            let demand = demand(view.routes.as_deref(), &target.record.service, &peer_routes);
+            let demand = demand(&view, &target.record.service, &peer_routes);
             let inputs = PathInputs { demand, is_primary: self.is_primary(target) };
             let is_settled = target.is_settled(inputs) && !looks_at_all;
             if !is_settled && !target.must_rest(now_us) {
@@ -62,7 +62,7 @@
         }
         let (view, peer_routes, now_us) =
             (self.view.load(), self.peer_routes.load(), self.clock.now_us());
-        let demand = demand(view.routes.as_deref(), &target.record.service, &peer_routes);
+        let demand = demand(&view, &target.record.service, &peer_routes);
         if !peer_routes.become_fallback(target, demand, now_us) {
             return false;
         }
@@ -152,11 +152,10 @@
 }
 
 /// What the connections of a service's targets are divided by.
-fn demand(routes: Option<&RouteTable>, service: &str, peer_routes: &PeerRoutes) -> Demand {
-    let organisations = routes.and_then(|routes| routes.organisations.as_ref());
+fn demand(view: &View, service: &str, peer_routes: &PeerRoutes) -> Demand {
     Demand {
-        max_connections: service_limits(routes, service).max_connections,
+        max_connections: service_limits(view.routes.as_deref(), service).max_connections,
         vms: peer_routes.vm_count(),
-        organisations: organisations.map_or(0, Organisations::len),
+        organisations: view.organisations().map_or(0, Organisations::len),
     }
 }
--- a/crates/proxy/src/sessions/process/gateway.rs
+++ b/crates/proxy/src/sessions/process/gateway.rs
@@ -174,8 +174,7 @@
 
     /// Whether callers are told apart by organisation.
     pub fn has_organisations(&self) -> bool {
-        let view = self.view.load();
-        view.routes.as_ref().is_some_and(|routes| routes.organisations.is_some())
+        self.view.load().organisations().is_some()
     }
 
     /// Whether there is a configuration.
@@ -351,17 +350,15 @@
 /// Whether a key of one version is another organisation's or nobody's in the next. Most publications bring other
 /// targets and the configuration of before.
 fn withdraws_keys(before: &View, now: &View) -> bool {
-    let Some(now) = &now.routes else { return false };
-    match &before.routes {
-        Some(before) if Arc::ptr_eq(before, now) => false,
-        before => {
-            let before = before.as_ref().and_then(|routes| routes.organisations.as_ref());
-            match (before, &now.organisations) {
-                (Some(before), Some(now)) => before.keys_differ_in(now),
-                (None, Some(_)) => true,
-                (_, None) => false,
-            }
-        }
+    if let (Some(before), Some(now)) = (&before.routes, &now.routes)
+        && Arc::ptr_eq(before, now)
+    {
+        return false;
+    }
+    match (before.organisations(), now.organisations()) {
+        (Some(before), Some(now)) => before.keys_differ_in(now),
+        (None, Some(_)) => true,
+        (_, None) => false,
     }
 }
 
--- a/crates/proxy/src/sessions/process/metrics_text.rs
+++ b/crates/proxy/src/sessions/process/metrics_text.rs
@@ -3,78 +3,39 @@
 use std::fmt::Write;
 use std::sync::atomic::Ordering;
 
+use crate::process::counters::counted;
 use crate::sessions::codec::Codec;
 use crate::sessions::process::gateway::Gateway;
 
-/// What begins the name of each metric.
-const PREFIX: &str = "skylark_";
-
-/// What is shown beside the counters.
-#[derive(Clone, Copy, PartialEq, Eq, Debug)]
-pub enum Metric {
-    /// The version of the configuration in force.
-    ConfigurationVersion,
-    /// Sessions of callers that are open.
-    Sessions,
-    /// Whether the balancer is told that this VM takes callers.
-    Ready,
-    /// VMs that this one tells what the platform says.
-    FeedSubscribers,
-    /// Whether another VM tells this one.
-    FeedTold,
-    /// Age of the newest known position of a service's primary, in milliseconds.
-    PrimaryPositionAge,
-    /// Statements that took up to a bound in milliseconds, by stage and class.
-    StatementTimes,
-    /// Statements of a stage and class.
-    StatementCount,
-    /// Average time of a target's answers, in microseconds.
-    TargetUsualAnswer,
-    /// Connections to a target, or to the VMs that lead to it.
-    TargetConnections,
-    /// An organisation's limit over all VMs, in thousandths of an operation a second.
-    OrganisationLimit,
-    /// Operations of an organisation's limit that this VM granted.
-    OrganisationGranted,
-    /// Operations of an organisation that this VM did not grant.
-    OrganisationTurnedAway,
-}
-
-impl Metric {
-    /// Every metric, in the order of their lines.
-    pub const ALL: [Metric; 13] = [
-        Metric::ConfigurationVersion,
-        Metric::Sessions,
-        Metric::Ready,
-        Metric::FeedSubscribers,
-        Metric::FeedTold,
-        Metric::PrimaryPositionAge,
-        Metric::StatementTimes,
-        Metric::StatementCount,
-        Metric::TargetUsualAnswer,
-        Metric::TargetConnections,
-        Metric::OrganisationLimit,
-        Metric::OrganisationGranted,
-        Metric::OrganisationTurnedAway,
-    ];
-
-    /// Its name, without labels.
-    pub fn name(self) -> &'static str {
-        match self {
-            Metric::ConfigurationVersion => "skylark_configuration_version",
-            Metric::Sessions => "skylark_sessions",
-            Metric::Ready => "skylark_ready",
-            Metric::FeedSubscribers => "skylark_feed_subscribers",
-            Metric::FeedTold => "skylark_feed_told",
-            Metric::PrimaryPositionAge => "skylark_primary_position_age_ms",
-            Metric::StatementTimes => "skylark_statement_ms_bucket",
-            Metric::StatementCount => "skylark_statement_ms_count",
-            Metric::TargetUsualAnswer => "skylark_target_usual_answer_us",
-            Metric::TargetConnections => "skylark_target_connections",
-            Metric::OrganisationLimit => "skylark_organisation_limit_milli_per_s",
-            Metric::OrganisationGranted => "skylark_organisation_granted",
-            Metric::OrganisationTurnedAway => "skylark_organisation_turned_away",
-        }
+counted! {
+    /// What is shown beside the counters.
+    Metric {
+        /// The version of the configuration in force.
+        ConfigurationVersion = "skylark_configuration_version",
+        /// Sessions of callers that are open.
+        Sessions = "skylark_sessions",
+        /// Whether the balancer is told that this VM takes callers.
+        Ready = "skylark_ready",
+        /// VMs that this one tells what the platform says.
+        FeedSubscribers = "skylark_feed_subscribers",
+        /// Whether another VM tells this one.
+        FeedTold = "skylark_feed_told",
+        /// Age of the newest known position of a service's primary, in milliseconds.
+        PrimaryPositionAge = "skylark_primary_position_age_ms",
+        /// Statements that took up to a bound in milliseconds, by stage and class.
+        StatementTimes = "skylark_statement_ms_bucket",
+        /// Statements of a stage and class.
+        StatementCount = "skylark_statement_ms_count",
+        /// Average time of a target's answers, in microseconds.
+        TargetUsualAnswer = "skylark_target_usual_answer_us",
+        /// Connections to a target, or to the VMs that lead to it.
+        TargetConnections = "skylark_target_connections",
+        /// An organisation's limit over all VMs, in thousandths of an operation a second.
+        OrganisationLimit = "skylark_organisation_limit_milli_per_s",
+        /// Operations of an organisation's limit that this VM granted.
+        OrganisationGranted = "skylark_organisation_granted",
+        /// Operations of an organisation that this VM did not grant.
+        OrganisationTurnedAway = "skylark_organisation_turned_away",
     }
 }
 
@@ -85,7 +46,7 @@
 {
     let mut out = String::new();
     for (name, value) in gateway.counters.snapshot() {
-        line(&mut out, &format!("{PREFIX}{}", name.replace('.', "_")), "", value);
+        line(&mut out, &format!("skylark_{}", name.replace('.', "_")), "", value);
     }
     render_process(gateway, &mut out);
     gateway.latencies.render(&mut out);
--- a/crates/proxy/src/sessions/process/peer_routes.rs
+++ b/crates/proxy/src/sessions/process/peer_routes.rs
@@ -160,25 +160,17 @@
 
     /// Sets the path to a target, and how many connections it has.
     pub fn lead<C>(&self, target: &TargetState<C>, inputs: PathInputs, now_us: u64)
-    where
-        C: Codec,
-    {
-        self.set_path(target, inputs, now_us);
-        target.set_has_organisations(inputs.demand.organisations > 0);
-    }
-
-    fn set_path<C>(&self, target: &TargetState<C>, inputs: PathInputs, now_us: u64)
     where
         C: Codec,
     {
         let PathInputs { demand, is_primary } = inputs;
-        let has_organisations = demand.organisations > 0;
+        target.set_has_organisations(demand.organisations > 0);
         match connection_plan::plan(demand) {
             ConnectionPlan::Direct { primary, replica } => {
                 target.go_via(None);
                 target.divide_users(&[]);
                 let share = if is_primary { primary } else { replica };
-                target.configure(share, has_organisations);
+                target.configure(share);
             }
             ConnectionPlan::Homes { share, fallbacks } => {
                 let homes = self.homes_of(target, fallbacks);
@@ -192,19 +184,18 @@
                             || (home.is_none() && self.is_left_alone(target, &homes, now_us))
                     }
                 };
+                // Without any home that may be reached, the path that fails is as good as another.
                 if connects {
                     target.go_via(None);
-                    self.divide_users(target, &homes, demand, now_us);
-                    let share = if homes.role == HomeRole::Home { share } else { 1 };
-                    target.configure(share, has_organisations);
-                    return;
-                }
-                // Without any home that may be reached, the path that fails is as good as another.
-                if home.is_some() || target.via().is_none() {
+                } else if home.is_some() || target.is_own() {
                     target.go_via(home.or(homes.vms.first()));
                 }
                 self.divide_users(target, &homes, demand, now_us);
-                target.configure(limits::PEER_CONNECTIONS, has_organisations);
+                target.configure(match homes.role {
+                    _ if !connects => limits::PEER_CONNECTIONS,
+                    HomeRole::Home => share,
+                    HomeRole::Fallback | HomeRole::Neither => 1,
+                });
             }
         }
     }
@@ -222,10 +213,9 @@
         }
         let failed_us = self.failed_us.lock();
         let reached_for = |span_us: u64| -> Vec<Option<&VmAddress>> {
-            let did_not_fail = |vm: &&VmAddress| {
-                failed_us.get(&vm.name).is_none_or(|failed_us| now_us >= failed_us + span_us)
-            };
-            let reached = homes.vms[..homes.homes].iter().filter(did_not_fail);
+            let reached = homes.vms[..homes.homes]
+                .iter()
+                .filter(|vm| did_not_fail_for(span_us, &failed_us, vm, now_us));
             reached.map(|vm| (vm.name != self.own).then_some(vm)).collect()
         };
         let mut reached = reached_for(limits::HOME_EJECTION_US);
@@ -334,21 +324,31 @@
     /// where that could not be reached lately, and a fallback where no home can.
     fn home_for<'a>(&self, homes: &'a Homes, now_us: u64) -> Option<&'a VmAddress> {
         let failed_us = self.failed_us.lock();
-        let did_not_fail_for = |vm: &VmAddress, span_us: u64| {
-            failed_us.get(&vm.name).is_none_or(|failed_us| now_us >= *failed_us + span_us)
-        };
         let (first, fallbacks) = homes.vms.split_at(homes.homes);
         let turn = jitter::seed_of(&self.own) as usize % first.len().max(1);
         let in_turn = || first.iter().cycle().skip(turn).take(first.len());
         let may_be_reached = |home: &&VmAddress| {
-            home.name != self.own && did_not_fail_for(home, limits::LEAST_HOME_EJECTION_US)
+            home.name != self.own
+                && did_not_fail_for(limits::LEAST_HOME_EJECTION_US, &failed_us, home, now_us)
+        };
+        let is_unfailing = |home: &&VmAddress| {
+            did_not_fail_for(limits::HOME_EJECTION_US, &failed_us, home, now_us)
         };
-        let is_unfailing = |home: &&VmAddress| did_not_fail_for(home, limits::HOME_EJECTION_US);
         let best = in_turn().filter(may_be_reached).find(is_unfailing);
         best.or_else(|| in_turn().chain(fallbacks).find(may_be_reached))
     }
 }
 
+/// Whether a VM could be reached for so long.
+fn did_not_fail_for(
+    span_us: u64,
+    failed_us: &FastMap<Arc<str>, u64>,
+    vm: &VmAddress,
+    now_us: u64,
+) -> bool {
+    failed_us.get(&vm.name).is_none_or(|failed_us| now_us >= failed_us + span_us)
+}
+
 /// The VMs that rank highest for a name.
 fn best(name: &str, vms: Vec<&VmAddress>, count: usize) -> Vec<VmAddress> {
     let names: Vec<&str> = vms.iter().map(|vm| &*vm.name).collect();
--- a/crates/proxy/src/sessions/process/quota/answer.rs
+++ b/crates/proxy/src/sessions/process/quota/answer.rs
@@ -111,7 +111,7 @@
 {
     let names = std::str::from_utf8(line).ok()?.strip_prefix(GRANT)?;
     let view = gateway.view();
-    let organisations = view.routes.as_ref().and_then(|routes| routes.organisations.as_ref());
+    let organisations = view.organisations();
     let mut answer = String::new();
     for name in names.split_whitespace() {
         let organisation = organisations.and_then(|organisations| organisations.named(name));
--- a/crates/proxy/src/sessions/process/targets.rs
+++ b/crates/proxy/src/sessions/process/targets.rs
@@ -143,7 +143,7 @@
             health: Mutex::new(health),
             telling: SingleFlight::default(),
         };
-        state.configure(1, false);
+        state.configure(1);
         state
     }
 
@@ -290,8 +290,8 @@
         });
     }
 
-    /// Sets this process's part of the connections, and whether an organisation may fill the queue in front of them.
-    pub fn configure(&self, share: u32, has_organisations: bool) {
+    /// Sets this process's part of the connections.
+    pub fn configure(&self, share: u32) {
         let running = (self.record.slots + limits::RUNNING_BEYOND_SLOTS).min(share);
         let queued = limits::QUEUED_PER_TARGET;
         let bounds = QueueLimits {
@@ -299,7 +299,7 @@
             connections: share,
             queued,
             queued_per_class: queued,
-            queued_per_caller: match has_organisations {
+            queued_per_caller: match self.has_organisations.load(Ordering::Relaxed) {
                 true => limits::QUEUED_PER_ORGANISATION,
                 false => queued,
             },
--- a/crates/proxy/src/sessions/version/view.rs
+++ b/crates/proxy/src/sessions/version/view.rs
@@ -5,6 +5,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 use skylark_core::FastMap;
+use skylark_core::version::organisations::Organisations;
 use skylark_core::version::routes::RouteTable;
 use skylark_core::version::routes::TargetRecord;
 use skylark_core::version::routes::TargetRole;
@@ -44,6 +45,11 @@
         self.services.get(service).map_or(&[], Vec::as_slice)
     }
 
+    /// The organisations; none where callers need no key, or before the first configuration.
+    pub fn organisations(&self) -> Option<&Organisations> {
+        self.routes.as_ref()?.organisations.as_ref()
+    }
+
     /// The target that was the last to call itself primary.
     pub fn listed_primary(&self, service: &str) -> Option<&Member> {
         let primaries = self.members(service).iter().filter(|member| member.is_primary());
--- a/crates/soak/src/organisations.rs
+++ b/crates/soak/src/organisations.rs
@@ -4,6 +4,7 @@
 //! - An organisation with a limit runs no more in any window than the highest limit of the run allows.
 //! - A key that was withdrawn is refused by every proxy once the deployment has healed.
 
+use std::collections::BTreeSet;
 use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -13,9 +14,7 @@
 use parking_lot::Mutex;
 use skylark_core::process::quota::QuotaTolerance;
 use skylark_core::version::routes::RouteTable;
-use skylark_platform::objects;
 use skylark_platform::objects::TenantBody;
-use skylark_platform::store;
 use skylark_standin::typed::group::Run;
 use skylark_standin::typed::platform::Platform;
 use tokio::time;
@@ -111,8 +110,7 @@
                 }
             })
             .collect();
-        let (kind, place) = store::CONFIGURATION;
-        self.platform.objects.put(kind, place, objects::body_with(&state.table, Some(&bodies)));
+        self.platform.configure(&state.table, Some(&bodies));
     }
 
     /// Whether each proxy refuses each withdrawn key in the end.
@@ -158,7 +156,7 @@
     R: Iterator<Item = &'a Run>,
 {
     // An operation counts where it is seen first: a transaction has several statements.
-    let mut seen = std::collections::BTreeSet::new();
+    let mut seen = BTreeSet::new();
     let mut starts: Vec<Instant> =
         runs.filter(|run| seen.insert(run.id.as_str())).map(|run| run.at).collect();
     starts.sort_unstable();
--- a/crates/standin/src/typed/deployment.rs
+++ b/crates/standin/src/typed/deployment.rs
@@ -63,15 +63,12 @@
 
     /// Puts a configuration in force, as an operator does.
     pub fn configure(&self, table: &RouteTable) {
-        let (kind, name) = store::CONFIGURATION;
-        self.platform.objects.put(kind, name, objects::body_of(table));
+        self.platform.configure(table, None);
     }
 
     /// The same with organisations.
     pub fn configure_with(&self, table: &RouteTable, organisations: &[TenantBody]) {
-        let (kind, name) = store::CONFIGURATION;
-        let body = objects::body_with(table, Some(organisations));
-        self.platform.objects.put(kind, name, body);
+        self.platform.configure(table, Some(organisations));
     }
 }
 
--- a/crates/standin/src/typed/platform.rs
+++ b/crates/standin/src/typed/platform.rs
@@ -24,7 +24,10 @@
 use parking_lot::Mutex;
 use serde::Serialize;
 use skylark_core::FastMap;
+use skylark_core::version::routes::RouteTable;
+use skylark_platform::objects;
 use skylark_platform::objects::Object;
+use skylark_platform::objects::TenantBody;
 use skylark_platform::promote;
 use skylark_platform::store;
 use tokio::net::TcpListener;
@@ -87,6 +90,12 @@
 }
 
 impl Platform {
+    /// Puts a configuration in force, as an operator does; without organisations where none are given.
+    pub fn configure(&self, table: &RouteTable, organisations: Option<&[TenantBody]>) {
+        let (kind, name) = store::CONFIGURATION;
+        self.objects.put(kind, name, objects::body_with(table, organisations));
+    }
+
     /// A group by its service.
     fn group(&self, service: &str) -> Option<Arc<Group>> {
         let groups = self.groups.lock();
