Test that a request waits for its only home

The first connections to the only home of the primary are refused for a moment; the request is refused with 08001 although nothing was sent and its deadline is far away. Fails with the code as it is.

--- a/crates/proxy/tests/traffic_forward.rs
+++ b/crates/proxy/tests/traffic_forward.rs
@@ -9,6 +9,7 @@
 use traffic_support::Setup;
 use traffic_support::client::Client;
 use traffic_support::eventually;
+use traffic_support::fault_relay::FaultRelay;
 
 mod traffic_support;
 
@@ -82,6 +83,32 @@
         assert_eq!(cluster.proxies[2].counter("forwards.received"), 1);
     }
 
+    /// The only home accepts no connection for a moment, as during its start or on a busy machine. Nothing was
+    /// sent to it and no other home is left, but it accepts connections again long before the request's
+    /// deadline. The request waits for it and is not refused.
+    an_unreachable_only_home_is_waited_for {
+        let limits = TrafficLimits { primary_wait_ms: 20_000, deadline_ms: 20_000, ..TrafficLimits::default() };
+        let setup = Setup { homes: vec![vec![], vec![0, 1, 2]], limits, ..Setup::default() };
+        let cluster = Cluster::start_with(setup).await;
+        let relay = FaultRelay::start(cluster.proxies[1].address).await;
+        relay.refuse(true).await;
+        cluster.proxy().publish(|published| {
+            let mut topology = (*published.topology).clone();
+            let home = topology.vm_id(&traffic_support::vm_name(1)).expect("listed");
+            topology.vms[home.index()].address = relay.address().to_string();
+            published.topology = topology.into();
+        });
+        let mut client = cluster.client().await;
+        client.send("CREATE TABLE chairs (id INT)").await;
+        eventually("the connection to the home failed", || {
+            cluster.proxy().counter("connections.failed") >= 1
+        })
+        .await;
+        relay.refuse(false).await;
+        client.answer().await.ok();
+        assert_eq!(cluster.proxies[1].counter("forwards.received"), 1);
+    }
+
     /// A stopping home refuses forwarded requests as "not run", and the entry sends them to the other home.
     a_stopping_home_is_skipped {
         let cluster = Cluster::start_with(entry_and_two_homes()).await;
