Wait for the only home of a target instead of refusing

Cause: a request that is forwarded leaves out each proxy that it could not connect to. Where one home is left, a single failed connect, or a pool that still pauses after one, ended in 08001 at once, although the pool goes on trying and the request had time left. Writes that this proxy sends itself already wait for up to primary_wait_ms.

Now such a request waits as long for a home to be reachable again, and counts as waits.home. Homes that failed in another way stay left out for the request.

Ruled out: hops; a home that refuses for too many hops is not tried again (hops_are_bounded counts as before).

Test: an_unreachable_only_home_is_waited_for, failing before.

--- a/crates/proxy/src/process/counters.rs
+++ b/crates/proxy/src/process/counters.rs
@@ -108,6 +108,8 @@
         FloorWaits = "waits.floor",
         /// Requests that waited during a change of primary.
         PrimaryWaits = "waits.primary",
+        /// Requests that waited until a home could be connected to.
+        HomeWaits = "waits.home",
         /// Queries to members for their status.
         MembersAsked = "words.asked",
         /// Queries to homes for the log position of a primary.
--- a/crates/proxy/src/request/execute.rs
+++ b/crates/proxy/src/request/execute.rs
@@ -170,7 +170,12 @@
             let term = view.leader.map(|leader| leader.term);
             retry_state.primary = Some((term, target, final_kind(failed)));
         }
-        Destination::Peer(vm, _) => retry_state.peers.push(vm),
+        Destination::Peer(vm, _) => match retry_reason(failed) {
+            RetryReason::ConnectFailed | RetryReason::NoRoom => {
+                retry_state.unreachable_peers.push(vm);
+            }
+            _ => retry_state.peers.push(vm),
+        },
     }
 }
 
--- a/crates/proxy/src/request/route.rs
+++ b/crates/proxy/src/request/route.rs
@@ -69,6 +69,8 @@
     pub targets: Vec<TargetId>,
     /// Proxies that failed.
     pub peers: Vec<VmId>,
+    /// Proxies that could not be connected to.
+    pub unreachable_peers: Vec<VmId>,
     /// The primary that failed or refused the request, with its term, and the error to answer with if
     /// no other primary replaces it.
     pub primary: Option<(Option<Term>, TargetId, ErrorKind)>,
@@ -192,11 +194,19 @@
             (!is_preferred, !is_near)
         });
         let homes = members.iter().flat_map(|member| snapshot.published.homes_of(*member));
-        let chosen = self.usable_home(snapshot, homes)?;
-        Ok(Step::Dispatch(Destination::Peer(chosen, None), "forwarded"))
+        self.forward_to_home(snapshot, homes, None, "forwarded")
     }
 
-    fn usable_home<'b, I>(&self, snapshot: &GroupSnapshot, homes: I) -> Result<VmId, Refusal>
+    /// Forwards the request to one of these homes. Waits if none of them could be connected to, since
+    /// the pools keep trying: a home that starts or is busy for a moment would otherwise cause refusals
+    /// of requests that have time left.
+    fn forward_to_home<'b, I>(
+        &mut self,
+        snapshot: &GroupSnapshot,
+        homes: I,
+        target: Option<TargetId>,
+        reason: &'static str,
+    ) -> Result<Step, Refusal>
     where
         I: Iterator<Item = &'b VmId> + Clone,
     {
@@ -204,13 +214,27 @@
             return Err(ErrorKind::TooManyHops.into());
         }
         let topology = &snapshot.published.topology;
-        let mut candidates = homes.filter(|home| {
-            Some(**home) != snapshot.published.own_vm && !self.retry_state.peers.contains(home)
-        });
+        let RetryState { peers, unreachable_peers, .. } = self.retry_state;
+        let usable =
+            homes.filter(|home| Some(**home) != snapshot.published.own_vm && !peers.contains(home));
+        let untried = usable.clone().filter(|home| !unreachable_peers.contains(home));
         // A leaving VM still serves requests, so it is only the second choice.
-        let staying = candidates.clone().find(|home| !topology.vm(**home).leaving);
-        let chosen = staying.or_else(|| candidates.next());
-        chosen.copied().ok_or_else(|| ErrorKind::TargetUnreachable.into())
+        let staying = untried.clone().find(|home| !topology.vm(**home).leaving);
+        let reachable_again =
+            || usable.clone().find(|home| !self.refuses_forwards(snapshot, **home));
+        let chosen = staying.or_else(|| untried.clone().next()).or_else(reachable_again);
+        if let Some(home) = chosen {
+            return Ok(Step::Dispatch(Destination::Peer(*home, target), reason));
+        }
+        match usable.clone().next() {
+            Some(_) => self.wait_for_home(),
+            None => Err(ErrorKind::TargetUnreachable.into()),
+        }
+    }
+
+    /// Returns whether this VM's last attempt to connect to another proxy for the group failed.
+    fn refuses_forwards(&self, snapshot: &GroupSnapshot, vm: VmId) -> bool {
+        self.traffic.pools.peer(&snapshot.published, vm, snapshot.group).is_failing()
     }
 
     fn route_read(&mut self, snapshot: &GroupSnapshot, view: &GroupView) -> Result<Step, Refusal> {
@@ -227,8 +251,11 @@
         let verdict = routing::route(&policy, &request, leader, &members, now_us);
         match verdict {
             ReadVerdict::Send { target, reason } => {
-                self.traffic.counters.read(reason);
-                Ok(Step::Dispatch(self.destination_of(snapshot, target)?, reason.name()))
+                let step = self.send_to(snapshot, target, reason.name())?;
+                if let Step::Dispatch(..) = step {
+                    self.traffic.counters.read(reason);
+                }
+                Ok(step)
             }
             ReadVerdict::Wait { wait_us, reason, .. } => {
                 self.count_wait(reason);
@@ -345,8 +372,11 @@
         if leader.term < self.context.floor.term {
             return self.wait_for_floor();
         }
-        self.traffic.counters.event(Event::WritesRouted);
-        Ok(Step::Dispatch(self.destination_of(snapshot, leader.target)?, "primary"))
+        let step = self.send_to(snapshot, leader.target, "primary")?;
+        if let Step::Dispatch(..) = step {
+            self.traffic.counters.event(Event::WritesRouted);
+        }
+        Ok(step)
     }
 
     /// Returns whether a primary that could not be connected to is reachable again. One that refused
@@ -366,6 +396,11 @@
         self.wait_up_to(self.traffic.limits.primary_wait_ms, Event::PrimaryWaits, kind)
     }
 
+    fn wait_for_home(&mut self) -> Result<Step, Refusal> {
+        let kind = ErrorKind::TargetUnreachable;
+        self.wait_up_to(self.traffic.limits.primary_wait_ms, Event::HomeWaits, kind)
+    }
+
     fn wait_for_floor(&mut self) -> Result<Step, Refusal> {
         let kind = ErrorKind::FloorUnreachable;
         self.wait_up_to(self.traffic.limits.floor_wait_ms, Event::FloorWaits, kind)
@@ -387,17 +422,17 @@
         Ok(Step::Wait(RECHECK_INTERVAL))
     }
 
-    fn destination_of(
-        &self,
+    fn send_to(
+        &mut self,
         snapshot: &GroupSnapshot,
         target: TargetId,
-    ) -> Result<Destination, Refusal> {
+        reason: &'static str,
+    ) -> Result<Step, Refusal> {
         if snapshot.published.is_home(target) {
-            return Ok(Destination::Target(target));
+            return Ok(Step::Dispatch(Destination::Target(target), reason));
         }
         let homes = snapshot.published.homes_of(target);
-        let home = self.usable_home(snapshot, homes.iter())?;
-        Ok(Destination::Peer(home, Some(target)))
+        self.forward_to_home(snapshot, homes.iter(), Some(target), reason)
     }
 }
 
