Apply a change of targets to its own service only

Cause: each change of one target built the lists, tables and states of all services anew on every VM, and looked for targets by name through all of them.

Change: the control thread keeps targets by id, name and service; a view shares the lists of unchanged services with the one before, and a process compares them by pointer. The table of targets changes only when members come or go.

Ruled out: patching views in place, which readers hold without a lock.

--- a/crates/proxy/src/sessions/process/cluster_state.rs
+++ b/crates/proxy/src/sessions/process/cluster_state.rs
@@ -5,7 +5,7 @@
 
 use std::sync::Arc;
 
-use skylark_core::FastMap;
+use skylark_core::FastSet;
 use skylark_core::process::departures::Departures;
 use skylark_core::version::route_changes::RouteChanges;
 use skylark_core::version::routes::RouteTable;
@@ -25,16 +25,16 @@
 impl ClusterState {
     /// Returns the id of the listed target with this name.
     fn id_by_name(&self, name: &str) -> Option<Arc<str>> {
-        let found = self.targets.values().find(|member| &*member.record.name == name);
-        found.map(|member| Arc::clone(&member.record.id))
+        self.targets.id_by_name(name).cloned()
     }
 
     /// Adds a listed target.
-    fn insert_member(&mut self, member: Member, now_us: u64) {
-        let id = Arc::clone(&member.record.id);
-        self.expired.remove(&id);
-        self.departures_of(&member.record.service, now_us).member_returned(&id);
-        self.targets.insert(id, member);
+    fn insert_member(&mut self, member: &Member, now_us: u64) {
+        let id = &member.record.id;
+        self.expired.remove(id);
+        if self.targets.insert(member) {
+            self.departures_of(&member.record.service, now_us).member_returned(id);
+        }
     }
 
     /// Returns the record of the members that left a service.
@@ -43,6 +43,7 @@
         service: &Arc<str>,
         now_us: u64,
     ) -> &mut Departures<Arc<TargetRecord>> {
+        self.departures_changed.insert(Arc::clone(service));
         let departures = self.departures.entry(Arc::clone(service));
         departures.or_insert_with(|| Departures::started_at(now_us))
     }
@@ -93,35 +94,47 @@
             let before = known.targets.get(&target.record.id);
             member_of(target, before)
         };
-        let members = listed.into_iter().map(member).collect();
-        self.replace_targets(&mut known, revision, members);
+        let members: Vec<Member> = listed.into_iter().map(member).collect();
+        self.replace_targets(&mut known, revision, &members);
     }
 
     /// Applies a complete list of targets from another process, unless it is older than the known one.
     pub fn apply_target_snapshot(&self, list: &TargetList) {
         let mut known = self.known.lock();
         if list.revision >= known.targets_revision {
-            self.replace_targets(&mut known, list.revision, list.entries.clone());
+            self.replace_targets(&mut known, list.revision, &list.entries);
         }
     }
 
-    fn replace_targets(&self, known: &mut ClusterState, revision: u64, members: Vec<Member>) {
+    fn replace_targets(&self, known: &mut ClusterState, revision: u64, members: &[Member]) {
         known.targets_revision = revision;
         let now_us = self.gateway.clock.now_us();
-        let mut previous = std::mem::take(&mut known.targets);
         for member in members {
-            previous.remove(&member.record.id);
             known.insert_member(member, now_us);
         }
-        for (_, member) in previous {
-            match known.id_by_name(&member.record.name) {
-                Some(_) => self.record_departure(known, &member),
-                None => self.handle_unlisted(known, member),
+        if known.targets.len() > members.len() {
+            let listed: FastSet<&str> = members.iter().map(|member| &*member.record.id).collect();
+            let is_unlisted = |member: &&Member| !listed.contains(&*member.record.id);
+            let unlisted: Vec<Member> = known.targets.all().filter(is_unlisted).cloned().collect();
+            for member in unlisted {
+                self.handle_replaced_or_unlisted(known, &member);
             }
         }
         self.publish(known);
     }
 
+    /// Handles a known target that is missing from a complete list.
+    fn handle_replaced_or_unlisted(&self, known: &mut ClusterState, member: &Member) {
+        let id = &member.record.id;
+        let is_replaced = known.id_by_name(&member.record.name).is_some_and(|other| other != *id);
+        if is_replaced {
+            known.targets.remove(id);
+            self.record_departure(known, member);
+        } else {
+            self.handle_unlisted(known, member);
+        }
+    }
+
     pub(super) fn apply_target_changes(&self, revision: u64, changes: Vec<TargetChange>) {
         let mut known = self.known.lock();
         known.targets_revision = revision;
@@ -140,18 +153,17 @@
                         // lost.
                         self.record_departure(&mut known, &member);
                     }
-                    let before = known.targets.remove(&target.record.id);
-                    let member = member_of(target, before.as_ref());
-                    if before.as_ref() != Some(&member) {
+                    let before = known.targets.get(&target.record.id);
+                    let member = member_of(target, before);
+                    if before != Some(&member) {
                         self.log_member(&member);
                     }
-                    known.insert_member(member, now_us);
+                    known.insert_member(&member, now_us);
                 }
                 TargetChange::Removed(name) => {
-                    if let Some(id) = known.id_by_name(&name)
-                        && let Some(member) = known.targets.remove(&id)
-                    {
-                        self.handle_unlisted(&mut known, member);
+                    let id = known.id_by_name(&name);
+                    if let Some(member) = id.and_then(|id| known.targets.get(&id).cloned()) {
+                        self.handle_unlisted(&mut known, &member);
                     }
                 }
             }
@@ -180,15 +192,15 @@
     /// Handles a target that is no longer listed. If its entry may have expired only because the store was
     /// unavailable, the target is kept until the list is settled: running targets register again within 2 s,
     /// and without them all requests of their services would be refused until then.
-    fn handle_unlisted(&self, known: &mut ClusterState, member: Member) {
+    fn handle_unlisted(&self, known: &mut ClusterState, member: &Member) {
+        let id = &member.record.id;
         let may_return = !member.record.leaving && !self.is_settled(known);
-        if may_return {
+        if !may_return {
+            known.targets.remove(id);
+            self.record_departure(known, member);
+        } else if known.expired.insert(Arc::clone(id)) {
             slog::info!(self.gateway.log, "target entry expired; kept until the list is settled";
-                "target" => &*member.record.id);
-            known.expired.insert(Arc::clone(&member.record.id));
-            known.targets.insert(Arc::clone(&member.record.id), member);
-        } else {
-            self.record_departure(known, &member);
+                "target" => &**id);
         }
     }
 
@@ -214,14 +226,8 @@
 
     fn publish(&self, known: &mut ClusterState) {
         known.number += 1;
-        let mut services: FastMap<Arc<str>, Vec<Member>> = FastMap::default();
-        for member in known.targets.values() {
-            services.entry(Arc::clone(&member.record.service)).or_default().push(member.clone());
-        }
-        for members in services.values_mut() {
-            members.sort_by(|a, b| a.record.id.cmp(&b.record.id));
-        }
         self.publish_departures(known);
+        let services = known.targets.services().clone();
         let view = View { number: known.number, routes: known.routes.clone(), services };
         self.gateway.publish(view);
         self.update_feed(known);
@@ -234,7 +240,7 @@
         if !self.gateway.is_watcher() && outbox.feed_state.receiver_count() == 0 {
             return;
         }
-        let members = known.targets.values().cloned().collect();
+        let members = known.targets.all().cloned().collect();
         let targets = TargetList::new(known.targets_revision, members);
         outbox.update(known.number, known.routes.as_ref(), targets);
     }
--- a/crates/proxy/src/sessions/process/departed.rs
+++ b/crates/proxy/src/sessions/process/departed.rs
@@ -10,14 +10,6 @@
 use crate::sessions::process::watch::Watcher;
 use crate::sessions::store::StateStore;
 
-impl ClusterState {
-    /// Whether a target with this name is listed. A target that restarted has the same name but has lost its
-    /// log, so it can't answer for its earlier incarnation.
-    fn lists_name(&self, name: &str) -> bool {
-        self.targets.values().any(|listed| &*listed.record.name == name)
-    }
-}
-
 /// The departed members of a service that a promotion depends on.
 #[derive(Clone, Debug, Default)]
 pub struct DepartedMembers {
@@ -51,10 +43,13 @@
         }
     }
 
-    /// Copies the numbers of departed members to the services, where requests read them.
-    pub(super) fn publish_departures(&self, known: &ClusterState) {
-        for (service, departures) in &known.departures {
-            self.gateway.service(service).set_departed(departures);
+    /// Copies the numbers of departed members to the services where they may have changed, and where requests
+    /// read them.
+    pub(super) fn publish_departures(&self, known: &mut ClusterState) {
+        for service in known.departures_changed.drain() {
+            if let Some(departures) = known.departures.get(&service) {
+                self.gateway.service(&service).set_departed(departures);
+            }
         }
     }
 
@@ -66,9 +61,13 @@
         let Some(departures) = known.departures.get(service) else {
             return DepartedMembers::default();
         };
+        // A target that restarted has the same name but has lost its log, so it can't answer for its earlier
+        // incarnation.
+        let is_listed =
+            |record: &Arc<TargetRecord>| known.targets.id_by_name(&record.name).is_some();
         let needed = departures.required().filter(|(id, _)| Some(*id) != primary);
         let (lost, absent): (Vec<_>, Vec<_>) =
-            needed.map(|(_, record)| Arc::clone(record)).partition(|it| known.lists_name(&it.name));
+            needed.map(|(_, record)| Arc::clone(record)).partition(is_listed);
         DepartedMembers { absent, lost: lost.len(), floor: departures.floor() }
     }
 
@@ -78,7 +77,8 @@
         let Some(departures) = known.departures.get(service) else { return Vec::new() };
         let gone = departures
             .dispensable()
-            .filter(|(id, record)| Some(*id) != primary && !known.lists_name(&record.name));
+            .filter(|(id, _)| Some(*id) != primary)
+            .filter(|(_, record)| known.targets.id_by_name(&record.name).is_none());
         gone.map(|(_, record)| Arc::clone(record)).collect()
     }
 
--- a/crates/proxy/src/sessions/process/gateway.rs
+++ b/crates/proxy/src/sessions/process/gateway.rs
@@ -11,7 +11,6 @@
 use parking_lot::Mutex;
 use parking_lot::RwLock;
 use skylark_core::FastMap;
-use skylark_core::FastSet;
 use skylark_core::process::isolation::ZoneReachability;
 use skylark_core::request::error_kind::ErrorKind;
 use skylark_core::version::organisations::KeyDigest;
@@ -39,6 +38,7 @@
 use crate::sessions::process::target_table::TargetTable;
 use crate::sessions::process::targets::TargetState;
 use crate::sessions::version::principal::Principal;
+use crate::sessions::version::view::Member;
 use crate::sessions::version::view::View;
 
 /// Limits of a service that no configuration names. Its targets are listed, but no route leads to them.
@@ -309,8 +309,10 @@
 
     /// Publishes a new view.
     pub fn publish(&self, view: View) {
-        self.reconcile_targets(&view);
-        for (service, members) in &view.services {
+        let before = self.view.load_full();
+        let changes = view.changes_since(&before);
+        self.reconcile_targets(&view, &changes);
+        for (service, members) in changes {
             let state = self.service(service);
             let mut leader = state.leader.lock();
             if let Some(primary) = view.listed_primary(service) {
@@ -320,7 +322,7 @@
             leader.keep(is_listed);
             state.lead_reports.lock().keep(is_listed);
         }
-        let before = self.view.swap(Arc::new(view));
+        self.view.store(Arc::new(view));
         self.set_paths_outdated();
         if !same_routes(&before, &self.view.load()) {
             self.roles_outdated.store(true, Ordering::Relaxed);
@@ -331,34 +333,54 @@
         }
     }
 
-    /// Adds and removes targets as the view lists them. The connections of a removed target are closed as
-    /// they become idle.
-    fn reconcile_targets(&self, view: &View) {
-        let mut targets = self.targets.load().by_id().clone();
-        let members = view.services.values().flatten();
-        let listed: FastSet<&str> = members.map(|member| &*member.record.id).collect();
+    /// Adds and removes targets of the services that changed. The connections of a removed target are closed
+    /// as they become idle.
+    fn reconcile_targets(&self, view: &View, changes: &[(&Arc<str>, &[Member])]) {
+        let targets = self.targets.load();
         let peer_routes = self.peer_routes.load();
-        targets.retain(|id, target| {
-            let keep = listed.contains(&**id);
-            if !keep {
-                peer_routes.forget(id);
-                target.set_leaving(Some(self.clock.now_us()));
-                target.close();
+        let now_us = self.clock.now_us();
+        let mut table_changes = Vec::new();
+        for (service, members) in changes {
+            let known = targets.members(service);
+            let mut next: Vec<Arc<TargetState<C>>> = Vec::with_capacity(members.len());
+            for member in *members {
+                let known = targets.get(&member.record.id);
+                let target = match known.filter(|known| known.record.service == **service) {
+                    Some(known) => Arc::clone(known),
+                    None => self.new_target(view, &peer_routes, member),
+                };
+                let drain_us = self.drain_us.saturating_sub(limits::LEAVING_MARGIN_US);
+                target.set_leaving(member.record.leaving.then_some(now_us + drain_us));
+                next.push(target);
             }
-            keep
-        });
-        for member in view.services.values().flatten() {
-            let known = targets.entry(Arc::clone(&member.record.id)).or_insert_with(|| {
-                let (clock, counters) = (self.clock, &self.counters);
-                let target = Arc::new(TargetState::new(&member.record, &self.vm, clock, counters));
-                self.activate_if_connected(view, &peer_routes, &target);
-                target
-            });
-            let now_us = self.clock.now_us();
-            let no_work_from_us = now_us + self.drain_us.saturating_sub(limits::LEAVING_MARGIN_US);
-            known.set_leaving(member.record.leaving.then_some(no_work_from_us));
+            for target in known {
+                if !next.iter().any(|kept| Arc::ptr_eq(kept, target)) {
+                    peer_routes.forget(&target.record.id);
+                    target.set_leaving(Some(now_us));
+                    target.close();
+                }
+            }
+            let is_same = known.len() == next.len()
+                && known.iter().zip(&next).all(|(known, next)| Arc::ptr_eq(known, next));
+            if !is_same {
+                table_changes.push((Arc::clone(service), next));
+            }
+        }
+        if !table_changes.is_empty() {
+            self.targets.store(Arc::new(targets.with(table_changes)));
         }
-        self.targets.store(Arc::new(TargetTable::new(targets)));
+    }
+
+    fn new_target(
+        &self,
+        view: &View,
+        peer_routes: &PeerRoutes,
+        member: &Member,
+    ) -> Arc<TargetState<C>> {
+        let (clock, counters) = (self.clock, &self.counters);
+        let target = Arc::new(TargetState::new(&member.record, &self.vm, clock, counters));
+        self.activate_if_connected(view, peer_routes, &target);
+        target
     }
 }
 
--- a/crates/proxy/src/sessions/process/mod.rs
+++ b/crates/proxy/src/sessions/process/mod.rs
@@ -16,6 +16,7 @@
 pub mod leader;
 pub mod limits;
 pub mod log_budget;
+pub mod member_table;
 pub mod metrics_text;
 pub mod peer_routes;
 pub mod quota;
--- a/crates/proxy/src/sessions/process/target_table.rs
+++ b/crates/proxy/src/sessions/process/target_table.rs
@@ -7,7 +7,8 @@
 use crate::sessions::codec::Codec;
 use crate::sessions::process::targets::TargetState;
 
-/// All listed targets. A change of the list creates a new table.
+/// All listed targets. A change of the list creates a new table, which shares the targets of unchanged
+/// services with the previous one.
 #[derive(Debug)]
 pub struct TargetTable<C>
 where
@@ -15,7 +16,7 @@
 {
     by_id: FastMap<Arc<str>, Arc<TargetState<C>>>,
     /// The targets of each service, sorted by id.
-    by_service: FastMap<Arc<str>, Vec<Arc<TargetState<C>>>>,
+    by_service: FastMap<Arc<str>, Arc<[Arc<TargetState<C>>]>>,
 }
 
 impl<C> Default for TargetTable<C>
@@ -23,7 +24,7 @@
     C: Codec,
 {
     fn default() -> TargetTable<C> {
-        TargetTable::new(FastMap::default())
+        TargetTable { by_id: FastMap::default(), by_service: FastMap::default() }
     }
 }
 
@@ -31,17 +32,23 @@
 where
     C: Codec,
 {
-    /// Creates a table of these targets by id.
-    pub fn new(by_id: FastMap<Arc<str>, Arc<TargetState<C>>>) -> TargetTable<C> {
-        let mut by_service: FastMap<Arc<str>, Vec<Arc<TargetState<C>>>> = FastMap::default();
-        for target in by_id.values() {
-            by_service
-                .entry(Arc::clone(&target.record.service))
-                .or_default()
-                .push(Arc::clone(target));
-        }
-        for members in by_service.values_mut() {
-            members.sort_by(|a, b| a.record.id.cmp(&b.record.id));
+    /// Returns this table with the targets of some services replaced. Those of each service are sorted by id.
+    pub fn with(&self, changes: Vec<(Arc<str>, Vec<Arc<TargetState<C>>>)>) -> TargetTable<C> {
+        let (mut by_id, mut by_service) = (self.by_id.clone(), self.by_service.clone());
+        for (service, members) in changes {
+            for gone in self.members(&service) {
+                // An id that another service lists now may already have its new state.
+                if by_id.get(&gone.record.id).is_some_and(|known| Arc::ptr_eq(known, gone)) {
+                    by_id.remove(&gone.record.id);
+                }
+            }
+            for member in &members {
+                by_id.insert(Arc::clone(&member.record.id), Arc::clone(member));
+            }
+            match members.is_empty() {
+                true => by_service.remove(&service),
+                false => by_service.insert(service, members.into()),
+            };
         }
         TargetTable { by_id, by_service }
     }
@@ -58,7 +65,7 @@
 
     /// The targets of a service, sorted by id.
     pub fn members(&self, service: &str) -> &[Arc<TargetState<C>>] {
-        self.by_service.get(service).map_or(&[], Vec::as_slice)
+        self.by_service.get(service).map_or(&[], |members| members)
     }
 
     /// The targets by id.
--- a/crates/proxy/src/sessions/process/watch.rs
+++ b/crates/proxy/src/sessions/process/watch.rs
@@ -20,9 +20,9 @@
 
 use crate::sessions::codec::Codec;
 use crate::sessions::process::gateway::Gateway;
+use crate::sessions::process::member_table::MemberTable;
 use crate::sessions::store::StateStore;
 use crate::sessions::store::StoreError;
-use crate::sessions::version::view::Member;
 
 /// How long the list of targets has to be watched without interruption before a missing target counts as
 /// gone, in microseconds. Targets whose entries expired while the store was unavailable register again within
@@ -123,9 +123,11 @@
 pub struct ClusterState {
     pub(super) number: u64,
     pub(super) routes: Option<Arc<RouteTable>>,
-    pub(super) targets: FastMap<Arc<str>, Member>,
+    pub(super) targets: MemberTable,
     /// Members that left the list, by service.
     pub(super) departures: FastMap<Arc<str>, Departures<Arc<TargetRecord>>>,
+    /// The services whose departures may have changed since they were last published.
+    pub(super) departures_changed: FastSet<Arc<str>>,
     /// Targets that are no longer listed, but may register again.
     pub(super) expired: FastSet<Arc<str>>,
     /// The store's revision of the list of targets.
--- a/crates/proxy/src/sessions/version/view.rs
+++ b/crates/proxy/src/sessions/version/view.rs
@@ -28,6 +28,9 @@
     }
 }
 
+/// The targets of one service, ordered by id. Successive snapshots share those of unchanged services.
+pub type ServiceMembers = Arc<Vec<Member>>;
+
 /// A snapshot of the configuration and the list of targets.
 #[derive(Clone, Debug, Default)]
 pub struct View {
@@ -35,14 +38,27 @@
     pub number: u64,
     /// The configuration; `None` before the first one was read.
     pub routes: Option<Arc<RouteTable>>,
-    /// The targets of each service, ordered by id.
-    pub services: FastMap<Arc<str>, Vec<Member>>,
+    /// The targets of each service.
+    pub services: FastMap<Arc<str>, ServiceMembers>,
 }
 
 impl View {
     /// Returns the targets of a service; empty if it has none.
     pub fn members(&self, service: &str) -> &[Member] {
-        self.services.get(service).map_or(&[], Vec::as_slice)
+        self.services.get(service).map_or(&[], |members| members.as_slice())
+    }
+
+    /// Returns the services whose targets differ from those of an earlier snapshot, and with them the
+    /// targets in this one; none for a service that no longer has any.
+    pub fn changes_since<'a>(&'a self, before: &'a View) -> Vec<(&'a Arc<str>, &'a [Member])> {
+        let is_shared = |service: &str, members: &ServiceMembers| {
+            before.services.get(service).is_some_and(|known| Arc::ptr_eq(known, members))
+        };
+        let changed =
+            self.services.iter().filter(|(service, members)| !is_shared(service, members));
+        let gone = before.services.keys().filter(|service| !self.services.contains_key(*service));
+        let changed = changed.map(|(service, members)| (service, members.as_slice()));
+        changed.chain(gone.map(|service| (service, &[][..]))).collect()
     }
 
     /// Returns the organisations; `None` if callers need no key, or before the first configuration was read.
