--- a/crates/bench/src/slopes/report.rs
+++ b/crates/bench/src/slopes/report.rs
@@ -7,12 +7,13 @@
 use crate::slopes::case::Unit;
 use crate::slopes::control;
 use crate::slopes::measure::Spread;
+use crate::slopes::sessions;
 use crate::slopes::spread;
 use crate::slopes::versions;
 
 /// Every case, or those whose names contain `filter`.
 pub fn cases(filter: &str) -> Vec<Case> {
-    let all = [versions::CASES, spread::CASES, control::CASES];
+    let all = [versions::CASES, spread::CASES, control::CASES, sessions::CASES];
     all.into_iter().flatten().copied().filter(|case| case.name.contains(filter)).collect()
 }
 
