Bound what hundreds of changes of primary at once ask of the platform

Cause: each home of each member of a group that waits for another driver read the group's claim every 300 ms, and each driver that an overloaded platform refused asked again every 120 ms, with a write of its claim each time. Both multiply by the groups: a lost zone takes 333 of 1,000 primaries where 50 promotions a second are carried out, 6.7 s at least.

Change: a process reads a fixed number of claims a second, however many it waits for, by the cheap call that may be late (the write that follows is conditional on the revision); it still notices at once when the takeover is no longer needed. A driver's pauses after a refusal double up to 1 s, jittered, and it does not write its claim again meanwhile unless that has to be renewed.

Ways weighed: waiting for the whole silence of a driver before reading again, which takes over from a dead driver up to 2.5 s later; a queue in the store, which needs a coordinator.

Tests: promotions_by_the_hundred_take_few_calls (in virtual time, 333 and 666 groups), claims_are_read_at_a_bounded_rate.

--- a/crates/core/src/process/takeover_claim.rs
+++ b/crates/core/src/process/takeover_claim.rs
@@ -25,6 +25,8 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::process::jitter;
+
 /// How long another VM that detects the same failure leaves the takeover to the last driver, in
 /// microseconds. The last driver needs a probe and a write to the store, some 100 ms; one second
 /// covers a busy VM.
@@ -50,6 +52,18 @@
 /// report "seconds later"; their platform executes late calls within 6 s.
 pub const LATE_EFFECT_US: u64 = 10_000_000;
 
+/// How long a process that waits for one takeover of another driver leaves the claim unread, in
+/// microseconds.
+const POLL_US: u64 = 300_000;
+
+/// The delays after the first refusal of an overloaded platform, and the longest delay, in
+/// microseconds.
+const OVERLOADED_US: u64 = 120_000;
+const MAX_OVERLOADED_US: u64 = 1_000_000;
+
+/// The maximum number of doublings of the delay after a refusal.
+const MAX_DOUBLINGS: u32 = 4;
+
 /// The progress of a takeover.
 #[derive(Clone, Copy, PartialEq, Eq, Debug, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
@@ -172,3 +186,24 @@
         false => ClaimStep::WaitUntil { at_us },
     }
 }
+
+/// Returns how long a process waits before it reads the claim of another driver again, in
+/// microseconds. `waiting` is the number of groups whose claims the process waits for.
+///
+/// A lost availability zone takes the primaries of a third of all groups at once, and every home of
+/// their members waits for each of them. Each process therefore reads a fixed number of claims a
+/// second, however many groups it waits for.
+pub fn poll_pause_us(waiting: usize) -> u64 {
+    (POLL_US * waiting.max(1) as u64).min(DRIVER_SILENCE_US)
+}
+
+/// Returns how long a driver waits after an overloaded platform refused its promotion for the
+/// `refusals`th time in a row, in microseconds.
+///
+/// The platform carries out a limited number of promotions a second. When hundreds are due at once,
+/// drivers that ask again at a fixed interval make most calls in vain until the last one is served.
+pub fn overloaded_pause_us(refusals: u32, seed: u64) -> u64 {
+    let doublings = refusals.saturating_sub(1).min(MAX_DOUBLINGS);
+    let pause_us = (OVERLOADED_US << doublings).min(MAX_OVERLOADED_US);
+    jitter::upper_half_us(seed, u64::from(refusals), pause_us)
+}
--- a/crates/core/tests/takeover_claim.rs
+++ b/crates/core/tests/takeover_claim.rs
@@ -99,3 +99,54 @@
     assert_eq!((&*next.chosen, next.unsettled), ("a", true));
     assert_eq!((&*next.holder, next.state), ("vm-2", ClaimState::Moving));
 }
+
+/// The promotions that a platform carries out in a second.
+const PROMOTIONS_PER_S: u64 = 50;
+
+/// A lost availability zone takes the primaries of `groups` groups at once, and one driver of each asks for a
+/// promotion. Returns how long it takes until all are promoted, in microseconds, and the calls that this took.
+fn promote_all(groups: u64) -> (u64, u64) {
+    let mut due: Vec<(u64, u64, u32)> = (0..groups).map(|group| (0, group, 0)).collect();
+    let (mut calls, mut done_us) = (0, 0);
+    let (mut tokens_micro, mut refilled_us) = (1_000_000, 0);
+    while let Some(index) = (0..due.len()).min_by_key(|index| due[*index]) {
+        let (now_us, group, refusals) = due[index];
+        calls += 1;
+        tokens_micro = (tokens_micro + (now_us - refilled_us) * PROMOTIONS_PER_S).min(1_000_000);
+        refilled_us = now_us;
+        if tokens_micro == 1_000_000 {
+            tokens_micro = 0;
+            done_us = now_us;
+            due.swap_remove(index);
+            continue;
+        }
+        let pause_us = takeover_claim::overloaded_pause_us(refusals + 1, group);
+        due[index] = (now_us + pause_us, group, refusals + 1);
+    }
+    (done_us, calls)
+}
+
+/// A zone with a third of 1,000 primaries is lost, where the platform carries out 50 promotions a second.
+/// Drivers that asked every 120 ms made over 9,000 calls, nearly all in vain. With growing pauses all are
+/// promoted nearly as soon as the platform can, with a few calls each; also at twice the size.
+#[test]
+fn promotions_by_the_hundred_take_few_calls() {
+    for groups in [1, 10, 333, 666] {
+        let (done_us, calls) = promote_all(groups);
+        let least_us = groups * 1_000_000 / PROMOTIONS_PER_S;
+        assert!(done_us <= least_us * 3 / 2 + 1_000_000, "{groups}: {done_us} us");
+        let waits_s = least_us * 3 / 2 / 1_000_000 + 1;
+        assert!(calls <= groups * (4 + 2 * waits_s), "{groups}: {calls} calls");
+    }
+}
+
+/// A process waits for the drivers of many groups. It reads their claims as often as one claim, so that the
+/// homes of a lost zone's groups do not read thousands a second.
+#[test]
+fn claims_are_read_at_a_bounded_rate() {
+    let one_us = takeover_claim::poll_pause_us(1);
+    for waiting in 1..=8 {
+        assert_eq!(takeover_claim::poll_pause_us(waiting), one_us * waiting as u64);
+    }
+    assert_eq!(takeover_claim::poll_pause_us(1_000), DRIVER_SILENCE_US);
+}
--- a/crates/proxy/src/sessions/process/claims.rs
+++ b/crates/proxy/src/sessions/process/claims.rs
@@ -3,6 +3,8 @@
 //! A claim is a lease in the store, with a fencing token: only its holder may promote a primary.
 
 use std::sync::Arc;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use skylark_core::process::jitter;
@@ -16,6 +18,7 @@
 
 use crate::sessions::codec::Codec;
 use crate::sessions::process::gateway::Gateway;
+use crate::sessions::store::Freshness;
 use crate::sessions::store::StateStore;
 
 /// Delay before another attempt after the store rejected the write of a claim.
@@ -33,8 +36,8 @@
 /// the store and end the wait when it answers.
 const STORE_UNAVAILABLE_LIMIT: Duration = Duration::from_millis(2_500);
 
-/// Maximum delay before a claim that another VM holds is read again.
-const MAX_POLL_PAUSE: Duration = Duration::from_millis(300);
+/// How often a process that waits for another driver checks whether the takeover is still needed.
+const NEED_CHECK_INTERVAL: Duration = Duration::from_millis(300);
 
 /// Access to the claims of all services for one process.
 #[derive(Debug)]
@@ -44,6 +47,8 @@
 {
     gateway: Arc<Gateway<C>>,
     store: S,
+    /// Number of services whose claims this process waits for.
+    waiting: AtomicUsize,
 }
 
 impl<C, S> Claims<C, S>
@@ -53,7 +58,7 @@
 {
     /// Creates access to the claims in `store`.
     pub fn new(gateway: &Arc<Gateway<C>>, store: S) -> Claims<C, S> {
-        Claims { gateway: Arc::clone(gateway), store }
+        Claims { gateway: Arc::clone(gateway), store, waiting: AtomicUsize::new(0) }
     }
 
     /// Acquires the claim of a service. `needed_since_us` is the time since when the takeover has been
@@ -70,9 +75,10 @@
     {
         let mut seen: Option<SeenClaim> = None;
         let mut failures = 0;
+        let mut freshness = Freshness::Latest;
         loop {
             self.gateway.store_access.wait_while_unavailable(STORE_UNAVAILABLE_LIMIT).await;
-            match self.store.claim(service).await {
+            match self.store.claim(service, freshness).await {
                 Ok(found) => {
                     failures = 0;
                     let now_us = self.gateway.clock.now_us();
@@ -109,10 +115,13 @@
                     {
                         return Some(held);
                     }
+                    freshness = Freshness::Latest;
                 }
                 ClaimStep::WaitUntil { at_us } => {
-                    let wait = Duration::from_micros(at_us.saturating_sub(now_us).max(1));
-                    time::sleep(wait.min(MAX_POLL_PAUSE)).await;
+                    self.wait_for_other_driver(at_us, &is_needed).await;
+                    // The write is conditional on the revision, so a claim that was changed meanwhile is not
+                    // taken over.
+                    freshness = Freshness::MayBeStale;
                 }
             }
             if !is_needed() {
@@ -121,6 +130,25 @@
         }
     }
 
+    /// Waits before another driver's claim is read again, at most until `at_us` or until the takeover is no
+    /// longer needed.
+    async fn wait_for_other_driver<F>(&self, at_us: u64, is_needed: &F)
+    where
+        F: Fn() -> bool,
+    {
+        let waiting = self.waiting.fetch_add(1, Ordering::Relaxed) + 1;
+        let clock = &self.gateway.clock;
+        let until_us = at_us.min(clock.now_us() + takeover_claim::poll_pause_us(waiting));
+        while is_needed() {
+            let left = Duration::from_micros(until_us.saturating_sub(clock.now_us()));
+            if left.is_zero() {
+                break;
+            }
+            time::sleep(left.min(NEED_CHECK_INTERVAL)).await;
+        }
+        self.waiting.fetch_sub(1, Ordering::Relaxed);
+    }
+
     /// Returns the delay before a claim is read again after `failures` earlier failures.
     fn retry_pause(&self, failures: u32) -> Duration {
         let seed = jitter::seed_of(&self.gateway.vm);
--- a/crates/proxy/src/sessions/process/counted_store.rs
+++ b/crates/proxy/src/sessions/process/counted_store.rs
@@ -99,8 +99,12 @@
         self.counted(StoreCall::Probe, self.store.probe(vm)).await
     }
 
-    async fn claim(&self, service: &str) -> Result<Option<AtRevision<Claim>>, StoreError> {
-        self.counted(StoreCall::ReadClaim, self.store.claim(service)).await
+    async fn claim(
+        &self,
+        service: &str,
+        freshness: Freshness,
+    ) -> Result<Option<AtRevision<Claim>>, StoreError> {
+        self.counted(StoreCall::ReadClaim, self.store.claim(service, freshness)).await
     }
 
     async fn write_claim(
--- a/crates/proxy/src/sessions/process/takeover/drive.rs
+++ b/crates/proxy/src/sessions/process/takeover/drive.rs
@@ -36,6 +36,8 @@
     /// The end of the log of a leaving primary that answered; the lowest position otherwise.
     pub(super) leaving_log_end: LogPosition,
     pub(super) claim: HeldClaim,
+    /// How often the overloaded platform refused the promotion.
+    pub(super) refusals: u32,
     /// Whether the old primary was requested to step down.
     pub(super) stepped_down: bool,
     /// Whether the departed members have to be queried again, since some may be back.
--- a/crates/proxy/src/sessions/process/takeover/mod.rs
+++ b/crates/proxy/src/sessions/process/takeover/mod.rs
@@ -135,6 +135,7 @@
             old_primary,
             leaving_log_end: leaving_log_end.unwrap_or_default(),
             claim,
+            refusals: 0,
             stepped_down: false,
             checks_departed: true,
             returned: Vec::new(),
--- a/crates/proxy/src/sessions/process/takeover/promote.rs
+++ b/crates/proxy/src/sessions/process/takeover/promote.rs
@@ -1,7 +1,10 @@
 //! The promotion of a target, including promotions whose outcome is unknown because no answer arrived.
 
 use std::sync::Arc;
+use std::time::Duration;
 
+use skylark_core::process::jitter;
+use skylark_core::process::takeover_claim;
 use skylark_core::process::takeover_claim::Claim;
 use skylark_core::version::routes::TargetRecord;
 use tokio::time;
@@ -63,9 +66,8 @@
         if !self.change_claim(drive, choose).await {
             return Some(Outcome::ClaimLost);
         }
-        let (token, vm, held) = (drive.claim.claim.token, &self.gateway.vm, &drive.claim);
-        let may_send = || held.may_send_promote(self.gateway.clock.now_us());
-        let result = self.promoter.promote(&drive.service, target, vm, token, may_send).await;
+        let token = drive.claim.claim.token;
+        let result = self.call_promote(drive, target).await;
         slog::warn!(self.gateway.log, "promote";
             "service" => &*drive.service, "target" => &*target.id, "token" => token,
             "result" => result.as_ref().map_or_else(ToString::to_string, |()| "accepted".into()));
@@ -91,6 +93,32 @@
         }
     }
 
+    /// Calls the platform to promote a target, again after growing pauses while the platform is overloaded.
+    /// Ends with the last refusal when the claim has to be renewed or the takeover is no longer needed.
+    async fn call_promote(
+        &self,
+        drive: &mut Drive,
+        target: &TargetRecord,
+    ) -> Result<(), PromoteError> {
+        let (gateway, held) = (&self.gateway, &drive.claim);
+        let (token, seed) = (held.claim.token, jitter::seed_of(&drive.service));
+        let may_send = || held.may_send_promote(gateway.clock.now_us());
+        loop {
+            let call = self.promoter.promote(&drive.service, target, &gateway.vm, token, may_send);
+            let result = call.await;
+            if !matches!(result, Err(PromoteError::Overloaded)) {
+                return result;
+            }
+            drive.refusals += 1;
+            let pause_us = takeover_claim::overloaded_pause_us(drive.refusals, seed);
+            time::sleep(Duration::from_micros(pause_us)).await;
+            let must_stop = held.must_renew(gateway.clock.now_us());
+            if must_stop || self.triggers.detect(&drive.service).is_none() {
+                return result;
+            }
+        }
+    }
+
     /// Handles a promotion that was refused or may still take effect. Where the platform checks tokens, a
     /// call with a higher token fences it off. The replicas stay paused until then.
     async fn resolve_call(&self, drive: &mut Drive, checks_tokens: bool) -> Option<Outcome> {
--- a/crates/proxy/src/sessions/store.rs
+++ b/crates/proxy/src/sessions/store.rs
@@ -137,6 +137,7 @@
     fn claim(
         &self,
         service: &str,
+        freshness: Freshness,
     ) -> impl Future<Output = Result<Option<AtRevision<Claim>>, StoreError>> + Send;
 
     /// Replaces the takeover claim of a service if its revision is still `revision`, or creates it if
