Share one timer among the periodic checks, and show metrics of active targets only

An idle process woke up for the control thread's checks and for those of other zones 20 times a second each, and for pools and positions 10 times each. The checks of each thread now share one timer, at the same intervals: at most half of the wake-ups. Metrics had two lines for each listed target, 400 KB a fetch and VM at 3,000 targets; they have those of the targets in use, and how many these are.

--- a/crates/proxy/src/sessions/process/control.rs
+++ b/crates/proxy/src/sessions/process/control.rs
@@ -18,7 +18,7 @@
 use crate::sessions::process::takeover::Takeovers;
 use crate::sessions::process::vms;
 use crate::sessions::process::watch::Watcher;
-use crate::sessions::process::zone_reach;
+use crate::sessions::process::zone_reach::ReachProber;
 use crate::sessions::store::Promoter;
 use crate::sessions::store::StateStore;
 use crate::sessions::store::VmAddress;
@@ -74,9 +74,10 @@
     let (configuration, targets) = (Arc::clone(&watcher), Arc::clone(&watcher));
     tokio::spawn(async move { configuration.follow_configuration().await });
     tokio::spawn(async move { targets.follow_targets().await });
-    tokio::spawn(zone_reach::run(Arc::clone(&gateway)));
     tokio::spawn(subscriber::run(Arc::clone(&watcher), Arc::clone(&gateway)));
     let mut isolation = Isolation::new(&gateway);
+    let mut zone_reach = ReachProber::new(&gateway);
+    // All periodic checks share one timer: each wake-up of an idle VM costs processor time.
     let mut ticks = time::interval(takeover::CHECK_INTERVAL);
     ticks.set_missed_tick_behavior(time::MissedTickBehavior::Delay);
     loop {
@@ -87,6 +88,7 @@
         gateway.list_is_complete.store(watcher.list_is_complete(), Ordering::Relaxed);
         watcher.refresh_feed();
         takeovers.check();
+        zone_reach.check();
         isolation.check();
     }
 }
--- a/crates/proxy/src/sessions/process/daemon.rs
+++ b/crates/proxy/src/sessions/process/daemon.rs
@@ -76,7 +76,6 @@
     accepting: JoinHandle<()>,
     peers: JoinHandle<()>,
     maintaining: JoinHandle<()>,
-    sampling: JoinHandle<()>,
     _control: ControlThread,
 }
 
@@ -161,10 +160,9 @@
     let control = control::start(&gateway, own, store, promoter).map_err(StartError::Control)?;
     slog::info!(gateway.log, "started"; "callers_address" => address.to_string());
     let maintaining = tokio::spawn(maintain(Arc::clone(&gateway)));
-    let sampling = tokio::spawn(sampler::run(Arc::clone(&gateway)));
     let accepting = tokio::spawn(accept(Arc::clone(&gateway), listener, caller::serve));
     let peers = tokio::spawn(accept(Arc::clone(&gateway), peer_listener, peer::serve));
-    Ok(Running { gateway, accepting, peers, maintaining, sampling, _control: control })
+    Ok(Running { gateway, accepting, peers, maintaining, _control: control })
 }
 
 impl<C> Running<C>
@@ -205,7 +203,6 @@
         self.accepting.abort();
         self.peers.abort();
         self.maintaining.abort();
-        self.sampling.abort();
     }
 }
 
@@ -240,7 +237,8 @@
     }
 }
 
-/// Maintains the connection pools at a fixed interval.
+/// Maintains the connection pools and samples positions at a fixed interval. One timer serves both, since each
+/// wake-up of an idle VM costs processor time.
 async fn maintain<C>(gateway: Arc<Gateway<C>>)
 where
     C: Codec,
@@ -250,5 +248,6 @@
     loop {
         ticks.tick().await;
         gateway.maintain_pools();
+        sampler::sample_due(&gateway);
     }
 }
--- a/crates/proxy/src/sessions/process/metrics_text.rs
+++ b/crates/proxy/src/sessions/process/metrics_text.rs
@@ -20,6 +20,10 @@
         FeedSubscribers = "skylark_feed_subscribers",
         /// Whether this VM gets the store's state from another VM.
         FeedFollowed = "skylark_feed_told",
+        /// Targets that this VM connects to directly.
+        TargetsConnected = "skylark_targets_connected",
+        /// Targets that this VM connects to directly or that its callers used lately.
+        TargetsActive = "skylark_targets_active",
         /// Age of the newest known position of a service's primary, in milliseconds.
         PrimaryPositionAge = "skylark_primary_position_age_ms",
         /// Statements that took at most the bound in milliseconds, by stage and class.
@@ -80,11 +84,17 @@
     }
 }
 
+/// Appends the state of the active targets. A large fleet has thousands of others, of which this VM knows
+/// nothing.
 fn render_targets<C>(gateway: &Gateway<C>, out: &mut String)
 where
     C: Codec,
 {
-    for target in gateway.targets().all() {
+    let active = gateway.active_targets.all();
+    let connected = active.iter().filter(|target| target.is_direct()).count();
+    line(out, Metric::TargetsConnected.name(), "", connected as u64);
+    line(out, Metric::TargetsActive.name(), "", active.len() as u64);
+    for target in active {
         let health = target.health();
         let labels =
             format!("{{service=\"{}\",target=\"{}\"}}", target.record.service, target.record.id);
--- a/crates/proxy/src/sessions/process/sampler.rs
+++ b/crates/proxy/src/sessions/process/sampler.rs
@@ -8,32 +8,21 @@
 //! `skylark_core::request::position_demand` decides when a sample is due.
 
 use std::sync::Arc;
-use std::time::Duration;
-
-use tokio::time;
 
 use crate::sessions::codec::Codec;
 use crate::sessions::process::gateway::Gateway;
 use crate::sessions::request::sample;
 
-/// How often the services are checked.
-const CHECK_INTERVAL: Duration = Duration::from_millis(100);
-
 /// Maximum age of a position that makes a new sample unnecessary, in microseconds.
 const MAX_AGE_US: u64 = 250_000;
 
-/// Samples positions for as long as the process runs.
-pub async fn run<C>(gateway: Arc<Gateway<C>>)
+/// Starts to sample the positions that are due.
+pub fn sample_due<C>(gateway: &Arc<Gateway<C>>)
 where
     C: Codec,
 {
-    let mut ticks = time::interval(CHECK_INTERVAL);
-    ticks.set_missed_tick_behavior(time::MissedTickBehavior::Delay);
-    loop {
-        ticks.tick().await;
-        for service in gateway.services_to_sample() {
-            tokio::spawn(sample_service(Arc::clone(&gateway), service));
-        }
+    for service in gateway.services_to_sample() {
+        tokio::spawn(sample_service(Arc::clone(gateway), service));
     }
 }
 
--- a/crates/proxy/src/sessions/process/zone_reach.rs
+++ b/crates/proxy/src/sessions/process/zone_reach.rs
@@ -36,9 +36,6 @@
 /// Timeout of a probe.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(300);
 
-/// How often the results are evaluated.
-const CHECK_INTERVAL: Duration = Duration::from_millis(50);
-
 /// Interval between probes of targets while no VM of another zone answers.
 const TARGET_PROBE_INTERVAL: Duration = Duration::from_millis(500);
 
@@ -65,28 +62,8 @@
     }
 }
 
-/// Probes the other zones while this process is a watcher.
-pub async fn run<C>(gateway: Arc<Gateway<C>>)
-where
-    C: Codec,
-{
-    let mut prober = ReachProber {
-        gateway,
-        probes: FastMap::default(),
-        targets_probed_us: 0,
-        next_index: 0,
-        is_probing: false,
-    };
-    let mut ticks = time::interval(CHECK_INTERVAL);
-    ticks.set_missed_tick_behavior(time::MissedTickBehavior::Delay);
-    loop {
-        ticks.tick().await;
-        prober.check();
-    }
-}
-
-/// The probes of the other zones.
-struct ReachProber<C>
+/// The probes of the other zones, while this process is a watcher.
+pub struct ReachProber<C>
 where
     C: Codec,
 {
@@ -103,7 +80,20 @@
 where
     C: Codec,
 {
-    fn check(&mut self) {
+    /// Creates the prober of a process that is no watcher yet.
+    pub fn new(gateway: &Arc<Gateway<C>>) -> ReachProber<C> {
+        ReachProber {
+            gateway: Arc::clone(gateway),
+            probes: FastMap::default(),
+            targets_probed_us: 0,
+            next_index: 0,
+            is_probing: false,
+        }
+    }
+
+    /// Starts and ends probes as this process becomes a watcher or stops being one, and evaluates their
+    /// results.
+    pub fn check(&mut self) {
         let gateway = &self.gateway;
         let watched = std::mem::replace(&mut self.is_probing, gateway.is_watcher());
         if !self.is_probing && !watched {
