--- a/crates/proxy/src/sessions/process/target_table.rs
+++ b/crates/proxy/src/sessions/process/target_table.rs
@@ -7,6 +7,9 @@
 use crate::sessions::codec::Codec;
 use crate::sessions::process::targets::TargetState;
 
+/// The targets of one service, sorted by id.
+pub type ServiceTargets<C> = Vec<Arc<TargetState<C>>>;
+
 /// All listed targets. A change of the list creates a new table, which shares the targets of unchanged
 /// services with the previous one.
 #[derive(Debug)]
@@ -16,7 +19,7 @@
 {
     by_id: FastMap<Arc<str>, Arc<TargetState<C>>>,
     /// The targets of each service, sorted by id.
-    by_service: FastMap<Arc<str>, Arc<[Arc<TargetState<C>>]>>,
+    by_service: FastMap<Arc<str>, Arc<ServiceTargets<C>>>,
 }
 
 impl<C> Default for TargetTable<C>
@@ -32,8 +35,8 @@
 where
     C: Codec,
 {
-    /// Returns this table with the targets of some services replaced. Those of each service are sorted by id.
-    pub fn with(&self, changes: Vec<(Arc<str>, Vec<Arc<TargetState<C>>>)>) -> TargetTable<C> {
+    /// Returns this table with the targets of some services replaced.
+    pub fn with(&self, changes: Vec<(Arc<str>, ServiceTargets<C>)>) -> TargetTable<C> {
         let (mut by_id, mut by_service) = (self.by_id.clone(), self.by_service.clone());
         for (service, members) in changes {
             for gone in self.members(&service) {
@@ -47,7 +50,7 @@
             }
             match members.is_empty() {
                 true => by_service.remove(&service),
-                false => by_service.insert(service, members.into()),
+                false => by_service.insert(service, Arc::new(members)),
             };
         }
         TargetTable { by_id, by_service }
@@ -65,7 +68,7 @@
 
     /// The targets of a service, sorted by id.
     pub fn members(&self, service: &str) -> &[Arc<TargetState<C>>] {
-        self.by_service.get(service).map_or(&[], |members| members)
+        self.by_service.get(service).map_or(&[], |members| members.as_slice())
     }
 
     /// The targets by id.
