--- a/crates/proxy/src/sessions/process/departed.rs
+++ b/crates/proxy/src/sessions/process/departed.rs
@@ -43,8 +43,7 @@
         }
     }
 
-    /// Copies the numbers of departed members to the services where they may have changed, and where requests
-    /// read them.
+    /// Copies the numbers of departed members that may have changed to the services, where requests read them.
     pub(super) fn publish_departures(&self, known: &mut ClusterState) {
         for service in known.departures_changed.drain() {
             if let Some(departures) = known.departures.get(&service) {
--- a/crates/proxy/src/sessions/process/feed/mod.rs
+++ b/crates/proxy/src/sessions/process/feed/mod.rs
@@ -6,9 +6,9 @@
 //! others need not probe it. A subscriber that receives nothing for a while tries the next watcher, then
 //! those of other zones, and watches the store itself while it finds none ([`subscriber`]).
 //!
-//! A watcher has the same bandwidth as its subscribers, and its link also carries its own callers and
-//! watches. A subscriber therefore states what it knows, the configuration by its version and the lists by
-//! digests, and receives only the differences, and only a few subscribers at a time receive large messages. [`frame`] defines the wire format, and [`outbox`] holds what
+//! A watcher's link also carries its own callers and watches. A subscriber therefore states what it knows, the
+//! configuration by its version and the lists by digests, and receives only the differences, and only a few
+//! subscribers at a time receive large messages. [`frame`] defines the wire format, and [`outbox`] holds what
 //! is to be published.
 
 pub mod frame;
--- a/crates/proxy/src/sessions/process/peer_routes.rs
+++ b/crates/proxy/src/sessions/process/peer_routes.rs
@@ -400,8 +400,8 @@
 }
 
 /// Returns the watchers of a zone among its VMs: those with the fastest links, if these are known, and of
-/// equal ones those that rank highest. Each watcher sends the whole state to every VM of its zone that starts,
-/// some 20 MB for a hundred VMs before 3,000 targets: 8 s on a link of 20 Mbit/s.
+/// equal ones those that rank highest. Each watcher sends the whole state to half of the VMs of its zone when
+/// all of them start, which takes a slow link seconds.
 fn top_watchers(zone: &str, vms: &[&VmAddress], knows_links: bool) -> Vec<VmAddress> {
     let names: Vec<&str> = vms.iter().map(|vm| &*vm.name).collect();
     let mut indexes = homes::rank_names(zone, &names, vms.len());
--- a/crates/proxy/src/sessions/process/target_table.rs
+++ b/crates/proxy/src/sessions/process/target_table.rs
@@ -18,7 +18,6 @@
     C: Codec,
 {
     by_id: FastMap<Arc<str>, Arc<TargetState<C>>>,
-    /// The targets of each service, sorted by id.
     by_service: FastMap<Arc<str>, Arc<ServiceTargets<C>>>,
 }
 
