--- a/crates/proxy/src/process/counters.rs
+++ b/crates/proxy/src/process/counters.rs
@@ -130,6 +130,8 @@
         StatementsPrepared = "statements.prepared_again",
         /// Bytes that a watcher sent to its subscribers.
         FeedBytes = "feed.bytes_sent",
+        /// Lists of targets, whole or changes, that this VM received as a subscriber.
+        FeedListsReceived = "feed.lists_received",
         /// Times that a subscriber abandoned its watcher.
         FeedsAbandoned = "feed.given_up",
     }
--- a/crates/proxy/src/request/route.rs
+++ b/crates/proxy/src/request/route.rs
@@ -197,9 +197,9 @@
         self.forward_to_home(snapshot, homes, None, "forwarded")
     }
 
-    /// Forwards the request to one of these homes. Waits if none of them could be connected to, since
-    /// the pools keep trying: a home that starts or is busy for a moment would otherwise cause refusals
-    /// of requests that have time left.
+    /// Forwards the request to one of these homes. Waits if none is known yet, and if none of them could
+    /// be connected to, since the pools keep trying: a start, or a home that is busy for a moment, would
+    /// otherwise cause refusals of requests that have time left.
     fn forward_to_home<'b, I>(
         &mut self,
         snapshot: &GroupSnapshot,
@@ -215,6 +215,8 @@
         }
         let topology = &snapshot.published.topology;
         let RetryState { peers, unreachable_peers, .. } = self.retry_state;
+        // After a start the list of VMs may reach this thread after the members do.
+        let is_unknown = homes.clone().next().is_none();
         let usable =
             homes.filter(|home| Some(**home) != snapshot.published.own_vm && !peers.contains(home));
         let untried = usable.clone().filter(|home| !unreachable_peers.contains(home));
@@ -226,9 +228,9 @@
         if let Some(home) = chosen {
             return Ok(Step::Dispatch(Destination::Peer(*home, target), reason));
         }
-        match usable.clone().next() {
-            Some(_) => self.wait_for_home(),
-            None => Err(ErrorKind::TargetUnreachable.into()),
+        match is_unknown || usable.clone().next().is_some() {
+            true => self.wait_for_home(),
+            false => Err(ErrorKind::TargetUnreachable.into()),
         }
     }
 
--- a/crates/proxy/src/sessions/process/feed/subscriber.rs
+++ b/crates/proxy/src/sessions/process/feed/subscriber.rs
@@ -356,12 +356,10 @@
                 }
             }
             Message::TargetChanges(changes) => {
-                self.targets = self.targets.with(changes);
-                self.watcher.apply_target_snapshot(&self.targets);
+                self.apply_targets(self.targets.with(changes));
             }
             Message::TargetBuckets(newer) => {
-                self.targets = self.known.targets.with_buckets(newer);
-                self.watcher.apply_target_snapshot(&self.targets);
+                self.apply_targets(self.known.targets.with_buckets(newer));
             }
             Message::Vms(changes) => {
                 self.vms = Arc::new(self.vms.with(changes));
@@ -393,6 +391,12 @@
         Ok(())
     }
 
+    fn apply_targets(&mut self, targets: TargetList) {
+        self.targets = targets;
+        self.watcher.apply_target_snapshot(&self.targets);
+        self.watcher.gateway.counters.event(Event::FeedListsReceived);
+    }
+
     /// Handles a report that the store is unavailable. A watcher keeps trying the store and will report its
     /// recovery, so it is followed for a while.
     fn handle_store_unavailable(&mut self) -> Result<(), CloseReason> {
--- a/crates/proxy/tests/traffic_forward.rs
+++ b/crates/proxy/tests/traffic_forward.rs
@@ -109,6 +109,20 @@
         assert_eq!(cluster.proxies[1].counter("forwards.received"), 1);
     }
 
+    /// A proxy has just started and knows the members of the group, but no VM that is home to them yet. The
+    /// request waits until it does and is not refused.
+    unknown_homes_are_waited_for {
+        let limits = TrafficLimits { primary_wait_ms: 20_000, deadline_ms: 20_000, ..TrafficLimits::default() };
+        let cluster = Cluster::start_with(Setup { limits, ..entry_and_two_homes() }).await;
+        let homes = cluster.proxy().slot.load().homes.clone();
+        cluster.proxy().publish(|published| published.homes = vec![Vec::new(); 3]);
+        let mut client = cluster.client().await;
+        client.send("CREATE TABLE chairs (id INT)").await;
+        eventually("the request waits", || cluster.proxy().counter("waits.home") == 1).await;
+        cluster.proxy().publish(|published| published.homes = homes);
+        client.answer().await.ok();
+    }
+
     /// A stopping home refuses forwarded requests as "not run", and the entry sends them to the other home.
     a_stopping_home_is_skipped {
         let cluster = Cluster::start_with(entry_and_two_homes()).await;
