Keep a subscriber's list and the digest that it began with in one place

The publisher had the same update twice, for targets and VMs, over two fields each. The outbox now does it, over one state of a subscriber's list. The same frames are sent.

--- a/crates/proxy/src/sessions/process/feed/outbox.rs
+++ b/crates/proxy/src/sessions/process/feed/outbox.rs
@@ -88,6 +88,27 @@
     }
 }
 
+/// A list as one subscriber has it.
+#[derive(Debug)]
+pub(super) struct SentList<T> {
+    /// The list that was sent; empty before.
+    list: Arc<Listing<T>>,
+    /// The digest of the list that the subscriber knew when it subscribed; `None` once it was sent any.
+    known: Option<ListDigest>,
+}
+
+impl<T> SentList<T> {
+    /// Creates the state of a subscriber that was sent nothing yet.
+    pub(super) fn new(known: Option<ListDigest>) -> SentList<T> {
+        SentList { list: Arc::default(), known }
+    }
+
+    /// The list that was sent; empty before.
+    pub(super) fn list(&self) -> &Arc<Listing<T>> {
+        &self.list
+    }
+}
+
 /// Encoded differences between earlier lists and the newest one, shared by all subscribers.
 #[derive(Debug)]
 pub(super) struct ChangeFrames<T> {
@@ -108,9 +129,28 @@
 where
     T: Entry + Serialize,
 {
+    /// Returns the frame that updates a subscriber to list `newest`, and records that it has that list.
+    pub(super) fn update<B, C>(
+        &mut self,
+        sent: &mut SentList<T>,
+        newest: &Arc<Listing<T>>,
+        buckets: B,
+        changes: C,
+    ) -> Frame
+    where
+        B: FnOnce(ListBuckets<T>) -> Message,
+        C: FnOnce(ListChanges<T>) -> Message,
+    {
+        let known = sent.known.take();
+        let resumed = known.and_then(|known| self.since_digest(&known, newest, buckets));
+        let frame = resumed.unwrap_or_else(|| self.between(&sent.list, newest, changes));
+        sent.list = Arc::clone(newest);
+        frame
+    }
+
     /// Returns the frame that updates a subscriber whose list has digest `known` to list `newest`. Returns
     /// `None` if most of the list differs, and is better sent as a whole.
-    pub(super) fn since_digest<F>(
+    fn since_digest<F>(
         &mut self,
         known: &ListDigest,
         newest: &Arc<Listing<T>>,
@@ -137,7 +177,7 @@
     }
 
     /// Returns the frame that updates a subscriber from list `before` to list `newest`.
-    pub(super) fn between<F>(
+    fn between<F>(
         &mut self,
         before: &Arc<Listing<T>>,
         newest: &Arc<Listing<T>>,
--- a/crates/proxy/src/sessions/process/feed/publisher.rs
+++ b/crates/proxy/src/sessions/process/feed/publisher.rs
@@ -4,7 +4,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use skylark_core::version::list_digest::ListDigest;
 use socket2::SockRef;
 use tokio::net::TcpStream;
 use tokio::sync::SemaphorePermit;
@@ -20,7 +19,10 @@
 use crate::sessions::process::feed::frame::Frame;
 use crate::sessions::process::feed::listing::TargetList;
 use crate::sessions::process::feed::listing::VmList;
+use crate::sessions::process::feed::outbox::SentList;
 use crate::sessions::process::gateway::Gateway;
+use crate::sessions::store::VmAddress;
+use crate::sessions::version::view::Member;
 
 /// How long a subscriber may read nothing before its connection is closed. It may hold one of the few send
 /// permits, and a stalled subscriber must not delay a new version for the others.
@@ -42,14 +44,10 @@
     stream: TcpStream,
     /// Version of the configuration that the subscriber has; zero if it has none.
     version: u64,
-    /// The targets that the subscriber was sent.
-    targets: Arc<TargetList>,
-    /// The VMs that the subscriber was sent.
-    vms: Arc<VmList>,
-    /// The digest of the targets that the subscriber knew before; `None` once it was sent any.
-    known_targets: Option<ListDigest>,
-    /// The same of the VMs.
-    known_vms: Option<ListDigest>,
+    /// The targets that the subscriber has.
+    targets: SentList<Member>,
+    /// The VMs that the subscriber has.
+    vms: SentList<VmAddress>,
 }
 
 /// Publishes changes to one subscriber until it disconnects, or until this process itself becomes a
@@ -62,15 +60,13 @@
 ) where
     C: Codec,
 {
-    let (known_targets, known_vms) = known_lists.map(|it| (it.targets, it.vms)).unzip();
+    let (targets, vms) = known_lists.map(|it| (it.targets, it.vms)).unzip();
     let mut subscriber = Subscriber {
         gateway: &gateway,
         stream,
         version: known_version,
-        targets: Arc::default(),
-        vms: Arc::default(),
-        known_targets,
-        known_vms,
+        targets: SentList::new(targets),
+        vms: SentList::new(vms),
     };
     let Err(error) = subscriber.run().await else { return };
     let suppressed =
@@ -104,7 +100,7 @@
             if !self.gateway.serves_feed() {
                 return Ok(());
             }
-            if now.targets != self.targets {
+            if now.targets != *self.targets.list() {
                 self.send_targets(&now.targets).await?;
             }
             if now.version > self.version {
@@ -116,32 +112,20 @@
     }
 
     async fn send_vms(&mut self, now: &Arc<VmList>) -> io::Result<()> {
-        if self.vms.entries == now.entries {
+        if self.vms.list().entries == now.entries {
             return Ok(());
         }
-        let changes = {
-            let mut frames = self.gateway.outbox.vm_changes.lock();
-            let known = self.known_vms.take();
-            let resumed =
-                known.and_then(|known| frames.since_digest(&known, now, Message::VmBuckets));
-            resumed.unwrap_or_else(|| frames.between(&self.vms, now, Message::Vms))
-        };
-        self.send_frame(&changes).await?;
-        self.vms = Arc::clone(now);
-        Ok(())
+        let frames = &self.gateway.outbox.vm_changes;
+        let (buckets, changes) = (Message::VmBuckets, Message::Vms);
+        let frame = frames.lock().update(&mut self.vms, now, buckets, changes);
+        self.send_frame(&frame).await
     }
 
     async fn send_targets(&mut self, now: &Arc<TargetList>) -> io::Result<()> {
-        let changes = {
-            let mut frames = self.gateway.outbox.target_changes.lock();
-            let known = self.known_targets.take();
-            let resumed =
-                known.and_then(|known| frames.since_digest(&known, now, Message::TargetBuckets));
-            resumed.unwrap_or_else(|| frames.between(&self.targets, now, Message::TargetChanges))
-        };
-        self.send_frame(&changes).await?;
-        self.targets = Arc::clone(now);
-        Ok(())
+        let frames = &self.gateway.outbox.target_changes;
+        let (buckets, changes) = (Message::TargetBuckets, Message::TargetChanges);
+        let frame = frames.lock().update(&mut self.targets, now, buckets, changes);
+        self.send_frame(&frame).await
     }
 
     /// Sends a small message immediately, and a large one when a permit is available.
