Say once what the paths' changes wrote twice

- Top ranked VMs: Homes and prepared lists share one selection (core homes::highest).
- Candidates for homes: is_home and rank_homes share home_candidates.
- Inputs of a path: path_inputs in place of four copies.
A new target's path is set from the view that lists it; it was set from the view before, and again at the next maintenance.
- Doubling delays: jitter::doubled_us in place of three copies.
- TargetTable::by_id had no user left but a test.

--- a/crates/bench/src/slopes/sessions.rs
+++ b/crates/bench/src/slopes/sessions.rs
@@ -9,6 +9,7 @@
 use skylark_proxy::sessions::process::feed::frame;
 use skylark_proxy::sessions::process::feed::listing::TargetList;
 use skylark_proxy::sessions::process::feed::listing::VmList;
+use skylark_proxy::sessions::process::member_table::MemberTable;
 use skylark_proxy::sessions::process::peer_routes::PeerRoutes;
 use skylark_proxy::sessions::store::VmAddress;
 
@@ -134,7 +135,7 @@
                 let decoded = frame::decode(&encoded[HEADER_BYTES..]);
                 let Ok(Message::TargetChanges(changes)) = decoded else { return };
                 let list = TargetList::default().with(changes);
-                let mut table = sessions_fleet::member_table(0);
+                let mut table = MemberTable::default();
                 for member in &list.entries {
                     table.insert(member);
                 }
--- a/crates/core/src/process/connection_budget.rs
+++ b/crates/core/src/process/connection_budget.rs
@@ -13,9 +13,6 @@
 
 use crate::process::jitter;
 
-/// The maximum number of times that a back-off doubles.
-const MAX_DOUBLINGS: u32 = 16;
-
 /// The cost of one connection attempt in the token bucket, in thousandths of a token.
 const ATTEMPT_COST_MILLI: u64 = 1_000;
 
@@ -307,8 +304,8 @@
         if now_us < self.retry_at_us {
             return;
         }
-        let doublings = self.failures.min(MAX_DOUBLINGS);
-        let delay_us = (self.policy.backoff_us << doublings).min(self.policy.max_backoff_us);
+        let BudgetPolicy { backoff_us, max_backoff_us, .. } = self.policy;
+        let delay_us = jitter::doubled_us(backoff_us, self.failures, max_backoff_us);
         self.failures += 1;
         self.retry_at_us =
             now_us + jitter::upper_half_us(self.seed, self.attempts, delay_us).max(1);
--- a/crates/core/src/process/homes.rs
+++ b/crates/core/src/process/homes.rs
@@ -221,15 +221,8 @@
     where
         V: Iterator<Item = VmId>,
     {
-        let mut best: Vec<Ranked> = Vec::with_capacity(count + 1);
-        for vm in vms.filter(|vm| self.vms[vm.index()].usable) {
-            let ranked = self.ranked(key, vm);
-            let rank = best.partition_point(|better| *better > ranked);
-            if rank < count {
-                best.insert(rank, ranked);
-                best.truncate(count);
-            }
-        }
+        let usable = vms.filter(|vm| self.vms[vm.index()].usable);
+        let best = highest(usable.map(|vm| self.ranked(key, vm)), count);
         best.into_iter().map(|ranked| ranked.vm).collect()
     }
 }
@@ -261,16 +254,8 @@
         I: IntoIterator<Item = usize>,
     {
         let key = hash_name(target, TARGET_SEED);
-        let mut best: Vec<((u64, u64), usize)> = Vec::with_capacity(count + 1);
-        for vm in candidates {
-            let score = self.score(key, vm);
-            let rank = best.partition_point(|(better, _)| *better > score);
-            if rank < count {
-                best.insert(rank, (score, vm));
-                best.truncate(count);
-            }
-        }
-        best.into_iter().map(|(_, vm)| vm).collect()
+        let ranked = candidates.into_iter().map(|vm| (self.score(key, vm), vm));
+        highest(ranked, count).into_iter().map(|(_, vm)| vm).collect()
     }
 
     /// Returns whether a VM is among the `count` of `candidates` that rank highest for a target.
@@ -310,6 +295,23 @@
     score(key, hash_name(vm, VM_SEED))
 }
 
+/// Returns the highest items in descending order, at most `count`.
+fn highest<T, I>(items: I, count: usize) -> Vec<T>
+where
+    T: Ord,
+    I: Iterator<Item = T>,
+{
+    let mut best: Vec<T> = Vec::with_capacity(count + 1);
+    for item in items {
+        let rank = best.partition_point(|better| *better > item);
+        if rank < count {
+            best.insert(rank, item);
+            best.truncate(count);
+        }
+    }
+    best
+}
+
 fn hash_name(name: &str, seed: u64) -> u64 {
     xxh3::xxh3_64_with_seed(name.as_bytes(), seed)
 }
--- a/crates/core/src/process/takeover_claim.rs
+++ b/crates/core/src/process/takeover_claim.rs
@@ -61,9 +61,6 @@
 const OVERLOADED_US: u64 = 120_000;
 const MAX_OVERLOADED_US: u64 = 1_000_000;
 
-/// The maximum number of doublings of the delay after a refusal.
-const MAX_DOUBLINGS: u32 = 4;
-
 /// The progress of a takeover.
 #[derive(Clone, Copy, PartialEq, Eq, Debug, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
@@ -203,7 +200,6 @@
 /// The platform carries out a limited number of promotions a second. When hundreds are due at once,
 /// drivers that ask again at a fixed interval make most calls in vain until the last one is served.
 pub fn overloaded_pause_us(refusals: u32, seed: u64) -> u64 {
-    let doublings = refusals.saturating_sub(1).min(MAX_DOUBLINGS);
-    let pause_us = (OVERLOADED_US << doublings).min(MAX_OVERLOADED_US);
+    let pause_us = jitter::doubled_us(OVERLOADED_US, refusals.saturating_sub(1), MAX_OVERLOADED_US);
     jitter::upper_half_us(seed, u64::from(refusals), pause_us)
 }
--- a/crates/proxy/src/sessions/process/claims.rs
+++ b/crates/proxy/src/sessions/process/claims.rs
@@ -29,8 +29,8 @@
 /// that load must not be asked as often.
 const BASE_RETRY_PAUSE_US: u64 = 120_000;
 
-/// Maximum number of times that the retry delay is doubled.
-const MAX_DOUBLINGS: u32 = 3;
+/// Maximum delay before a claim that could not be read is read again, in microseconds.
+const MAX_RETRY_PAUSE_US: u64 = 8 * BASE_RETRY_PAUSE_US;
 
 /// How long to wait for a store that is known to be unavailable before it is called anyway. Other tasks probe
 /// the store and end the wait when it answers.
@@ -152,7 +152,7 @@
     /// Returns the delay before a claim is read again after `failures` earlier failures.
     fn retry_pause(&self, failures: u32) -> Duration {
         let seed = jitter::seed_of(&self.gateway.vm);
-        let pause_us = BASE_RETRY_PAUSE_US << failures.min(MAX_DOUBLINGS);
+        let pause_us = jitter::doubled_us(BASE_RETRY_PAUSE_US, failures, MAX_RETRY_PAUSE_US);
         Duration::from_micros(jitter::upper_half_us(seed, u64::from(failures), pause_us))
     }
 
--- a/crates/proxy/src/sessions/process/fleet.rs
+++ b/crates/proxy/src/sessions/process/fleet.rs
@@ -45,8 +45,7 @@
         let view = self.view.load();
         for target in self.active_targets.all() {
             self.counters.event(Event::PathsChecked);
-            let demand = demand(&view, &target.record.service, &peer_routes);
-            let inputs = PathInputs { demand, is_primary: self.is_primary(&target) };
+            let inputs = self.path_inputs(&view, &peer_routes, &target);
             let is_unchanged = target.paths_unchanged(inputs) && !checks_all;
             if !is_unchanged && !target.refuses_work(now_us) {
                 self.set_path(&peer_routes, &target, inputs, now_us);
@@ -68,11 +67,20 @@
             return;
         }
         let (view, peer_routes) = (self.view.load(), self.peer_routes.load());
-        let demand = demand(&view, &target.record.service, &peer_routes);
-        let inputs = PathInputs { demand, is_primary: self.is_primary(target) };
+        let inputs = self.path_inputs(&view, &peer_routes, target);
         self.set_path(&peer_routes, target, inputs, now_us);
     }
 
+    fn path_inputs(
+        &self,
+        view: &View,
+        peer_routes: &PeerRoutes,
+        target: &TargetState<C>,
+    ) -> PathInputs {
+        let demand = demand(view, &target.record.service, peer_routes);
+        PathInputs { demand, is_primary: self.is_primary(target) }
+    }
+
     fn set_path(
         &self,
         peer_routes: &PeerRoutes,
@@ -87,7 +95,7 @@
     /// Makes the targets active that this process connects to directly.
     fn activate_connected(&self) {
         let (view, peer_routes) = (self.view.load(), self.peer_routes.load());
-        for target in self.targets.load().all().filter(|target| !target.is_active()) {
+        for target in self.targets.load().all().filter(|target| !target.activity.is_active()) {
             self.activate_if_connected(&view, &peer_routes, target);
         }
     }
@@ -99,10 +107,12 @@
         peer_routes: &PeerRoutes,
         target: &Arc<TargetState<C>>,
     ) {
-        let record = &target.record;
-        let plan = connection_plan::plan(demand(view, &record.service, peer_routes));
+        let (record, now_us) = (&target.record, self.clock.now_us());
+        let inputs = self.path_inputs(view, peer_routes, target);
+        let plan = connection_plan::plan(inputs.demand);
         if peer_routes.is_home(&record.id, &record.zone, plan) {
-            self.prepare_path(target);
+            self.active_targets.record_use(target, now_us);
+            self.set_path(peer_routes, target, inputs, now_us);
         }
     }
 
@@ -115,11 +125,10 @@
         }
         let (view, peer_routes, now_us) =
             (self.view.load(), self.peer_routes.load(), self.clock.now_us());
-        let demand = demand(&view, &target.record.service, &peer_routes);
-        if !peer_routes.become_fallback(target, demand, now_us) {
+        let inputs = self.path_inputs(&view, &peer_routes, target);
+        if !peer_routes.become_fallback(target, inputs.demand, now_us) {
             return false;
         }
-        let inputs = PathInputs { demand, is_primary: self.is_primary(target) };
         self.set_path(&peer_routes, target, inputs, now_us);
         true
     }
--- a/crates/proxy/src/sessions/process/peer_routes.rs
+++ b/crates/proxy/src/sessions/process/peer_routes.rs
@@ -321,28 +321,31 @@
         if let ConnectionPlan::Direct { .. } = plan {
             return true;
         }
-        let is_listed = self.own_index < self.vms.len();
-        let is_in_top = |candidates: &[usize]| {
-            let candidates = candidates.iter().copied();
-            let count = connection_plan::HOMES;
+        let own_zone = self.vms.get(self.own_index).map(|vm| &*vm.zone);
+        let is_candidate =
+            own_zone.is_some_and(|own_zone| own_zone == zone || !self.by_zone.contains_key(zone));
+        is_candidate && {
+            let (candidates, count) = (self.home_candidates(zone), connection_plan::HOMES);
             self.ranking.is_in_top(target_id, candidates, count, self.own_index)
-        };
-        match self.by_zone.get(zone) {
-            Some(near) => is_listed && near.contains(&self.own_index) && is_in_top(near),
-            None => is_listed && is_in_top(&(0..self.vms.len()).collect::<Vec<_>>()),
         }
     }
 
+    /// Returns the indexes of the VMs among which the homes of a zone's targets are: those of the zone, or all
+    /// if it has none.
+    fn home_candidates(&self, zone: &str) -> impl Iterator<Item = usize> {
+        let near = self.by_zone.get(zone);
+        let all = if near.is_none() { 0..self.vms.len() } else { 0..0 };
+        near.into_iter().flatten().copied().chain(all)
+    }
+
     fn rank_homes(&self, target_id: &str, zone: &str, fallbacks: usize) -> Homes {
-        let top = |candidates: Vec<usize>, count| self.ranking.top(target_id, candidates, count);
-        let all = || 0..self.vms.len();
-        let (near, far) = match self.by_zone.get(zone) {
-            Some(near) => (near.clone(), all().filter(|vm| &*self.vms[*vm].zone != zone).collect()),
-            None => (all().collect(), Vec::new()),
-        };
-        let mut indexes = top(near, connection_plan::HOMES);
+        let candidates = self.home_candidates(zone);
+        let mut indexes = self.ranking.top(target_id, candidates, connection_plan::HOMES);
         let home_count = indexes.len();
-        indexes.extend(top(far, fallbacks));
+        if self.by_zone.contains_key(zone) {
+            let far = (0..self.vms.len()).filter(|vm| &*self.vms[*vm].zone != zone);
+            indexes.extend(self.ranking.top(target_id, far, fallbacks));
+        }
         let role = match indexes.iter().position(|index| *index == self.own_index) {
             None => HomeRole::Neither,
             Some(rank) if rank < home_count => HomeRole::Home,
--- a/crates/proxy/src/sessions/process/target_table.rs
+++ b/crates/proxy/src/sessions/process/target_table.rs
@@ -69,9 +69,4 @@
     pub fn members(&self, service: &str) -> &[Arc<TargetState<C>>] {
         self.by_service.get(service).map_or(&[], |members| members.as_slice())
     }
-
-    /// The targets by id.
-    pub fn by_id(&self) -> &FastMap<Arc<str>, Arc<TargetState<C>>> {
-        &self.by_id
-    }
 }
--- a/crates/proxy/src/sessions/process/targets.rs
+++ b/crates/proxy/src/sessions/process/targets.rs
@@ -21,6 +21,7 @@
 use crate::sessions::codec::Codec;
 use crate::sessions::connection::link::StatementLink;
 use crate::sessions::connection::link::TargetLogin;
+use crate::sessions::process::active_targets::Activity;
 use crate::sessions::process::limits;
 use crate::sessions::process::single_flight::SingleFlight;
 use crate::sessions::process::target_path;
@@ -95,10 +96,8 @@
     routing: Mutex<()>,
     /// When the paths were last set, in microseconds; zero before.
     routed_us: AtomicU64,
-    /// When a statement last used the target, in microseconds; zero before.
-    used_us: AtomicU64,
     /// Whether the target is among the active ones.
-    is_active: AtomicBool,
+    pub activity: Activity,
     parts: PoolParts,
     /// The admission queue in front of the connections.
     pub queue: Arc<AdmissionQueue>,
@@ -149,8 +148,7 @@
             applied_inputs: Mutex::default(),
             routing: Mutex::default(),
             routed_us: AtomicU64::new(0),
-            used_us: AtomicU64::new(0),
-            is_active: AtomicBool::new(false),
+            activity: Activity::default(),
             parts,
             queue: Arc::new(queue),
             health: Mutex::new(health),
@@ -273,27 +271,6 @@
         self.routed_us.store(now_us.max(1), Ordering::Relaxed);
     }
 
-    /// Records a use, and that the target is active. Returns whether it was not active before.
-    pub(super) fn activate(&self, now_us: u64) -> bool {
-        self.used_us.store(now_us, Ordering::SeqCst);
-        !self.is_active.swap(true, Ordering::SeqCst)
-    }
-
-    /// Records that the target is no longer active, unless it was used after `since_us`. Returns whether it
-    /// is inactive.
-    pub(super) fn deactivate(&self, since_us: u64) -> bool {
-        self.is_active.store(false, Ordering::SeqCst);
-        // A use before that store found the target active and relies on it.
-        let was_used = self.used_us.load(Ordering::SeqCst) > since_us;
-        self.is_active.store(was_used, Ordering::SeqCst);
-        !was_used
-    }
-
-    /// Whether the target is among the active ones.
-    pub fn is_active(&self) -> bool {
-        self.is_active.load(Ordering::Relaxed)
-    }
-
     /// Whether the paths need no maintenance until a statement uses them: they lead through other VMs, have
     /// no connections, and no failure is recorded.
     pub fn is_idle(&self) -> bool {
