Agree on the interfaces of shared admission, and route statements to one admitting home

A target's homes each let its slots run, so that the target runs several times its slots in the order of arrival. The first reachable home admits for all VMs if a service has several precedences.

--- a/crates/bench/src/slopes/no_protocol.rs
+++ b/crates/bench/src/slopes/no_protocol.rs
@@ -54,6 +54,10 @@
 
     fn encode_on_behalf(_: &str, _: &mut BytesMut) {}
 
+    fn encode_precedence(_: u32, _: u64, _: &mut BytesMut) {}
+
+    fn encode_not_admitted(_: &Refusal, _: &mut BytesMut) {}
+
     fn encode_query(_: &Query<'_>, _: &mut BytesMut) {}
 
     fn encode_terminate(_: &mut BytesMut) {}
--- a/crates/bench/src/slopes/sessions_fleet.rs
+++ b/crates/bench/src/slopes/sessions_fleet.rs
@@ -54,6 +54,7 @@
             (true, 0) => FAST_LINK_MBPS,
             (true, _) => SLOW_LINK_MBPS,
         },
+        admits_by_class: true,
     };
     (0..count).map(vm).collect()
 }
--- a/crates/core/src/process/connection_plan.rs
+++ b/crates/core/src/process/connection_plan.rs
@@ -51,6 +51,10 @@
 /// 100 because the VMs do not use all their connections at the same time.
 const OVERSUBSCRIBED_PERCENT: u32 = 125;
 
+/// The connections that a home keeps while another one admits the statements of all VMs: one for
+/// the first statement after a failover, and one for status queries.
+const STANDBY_CONNECTIONS: u32 = 2;
+
 /// How VMs connect to a target.
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
 pub enum ConnectionPlan {
@@ -71,6 +75,35 @@
     },
 }
 
+/// How many VMs decide what runs at a target.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub enum AdmissionScope {
+    /// Each VM that connects to the target admits as many statements as the target has slots.
+    PerVm,
+    /// The first reachable home admits the statements of all VMs, so that a class of higher
+    /// precedence is served first whichever VMs its callers use.
+    PerTarget,
+}
+
+/// Returns how many VMs decide what runs at a target under a plan.
+///
+/// The load it answers: with [`HOMES`] homes that each let the slots of a target run, the target
+/// itself runs several times its slots in the order of arrival, and urgent statements wait behind
+/// lookups. One home is enough to order them if the service has several precedences and all VMs
+/// understand the messages that carry these.
+pub fn admission_scope(
+    plan: ConnectionPlan,
+    has_precedences: bool,
+    is_announced: bool,
+) -> AdmissionScope {
+    match plan {
+        ConnectionPlan::Homes { .. } if has_precedences && is_announced => {
+            AdmissionScope::PerTarget
+        }
+        ConnectionPlan::Homes { .. } | ConnectionPlan::Direct { .. } => AdmissionScope::PerVm,
+    }
+}
+
 /// The quantities that determine the plan of a target.
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
 pub struct Demand {
@@ -110,6 +143,17 @@
     ConnectionPlan::Homes { share, fallbacks: fallbacks as usize }
 }
 
+/// Returns the maximum number of connections of the home that admits the statements of all VMs.
+pub fn admitting_share(max_connections: u32) -> u32 {
+    let usable = max_connections * HOME_PERCENT / 100;
+    usable.saturating_sub((HOMES as u32 - 1) * STANDBY_CONNECTIONS).max(1)
+}
+
+/// Returns the maximum number of connections of a home while another one admits.
+pub fn standby_share(share: u32) -> u32 {
+    share.min(STANDBY_CONNECTIONS)
+}
+
 /// Returns how many of the highest ranked VMs may connect directly after `unreachable_us`
 /// microseconds without any path to a target; zero at first.
 pub fn fallback_count(fallbacks: usize, unreachable_us: u64) -> usize {
--- a/crates/core/src/process/sharing/queue.rs
+++ b/crates/core/src/process/sharing/queue.rs
@@ -55,6 +55,11 @@
     pub standing_us: u64,
     /// The assumed run time before any was measured, in microseconds.
     pub initial_run_us: u64,
+    /// Whether the waiting callers of a class share the target's time equally, instead of being served in
+    /// the order of arrival.
+    pub fair_callers: bool,
+    /// Whether the retry times of callers that are refused at the same time are spread.
+    pub spread_retries: bool,
 }
 
 impl Default for QueueLimits {
@@ -67,6 +72,8 @@
             queued_per_caller: 32,
             standing_us: 1_000_000,
             initial_run_us: 5_000,
+            fair_callers: false,
+            spread_retries: false,
         }
     }
 }
--- a/crates/core/src/request/statement.rs
+++ b/crates/core/src/request/statement.rs
@@ -5,6 +5,7 @@
 
 use std::sync::Arc;
 
+use crate::request::error_kind::ErrorKind;
 use crate::request::retry::Effect;
 
 /// A statement of a caller, borrowed from its message.
@@ -94,6 +95,15 @@
     Failed,
 }
 
+/// A refusal by the admission queue of the proxy in front of a target. The statement was not run.
+#[derive(Clone, Copy, PartialEq, Eq, Hash, Debug)]
+pub struct NotAdmitted {
+    /// The reason of the queue.
+    pub kind: ErrorKind,
+    /// The time after which a retry may succeed, in milliseconds.
+    pub retry_after_ms: u32,
+}
+
 /// The reason why a target refused a statement, or why the statement failed.
 #[derive(Clone, Copy, PartialEq, Eq, Hash, Debug)]
 pub enum TargetError {
@@ -113,6 +123,8 @@
     UnknownPrepared,
     /// The proxy in front of it can't reach it. Not run.
     Unreachable,
+    /// The proxy in front of it did not admit the statement. Not run.
+    NotAdmitted(NotAdmitted),
     /// The statement ran and failed.
     Failed,
     /// The statement exceeded the time limit of the target.
@@ -134,6 +146,7 @@
             TargetError::Lagging | TargetError::UnknownPrepared => *b"57P03",
             TargetError::ReadOnly => *b"25006",
             TargetError::Misrouted => *b"3D000",
+            TargetError::NotAdmitted(_) => *b"53000",
             TargetError::TooManyConnections => *b"53300",
             TargetError::Failed | TargetError::Other => *b"XX000",
             TargetError::TimedOut => *b"57014",
--- a/crates/core/src/version/routes.rs
+++ b/crates/core/src/version/routes.rs
@@ -88,6 +88,18 @@
     pub organisations: Option<Organisations>,
 }
 
+impl RouteTable {
+    /// Returns whether the routes to a service have different priorities.
+    pub fn has_precedences(&self, service: &str) -> bool {
+        let mut priorities = self
+            .routes
+            .values()
+            .filter(|route| &*route.service == service)
+            .map(|route| route.priority);
+        priorities.next().is_some_and(|first| priorities.any(|other| other != first))
+    }
+}
+
 /// The replication role that a target believes it has.
 #[derive(Clone, Copy, PartialEq, Eq, Debug, Serialize, Deserialize)]
 pub enum TargetRole {
--- a/crates/proxy/src/sessions/codec.rs
+++ b/crates/proxy/src/sessions/codec.rs
@@ -133,6 +133,14 @@
         /// The organisation's name.
         organisation: &'a str,
     },
+    /// Sets the class of the following statements, and for how long the next one may wait for admission. It
+    /// has no reply, and only proxies that announce shared admission understand it.
+    Precedence {
+        /// The class; 0 is the most urgent one.
+        class: u32,
+        /// The maximum wait until the statement is sent to the target, in milliseconds.
+        wait_ms: u64,
+    },
     /// The message that closes the connection.
     Terminate,
 }
@@ -195,6 +203,14 @@
     /// Appends the message that tells another proxy which organisation the following requests run for.
     fn encode_on_behalf(organisation: &str, out: &mut BytesMut);
 
+    /// Appends the message that tells another proxy the class of the following statements, and for how long the
+    /// next one may wait for admission, in milliseconds.
+    fn encode_precedence(class: u32, wait_ms: u64, out: &mut BytesMut);
+
+    /// Appends the refusal of an admission queue for another proxy, which decodes it as
+    /// [`TargetError::NotAdmitted`].
+    fn encode_not_admitted(refusal: &Refusal, out: &mut BytesMut);
+
     /// Appends a request to a target.
     fn encode_query(query: &Query<'_>, out: &mut BytesMut);
 
--- a/crates/proxy/src/sessions/connection/peer.rs
+++ b/crates/proxy/src/sessions/connection/peer.rs
@@ -63,6 +63,15 @@
 /// The priority class of forwarded statements. The other proxies have already ordered them by priority.
 const PRIORITY: u32 = 1;
 
+/// What another proxy said about the following statements.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+struct Precedence {
+    /// The class; 0 is the most urgent one.
+    class: u32,
+    /// The maximum wait for admission, in milliseconds.
+    wait_ms: u64,
+}
+
 /// A connection from another proxy.
 struct Peer<C>
 where
@@ -79,6 +88,9 @@
     user: Option<Arc<str>>,
     values: Vec<(Box<str>, Box<str>)>,
     prepared: FastMap<Box<str>, Prepared>,
+    /// The class of the statements, and for how long the next one may wait; `None` if the other proxy sent
+    /// none.
+    precedence: Option<Precedence>,
     /// The connection of the open transaction.
     pinned: Option<Lease<StatementLink<C>>>,
     /// The transaction status last reported to the other proxy.
@@ -143,6 +155,7 @@
         user: None,
         values: Vec::new(),
         prepared: FastMap::default(),
+        precedence: None,
         pinned: None,
         status: TransactionStatus::Idle,
         wrote: false,
@@ -182,6 +195,10 @@
                 self.user = (!organisation.is_empty()).then(|| organisation.into());
                 return true;
             }
+            Ok(TargetRequest::Precedence { class, wait_ms }) => {
+                self.precedence = Some(Precedence { class, wait_ms });
+                return true;
+            }
             Ok(TargetRequest::Startup { .. } | TargetRequest::Terminate) | Err(_) => return false,
         };
         self.gateway.counters.event(Event::ForwardsReceived);
--- a/crates/proxy/src/sessions/process/daemon.rs
+++ b/crates/proxy/src/sessions/process/daemon.rs
@@ -156,6 +156,7 @@
         zone: Arc::clone(&gateway.zone),
         peer_address: peers,
         link_mbps: settings.link_mbps,
+        admits_by_class: true,
     };
     let control = control::start(&gateway, own, store, promoter).map_err(StartError::Control)?;
     slog::info!(gateway.log, "started"; "callers_address" => address.to_string());
--- a/crates/proxy/src/sessions/process/fleet.rs
+++ b/crates/proxy/src/sessions/process/fleet.rs
@@ -77,8 +77,16 @@
         peer_routes: &PeerRoutes,
         target: &TargetState<C>,
     ) -> PathInputs {
-        let demand = demand(view, &target.record.service, peer_routes);
-        PathInputs { demand, is_primary: self.is_primary(target) }
+        let service = &target.record.service;
+        let demand = demand(view, service, peer_routes);
+        let has_precedences =
+            view.routes.as_ref().is_some_and(|routes| routes.has_precedences(service));
+        let admission = connection_plan::admission_scope(
+            connection_plan::plan(demand),
+            has_precedences,
+            peer_routes.all_admit_by_class(),
+        );
+        PathInputs { demand, is_primary: self.is_primary(target), admission }
     }
 
     fn set_path(
--- a/crates/proxy/src/sessions/process/peer_routes.rs
+++ b/crates/proxy/src/sessions/process/peer_routes.rs
@@ -9,6 +9,7 @@
 use parking_lot::Mutex;
 use skylark_core::FastMap;
 use skylark_core::process::connection_plan;
+use skylark_core::process::connection_plan::AdmissionScope;
 use skylark_core::process::connection_plan::ConnectionPlan;
 use skylark_core::process::connection_plan::Demand;
 use skylark_core::process::homes;
@@ -18,6 +19,7 @@
 use crate::sessions::codec::Codec;
 use crate::sessions::process::limits;
 use crate::sessions::process::target_path::PathInputs;
+use crate::sessions::process::targets::AdmissionRole;
 use crate::sessions::process::targets::TargetState;
 use crate::sessions::store::VmAddress;
 
@@ -32,6 +34,8 @@
     own_index: usize,
     /// Indexes of the VMs of each availability zone.
     by_zone: FastMap<Arc<str>, Vec<usize>>,
+    /// Whether all VMs queue forwarded statements by class.
+    all_admit_by_class: bool,
     /// The other availability zones that have VMs.
     other_zones: Vec<Arc<str>>,
     /// The VMs of this VM's zone that watch the store for the others.
@@ -106,12 +110,14 @@
             by_zone.entry(Arc::clone(&vm.zone)).or_default().push(index);
         }
         let own = Arc::clone(own);
+        let all_admit_by_class = !vms.is_empty() && vms.iter().all(|vm| vm.admits_by_class);
         PeerRoutes {
             own,
             vms,
             ranking,
             own_index,
             by_zone,
+            all_admit_by_class,
             other_zones,
             watchers,
             far_watchers,
@@ -179,15 +185,23 @@
         !self.vms.is_empty()
     }
 
+    /// Whether all VMs queue forwarded statements by class. A VM of an earlier version closes a connection on
+    /// which it receives a class.
+    pub fn all_admit_by_class(&self) -> bool {
+        self.all_admit_by_class
+    }
+
     /// Sets the path to a target and the number of its connections.
     pub fn update_path<C>(&self, target: &TargetState<C>, inputs: PathInputs, now_us: u64)
     where
         C: Codec,
     {
-        let PathInputs { demand, is_primary } = inputs;
+        let PathInputs { demand, is_primary, admission } = inputs;
         target.set_has_organisations(demand.organisations > 0);
+        target.set_admission(admission);
         match connection_plan::plan(demand) {
             ConnectionPlan::Direct { primary, replica } => {
+                target.set_admission_role(None);
                 target.set_via(None);
                 target.divide_users(&[]);
                 let share = if is_primary { primary } else { replica };
@@ -196,8 +210,15 @@
             ConnectionPlan::Homes { share, fallbacks } => {
                 let homes = self.homes_of(target, fallbacks);
                 self.eject_failing(target, now_us);
-                let home = self.home_for(&homes, now_us);
+                let is_shared = admission == AdmissionScope::PerTarget;
+                let home = match is_shared {
+                    true => self.admitting_home(&homes, now_us),
+                    false => self.home_for(&homes, now_us),
+                };
                 let connects = match homes.role {
+                    HomeRole::Home if is_shared => {
+                        home.is_none() || self.is_fallback(target, now_us)
+                    }
                     HomeRole::Home => true,
                     HomeRole::Fallback => home.is_none() || self.is_fallback(target, now_us),
                     HomeRole::Neither => {
@@ -212,9 +233,21 @@
                 } else if home.is_some() || target.via().is_none() {
                     target.set_via(home.or(homes.vms.first()));
                 }
-                self.divide_users(target, &homes, demand, now_us);
+                target.set_admission_role(match homes.role {
+                    _ if !is_shared => None,
+                    _ if connects => Some(AdmissionRole::Admits),
+                    HomeRole::Home => Some(AdmissionRole::Standby),
+                    HomeRole::Fallback | HomeRole::Neither => Some(AdmissionRole::Forwards),
+                });
+                match is_shared {
+                    true => target.divide_users(&[]),
+                    false => self.divide_users(target, &homes, demand, now_us),
+                }
                 target.configure(match homes.role {
                     _ if !connects => limits::PEER_CONNECTIONS,
+                    HomeRole::Home if is_shared => {
+                        connection_plan::admitting_share(demand.max_connections)
+                    }
                     HomeRole::Home => share,
                     HomeRole::Fallback | HomeRole::Neither => 1,
                 });
@@ -284,8 +317,11 @@
     {
         let plan = connection_plan::plan(demand);
         let ConnectionPlan::Homes { fallbacks, .. } = plan else { return false };
-        if self.homes_of(target, fallbacks).role != HomeRole::Fallback {
-            return false;
+        match self.homes_of(target, fallbacks).role {
+            HomeRole::Fallback => (),
+            // The other VM can't reach the home that admits for all VMs.
+            HomeRole::Home if target.shares_admission() => (),
+            HomeRole::Home | HomeRole::Neither => return false,
         }
         self.set_fallback(target, now_us);
         true
@@ -372,6 +408,24 @@
         failed_us.retain(|_, failed_us| now_us < *failed_us + limits::HOME_EJECTION_US);
     }
 
+    /// Returns the VM that admits the statements for a target: the first home that is reachable, or a
+    /// fallback if none is; `None` if it is this VM.
+    ///
+    /// A home that another VM asked to forward admits as well, because that VM reaches no home before it.
+    fn admitting_home<'a>(&self, homes: &'a Homes, now_us: u64) -> Option<&'a VmAddress> {
+        let failed_us = self.failed_us.lock();
+        let is_usable = |home: &&VmAddress, span_us: u64| {
+            home.name == self.own || not_failed_within(span_us, &failed_us, home, now_us)
+        };
+        let (first, fallbacks) = homes.vms.split_at(homes.home_count);
+        let stable = first.iter().find(|home| is_usable(home, limits::HOME_EJECTION_US));
+        let usable = stable.or_else(|| {
+            let mut all = first.iter().chain(fallbacks);
+            all.find(|home| is_usable(home, limits::LEAST_HOME_EJECTION_US))
+        });
+        usable.filter(|home| home.name != self.own)
+    }
+
     /// Returns the VM that this process sends statements through. Processes start with different homes. A
     /// home that was unreachable lately is replaced by the next one, and by a fallback if no home is
     /// reachable.
--- a/crates/proxy/src/sessions/process/target_path.rs
+++ b/crates/proxy/src/sessions/process/target_path.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 
 use skylark_core::process::connection_budget::BudgetPolicy;
+use skylark_core::process::connection_plan::AdmissionScope;
 use skylark_core::process::connection_plan::Demand;
 use skylark_core::process::jitter;
 use skylark_core::version::routes::TargetRecord;
@@ -49,6 +50,8 @@
     pub demand: Demand,
     /// Whether the target is the presumed primary.
     pub is_primary: bool,
+    /// How many VMs decide what runs at the target.
+    pub admission: AdmissionScope,
 }
 
 /// What is needed to open connections to a target.
--- a/crates/proxy/src/sessions/process/targets.rs
+++ b/crates/proxy/src/sessions/process/targets.rs
@@ -7,6 +7,7 @@
 
 use arc_swap::ArcSwap;
 use parking_lot::Mutex;
+use skylark_core::process::connection_plan::AdmissionScope;
 use skylark_core::process::homes;
 use skylark_core::process::sharing::ClassShare;
 use skylark_core::process::sharing::queue::QueueLimits;
@@ -45,6 +46,17 @@
 /// Goal for the waiting time in a class without one of its own, in microseconds.
 const DEFAULT_GOAL_US: u64 = 200_000;
 
+/// What this VM does for the admission to a target that one VM admits to for all VMs.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub enum AdmissionRole {
+    /// It sends its statements through the VM that admits.
+    Forwards,
+    /// It also forwards, and admits if the homes before it are unreachable.
+    Standby,
+    /// It admits the statements of all VMs.
+    Admits,
+}
+
 /// The health of a target, as observed by requests.
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
 pub struct Health {
@@ -90,6 +102,10 @@
     user_paths: ArcSwap<Vec<Arc<TargetPath<C>>>>,
     /// Whether connections serve one organisation each.
     has_organisations: AtomicBool,
+    /// Whether one VM admits the statements of all VMs.
+    shares_admission: AtomicBool,
+    /// What this VM does for the shared admission; `None` if admission is not shared.
+    admission_role: Mutex<Option<AdmissionRole>>,
     /// The inputs that the paths were last set for; `None` before.
     applied_inputs: Mutex<Option<PathInputs>>,
     /// Held while the paths are set, which requests and the maintenance of the pools both do.
@@ -145,6 +161,8 @@
             path: ArcSwap::from_pointee(path),
             user_paths: ArcSwap::default(),
             has_organisations: AtomicBool::new(false),
+            shares_admission: AtomicBool::new(false),
+            admission_role: Mutex::default(),
             applied_inputs: Mutex::default(),
             routing: Mutex::default(),
             routed_us: AtomicU64::new(0),
@@ -330,9 +348,36 @@
         });
     }
 
+    /// Sets how many VMs decide what runs at the target.
+    pub fn set_admission(&self, admission: AdmissionScope) {
+        let is_shared = admission == AdmissionScope::PerTarget;
+        self.shares_admission.store(is_shared, Ordering::Relaxed);
+    }
+
+    /// Whether one VM admits the statements of all VMs, so that forwarded statements carry their class.
+    pub fn shares_admission(&self) -> bool {
+        self.shares_admission.load(Ordering::Relaxed)
+    }
+
+    /// Sets what this VM does for the shared admission; `None` if admission is not shared.
+    pub fn set_admission_role(&self, role: Option<AdmissionRole>) {
+        *self.admission_role.lock() = role;
+    }
+
+    /// What this VM does for the shared admission; `None` if admission is not shared.
+    pub fn admission_role(&self) -> Option<AdmissionRole> {
+        *self.admission_role.lock()
+    }
+
     /// Sets this process's share of the connections.
     pub fn configure(&self, share: u32) {
-        let running = (self.record.slots + limits::RUNNING_BEYOND_SLOTS).min(share);
+        let shares_admission = self.shares_admission();
+        // A home that admits for all VMs decides the order, so the queue in front of the path to it only
+        // limits the connections.
+        let running = match shares_admission && self.path.load().via.is_some() {
+            true => share,
+            false => (self.record.slots + limits::RUNNING_BEYOND_SLOTS).min(share),
+        };
         let queued = limits::QUEUED_PER_TARGET;
         let bounds = QueueLimits {
             running,
@@ -343,6 +388,8 @@
                 true => limits::QUEUED_PER_ORGANISATION,
                 false => queued,
             },
+            fair_callers: shares_admission && self.has_organisations.load(Ordering::Relaxed),
+            spread_retries: shares_admission,
             ..QueueLimits::default()
         };
         // One connection more than the queue admits, for sampling the position: that takes no slot and must
--- a/crates/proxy/src/sessions/store.rs
+++ b/crates/proxy/src/sessions/store.rs
@@ -70,6 +70,14 @@
     /// The bandwidth of the VM's link, in Mbit/s; zero if it is unknown.
     #[serde(default, skip_serializing_if = "is_zero")]
     pub link_mbps: u32,
+    /// Whether the VM queues forwarded statements by the class that they carry. False for VMs of versions
+    /// that don't understand the class.
+    #[serde(default, skip_serializing_if = "is_false")]
+    pub admits_by_class: bool,
+}
+
+fn is_false(flag: &bool) -> bool {
+    !flag
 }
 
 fn is_zero(number: &u32) -> bool {
--- a/crates/proxy/tests/listing.rs
+++ b/crates/proxy/tests/listing.rs
@@ -14,6 +14,7 @@
         zone: "zone-1".into(),
         peer_address: ([127, 0, 0, 1], *port).into(),
         link_mbps: 0,
+        admits_by_class: false,
     };
     VmList::new(revision, vms.iter().map(vm).collect())
 }
--- a/crates/proxy/tests/quotas.rs
+++ b/crates/proxy/tests/quotas.rs
@@ -12,7 +12,13 @@
 
 fn vm(name: &str) -> VmAddress {
     let peer_address = "127.0.0.1:1".parse().expect("the address is valid");
-    VmAddress { name: name.into(), zone: "zone-1".into(), peer_address, link_mbps: 0 }
+    VmAddress {
+        name: name.into(),
+        zone: "zone-1".into(),
+        peer_address,
+        link_mbps: 0,
+        admits_by_class: false,
+    }
 }
 
 /// A VM allocates a part of a rate limit. The VM list then changes twice without a grant in between: the VM
--- a/crates/standin/src/typed/database.rs
+++ b/crates/standin/src/typed/database.rs
@@ -165,7 +165,8 @@
             match request {
                 TargetRequest::Terminate
                 | TargetRequest::Startup { .. }
-                | TargetRequest::OnBehalf { .. } => {
+                | TargetRequest::OnBehalf { .. }
+                | TargetRequest::Precedence { .. } => {
                     return Err(ConnectionEnd::Closed);
                 }
                 TargetRequest::Query(query) => {
