--- a/crates/core/src/version/routes.rs
+++ b/crates/core/src/version/routes.rs
@@ -11,6 +11,7 @@
 use serde::Serialize;
 
 use crate::FastMap;
+use crate::FastSet;
 use crate::version::organisations;
 use crate::version::organisations::Organisations;
 
@@ -89,14 +90,17 @@
 }
 
 impl RouteTable {
-    /// Returns whether the routes to a service have different priorities.
-    pub fn has_precedences(&self, service: &str) -> bool {
-        let mut priorities = self
-            .routes
-            .values()
-            .filter(|route| &*route.service == service)
-            .map(|route| route.priority);
-        priorities.next().is_some_and(|first| priorities.any(|other| other != first))
+    /// Returns the services whose routes have different priorities.
+    pub fn services_with_precedences(&self) -> FastSet<&str> {
+        let mut first: FastMap<&str, u32> = FastMap::default();
+        let mut differing = FastSet::default();
+        for route in self.routes.values() {
+            let known = *first.entry(&route.service).or_insert(route.priority);
+            if known != route.priority {
+                differing.insert(&*route.service);
+            }
+        }
+        differing
     }
 }
 
--- a/crates/proxy/src/sessions/process/fleet.rs
+++ b/crates/proxy/src/sessions/process/fleet.rs
@@ -79,8 +79,7 @@
     ) -> PathInputs {
         let service = &target.record.service;
         let demand = demand(view, service, peer_routes);
-        let has_precedences =
-            view.routes.as_ref().is_some_and(|routes| routes.has_precedences(service));
+        let has_precedences = self.service(service).has_precedences.load(Ordering::Relaxed);
         let admission = connection_plan::admission_scope(
             connection_plan::plan(demand),
             has_precedences,
--- a/crates/proxy/src/sessions/process/gateway.rs
+++ b/crates/proxy/src/sessions/process/gateway.rs
@@ -311,6 +311,9 @@
     pub fn publish(&self, view: View) {
         let before = self.view.load_full();
         let changes = view.changes_since(&before);
+        if !same_routes(&before, &view) {
+            self.set_precedences(&view);
+        }
         self.reconcile_targets(&view, &changes);
         for (service, members) in changes {
             let state = self.service(service);
@@ -333,6 +336,16 @@
         }
     }
 
+    /// Records which services' routes have different priorities.
+    fn set_precedences(&self, view: &View) {
+        let Some(routes) = &view.routes else { return };
+        let prioritised = routes.services_with_precedences();
+        for service in routes.services.keys() {
+            let has_precedences = prioritised.contains(&**service);
+            self.service(service).has_precedences.store(has_precedences, Ordering::Relaxed);
+        }
+    }
+
     /// Adds and removes targets of the services that changed. The connections of a removed target are closed
     /// as they become idle.
     fn reconcile_targets(&self, view: &View, changes: &[(&Arc<str>, &[Member])]) {
--- a/crates/proxy/src/sessions/process/services.rs
+++ b/crates/proxy/src/sessions/process/services.rs
@@ -22,6 +22,8 @@
 pub struct ServiceState {
     /// Known positions of the primary.
     pub positions: Mutex<PrimaryPositions>,
+    /// Whether the service's routes have different priorities.
+    pub has_precedences: AtomicBool,
     /// The presumed primary.
     pub leader: Mutex<LeaderBelief>,
     /// What the members reported about their role and term.
