Send the class and the remaining wait with forwarded statements, and refuse them at once

A home assigned one class and 200 ms to each forwarded statement and answered BUSY without a retry time, so that the entry VM asked again every 10 ms. The home now queues a statement in the class and with the wait that its sender states, and answers with the reason and the retry time of its queue. A transaction keeps its slot from BEGIN to its first statement, since other transactions began in between and more statements ran than the limit allows.

--- a/crates/proxy/src/request/refusal.rs
+++ b/crates/proxy/src/request/refusal.rs
@@ -2,6 +2,7 @@
 
 use bytes::BytesMut;
 use skylark_core::request::error_kind::ErrorKind;
+use skylark_core::request::statement::NotAdmitted;
 
 use crate::connection::frames;
 use crate::connection::frames::ErrorFields;
@@ -23,6 +24,12 @@
     }
 }
 
+impl From<NotAdmitted> for Refusal {
+    fn from(refused: NotAdmitted) -> Refusal {
+        Refusal::with_retry_after(refused.kind, refused.retry_after_ms.into())
+    }
+}
+
 impl Refusal {
     /// Creates a refusal with an estimate of when a retry may succeed.
     pub fn with_retry_after(kind: ErrorKind, retry_after_ms: u64) -> Refusal {
--- a/crates/proxy/src/sessions/connection/link.rs
+++ b/crates/proxy/src/sessions/connection/link.rs
@@ -14,6 +14,7 @@
 
 use bytes::BytesMut;
 use skylark_core::FastMap;
+use skylark_core::ids::ClassId;
 use skylark_core::log_position::LogPosition;
 use skylark_core::request::retry::Failure;
 use skylark_core::request::retry::Stage;
@@ -67,6 +68,17 @@
     pub to_proxy: bool,
 }
 
+/// The class of a unit of work, and for how long a proxy may keep it waiting for admission to the target.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub struct Precedence {
+    /// The class.
+    pub class: ClassId,
+    /// When the work has to be sent to the target, in microseconds.
+    pub wait_until_us: u64,
+    /// The current time, in microseconds.
+    pub now_us: u64,
+}
+
 /// A connection to a target, or to a proxy that forwards to the target, after its start-up.
 pub struct StatementLink<C> {
     stream: TcpStream,
@@ -78,6 +90,8 @@
     /// proxy.
     user: Option<Arc<str>>,
     to_proxy: bool,
+    /// Until when the other proxy may keep the unit of work waiting; `None` if it does not queue by class.
+    admission_until_us: Option<u64>,
     /// How many replies are outstanding.
     awaited: u32,
     values: Vec<(Box<str>, Box<str>)>,
@@ -115,6 +129,25 @@
         }
     }
 
+    /// Sets the class of the next unit of work and for how long the other proxy may keep it waiting, if that
+    /// proxy queues by class. It has no effect on a connection to a target.
+    pub fn set_precedence(&mut self, precedence: Option<Precedence>) {
+        self.admission_until_us = None;
+        if let Some(Precedence { class, wait_until_us, now_us }) =
+            precedence.filter(|_| self.to_proxy)
+        {
+            let wait_ms = wait_until_us.saturating_sub(now_us).div_ceil(1_000);
+            C::encode_precedence(class.0, wait_ms, &mut self.output);
+            self.admission_until_us = Some(wait_until_us);
+        }
+    }
+
+    /// Returns until when the other proxy may keep the unit of work waiting; `None` if the connection leads to
+    /// a target, or if the other proxy does not queue by class.
+    pub fn admission_until_us(&self) -> Option<u64> {
+        self.admission_until_us
+    }
+
     /// Sends the pushed requests. After an error the connection is unusable.
     pub async fn send(&mut self) -> Result<(), LostReply> {
         let sent = socket::write_all(&self.stream, &self.output, SEND_TIMEOUT).await;
@@ -306,6 +339,7 @@
                 status: TransactionStatus::Idle,
                 user: user.filter(|_| !login.to_proxy).cloned(),
                 to_proxy: login.to_proxy,
+                admission_until_us: None,
                 awaited: 0,
                 values: Vec::new(),
                 prepared: FastMap::default(),
--- a/crates/proxy/src/sessions/connection/peer.rs
+++ b/crates/proxy/src/sessions/connection/peer.rs
@@ -7,6 +7,7 @@
 //! target.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use bytes::BytesMut;
 use skylark_core::FastMap;
@@ -40,6 +41,7 @@
 use crate::sessions::process::gateway::Gateway;
 use crate::sessions::process::limits;
 use crate::sessions::process::quota::answer;
+use crate::sessions::process::targets::CLASSES;
 use crate::sessions::process::targets::TargetState;
 use crate::sessions::process::zone_reach;
 use crate::sessions::request::acquire;
@@ -60,17 +62,14 @@
 /// that not every such request reaches the primary.
 const MIN_MAX_AGE_US: u64 = 250_000;
 
-/// The priority class of forwarded statements. The other proxies have already ordered them by priority.
+/// The priority class of forwarded statements whose class the other proxy did not send. That proxy has already
+/// ordered them by priority.
 const PRIORITY: u32 = 1;
 
-/// What another proxy said about the following statements.
-#[derive(Clone, Copy, PartialEq, Eq, Debug)]
-struct Precedence {
-    /// The class; 0 is the most urgent one.
-    class: u32,
-    /// The maximum wait for admission, in milliseconds.
-    wait_ms: u64,
-}
+/// How long a transaction keeps its execution slot after `BEGIN` without a statement. The other proxy sends the
+/// first one as soon as it knows the reply, or after status requests to other members, which have a limit of
+/// 60 ms. Without a bound, a proxy that disappears would occupy slots until its connections time out.
+const FIRST_STATEMENT_LIMIT: Duration = Duration::from_millis(150);
 
 /// A connection from another proxy.
 struct Peer<C>
@@ -88,9 +87,14 @@
     user: Option<Arc<str>>,
     values: Vec<(Box<str>, Box<str>)>,
     prepared: FastMap<Box<str>, Prepared>,
-    /// The class of the statements, and for how long the next one may wait; `None` if the other proxy sent
-    /// none.
-    precedence: Option<Precedence>,
+    /// Whether the other proxy has sent the class of its statements, which is the priority of `route`. It then
+    /// understands the refusals of the admission queue.
+    knows_class: bool,
+    /// Until when the next unit of work may wait for admission, in microseconds; `None` if the other proxy sent
+    /// no limit for it.
+    wait_until_us: Option<u64>,
+    /// Whether `BEGIN` was the last statement and its slot is kept for the next one.
+    keeps_slot: bool,
     /// The connection of the open transaction.
     pinned: Option<Lease<StatementLink<C>>>,
     /// The transaction status last reported to the other proxy.
@@ -155,7 +159,9 @@
         user: None,
         values: Vec::new(),
         prepared: FastMap::default(),
-        precedence: None,
+        knows_class: false,
+        wait_until_us: None,
+        keeps_slot: false,
         pinned: None,
         status: TransactionStatus::Idle,
         wrote: false,
@@ -186,9 +192,7 @@
         if self.input.is_empty() {
             self.input = BytesMut::new();
         }
-        let Some(message) = next_message::<C>(&self.stream, &mut self.input).await else {
-            return false;
-        };
+        let Some(message) = self.next_request().await else { return false };
         let query = match C::decode_request(&message) {
             Ok(TargetRequest::Query(query)) => query,
             Ok(TargetRequest::OnBehalf { organisation }) => {
@@ -196,7 +200,7 @@
                 return true;
             }
             Ok(TargetRequest::Precedence { class, wait_ms }) => {
-                self.precedence = Some(Precedence { class, wait_ms });
+                self.set_precedence(class, wait_ms);
                 return true;
             }
             Ok(TargetRequest::Startup { .. } | TargetRequest::Terminate) | Err(_) => return false,
@@ -213,6 +217,11 @@
                 push_refusal::<C>(&refusal, &mut self.output);
                 self.push_ready(None);
             }
+            Err(ForwardError::NotAdmitted(refusal)) => {
+                self.gateway.counters.refusal(refusal.kind);
+                C::encode_not_admitted(&refusal, &mut self.output);
+                self.push_ready(None);
+            }
             // The outcome is unknown, so the connection is closed as the target's was.
             Err(ForwardError::LostReply) => return false,
         }
@@ -222,6 +231,31 @@
         has_more || self.flush().await
     }
 
+    /// Receives the next request. Gives the slot of a transaction back if its first statement does not follow.
+    async fn next_request(&mut self) -> Option<BytesMut> {
+        if self.keeps_slot {
+            let next = next_message::<C>(&self.stream, &mut self.input);
+            if let Ok(message) = time::timeout(FIRST_STATEMENT_LIMIT, next).await {
+                return message;
+            }
+            self.keeps_slot = false;
+            if let Some(pinned) = &mut self.pinned {
+                pinned.statement_ended();
+            }
+        }
+        next_message::<C>(&self.stream, &mut self.input).await
+    }
+
+    fn set_precedence(&mut self, class: u32, wait_ms: u64) {
+        let priority = class.min(CLASSES as u32 - 1);
+        if self.route.priority != priority {
+            self.route = Arc::new(Route { priority, ..Route::clone(&self.route) });
+        }
+        self.knows_class = true;
+        let now_us = self.gateway.clock.now_us();
+        self.wait_until_us = Some(now_us.saturating_add(wait_ms.saturating_mul(1_000)));
+    }
+
     /// Runs one request. Returns no reply for a request that is complete without the target.
     async fn run(&mut self, query: &Query<'_>) -> Result<Option<Reply>, ForwardError> {
         // A VM that stood in for the target's homes may by now forward through another VM, which could
@@ -262,6 +296,7 @@
                 if let Some(pinned) = self.pinned.take() {
                     pinned.return_to_pool();
                 }
+                self.keeps_slot = false;
                 (self.status, self.wrote) = (TransactionStatus::Idle, false);
                 Ok(None)
             }
@@ -343,16 +378,18 @@
                 pinned.statement_started();
                 pinned
             }
-            // A forwarded statement always takes the direct path to the target, and never one through another
-            // home.
-            None => acquire::take_on_path(
-                &call,
-                &self.target,
-                &self.target.path(),
-                call.offer_until_us(),
-            )
-            .await
-            .map_err(|acquire_error| self.refusal_for(&acquire_error))?,
+            None => {
+                let until_us = self.wait_until_us.take().unwrap_or(call.offer_until_us());
+                // The time by which the statement had to be sent to the target has passed.
+                if until_us <= now_us {
+                    return Err(ForwardError::NotAdmitted(ErrorKind::WaitTimedOut.into()));
+                }
+                // A forwarded statement always takes the direct path to the target, and never one through
+                // another home.
+                let path = self.target.path();
+                let taken = acquire::take_on_path(&call, &self.target, &path, until_us).await;
+                taken.map_err(|acquire_error| self.refusal_for(acquire_error))?
+            }
         };
         let is_durable = match self.status {
             TransactionStatus::Idle => operation.writes(),
@@ -360,6 +397,8 @@
                 self.wrote && operation.effect() == Effect::Commit
             }
         };
+        let is_begin = matches!(operation, Operation::Plain(Statement::Begin { .. }));
+        self.keeps_slot = false;
         let sent_us = call.now_us();
         self.target.started(sent_us);
         if is_durable {
@@ -387,7 +426,13 @@
                 match reply.status {
                     TransactionStatus::Idle => lease.return_to_pool(),
                     TransactionStatus::Open | TransactionStatus::Failed => {
-                        lease.statement_ended();
+                        // If the slot were free until the first statement, which does not wait for one,
+                        // other transactions would begin in between and more statements would run than are
+                        // allowed.
+                        self.keeps_slot = self.knows_class && is_begin;
+                        if !self.keeps_slot {
+                            lease.statement_ended();
+                        }
                         self.pinned = Some(lease);
                     }
                 }
@@ -405,8 +450,11 @@
     ///
     /// An unreachable target is reported as such. If it were reported as busy, the other proxy would keep
     /// sending it reads that another member could serve.
-    fn refusal_for(&self, acquire_error: &AcquireError) -> ForwardError {
+    fn refusal_for(&self, acquire_error: AcquireError) -> ForwardError {
         let kind = match acquire_error {
+            AcquireError::Queue(refusal) if self.knows_class => {
+                return ForwardError::NotAdmitted(refusal);
+            }
             AcquireError::Queue(_) => ErrorKind::TargetBusy,
             AcquireError::NotConnected(_) => match self.target.health().failed_since_us {
                 Some(_) => ErrorKind::TargetUnreachable,
@@ -448,6 +496,8 @@
 enum ForwardError {
     /// The statement was not sent.
     Refused(Refusal),
+    /// The admission queue refused the statement, which was not sent.
+    NotAdmitted(Refusal),
     /// The statement was sent, and no complete reply arrived.
     LostReply,
 }
--- a/crates/proxy/src/sessions/process/targets.rs
+++ b/crates/proxy/src/sessions/process/targets.rs
@@ -475,7 +475,7 @@
             // The relaying proxy may have sent this itself. It is no evidence that the target, and with it
             // the target's zone, is reachable: otherwise a VM in a partitioned zone would count the other
             // zones as reachable.
-            Some(TargetError::Busy) if !self.is_direct() => {
+            Some(TargetError::Busy | TargetError::NotAdmitted(_)) if !self.is_direct() => {
                 self.health.lock().path_failed_since_us = None;
             }
             _ => self.answered(now_us, took_us),
--- a/crates/proxy/src/sessions/request/acquire.rs
+++ b/crates/proxy/src/sessions/request/acquire.rs
@@ -4,12 +4,14 @@
 
 use skylark_core::log_position::LogPosition;
 use skylark_core::request::retry::Failure;
+use skylark_core::request::statement::TargetError;
 
 use crate::connection::admission::AdmissionRequest;
 use crate::connection::lease::Lease;
 use crate::connection::pool::Pool;
 use crate::request::refusal::Refusal;
 use crate::sessions::codec::Codec;
+use crate::sessions::connection::link::Precedence;
 use crate::sessions::connection::link::StatementLink;
 use crate::sessions::connection::reply::LostReply;
 use crate::sessions::connection::reply::Reply;
@@ -85,7 +87,11 @@
     let until = call.gateway.clock.instant_at(until_us);
     let taken = pool.take(call.user, Some(permit), until).await;
     let mut lease = taken.map_err(AcquireError::NotConnected)?;
-    lease.connection().set_user(call.user);
+    let link = lease.connection();
+    link.set_user(call.user);
+    let now_us = call.now_us();
+    let precedence = Precedence { class, wait_until_us: until_us, now_us };
+    link.set_precedence(target.shares_admission().then_some(precedence));
     Ok(lease)
 }
 
@@ -143,7 +149,11 @@
         }
         last = Some(reply);
     }
-    if refused.is_some() {
+    // A refusal by the other proxy's admission queue is that of the last request and leaves the session as it
+    // is. Without this exception each refused caller would cause a reset and a new preparation.
+    let is_refused_by_queue =
+        |reply: &Reply| matches!(reply.error(), Some(TargetError::NotAdmitted(_)));
+    if refused.as_ref().is_some_and(|reply| !is_refused_by_queue(reply)) {
         link.forget_session();
     }
     Ok(refused.or(last))
--- a/crates/proxy/src/sessions/request/at_primary.rs
+++ b/crates/proxy/src/sessions/request/at_primary.rs
@@ -149,14 +149,21 @@
             }
         }
         let sent_us = call.now_us();
-        target.started(sent_us);
-        target.commit_sent(sent_us);
+        target.started(read::offered_by_us(call, link));
+        // A commit that waits in another proxy's admission queue is not stuck at the target. That proxy
+        // monitors the commits that it sends to the target.
+        let is_monitored = link.admission_until_us().is_none();
+        if is_monitored {
+            target.commit_sent(sent_us);
+        }
         operation.push(link, call.id, None);
         let answered = link.exchange(call.gateway.clock.instant_at(until_us)).await;
         target.ended();
         call.record_latency(Stage::Target, sent_us);
         let now_us = call.now_us();
-        target.commit_ended(now_us, answered.as_ref().is_err_and(LostReply::timed_out));
+        if is_monitored {
+            target.commit_ended(now_us, answered.as_ref().is_err_and(LostReply::timed_out));
+        }
         let reply = match answered {
             Ok(reply) => reply,
             Err(lost) => {
@@ -174,6 +181,12 @@
             }
             Some(TargetError::ReadOnly) => call.gateway.record_not_primary(&target),
             Some(TargetError::Busy | TargetError::Unreachable) => (),
+            // The other proxy's queue knows when a retry may succeed. Asking again would only join the end of
+            // the queue.
+            Some(TargetError::NotAdmitted(refused)) => {
+                lease.return_to_pool();
+                return Err(refused.into());
+            }
             Some(TargetError::UnknownPrepared) => lease.connection().forget_session(),
             Some(_) => {
                 lease.return_to_pool();
@@ -203,9 +216,8 @@
     };
     loop {
         let (target, mut lease) = take_primary(call).await?;
-        let until_us = read::hedge_at_us(call);
-        let sent_us = call.now_us();
         let link = lease.connection();
+        let until_us = read::hedge_after_us(call, read::offered_by_us(call, link));
         if guarantee == ReadGuarantee::Lead
             && prove::learn_term(call.gateway, &target, link, call.arrived_us).await.is_err()
         {
@@ -216,7 +228,7 @@
         }
         let pending = link.push_session(&session.values, operation.prepared());
         link.push_statement(None, at_least, Statement::Begin { read_only: false });
-        target.started(sent_us);
+        target.started(read::offered_by_us(call, link));
         // Other members are queried while the primary replies, so that the proof adds hardly any latency.
         let proof = prove_lead_if(guarantee == ReadGuarantee::Lead, call, &target);
         let exchanged = acquire::exchange_all(call, link, pending + 1, until_us);
@@ -251,6 +263,10 @@
             }
             Ok(Some(reply)) => {
                 target.replied(reply.error(), call.now_us(), None);
+                if let Some(TargetError::NotAdmitted(refused)) = reply.error() {
+                    lease.return_to_pool();
+                    return Err(refused.into());
+                }
                 if shows_lost_lead(&reply, at_least) {
                     call.gateway.record_not_primary(&target);
                 }
--- a/crates/proxy/src/sessions/request/read.rs
+++ b/crates/proxy/src/sessions/request/read.rs
@@ -15,6 +15,7 @@
 use skylark_core::request::read_choice::ReadCandidate;
 use skylark_core::request::retry::Effect;
 use skylark_core::request::retry::Failure;
+use skylark_core::request::statement::NotAdmitted;
 use skylark_core::request::statement::TargetError;
 use skylark_core::version::routes::ReadRule;
 use tokio::time;
@@ -46,6 +47,8 @@
     Failed(Reply),
     /// The member's admission queue refused the read.
     QueueTooLong,
+    /// The admission queue of the proxy in front of the member refused the read.
+    NotAdmitted(NotAdmitted),
 }
 
 /// Runs a single read.
@@ -59,6 +62,7 @@
 {
     let mut tried: Vec<Arc<str>> = Vec::new();
     let mut last_failure = None;
+    let mut refused_at_primary = None;
     while tried.len() + 1 < limits::MAX_READ_TRIES && call.now_us() < call.deadline_us() {
         let Some(at_least) = position(call, session).await else { break };
         let Some(target) = choose(call, &tried) else { break };
@@ -71,9 +75,19 @@
                 last_failure = Some(reply);
             }
             OfferResult::QueueTooLong => call.gateway.counters.retry(RetryReason::NoRoom),
+            OfferResult::NotAdmitted(refused) => {
+                call.gateway.counters.retry(RetryReason::NoRoom);
+                if call.gateway.is_primary(&target) {
+                    refused_at_primary = Some(refused);
+                }
+            }
         }
     }
-    let at_primary = at_primary::read(call, session, operation).await;
+    // The primary may have been the preferred member. Its queue is not asked twice.
+    let at_primary = match refused_at_primary {
+        Some(refused) => Err(refused.into()),
+        None => at_primary::read(call, session, operation).await,
+    };
     match (at_primary, last_failure) {
         (Err(_), Some(reply)) => Ok(reply),
         (result, _) => result,
@@ -179,14 +193,31 @@
 
 /// Returns the time at which a read without a reply is offered to another member.
 pub fn hedge_at_us<C>(call: &Call<'_, C>) -> u64
+where
+    C: Codec,
+{
+    hedge_after_us(call, call.now_us())
+}
+
+/// Does the same for a read that a target receives at `offered_us`.
+pub fn hedge_after_us<C>(call: &Call<'_, C>, offered_us: u64) -> u64
 where
     C: Codec,
 {
     let part_us = call.route.objective_ms * 1_000 / limits::READ_HEDGE_DIVISOR;
-    let until_us = call.now_us() + part_us.max(limits::LEAST_READ_HEDGE_US);
+    let until_us = offered_us + part_us.max(limits::LEAST_READ_HEDGE_US);
     until_us.min(call.deadline_us())
 }
 
+/// Returns by when the target receives a unit of work that is sent now. A wait in another proxy's admission
+/// queue must not count as the target's silence.
+pub fn offered_by_us<C>(call: &Call<'_, C>, link: &StatementLink<C>) -> u64
+where
+    C: Codec,
+{
+    link.admission_until_us().unwrap_or_default().max(call.now_us())
+}
+
 async fn offer<C>(
     call: &Call<'_, C>,
     session: &Session<C>,
@@ -205,10 +236,10 @@
             return OfferResult::TryNext(RetryReason::ConnectFailed);
         }
     };
-    let sent_us = call.now_us();
-    target.started(sent_us);
-    let until_us = hedge_at_us(call);
     let (link, at_least) = (lease.connection(), Some(at_least));
+    let (sent_us, offered_us) = (call.now_us(), offered_by_us(call, link));
+    target.started(offered_us);
+    let until_us = hedge_after_us(call, offered_us);
     let answered = acquire::run(call, link, &session.values, operation, at_least, until_us).await;
     target.ended();
     call.record_latency(Stage::Target, sent_us);
@@ -248,6 +279,7 @@
             OfferResult::TryNext(RetryReason::Lagging)
         }
         TargetError::Busy => OfferResult::TryNext(RetryReason::Busy),
+        TargetError::NotAdmitted(refused) => OfferResult::NotAdmitted(refused),
         TargetError::Unreachable => OfferResult::TryNext(RetryReason::ConnectFailed),
         TargetError::UnknownPrepared => {
             link.forget_session();
--- a/crates/proxy/src/sessions/request/transaction.rs
+++ b/crates/proxy/src/sessions/request/transaction.rs
@@ -107,7 +107,8 @@
         let link = lease.connection();
         let pending = link.push_session(&session.values, operation.prepared());
         link.push_statement(None, Some(at_least), Statement::Begin { read_only: true });
-        match acquire::exchange_all(call, link, pending + 1, read::hedge_at_us(call)).await {
+        let until_us = read::hedge_after_us(call, read::offered_by_us(call, link));
+        match acquire::exchange_all(call, link, pending + 1, until_us).await {
             Ok(Some(reply)) if reply.error().is_none() => {
                 target.answered(call.now_us(), None);
                 return Some(PinnedConnection { lease, target, may_read: true });
@@ -118,7 +119,10 @@
                 if error == Some(TargetError::Lagging) {
                     target.lagged(call.now_us());
                 }
-                call.gateway.counters.retry(RetryReason::Lagging);
+                call.gateway.counters.retry(match error {
+                    Some(TargetError::NotAdmitted(_)) => RetryReason::NoRoom,
+                    _ => RetryReason::Lagging,
+                });
                 lease.return_to_pool();
             }
             Err(lost) => {
