Read the clock of an admission queue under its lock

Two statements that arrived at the same time could reach the queue in the reverse order of their times. The age of a standing queue then underflowed: a panic in debug builds, and a refusal as queue_full in release builds.

--- a/crates/proxy/src/connection/admission.rs
+++ b/crates/proxy/src/connection/admission.rs
@@ -108,8 +108,9 @@
         request: &AdmissionRequest,
     ) -> Result<AdmissionPermit, Refusal> {
         let (class, ticket, granted) = {
-            let now_us = self.clock.now_us();
             let mut inner = self.inner.lock();
+            // Read under the lock, so that the queue's time does not go backwards.
+            let now_us = self.clock.now_us();
             let class = inner.known_class(request.class);
             match inner.queue.arrive(class, request.caller, request.deadline_us, now_us) {
                 Admission::Granted => return Ok(self.new_permit(class)),
