Serve the waiting callers of a class in fair order, and spread the retry times of refusals

One organisation that sends far more than usual filled the queue of its class, and the others waited behind it or were refused. With fair_callers, slot time is shared over callers by start-time fair queueing, and callers without waiting requests keep places. With spread_retries, callers that are refused at the same moment no longer return at the same moment. Both are off by default.

--- a/crates/core/src/process/sharing/class_queue.rs
+++ b/crates/core/src/process/sharing/class_queue.rs
@@ -1,13 +1,20 @@
-//! The waiting requests of one class, in arrival order, with a count per caller.
+//! The waiting requests of one class, with a count per caller.
 //!
+//! Requests are served in arrival order, or in fair order between their callers if that is enabled.
 //! A limit on the waiting requests of one caller keeps it from filling the queue of its class.
-//! Round-robin order between callers is not used: later requests of other callers could then
+//!
+//! Plain round-robin order between callers is not used: later requests of other callers could then
 //! overtake a waiting one indefinitely, so that no wait could be predicted (see
-//! `docs/design/sharing-in-a-surge.md`).
+//! `docs/design/sharing-in-a-surge.md`). Start-time fair queueing bounds this: see
+//! [`fair_callers`](crate::process::sharing::fair_callers).
 
 use std::collections;
 
 use crate::FastMap;
+use crate::process::sharing::fair_callers::FairCallers;
+
+/// The weight of a caller. All callers have the same for now.
+const CALLER_WEIGHT: u32 = 1;
 
 /// The identifier of a waiting request, increasing with its arrival.
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Debug)]
@@ -33,11 +40,33 @@
 /// The queue of one class.
 #[derive(Clone, Debug, Default)]
 pub struct ClassQueue {
+    /// The waiting requests in arrival order.
     waiting: collections::VecDeque<Waiting>,
     callers: FastMap<CallerId, usize>,
+    /// The order between callers; `None` if requests are served in arrival order.
+    fair: Option<FairCallers>,
 }
 
 impl ClassQueue {
+    /// Creates an empty queue that serves its callers in fair order, or requests in arrival order.
+    pub fn new(fair_callers: bool) -> ClassQueue {
+        ClassQueue { fair: fair_callers.then(FairCallers::default), ..ClassQueue::default() }
+    }
+
+    /// Changes the order in which requests are served, also of the waiting ones.
+    pub fn set_fair_callers(&mut self, fair_callers: bool) {
+        if fair_callers == self.fair.is_some() {
+            return;
+        }
+        self.fair = fair_callers.then(|| {
+            let mut fair = FairCallers::default();
+            for request in &self.waiting {
+                fair.push(request.caller, request.ticket, CALLER_WEIGHT);
+            }
+            fair
+        });
+    }
+
     /// Returns the number of waiting requests.
     pub fn len(&self) -> usize {
         self.waiting.len()
@@ -50,7 +79,24 @@
 
     /// Returns the request that is served next.
     pub fn head(&self) -> Option<&Waiting> {
-        self.waiting.front()
+        match &self.fair {
+            Some(fair) => self.index_of(fair.head()?).map(|index| &self.waiting[index]),
+            None => self.waiting.front(),
+        }
+    }
+
+    /// Returns the number of callers with waiting requests.
+    pub fn callers(&self) -> usize {
+        self.callers.len()
+    }
+
+    /// Returns how many of the waiting requests are served before a new request of the caller if no
+    /// other request arrives. Each request takes a slot for `slot_us`.
+    pub fn ahead_of(&self, caller: CallerId, slot_us: u64) -> usize {
+        match &self.fair {
+            Some(fair) => fair.ahead_of(caller, slot_us, CALLER_WEIGHT),
+            None => self.len(),
+        }
     }
 
     /// Returns the number of waiting requests of the caller.
@@ -67,23 +113,32 @@
     pub fn push(&mut self, request: Waiting) {
         *self.callers.entry(request.caller).or_default() += 1;
         self.waiting.push_back(request);
+        if let Some(fair) = &mut self.fair {
+            fair.push(request.caller, request.ticket, CALLER_WEIGHT);
+        }
     }
 
     /// Removes and returns the request that is served next.
     pub fn pop(&mut self) -> Option<Waiting> {
-        let request = self.waiting.pop_front()?;
-        self.remove_from_caller(request.caller);
-        Some(request)
+        let index = match &self.fair {
+            Some(fair) => self.index_of(fair.head()?)?,
+            None => 0,
+        };
+        self.remove_at(index)
+    }
+
+    /// Records that a request of the caller, which no longer waits, was granted and is expected to
+    /// take a slot for `slot_us`.
+    pub fn granted(&mut self, caller: CallerId, slot_us: u64) {
+        if let Some(fair) = &mut self.fair {
+            fair.granted(caller, slot_us, CALLER_WEIGHT);
+        }
     }
 
     /// Removes a request that no longer waits. Returns whether it was in the queue.
     pub fn remove(&mut self, ticket: Ticket) -> bool {
-        let index = self.waiting.binary_search_by_key(&ticket, |waiting| waiting.ticket);
-        let removed = index.ok().and_then(|index| self.waiting.remove(index));
-        if let Some(request) = removed {
-            self.remove_from_caller(request.caller);
-        }
-        removed.is_some()
+        let index = self.index_of(ticket);
+        index.and_then(|index| self.remove_at(index)).is_some()
     }
 
     /// Removes every request whose deadline has passed, and appends their tickets to `expired`.
@@ -115,9 +170,25 @@
             problems
                 .push(format!("{counted} requests are counted, but {} wait", self.waiting.len()));
         }
+        if let Some(fair) = &self.fair {
+            problems.extend(fair.verify(self.waiting.iter()));
+        }
         problems
     }
 
+    fn index_of(&self, ticket: Ticket) -> Option<usize> {
+        self.waiting.binary_search_by_key(&ticket, |waiting| waiting.ticket).ok()
+    }
+
+    fn remove_at(&mut self, index: usize) -> Option<Waiting> {
+        let request = self.waiting.remove(index)?;
+        self.remove_from_caller(request.caller);
+        if let Some(fair) = &mut self.fair {
+            fair.remove(request.caller, request.ticket);
+        }
+        Some(request)
+    }
+
     fn remove_from_caller(&mut self, caller: CallerId) {
         let Some(queued) = self.callers.get_mut(&caller) else { return };
         *queued -= 1;
--- a/crates/core/src/process/sharing/mod.rs
+++ b/crates/core/src/process/sharing/mod.rs
@@ -6,6 +6,7 @@
 //! `docs/design/sharing-in-a-surge.md`. `crates/bench/examples/surge.rs` runs other strategies.
 
 pub mod class_queue;
+pub mod fair_callers;
 pub mod queue;
 pub mod weighted;
 
--- a/crates/core/src/process/sharing/queue.rs
+++ b/crates/core/src/process/sharing/queue.rs
@@ -15,8 +15,23 @@
 //! for a while, its requests beyond that are refused until the queue has been short again. A burst
 //! ends before that and is queued. (The distinction between a standing queue and a burst is that of
 //! Nichols and Jacobson, "Controlling queue delay".)
+//!
+//! With [`QueueLimits::fair_callers`] the callers of a class share its time (see
+//! [`fair_callers`](crate::process::sharing::fair_callers)), and one that fills the queue must not
+//! get others refused:
+//!
+//! - The predicted wait of a request counts only the requests of its class that are served before
+//!   it. It is the base of the refusals for an unreachable deadline and for a standing queue.
+//!   Requests of other callers that arrive later may be served before it; a request that is thereby
+//!   served too late is not run and times out.
+//! - Requests of callers that have others waiting in the class take at most half of the places of a
+//!   class, and of all classes. The other half is left to callers without waiting requests, so such
+//!   a request is refused for lack of places only if as many other callers wait. Among the former, a
+//!   caller gets a place only if it has fewer of them than are left (Choudhury and Hahne, "Dynamic
+//!   queue length thresholds"), so that callers which fill the queue leave room for the next ones.
 
 use crate::ids::ClassId;
+use crate::process::jitter;
 use crate::process::sharing::ClassShare;
 use crate::process::sharing::ClassView;
 use crate::process::sharing::SharingStrategy;
@@ -152,7 +167,7 @@
         let mut queue = TargetQueue {
             limits,
             strategy: S::new(classes),
-            queues: vec![ClassQueue::default(); classes.len()],
+            queues: vec![ClassQueue::new(limits.fair_callers); classes.len()],
             averages: vec![initial; classes.len()],
             views: classes.iter().map(|share| ClassView::idle(*share)).collect(),
             standing_since_us: vec![None; classes.len()],
@@ -171,6 +186,7 @@
     pub fn set_limits(&mut self, limits: QueueLimits) {
         self.limits = limits;
         for class in 0..self.queues.len() {
+            self.queues[class].set_fair_callers(limits.fair_callers);
             self.refresh(class);
         }
     }
@@ -181,7 +197,7 @@
         let initial_us = self.limits.initial_run_us;
         for (class, share) in classes.iter().enumerate() {
             if class == self.queues.len() {
-                self.queues.push(ClassQueue::default());
+                self.queues.push(ClassQueue::new(self.limits.fair_callers));
                 self.averages.push(Averages { run_us: initial_us, held_us: initial_us });
                 self.views.push(ClassView::idle(*share));
                 self.standing_since_us.push(None);
@@ -205,13 +221,19 @@
         if self.has_room() && self.queued() == 0 {
             self.standing_since_us[index] = None;
             self.strategy.became_busy(index);
-            self.grant(index);
+            self.grant(index, caller);
             return Admission::Granted;
         }
-        let predicted_wait_us = self.predicted_wait_us(class, now_us);
-        self.track_standing_wait(index, predicted_wait_us, now_us);
+        // The whole class decides whether its queue is a standing one: the short wait of a caller
+        // with few requests must not end the refusals of others.
+        let class_wait_us = self.predicted_wait_us(class, now_us);
+        self.track_standing_wait(index, class_wait_us, now_us);
+        let predicted_wait_us = match self.limits.fair_callers {
+            true => self.predicted_caller_wait_us(class, caller, now_us),
+            false => class_wait_us,
+        };
         if let Some(kind) = self.refusal(index, caller, predicted_wait_us, deadline_us, now_us) {
-            let retry_after_us = predicted_wait_us.max(MIN_RETRY_AFTER_US);
+            let retry_after_us = self.retry_after_us(caller, class_wait_us, now_us);
             return Admission::Refused { kind, retry_after_us };
         }
         let ticket = Ticket(self.next_ticket);
@@ -238,7 +260,7 @@
         if request.deadline_us <= now_us + self.views[class].run_us {
             return Some(Turn::TimedOut(request.ticket));
         }
-        self.grant(class);
+        self.grant(class, request.caller);
         let waited_us = now_us.saturating_sub(request.queued_us);
         let class = ClassId(class as u32);
         Some(Turn::Granted(Grant { ticket: request.ticket, class, waited_us }))
@@ -285,7 +307,8 @@
         self.refresh(class.index());
     }
 
-    /// Returns how long a new request of the class would wait.
+    /// Returns how long a new request of the class would wait if all waiting requests of the class
+    /// were served before it.
     pub fn predicted_wait_us(&self, class: ClassId, now_us: u64) -> u64 {
         if self.has_room() && self.queued() == 0 {
             return 0;
@@ -294,6 +317,19 @@
         self.strategy.busy_ahead_us(class, &self.views, now_us) + self.views[class].busy_us
     }
 
+    /// Returns how long a new request of the caller would wait: with fair order between callers,
+    /// only the requests of its class count that are served before it.
+    pub fn predicted_caller_wait_us(&self, class: ClassId, caller: CallerId, now_us: u64) -> u64 {
+        if !self.limits.fair_callers || (self.has_room() && self.queued() == 0) {
+            return self.predicted_wait_us(class, now_us);
+        }
+        let class = class.index();
+        let busy_us = self.views[class].busy_us;
+        let mut views = self.views.clone();
+        views[class].queued = self.queues[class].ahead_of(caller, busy_us);
+        self.strategy.busy_ahead_us(class, &views, now_us) + busy_us
+    }
+
     /// Returns the number of waiting requests.
     pub fn queued(&self) -> usize {
         self.queues.iter().map(ClassQueue::len).sum()
@@ -340,10 +376,22 @@
         self.running < self.limits.running && self.connections < self.limits.connections
     }
 
-    fn grant(&mut self, class: usize) {
+    fn grant(&mut self, class: usize, caller: CallerId) {
+        let busy_us = self.views[class].busy_us;
         self.running += 1;
         self.connections += 1;
-        self.strategy.granted(class, self.views[class].busy_us);
+        self.strategy.granted(class, busy_us);
+        self.queues[class].granted(caller, busy_us);
+    }
+
+    /// Returns the time after which a refused caller is advised to retry. With spread retry times,
+    /// callers that are refused at the same moment do not return at the same moment.
+    fn retry_after_us(&self, caller: CallerId, class_wait_us: u64, now_us: u64) -> u64 {
+        let shortest_us = class_wait_us.max(MIN_RETRY_AFTER_US);
+        match self.limits.spread_retries {
+            true => shortest_us + jitter::below_us(caller.0, now_us, shortest_us / 2 + 1),
+            false => shortest_us,
+        }
     }
 
     fn refusal(
@@ -362,7 +410,10 @@
         let is_full = queue.len() >= self.limits.queued_per_class
             || self.exceeds_caller_limit(class, caller)
             || self.is_standing(class, caller, predicted_wait_us, now_us)
-            || !self.has_queue_space(class);
+            || match self.limits.fair_callers {
+                true => !self.has_fair_queue_space(class, caller),
+                false => !self.has_queue_space(class),
+            };
         is_full.then_some(ErrorKind::QueueFull)
     }
 
@@ -429,6 +480,37 @@
         taken < self.limits.queued
     }
 
+    /// Returns whether there is a place for a request of the caller with fair order between callers.
+    ///
+    /// The places are divided as for [`has_queue_space`](Self::has_queue_space), and each part
+    /// again into halves: one for the first waiting request of each caller, and one for further
+    /// requests. First requests may also take places of the other half.
+    fn has_fair_queue_space(&self, class: usize, caller: CallerId) -> bool {
+        let limits = &self.limits;
+        let reserved = limits.queued / (2 * self.queues.len().max(1));
+        let reserved_further = reserved / 2;
+        let reserved_first = reserved - reserved_further;
+        let first = |queue: &ClassQueue| queue.callers();
+        let further = |queue: &ClassQueue| queue.len() - queue.callers();
+
+        let taken_first: usize =
+            self.queues.iter().map(|queue| first(queue).max(reserved_first)).sum();
+        let taken_further: usize =
+            self.queues.iter().map(|queue| further(queue).max(reserved_further)).sum();
+        let shared = limits.queued.saturating_sub(taken_first + taken_further);
+        let queue = &self.queues[class];
+        if queue.queued_of(caller) == 0 {
+            return first(queue) < reserved_first || shared > 0;
+        }
+
+        let shared_further = shared.min((limits.queued / 2).saturating_sub(taken_further));
+        let left_in_total = reserved_further.saturating_sub(further(queue)) + shared_further;
+        let class_further = limits.queued_per_class / 2;
+        let class_first = first(queue).max(limits.queued_per_class - class_further);
+        let left_in_class = limits.queued_per_class.saturating_sub(class_first + further(queue));
+        queue.queued_of(caller) <= left_in_total.min(left_in_class)
+    }
+
     fn refresh(&mut self, class: usize) {
         let queue = &self.queues[class];
         let averages = self.averages[class];
