--- a/crates/core/src/process/sharing/queue.rs
+++ b/crates/core/src/process/sharing/queue.rs
@@ -382,6 +382,8 @@
         self.connections += 1;
         self.strategy.granted(class, busy_us);
         self.queues[class].granted(caller, busy_us);
+        // The grant may have moved the caller behind others.
+        self.refresh(class);
     }
 
     /// Returns the time after which a refused caller is advised to retry. With spread retry times,
