--- a/crates/core/src/process/sharing/class_queue.rs
+++ b/crates/core/src/process/sharing/class_queue.rs
@@ -135,6 +135,14 @@
         }
     }
 
+    /// Corrects the slot time of the caller after the end of a request that was expected to take a
+    /// slot for `expected_us` and took it for `actual_us`.
+    pub fn ended(&mut self, caller: CallerId, expected_us: u64, actual_us: u64) {
+        if let Some(fair) = &mut self.fair {
+            fair.ended(caller, expected_us, actual_us, CALLER_WEIGHT);
+        }
+    }
+
     /// Removes a request that no longer waits. Returns whether it was in the queue.
     pub fn remove(&mut self, ticket: Ticket) -> bool {
         let index = self.index_of(ticket);
--- a/crates/core/src/process/sharing/fair_callers.rs
+++ b/crates/core/src/process/sharing/fair_callers.rs
@@ -7,14 +7,19 @@
 //! request divided by the weight of the caller. So callers that always wait get slot time in
 //! proportion to their weights, and what one of them does not use is divided among the others.
 //!
+//! The slot time of a request is known only after it ended. Its expected slot time counts when it is
+//! granted, and the tag is corrected when it ended, so that a caller of long requests is served less
+//! often than others.
+//!
 //! A caller that starts to wait begins at the current virtual time, or at its tag if that is higher.
 //! It therefore accumulates no credit while it is idle, and gains nothing by sending its requests
 //! one at a time.
 //!
-//! A waiting request is not overtaken indefinitely. No tag is further ahead of virtual time than the
-//! slot time of one request divided by the caller's weight, so that with equal slot times and
-//! weights a request that finds `own` requests of its caller waiting is preceded by at most these
-//! and `own + 2` requests of each other caller.
+//! A waiting request is not overtaken indefinitely. With slot times as expected, no tag is further
+//! ahead of virtual time than the slot time of one request divided by the caller's weight. So if
+//! also all slot times and weights are equal, a request that finds `own` requests of its caller
+//! waiting is preceded by at most these and `own + 2` requests of each other caller. A longer
+//! request delays only later ones of the same caller.
 //!
 //! The tag of a caller without waiting requests is kept only while it is ahead of virtual time, and
 //! for at most [`MAX_IDLE_TAGS`] callers. Beyond that virtual time advances to the lowest of these
@@ -22,6 +27,7 @@
 //! the callers whose tags were dropped, so the limit also bounds how many different callers can
 //! overtake it.
 
+use std::cmp;
 use std::collections;
 
 use crate::FastMap;
@@ -105,19 +111,23 @@
         let start = self.tag(caller);
         let tag = start + step(slot_us, weight);
         self.virtual_time = self.virtual_time.max(start);
-        match self.waiting.get_mut(&caller) {
-            Some(waiting) => {
-                let oldest = waiting.tickets[0];
-                self.order.remove(&(waiting.tag, oldest, caller));
-                waiting.tag = tag;
-                self.order.insert((tag, oldest, caller));
-            }
-            None => {
-                self.forget_idle(caller);
-                self.keep_idle(caller, tag);
+        self.set_tag(caller, tag);
+    }
+
+    /// Corrects the tag of a caller after the end of a request that was expected to take a slot for
+    /// `expected_us` and took it for `actual_us`. A shorter request does not move the tag behind
+    /// virtual time, which would be credit for later.
+    pub fn ended(&mut self, caller: CallerId, expected_us: u64, actual_us: u64, weight: u32) {
+        let tag = self.tag(caller);
+        let corrected = match actual_us.cmp(&expected_us) {
+            cmp::Ordering::Greater => tag + step(actual_us - expected_us, weight),
+            cmp::Ordering::Equal => return,
+            cmp::Ordering::Less => {
+                let earlier = tag.saturating_sub(step(expected_us - actual_us, weight));
+                earlier.max(self.virtual_time.min(tag))
             }
-        }
-        self.drop_passed_tags();
+        };
+        self.set_tag(caller, corrected);
     }
 
     /// Returns how many of the waiting requests are served before a new request of the caller if no
@@ -186,6 +196,22 @@
         }
     }
 
+    fn set_tag(&mut self, caller: CallerId, tag: u64) {
+        match self.waiting.get_mut(&caller) {
+            Some(waiting) => {
+                let oldest = waiting.tickets[0];
+                self.order.remove(&(waiting.tag, oldest, caller));
+                waiting.tag = tag;
+                self.order.insert((tag, oldest, caller));
+            }
+            None => {
+                self.forget_idle(caller);
+                self.keep_idle(caller, tag);
+            }
+        }
+        self.drop_passed_tags();
+    }
+
     fn keep_idle(&mut self, caller: CallerId, tag: u64) {
         if tag > self.virtual_time {
             self.idle.insert(caller, tag);
--- a/crates/core/src/process/sharing/queue.rs
+++ b/crates/core/src/process/sharing/queue.rs
@@ -121,6 +121,8 @@
     pub ticket: Ticket,
     /// The class of the request.
     pub class: ClassId,
+    /// The caller that the request comes from.
+    pub caller: CallerId,
     /// The time for which it waited, in microseconds.
     pub waited_us: u64,
 }
@@ -135,9 +137,9 @@
     TimedOut(Ticket),
 }
 
-/// The moving averages of one class, in microseconds.
+/// The times of a request, or their moving averages for one class, in microseconds.
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
-struct Averages {
+struct Times {
     run_us: u64,
     held_us: u64,
 }
@@ -148,7 +150,7 @@
     limits: QueueLimits,
     strategy: S,
     queues: Vec<ClassQueue>,
-    averages: Vec<Averages>,
+    averages: Vec<Times>,
     views: Vec<ClassView>,
     /// For each class, the time since which its predicted wait has been above half of its goal.
     standing_since_us: Vec<Option<u64>>,
@@ -163,7 +165,7 @@
 {
     /// Creates an empty queue for these classes, in the order of [`ClassId`].
     pub fn new(limits: QueueLimits, classes: &[ClassShare]) -> TargetQueue<S> {
-        let initial = Averages { run_us: limits.initial_run_us, held_us: limits.initial_run_us };
+        let initial = Times { run_us: limits.initial_run_us, held_us: limits.initial_run_us };
         let mut queue = TargetQueue {
             limits,
             strategy: S::new(classes),
@@ -198,7 +200,7 @@
         for (class, share) in classes.iter().enumerate() {
             if class == self.queues.len() {
                 self.queues.push(ClassQueue::new(self.limits.fair_callers));
-                self.averages.push(Averages { run_us: initial_us, held_us: initial_us });
+                self.averages.push(Times { run_us: initial_us, held_us: initial_us });
                 self.views.push(ClassView::idle(*share));
                 self.standing_since_us.push(None);
             }
@@ -262,8 +264,8 @@
         }
         self.grant(class, request.caller);
         let waited_us = now_us.saturating_sub(request.queued_us);
-        let class = ClassId(class as u32);
-        Some(Turn::Granted(Grant { ticket: request.ticket, class, waited_us }))
+        let (ticket, caller) = (request.ticket, request.caller);
+        Some(Turn::Granted(Grant { ticket, class: ClassId(class as u32), caller, waited_us }))
     }
 
     /// Removes every waiting request whose deadline has passed.
@@ -307,6 +309,16 @@
         self.refresh(class.index());
     }
 
+    /// Records the same as [`released`](Self::released), and charges the caller for the time that its
+    /// statements took instead of the average of the class. This makes a difference only with fair
+    /// order between callers.
+    pub fn released_by(&mut self, class: ClassId, caller: CallerId, run_us: u64, held_us: u64) {
+        let index = class.index();
+        let actual_us = self.busy_us(Times { run_us, held_us });
+        self.queues[index].ended(caller, self.views[index].busy_us, actual_us);
+        self.released(class, run_us, held_us);
+    }
+
     /// Returns how long a new request of the class would wait if all waiting requests of the class
     /// were served before it.
     pub fn predicted_wait_us(&self, class: ClassId, now_us: u64) -> u64 {
@@ -516,13 +528,19 @@
     fn refresh(&mut self, class: usize) {
         let queue = &self.queues[class];
         let averages = self.averages[class];
-        let slots = u64::from(self.limits.running.max(1));
-        let connections = u64::from(self.limits.connections.max(1));
+        let busy_us = self.busy_us(averages);
         let view = &mut self.views[class];
         view.queued = queue.len();
         view.head_queued_us = queue.head().map_or(0, |head| head.queued_us);
         view.run_us = averages.run_us;
-        view.busy_us = (averages.run_us / slots).max(averages.held_us / connections).max(1);
+        view.busy_us = busy_us;
+    }
+
+    /// Returns for how long requests with these times keep the whole target busy.
+    fn busy_us(&self, times: Times) -> u64 {
+        let slots = u64::from(self.limits.running.max(1));
+        let connections = u64::from(self.limits.connections.max(1));
+        (times.run_us / slots).max(times.held_us / connections).max(1)
     }
 }
 
--- a/crates/core/tests/sharing_fairness.rs
+++ b/crates/core/tests/sharing_fairness.rs
@@ -93,9 +93,9 @@
 struct Model {
     queue: Queue,
     limits: QueueLimits,
-    /// The class of each running statement, and whether it is a next statement of a transaction.
-    running: Vec<(ClassId, bool)>,
-    paused: Vec<ClassId>,
+    /// The class and caller of each running statement, and whether it is a next statement of a transaction.
+    running: Vec<(ClassId, CallerId, bool)>,
+    paused: Vec<(ClassId, CallerId)>,
     waiting: collections::BTreeMap<Ticket, (ClassId, CallerId)>,
     ended: collections::BTreeSet<Ticket>,
     now_us: u64,
@@ -129,11 +129,13 @@
             6 if !self.running.is_empty() => {
                 let ended = usize::from(value) % self.running.len();
                 self.queue.statement_ended();
-                self.paused.push(self.running.swap_remove(ended).0);
+                let (class, caller, _) = self.running.swap_remove(ended);
+                self.paused.push((class, caller));
             }
             7 if !self.paused.is_empty() => {
                 self.queue.statement_started();
-                self.running.push((self.paused.swap_remove(0), true));
+                let (class, caller) = self.paused.swap_remove(0);
+                self.running.push((class, caller, true));
             }
             8 => {
                 let chosen = usize::from(value) % self.waiting.len().max(1);
@@ -144,7 +146,7 @@
                     assert!(!self.queue.abandon(class, ticket), "{ticket:?} was abandoned twice");
                 }
             }
-            9 if value % 8 == 0 => {
+            9 if value.is_multiple_of(8) => {
                 self.limits.fair_callers = !self.limits.fair_callers;
                 self.queue.set_limits(self.limits);
             }
@@ -163,7 +165,7 @@
         let callers: collections::BTreeSet<CallerId> =
             self.waiting.values().filter(|of| of.0 == class).map(|of| of.1).collect();
         match self.queue.arrive(class, caller, deadline_us, self.now_us) {
-            Admission::Granted => self.running.push((class, false)),
+            Admission::Granted => self.running.push((class, caller, false)),
             Admission::Queued { ticket, .. } => {
                 assert!(!self.ended.contains(&ticket), "{ticket:?} is used again");
                 assert!(self.waiting.insert(ticket, (class, caller)).is_none(), "{ticket:?} twice");
@@ -182,8 +184,10 @@
 
     fn finish(&mut self, chosen: usize) {
         if !self.running.is_empty() {
-            let (class, _) = self.running.swap_remove(chosen % self.running.len());
-            finish(&mut self.queue, class);
+            let (class, caller, _) = self.running.swap_remove(chosen % self.running.len());
+            let run_us = 1_000 * (1 + chosen as u64 % 32);
+            self.queue.statement_ended();
+            self.queue.released_by(class, caller, run_us, run_us);
         }
     }
 
@@ -191,8 +195,8 @@
         while let Some(turn) = self.queue.next_turn(self.now_us) {
             let ticket = match turn {
                 Turn::Granted(grant) => {
-                    assert_eq!(self.waiting[&grant.ticket].0, grant.class);
-                    self.running.push((grant.class, false));
+                    assert_eq!(self.waiting[&grant.ticket], (grant.class, grant.caller));
+                    self.running.push((grant.class, grant.caller, false));
                     assert!(
                         self.queue.running() <= self.limits.running,
                         "granted beyond the bound"
@@ -216,7 +220,7 @@
         assert_eq!(self.queue.connections() as usize, self.running.len() + self.paused.len());
         assert!(self.queue.connections() <= self.limits.connections);
         assert_eq!(self.queue.queued(), self.waiting.len());
-        let next_statements = self.running.iter().filter(|(_, is_next)| *is_next).count();
+        let next_statements = self.running.iter().filter(|(_, _, is_next)| *is_next).count();
         let bound = self.limits.running as usize + next_statements;
         assert!(self.running.len() <= bound, "{} run, above {bound}", self.running.len());
     }
@@ -232,9 +236,9 @@
             model.step(action, value, caller);
         }
         while !model.running.is_empty() || !model.paused.is_empty() {
-            model.paused.drain(..).for_each(|class| {
+            model.paused.drain(..).for_each(|(class, caller)| {
                 model.queue.statement_started();
-                model.running.push((class, true));
+                model.running.push((class, caller, true));
             });
             model.finish(0);
             model.take_turns();
@@ -261,7 +265,8 @@
             let class = 1 + u32::from(action / 16) % 2;
             match action % 8 {
                 0..=3 => {
-                    if arrive(&mut queue, class, u64::from(caller % 16), 0) == Admission::Granted {
+                    let admission = arrive(&mut queue, class, u64::from(caller % 16), 0);
+                    if admission == Admission::Granted {
                         ongoing.push(ClassId(class));
                         granted_since[class as usize] = true;
                     }
@@ -372,6 +377,36 @@
     check(24, 200, property as fn(Vec<u8>, Vec<u16>, u8) -> bool);
 }
 
+// A caller whose requests take longer than the average of the class must not get more slot time.
+#[test]
+fn callers_with_long_requests_are_served_less_often() {
+    fn property(runs_us: Vec<u16>) -> bool {
+        let runs_us: Vec<u64> = runs_us.iter().map(|run_us| 100 + u64::from(*run_us)).collect();
+        let mut queue = single(limits(1));
+        assert_eq!(arrive(&mut queue, 0, 999, 0), Admission::Granted);
+        for caller in 0..runs_us.len() as u64 {
+            ticket(arrive(&mut queue, 0, caller, 0));
+            ticket(arrive(&mut queue, 0, caller, 0));
+        }
+        finish(&mut queue, ClassId(0));
+        let mut work_us = vec![0; runs_us.len()];
+        let weights = vec![1; runs_us.len()];
+        for grants in 0..300 {
+            let Some(Turn::Granted(grant)) = queue.next_turn(0) else { return runs_us.is_empty() };
+            let caller = grant.caller.0 as usize;
+            ticket(arrive(&mut queue, 0, grant.caller.0, 0));
+            queue.statement_ended();
+            queue.released_by(ClassId(0), grant.caller, runs_us[caller], runs_us[caller]);
+            assert_eq!(queue.verify(), Vec::<String>::new());
+            work_us[caller] += runs_us[caller];
+            let largest_us = runs_us.iter().copied().max().unwrap_or(0);
+            assert_shares(&work_us, &weights, largest_us, grants);
+        }
+        true
+    }
+    check(16, 50, property as fn(Vec<u16>) -> bool);
+}
+
 #[test]
 fn classes_that_always_wait_get_their_weighted_share() {
     fn property(weights: Vec<u8>, costs_us: Vec<u16>) -> bool {
@@ -404,8 +439,8 @@
         let mut queue: Queue = TargetQueue::new(limits(1), &classes());
         assert_eq!(arrive(&mut queue, 2, 99, 0), Admission::Granted);
         let mut of = FastMap::default();
-        for class in 0..3 {
-            for caller in 0..callers[class] {
+        for (class, callers) in callers.into_iter().enumerate() {
+            for caller in 0..callers {
                 let extra = if caller == 0 { usize::from(heavy) % 20 } else { 0 };
                 for _ in 0..2 + extra {
                     of.insert(ticket(arrive(&mut queue, class as u32, caller as u64, 0)), caller);
@@ -616,16 +651,20 @@
 }
 
 macro_rules! places {
-    ($($name:ident: $heavy:literal heavy, $classes:literal classes => $first:literal,)*) => {
+    ($($name:ident: $heavy:literal heavy, $classes:literal classes, $queued:literal, $per_class:literal
+        => $first:literal,)*) => {
         $(#[test]
         fn $name() {
-            let bounds = QueueLimits { queued: 128, queued_per_class: 128, ..limits(1) };
+            let bounds =
+                QueueLimits { queued: $queued, queued_per_class: $per_class, ..limits(1) };
             let shares = [classes()[0]; $classes];
             let mut queue: Queue = TargetQueue::new(bounds, &shares);
             arrive(&mut queue, 0, HEAVY, 0);
             for class in 0..$classes {
-                for request in 0..128 * $heavy {
-                    arrive(&mut queue, class, request % $heavy, 0);
+                for _ in 0..128 {
+                    for caller in 0..$heavy {
+                        arrive(&mut queue, class, caller, 0);
+                    }
                 }
             }
             let admitted = (1_000..1_200).filter(|caller| {
@@ -633,6 +672,7 @@
             });
             let admitted = admitted.count();
             assert!(admitted + $heavy >= $first, "{admitted} callers got a place");
+            assert!(queue.queued_of(ClassId(0)) <= $per_class);
             assert_eq!(queue.verify(), Vec::<String>::new());
         })*
     };
@@ -642,11 +682,12 @@
 // places of the class, or what is left of half of all places if every class is filled (16 of 128
 // places are reserved for each of 4 classes, 8 of them for first requests, 32 shared).
 places! {
-    one_heavy_caller_leaves_places: 1 heavy, 1 classes => 64,
-    two_heavy_callers_leave_places: 2 heavy, 1 classes => 64,
-    many_heavy_callers_leave_places: 30 heavy, 1 classes => 64,
-    heavy_callers_of_all_classes_leave_places: 2 heavy, 4 classes => 32,
-    many_heavy_callers_of_all_classes_leave_places: 8 heavy, 4 classes => 8,
+    one_heavy_caller_leaves_places: 1 heavy, 1 classes, 128, 128 => 64,
+    two_heavy_callers_leave_places: 2 heavy, 1 classes, 128, 128 => 64,
+    many_heavy_callers_leave_places: 30 heavy, 1 classes, 128, 128 => 64,
+    heavy_callers_leave_places_in_their_class: 8 heavy, 1 classes, 512, 64 => 32,
+    heavy_callers_of_all_classes_leave_places: 2 heavy, 4 classes, 128, 128 => 32,
+    many_heavy_callers_of_all_classes_leave_places: 8 heavy, 4 classes, 128, 128 => 8,
 }
 
 /// Returns the retry time of a request of the class that is refused.
