--- a/crates/core/tests/sharing_fairness.rs
+++ b/crates/core/tests/sharing_fairness.rs
@@ -407,6 +407,28 @@
     check(16, 50, property as fn(Vec<u16>) -> bool);
 }
 
+// Several requests of a caller run at once, and a short one ends after virtual time has passed the tag
+// that it would have had. If the tag went back to there, the caller would be served several times in
+// a row.
+#[test]
+fn a_short_request_gives_no_credit() {
+    let (one, other) = (CallerId(1), CallerId(2));
+    let mut fair = FairCallers::default();
+    (0..5).for_each(|ticket| fair.push(one, Ticket(ticket), 1));
+    (5..10).for_each(|ticket| fair.push(other, Ticket(ticket), 1));
+    let grant = |fair: &mut FairCallers, caller, ticket| {
+        assert_eq!(fair.head(), Some(Ticket(ticket)));
+        fair.remove(caller, Ticket(ticket));
+        fair.granted(caller, RUN_US, 1);
+    };
+    grant(&mut fair, one, 0);
+    grant(&mut fair, other, 5);
+    grant(&mut fair, one, 1);
+    fair.ended(other, RUN_US, 100, 1);
+    grant(&mut fair, other, 6);
+    grant(&mut fair, one, 2);
+}
+
 #[test]
 fn classes_that_always_wait_get_their_weighted_share() {
     fn property(weights: Vec<u8>, costs_us: Vec<u16>) -> bool {
@@ -739,8 +761,7 @@
 
 // During an overload of all classes, less urgent requests must not take the place of more urgent ones
 // by returning earlier. The predicted waits are in this order by themselves if at least as much
-// waits in each less urgent class. A less urgent class in which less waits uses less than its
-// share, and may be told to return earlier.
+// waits in each less urgent class.
 #[test]
 fn less_urgent_classes_retry_later() {
     fn property(queued: (u8, u8, u8), served: u8) -> bool {
@@ -766,3 +787,16 @@
     }
     check(64, 200, property as fn((u8, u8, u8), u8) -> bool);
 }
+
+// The order of retry times is that of the predicted waits, not of the classes: a class that uses less
+// than its share is not told to wait for the backlog of a more urgent one.
+#[test]
+fn a_class_below_its_share_retries_before_an_overloaded_urgent_one() {
+    let bounds = QueueLimits { spread_retries: false, ..limits(1) };
+    let mut queue: Queue = TargetQueue::new(bounds, &classes());
+    for caller in 0..41 {
+        arrive(&mut queue, 0, caller, 0);
+    }
+    let [urgent_us, other_us] = [0, 2].map(|class| retry_after_us(&mut queue, class, 99, 0));
+    assert!(other_us < urgent_us, "{other_us} and {urgent_us}");
+}
