Charge callers for the actual time of their requests in the proxy

A permit knows its caller, and the predicted wait of a request is that of its caller. Nothing changes unless the order between callers is enabled.

--- a/crates/proxy/src/connection/admission.rs
+++ b/crates/proxy/src/connection/admission.rs
@@ -99,7 +99,7 @@
     pub fn predicted_wait_us(&self, request: &AdmissionRequest) -> u64 {
         let inner = self.inner.lock();
         let class = inner.known_class(request.class);
-        inner.queue.predicted_wait_us(class, self.clock.now_us())
+        inner.queue.predicted_caller_wait_us(class, request.caller, self.clock.now_us())
     }
 
     /// Waits for admission. Fails if the queue refuses the request or the deadline expires.
@@ -112,7 +112,7 @@
             let mut inner = self.inner.lock();
             let class = inner.known_class(request.class);
             match inner.queue.arrive(class, request.caller, request.deadline_us, now_us) {
-                Admission::Granted => return Ok(self.new_permit(class)),
+                Admission::Granted => return Ok(self.new_permit(class, request.caller)),
                 Admission::Refused { kind, retry_after_us } => {
                     return Err(Refusal::with_retry_after(kind, retry_after_us.div_ceil(1_000)));
                 }
@@ -131,11 +131,12 @@
         }
     }
 
-    fn new_permit(self: &Arc<Self>, class: ClassId) -> AdmissionPermit {
+    fn new_permit(self: &Arc<Self>, class: ClassId, caller: CallerId) -> AdmissionPermit {
         let now_us = self.clock.now_us();
         AdmissionPermit {
             queue: Arc::clone(self),
             class,
+            caller,
             granted_us: now_us,
             ran_us: 0,
             started_us: Some(now_us),
@@ -146,7 +147,9 @@
         let mut wakeups = Vec::new();
         while let Some(turn) = inner.queue.next_turn(self.clock.now_us()) {
             let (ticket, result) = match turn {
-                Turn::Granted(grant) => (grant.ticket, Ok(self.new_permit(grant.class))),
+                Turn::Granted(grant) => {
+                    (grant.ticket, Ok(self.new_permit(grant.class, grant.caller)))
+                }
                 Turn::TimedOut(ticket) => (ticket, Err(ErrorKind::WaitTimedOut)),
             };
             let sender = inner.waiting.remove(&ticket);
@@ -196,6 +199,7 @@
 pub struct AdmissionPermit {
     queue: Arc<AdmissionQueue>,
     class: ClassId,
+    caller: CallerId,
     granted_us: u64,
     ran_us: u64,
     started_us: Option<u64>,
@@ -228,12 +232,12 @@
     fn drop(&mut self) {
         let was_running = self.stop_running();
         let held_us = self.queue.clock.now_us().saturating_sub(self.granted_us);
-        let (class, ran_us) = (self.class, self.ran_us);
+        let (class, caller, ran_us) = (self.class, self.caller, self.ran_us);
         self.queue.update_queue(|queue| {
             if was_running {
                 queue.statement_ended();
             }
-            queue.released(class, ran_us, held_us);
+            queue.released_by(class, caller, ran_us, held_us);
         });
     }
 }
