Show shared admission in metrics and logs

An operator sees which VM admits for a target, what runs, waits and is refused there by class, when the role of a VM changes, and for a refused request the VM that refused it.

--- a/crates/proxy/src/connection/admission.rs
+++ b/crates/proxy/src/connection/admission.rs
@@ -35,6 +35,20 @@
     pub deadline_us: u64,
 }
 
+/// The state of one class of a queue.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub struct ClassAdmission {
+    /// Number of statements that run.
+    pub running: u32,
+    /// Number of requests that wait.
+    pub waiting: usize,
+    /// Number of requests that were not admitted since the queue was created: refused at arrival, or not
+    /// admitted before their deadline.
+    pub refused: u64,
+    /// The time that a new request is expected to wait, in microseconds.
+    pub predicted_wait_us: u64,
+}
+
 /// The admission queue in front of one target.
 #[derive(Debug)]
 pub struct AdmissionQueue {
@@ -48,6 +62,17 @@
     queue: TargetQueue<Strategy>,
     limits: QueueLimits,
     waiting: FastMap<Ticket, oneshot::Sender<Result<AdmissionPermit, ErrorKind>>>,
+    /// Counts of the classes. Those of a removed class stay, since its permits may still be in use.
+    counts: Vec<ClassCounts>,
+}
+
+/// The counts of one class.
+#[derive(Clone, Copy, Debug, Default)]
+struct ClassCounts {
+    /// Number of statements that run.
+    running: u32,
+    /// Number of requests that were not admitted.
+    refused: u64,
 }
 
 impl Inner {
@@ -56,6 +81,16 @@
     fn known_class(&self, class: ClassId) -> ClassId {
         if class.index() < self.classes.len() { class } else { ClassId(0) }
     }
+
+    fn statement_started(&mut self, class: ClassId) {
+        self.queue.statement_started();
+        self.counts[class.index()].running += 1;
+    }
+
+    fn statement_ended(&mut self, class: ClassId) {
+        self.queue.statement_ended();
+        self.counts[class.index()].running -= 1;
+    }
 }
 
 /// A result to deliver to a waiting task. Delivered only after the queue's lock is released: if the
@@ -72,7 +107,8 @@
     ) -> AdmissionQueue {
         let queue = TargetQueue::new(limits, classes);
         let classes = classes.to_vec();
-        let inner = Inner { classes, queue, limits, waiting: FastMap::default() };
+        let counts = vec![ClassCounts::default(); classes.len()];
+        let inner = Inner { classes, queue, limits, waiting: FastMap::default(), counts };
         AdmissionQueue { inner: Mutex::new(inner), clock }
     }
 
@@ -89,6 +125,8 @@
         if inner.classes != classes {
             inner.classes = classes.to_vec();
             inner.queue.set_classes(classes);
+            let known = inner.counts.len().max(classes.len());
+            inner.counts.resize(known, ClassCounts::default());
         }
         let wakeups = self.grant_turns(&mut inner);
         drop(inner);
@@ -102,6 +140,22 @@
         inner.queue.predicted_wait_us(class, self.clock.now_us())
     }
 
+    /// Returns the state of each class, in the order of [`ClassId`].
+    pub fn by_class(&self) -> Vec<ClassAdmission> {
+        let now_us = self.clock.now_us();
+        let inner = self.inner.lock();
+        let of_class = |class: usize| {
+            let (counts, class) = (inner.counts[class], ClassId(class as u32));
+            ClassAdmission {
+                running: counts.running,
+                waiting: inner.queue.queued_of(class),
+                refused: counts.refused,
+                predicted_wait_us: inner.queue.predicted_wait_us(class, now_us),
+            }
+        };
+        (0..inner.classes.len()).map(of_class).collect()
+    }
+
     /// Waits for admission. Fails if the queue refuses the request or the deadline expires.
     pub async fn admit(
         self: &Arc<Self>,
@@ -112,8 +166,9 @@
             let mut inner = self.inner.lock();
             let class = inner.known_class(request.class);
             match inner.queue.arrive(class, request.caller, request.deadline_us, now_us) {
-                Admission::Granted => return Ok(self.new_permit(class)),
+                Admission::Granted => return Ok(self.new_permit(&mut inner, class)),
                 Admission::Refused { kind, retry_after_us } => {
+                    inner.counts[class.index()].refused += 1;
                     return Err(Refusal::with_retry_after(kind, retry_after_us.div_ceil(1_000)));
                 }
                 Admission::Queued { ticket, .. } => {
@@ -126,12 +181,19 @@
         let _abandon = AbandonOnDrop { queue: self, class, ticket };
         let left_us = request.deadline_us.saturating_sub(self.clock.now_us());
         match time::timeout(Duration::from_micros(left_us), granted).await {
-            Ok(Ok(granted)) => granted.map_err(Refusal::from),
-            _ => Err(ErrorKind::WaitTimedOut.into()),
+            Ok(Ok(Ok(permit))) => Ok(permit),
+            Ok(Ok(Err(kind))) => Err(self.count_refusal(class, kind)),
+            _ => Err(self.count_refusal(class, ErrorKind::WaitTimedOut)),
         }
     }
 
-    fn new_permit(self: &Arc<Self>, class: ClassId) -> AdmissionPermit {
+    fn count_refusal(&self, class: ClassId, kind: ErrorKind) -> Refusal {
+        self.inner.lock().counts[class.index()].refused += 1;
+        Refusal::from(kind)
+    }
+
+    fn new_permit(self: &Arc<Self>, inner: &mut Inner, class: ClassId) -> AdmissionPermit {
+        inner.counts[class.index()].running += 1;
         let now_us = self.clock.now_us();
         AdmissionPermit {
             queue: Arc::clone(self),
@@ -146,7 +208,7 @@
         let mut wakeups = Vec::new();
         while let Some(turn) = inner.queue.next_turn(self.clock.now_us()) {
             let (ticket, result) = match turn {
-                Turn::Granted(grant) => (grant.ticket, Ok(self.new_permit(grant.class))),
+                Turn::Granted(grant) => (grant.ticket, Ok(self.new_permit(inner, grant.class))),
                 Turn::TimedOut(ticket) => (ticket, Err(ErrorKind::WaitTimedOut)),
             };
             let sender = inner.waiting.remove(&ticket);
@@ -158,10 +220,10 @@
 
     fn update_queue<F>(self: &Arc<Self>, update: F)
     where
-        F: FnOnce(&mut TargetQueue<Strategy>),
+        F: FnOnce(&mut Inner),
     {
         let mut inner = self.inner.lock();
-        update(&mut inner.queue);
+        update(&mut inner);
         let wakeups = self.grant_turns(&mut inner);
         drop(inner);
         wake(wakeups);
@@ -205,7 +267,8 @@
     /// Reports that the statement ended and its transaction continues.
     pub fn statement_ended(&mut self) {
         if self.stop_running() {
-            self.queue.update_queue(TargetQueue::statement_ended);
+            let class = self.class;
+            self.queue.update_queue(|inner| inner.statement_ended(class));
         }
     }
 
@@ -213,7 +276,7 @@
     pub fn statement_started(&mut self) {
         if self.started_us.is_none() {
             self.started_us = Some(self.queue.clock.now_us());
-            self.queue.inner.lock().queue.statement_started();
+            self.queue.inner.lock().statement_started(self.class);
         }
     }
 
@@ -229,11 +292,11 @@
         let was_running = self.stop_running();
         let held_us = self.queue.clock.now_us().saturating_sub(self.granted_us);
         let (class, ran_us) = (self.class, self.ran_us);
-        self.queue.update_queue(|queue| {
+        self.queue.update_queue(|inner| {
             if was_running {
-                queue.statement_ended();
+                inner.statement_ended(class);
             }
-            queue.released(class, ran_us, held_us);
+            inner.queue.released(class, ran_us, held_us);
         });
     }
 }
--- a/crates/proxy/src/sessions/connection/peer.rs
+++ b/crates/proxy/src/sessions/connection/peer.rs
@@ -352,7 +352,10 @@
                 call.offer_until_us(),
             )
             .await
-            .map_err(|acquire_error| self.refusal_for(&acquire_error))?,
+            .map_err(|acquire_error| {
+                call.log_not_admitted(&self.target, &acquire_error);
+                self.refusal_for(&acquire_error)
+            })?,
         };
         let is_durable = match self.status {
             TransactionStatus::Idle => operation.writes(),
--- a/crates/proxy/src/sessions/process/fleet.rs
+++ b/crates/proxy/src/sessions/process/fleet.rs
@@ -16,10 +16,28 @@
 use crate::sessions::process::limits;
 use crate::sessions::process::peer_routes::PeerRoutes;
 use crate::sessions::process::target_path::PathInputs;
+use crate::sessions::process::targets::AdmissionRole;
 use crate::sessions::process::targets::TargetState;
 use crate::sessions::store::VmAddress;
 use crate::sessions::version::view::View;
 
+/// This VM's part in the admission to a target.
+#[derive(Debug)]
+struct AdmissionState {
+    role: Option<AdmissionRole>,
+    /// The VM that statements are sent through; `None` if they are sent to the target.
+    via: Option<Arc<str>>,
+}
+
+impl AdmissionState {
+    fn of<C>(target: &TargetState<C>) -> AdmissionState
+    where
+        C: Codec,
+    {
+        AdmissionState { role: target.admission_role(), via: target.via() }
+    }
+}
+
 impl<C> Gateway<C>
 where
     C: Codec,
@@ -97,7 +115,40 @@
         now_us: u64,
     ) {
         self.counters.event(Event::PathsReplaced);
-        target.route(now_us, || peer_routes.update_path(target, inputs, now_us));
+        let (before, after) = target.route(now_us, || {
+            let before = AdmissionState::of(target);
+            peer_routes.update_path(target, inputs, now_us);
+            (before, AdmissionState::of(target))
+        });
+        if before.role != after.role {
+            self.log_admission_role(target, &before, &after, peer_routes.vm_count());
+        }
+    }
+
+    /// Logs that this VM began or stopped to admit for a target or to be a standby. VMs that only forward log
+    /// nothing: in a large fleet each of them does so for most targets.
+    fn log_admission_role(
+        &self,
+        target: &TargetState<C>,
+        before: &AdmissionState,
+        after: &AdmissionState,
+        vms: usize,
+    ) {
+        if !AdmissionRole::is_home(before.role) && !AdmissionRole::is_home(after.role) {
+            return;
+        }
+        let Some(left_out) = self.log_budget.take("admission_role", self.clock.now_us()) else {
+            return;
+        };
+        slog::info!(self.log, "admission role changed";
+            "target" => &*target.record.id,
+            "service" => &*target.record.service,
+            "role_before" => AdmissionRole::name(before.role),
+            "role" => AdmissionRole::name(after.role),
+            "via_before" => before.via.as_deref().unwrap_or_default(),
+            "via" => after.via.as_deref().unwrap_or_default(),
+            "vms" => vms,
+            "left_out" => left_out);
     }
 
     /// Makes the targets active that this process connects to directly.
--- a/crates/proxy/src/sessions/process/metrics_text.rs
+++ b/crates/proxy/src/sessions/process/metrics_text.rs
@@ -6,6 +6,8 @@
 use crate::process::counters::counted;
 use crate::sessions::codec::Codec;
 use crate::sessions::process::gateway::Gateway;
+use crate::sessions::process::targets::AdmissionRole;
+use crate::sessions::process::targets::TargetState;
 
 counted! {
     /// Metrics that are exported besides the counters.
@@ -34,6 +36,16 @@
         TargetUsualAnswer = "skylark_target_usual_answer_us",
         /// Connections to a target, or to the VMs that relay statements to it.
         TargetConnections = "skylark_target_connections",
+        /// What this VM does for a target whose admission is shared: 0 forwards, 1 standby, 2 admits.
+        AdmissionRole = "skylark_admission_role",
+        /// Statements of a class that run at a target that this VM admits to.
+        AdmissionRunning = "skylark_admission_running",
+        /// Requests of a class that wait for admission.
+        AdmissionWaiting = "skylark_admission_waiting",
+        /// Requests of a class that were not admitted.
+        AdmissionRefused = "skylark_admission_refused",
+        /// The time that a new request of a class is expected to wait, in microseconds.
+        AdmissionPredictedWait = "skylark_admission_predicted_wait_us",
         /// An organisation's limit over all VMs, in thousandths of an operation a second.
         OrganisationLimit = "skylark_organisation_limit_milli_per_s",
         /// Operations that this VM granted of an organisation's limit.
@@ -96,10 +108,37 @@
     line(out, Metric::TargetsActive.name(), "", active.len() as u64);
     for target in active {
         let health = target.health();
-        let labels =
-            format!("{{service=\"{}\",target=\"{}\"}}", target.record.service, target.record.id);
+        let pairs =
+            format!("service=\"{}\",target=\"{}\"", target.record.service, target.record.id);
+        let labels = format!("{{{pairs}}}");
         line(out, Metric::TargetUsualAnswer.name(), &labels, health.average_answer_us);
         line(out, Metric::TargetConnections.name(), &labels, u64::from(target.connections()));
+        render_admission(&target, &pairs, out);
+    }
+}
+
+/// Appends what this VM does for the admission to a target, and the state of its queue if it admits. Nothing is
+/// shown for a target whose admission is not shared. `pairs` are the labels of the target without braces.
+fn render_admission<C>(target: &TargetState<C>, pairs: &str, out: &mut String)
+where
+    C: Codec,
+{
+    let Some(role) = target.admission_role() else { return };
+    let level = match role {
+        AdmissionRole::Forwards => 0,
+        AdmissionRole::Standby => 1,
+        AdmissionRole::Admits => 2,
+    };
+    line(out, Metric::AdmissionRole.name(), &format!("{{{pairs}}}"), level);
+    if role != AdmissionRole::Admits {
+        return;
+    }
+    for (class, state) in target.queue.by_class().iter().enumerate() {
+        let labels = format!("{{{pairs},class=\"{class}\"}}");
+        line(out, Metric::AdmissionRunning.name(), &labels, u64::from(state.running));
+        line(out, Metric::AdmissionWaiting.name(), &labels, state.waiting as u64);
+        line(out, Metric::AdmissionRefused.name(), &labels, state.refused);
+        line(out, Metric::AdmissionPredictedWait.name(), &labels, state.predicted_wait_us);
     }
 }
 
--- a/crates/proxy/src/sessions/process/targets.rs
+++ b/crates/proxy/src/sessions/process/targets.rs
@@ -57,6 +57,23 @@
     Admits,
 }
 
+impl AdmissionRole {
+    /// Returns the name of a role in the log; `None` stands for admission that is not shared.
+    pub fn name(role: Option<AdmissionRole>) -> &'static str {
+        match role {
+            None => "not_shared",
+            Some(AdmissionRole::Forwards) => "forwards",
+            Some(AdmissionRole::Standby) => "standby",
+            Some(AdmissionRole::Admits) => "admits",
+        }
+    }
+
+    /// Whether a VM of this role is one of those that admit, or that admit next.
+    pub fn is_home(role: Option<AdmissionRole>) -> bool {
+        matches!(role, Some(AdmissionRole::Standby | AdmissionRole::Admits))
+    }
+}
+
 /// The health of a target, as observed by requests.
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
 pub struct Health {
@@ -279,14 +296,15 @@
     }
 
     /// Sets the paths by `set`, one caller at a time: of two concurrent changes, one would close the
-    /// connections that the other one just gave to statements.
-    pub fn route<F>(&self, now_us: u64, set: F)
+    /// connections that the other one just gave to statements. Returns what `set` returns.
+    pub fn route<F, R>(&self, now_us: u64, set: F) -> R
     where
-        F: FnOnce(),
+        F: FnOnce() -> R,
     {
         let _routing = self.routing.lock();
-        set();
+        let result = set();
         self.routed_us.store(now_us.max(1), Ordering::Relaxed);
+        result
     }
 
     /// Whether the paths need no maintenance until a statement uses them: they lead through other VMs, have
--- a/crates/proxy/src/sessions/request/call.rs
+++ b/crates/proxy/src/sessions/request/call.rs
@@ -19,6 +19,8 @@
 use crate::sessions::process::latencies::Stage;
 use crate::sessions::process::limits;
 use crate::sessions::process::targets::CLASSES;
+use crate::sessions::process::targets::TargetState;
+use crate::sessions::request::acquire::AcquireError;
 
 /// An operation that a target runs.
 #[derive(Clone, Debug)]
@@ -150,7 +152,14 @@
         let view = self.gateway.view();
         let primary = self.gateway.primary(&self.route.service);
         let waited_us = self.now_us().saturating_sub(self.began_us);
-        slog::info!(self.gateway.log, "refused";
+        let log = match primary.as_ref().filter(|target| target.shares_admission()) {
+            Some(target) => self.gateway.log.new(slog::o!(
+                "class" => self.class().index(),
+                "via" => target.via().as_deref().unwrap_or_default().to_owned(),
+                "retry_after_ms" => refusal.retry_after_ms)),
+            None => self.gateway.log.clone(),
+        };
+        slog::info!(log, "refused";
             "request" => self.id,
             "kind" => name,
             "service" => &*self.route.service,
@@ -161,6 +170,26 @@
             "left_out" => left_out);
     }
 
+    /// Logs that this VM's queue for a target refused a statement of another VM, if it admits the statements of
+    /// all VMs. The identifier is the one that the other VM logs.
+    pub fn log_not_admitted(&self, target: &TargetState<C>, acquire_error: &AcquireError) {
+        let AcquireError::Queue(refusal) = acquire_error else { return };
+        if !target.shares_admission() {
+            return;
+        }
+        let now_us = self.now_us();
+        let Some(left_out) = self.gateway.log_budget.take("not_admitted", now_us) else { return };
+        slog::info!(self.gateway.log, "forwarded statement refused";
+            "request" => self.id,
+            "kind" => refusal.kind.answer().name,
+            "service" => &*target.record.service,
+            "target" => &*target.record.id,
+            "class" => self.class().index(),
+            "retry_after_ms" => refusal.retry_after_ms,
+            "waited_us" => now_us.saturating_sub(self.began_us),
+            "left_out" => left_out);
+    }
+
     /// Logs a statement without a complete reply.
     pub fn log_lost(&self, target: &str, failure: skylark_core::request::retry::Failure) {
         let now_us = self.now_us();
