Log the request's id where a transaction's BEGIN is refused

Transactions and reads at the primary open with a BEGIN, which carried no id, so that the admitting VM could not name the request that it refused. Another proxy gets the id with the BEGIN if admission is shared; what targets receive is unchanged.

--- a/crates/proxy/src/sessions/connection/link.rs
+++ b/crates/proxy/src/sessions/connection/link.rs
@@ -197,6 +197,17 @@
         self.push(&Query::Statement { id, at_least, statement });
     }
 
+    /// Pushes the `BEGIN` of a transaction that is opened for the statement `id`. Only a proxy receives the
+    /// identifier, which it logs if it refuses the `BEGIN`.
+    pub fn push_begin(
+        &mut self,
+        id: Option<&str>,
+        at_least: Option<LogPosition>,
+        begin: Statement<'_>,
+    ) {
+        self.push_statement(id.filter(|_| self.to_proxy), at_least, begin);
+    }
+
     /// Pushes a statement issued by the proxy itself.
     pub fn push_own(&mut self, statement: Statement<'_>) {
         self.push_statement(None, None, statement);
--- a/crates/proxy/src/sessions/request/at_primary.rs
+++ b/crates/proxy/src/sessions/request/at_primary.rs
@@ -215,7 +215,8 @@
             continue;
         }
         let pending = link.push_session(&session.values, operation.prepared());
-        link.push_statement(None, at_least, Statement::Begin { read_only: false });
+        let begin = Statement::Begin { read_only: false };
+        link.push_begin(call.begin_id(&target), at_least, begin);
         target.started(sent_us);
         // Other members are queried while the primary replies, so that the proof adds hardly any latency.
         let proof = prove_lead_if(guarantee == ReadGuarantee::Lead, call, &target);
--- a/crates/proxy/src/sessions/request/call.rs
+++ b/crates/proxy/src/sessions/request/call.rs
@@ -70,6 +70,11 @@
     {
         let id = Some(id);
         match self {
+            // Another proxy's `BEGIN` has the identifier of the statement that follows it. The target gets that
+            // one with the statement only.
+            Operation::Plain(statement @ Statement::Begin { .. }) => {
+                link.push_statement(None, at_least, *statement);
+            }
             Operation::Plain(statement) => link.push_statement(id, at_least, *statement),
             Operation::Execute { prepared, arguments } => {
                 let name = link.prepared_name(prepared).unwrap_or_default();
@@ -139,6 +144,12 @@
         CallerId(self.user.map_or(self.session, |user| jitter::seed_of(user)))
     }
 
+    /// Returns the identifier for the `BEGIN` of a transaction that the statement opens: that of the statement if
+    /// one VM admits for all, so that this VM's log shows which statement it refused.
+    pub fn begin_id(&self, target: &TargetState<C>) -> Option<&str> {
+        target.shares_admission().then_some(self.id)
+    }
+
     /// Records the latency of a stage that began at `since_us`.
     pub fn record_latency(&self, stage: Stage, since_us: u64) {
         let took_us = self.now_us().saturating_sub(since_us);
--- a/crates/proxy/src/sessions/request/transaction.rs
+++ b/crates/proxy/src/sessions/request/transaction.rs
@@ -106,7 +106,8 @@
         };
         let link = lease.connection();
         let pending = link.push_session(&session.values, operation.prepared());
-        link.push_statement(None, Some(at_least), Statement::Begin { read_only: true });
+        let begin = Statement::Begin { read_only: true };
+        link.push_begin(call.begin_id(&target), Some(at_least), begin);
         match acquire::exchange_all(call, link, pending + 1, read::hedge_at_us(call)).await {
             Ok(Some(reply)) if reply.error().is_none() => {
                 target.answered(call.now_us(), None);
