--- a/crates/proxy/src/sessions/connection/peer.rs
+++ b/crates/proxy/src/sessions/connection/peer.rs
@@ -388,7 +388,10 @@
                 // another home.
                 let path = self.target.path();
                 let taken = acquire::take_on_path(&call, &self.target, &path, until_us).await;
-                taken.map_err(|acquire_error| self.refusal_for(acquire_error))?
+                taken.map_err(|acquire_error| {
+                    call.log_not_admitted(&self.target, &acquire_error);
+                    self.refusal_for(acquire_error)
+                })?
             }
         };
         let is_durable = match self.status {
--- a/crates/proxy/src/sessions/request/transaction.rs
+++ b/crates/proxy/src/sessions/request/transaction.rs
@@ -106,7 +106,8 @@
         };
         let link = lease.connection();
         let pending = link.push_session(&session.values, operation.prepared());
-        link.push_statement(None, Some(at_least), Statement::Begin { read_only: true });
+        let begin = Statement::Begin { read_only: true };
+        link.push_begin(call.begin_id(&target), Some(at_least), begin);
         let until_us = read::hedge_after_us(call, read::offered_by_us(call, link));
         match acquire::exchange_all(call, link, pending + 1, until_us).await {
             Ok(Some(reply)) if reply.error().is_none() => {
