--- a/crates/proxy/src/sessions/connection/peer.rs
+++ b/crates/proxy/src/sessions/connection/peer.rs
@@ -41,7 +41,6 @@
 use crate::sessions::process::gateway::Gateway;
 use crate::sessions::process::limits;
 use crate::sessions::process::quota::answer;
-use crate::sessions::process::targets::CLASSES;
 use crate::sessions::process::targets::TargetState;
 use crate::sessions::process::zone_reach;
 use crate::sessions::request::acquire;
@@ -246,8 +245,7 @@
         next_message::<C>(&self.stream, &mut self.input).await
     }
 
-    fn set_precedence(&mut self, class: u32, wait_ms: u64) {
-        let priority = class.min(CLASSES as u32 - 1);
+    fn set_precedence(&mut self, priority: u32, wait_ms: u64) {
         if self.route.priority != priority {
             self.route = Arc::new(Route { priority, ..Route::clone(&self.route) });
         }
