Replay the load of an overloaded target in virtual time

The limits and classes of a target's queue are public functions of their module, so that the replay uses the proxy's own.

--- a/crates/bench/src/commands/connection_cache.rs
+++ b/crates/bench/src/commands/connection_cache.rs
@@ -3,12 +3,12 @@
 use std::io;
 use std::io::Write;
 use std::path::Path;
-use std::str::FromStr;
 
 use clap::Arg;
 use clap::ArgMatches;
 use clap::Command;
 
+use crate::commands;
 use crate::commands::CommandError;
 use crate::connection_cache::STRATEGIES;
 use crate::connection_cache::Setup;
@@ -43,15 +43,15 @@
 pub fn run(matches: &ArgMatches) -> Result<(), CommandError> {
     let usual = Setup::default();
     let setup = Setup {
-        organisations: value(matches, "organisations", usual.organisations)?.max(1),
-        zipf_exponent: value(matches, "zipf-exponent", usual.zipf_exponent)?,
-        vms: value(matches, "vms", usual.vms)?.max(1),
-        connections: value(matches, "connections", usual.connections)?.max(1),
-        slots: value(matches, "slots", usual.slots)?.max(1),
-        per_s: value(matches, "per-s", usual.per_s)?,
+        organisations: commands::number(matches, "organisations", usual.organisations)?.max(1),
+        zipf_exponent: commands::number(matches, "zipf-exponent", usual.zipf_exponent)?,
+        vms: commands::number(matches, "vms", usual.vms)?.max(1),
+        connections: commands::number(matches, "connections", usual.connections)?.max(1),
+        slots: commands::number(matches, "slots", usual.slots)?.max(1),
+        per_s: commands::number(matches, "per-s", usual.per_s)?,
         ..usual
     };
-    let seeds = value(matches, "seeds", 1)?;
+    let seeds = commands::number(matches, "seeds", 1)?;
     let mut out = io::stdout().lock();
     writeln!(out, "{}", report::TABLE_HEAD)?;
     for strategy in STRATEGIES {
@@ -64,11 +64,3 @@
     }
     Ok(())
 }
-
-fn value<T>(matches: &ArgMatches, name: &str, usual: T) -> Result<T, CommandError>
-where
-    T: FromStr,
-{
-    let Some(text) = matches.get_one::<String>(name) else { return Ok(usual) };
-    text.parse().map_err(|_| CommandError::other(format!("--{name} {text}: not a number")))
-}
--- a/crates/bench/src/commands/mod.rs
+++ b/crates/bench/src/commands/mod.rs
@@ -2,10 +2,13 @@
 
 use std::fmt;
 use std::io;
+use std::str::FromStr;
 
+use clap::ArgMatches;
 use tokio::runtime::Builder;
 use tokio::runtime::Runtime;
 
+pub mod admission;
 pub mod connection_cache;
 pub mod experiment;
 pub mod failover_gap;
@@ -53,3 +56,18 @@
 fn runtime() -> io::Result<Runtime> {
     Builder::new_multi_thread().enable_all().build()
 }
+
+/// Returns the number given for an option, or the usual one.
+fn number<T>(matches: &ArgMatches, name: &str, usual: T) -> Result<T, CommandError>
+where
+    T: FromStr,
+{
+    matches.get_one::<String>(name).map_or(Ok(usual), |text| parse_number(name, text))
+}
+
+fn parse_number<T>(name: &str, text: &str) -> Result<T, CommandError>
+where
+    T: FromStr,
+{
+    text.parse().map_err(|_| CommandError::other(format!("--{name} {text}: not a number")))
+}
--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -9,8 +9,10 @@
 //! - [`slopes`] measures how costs grow with the size that they depend on; [`live`] does so at
 //!   running proxies.
 //! - [`connection_cache`] compares placement strategies for the connections of organisations.
+//! - [`admission`] compares arrangements of the VMs that admit statements to an overloaded target.
 //! - [`surge`] compares ways of sharing a target's slots on one recorded surge.
 
+pub mod admission;
 pub mod commands;
 pub mod connection_cache;
 pub mod embedded;
--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -13,6 +13,7 @@
         .about("Load and experiments over stand-ins of targets and of the platform")
         .subcommand_required(true)
         .arg_required_else_help(true)
+        .subcommand(commands::admission::command())
         .subcommand(commands::connection_cache::command())
         .subcommand(commands::experiment::command())
         .subcommand(commands::experiment::compare_command())
@@ -24,6 +25,7 @@
         .subcommand(commands::quickstart::command())
         .subcommand(commands::slopes::command());
     let result = match command.get_matches().subcommand() {
+        Some((commands::admission::NAME, matches)) => commands::admission::run(matches),
         Some((commands::connection_cache::NAME, matches)) => {
             commands::connection_cache::run(matches)
         }
--- a/crates/proxy/src/sessions/process/targets.rs
+++ b/crates/proxy/src/sessions/process/targets.rs
@@ -378,20 +378,8 @@
             true => share,
             false => (self.record.slots + limits::RUNNING_BEYOND_SLOTS).min(share),
         };
-        let queued = limits::QUEUED_PER_TARGET;
-        let bounds = QueueLimits {
-            running,
-            connections: share,
-            queued,
-            queued_per_class: queued,
-            queued_per_caller: match self.has_organisations.load(Ordering::Relaxed) {
-                true => limits::QUEUED_PER_ORGANISATION,
-                false => queued,
-            },
-            fair_callers: shares_admission && self.has_organisations.load(Ordering::Relaxed),
-            spread_retries: shares_admission,
-            ..QueueLimits::default()
-        };
+        let has_organisations = self.has_organisations.load(Ordering::Relaxed);
+        let bounds = queue_limits(running, share, has_organisations, shares_admission);
         // One connection more than the queue admits, for sampling the position: that takes no slot and must
         // not wait behind the statements of an overloaded primary.
         self.pool().set_share(share + 1);
@@ -531,8 +519,31 @@
     }
 }
 
+/// The limits of a queue that lets `running` statements run on `connections` connections.
+pub fn queue_limits(
+    running: u32,
+    connections: u32,
+    has_organisations: bool,
+    shares_admission: bool,
+) -> QueueLimits {
+    let queued = limits::QUEUED_PER_TARGET;
+    QueueLimits {
+        running,
+        connections,
+        queued,
+        queued_per_class: queued,
+        queued_per_caller: match has_organisations {
+            true => limits::QUEUED_PER_ORGANISATION,
+            false => queued,
+        },
+        fair_callers: shares_admission && has_organisations,
+        spread_retries: shares_admission,
+        ..QueueLimits::default()
+    }
+}
+
 /// The classes of requests by precedence.
-fn class_shares() -> [ClassShare; CLASSES] {
+pub fn class_shares() -> [ClassShare; CLASSES] {
     std::array::from_fn(|class| ClassShare {
         weight: (HIGHEST_WEIGHT >> class).max(1),
         goal_us: DEFAULT_GOAL_US,
