Let urgent statements start by their deadline, and pass over homes that do not reach a target

A home refused statements whose run time did not fit before the latest time to start, and a VM whose home was on the other side of a partition kept using it.

--- a/crates/core/src/process/connection_plan.rs
+++ b/crates/core/src/process/connection_plan.rs
@@ -51,8 +51,8 @@
 /// 100 because the VMs do not use all their connections at the same time.
 const OVERSUBSCRIBED_PERCENT: u32 = 125;
 
-/// The connections that a home keeps while another one admits the statements of all VMs: one for
-/// the first statement after a failover, and one for status queries.
+/// The connections left for each other home while one home admits the statements of all VMs: one
+/// for statements of VMs that do not reach the admitting home, and one for status queries.
 const STANDBY_CONNECTIONS: u32 = 2;
 
 /// How VMs connect to a target.
@@ -149,9 +149,11 @@
     usable.saturating_sub((HOMES as u32 - 1) * STANDBY_CONNECTIONS).max(1)
 }
 
-/// Returns the maximum number of connections of a home while another one admits.
-pub fn standby_share(share: u32) -> u32 {
-    share.min(STANDBY_CONNECTIONS)
+/// Returns the maximum number of connections of a home that serves VMs which do not reach the
+/// admitting home. The homes together do not exceed the limit, whichever of them are reached.
+pub fn standby_share(max_connections: u32) -> u32 {
+    let left = max_connections.saturating_sub(admitting_share(max_connections) + 1);
+    (left / (HOMES as u32 - 1)).saturating_sub(1).max(1)
 }
 
 /// Returns how many of the highest ranked VMs may connect directly after `unreachable_us`
--- a/crates/core/src/process/sharing/queue.rs
+++ b/crates/core/src/process/sharing/queue.rs
@@ -70,6 +70,9 @@
     pub standing_us: u64,
     /// The assumed run time before any was measured, in microseconds.
     pub initial_run_us: u64,
+    /// Whether a deadline is the latest time at which a request may start, instead of the time by which it
+    /// has to end.
+    pub starts_by_deadline: bool,
     /// Whether the waiting callers of a class share the target's time equally, instead of being served in
     /// the order of arrival.
     pub fair_callers: bool,
@@ -87,6 +90,7 @@
             queued_per_caller: 32,
             standing_us: 1_000_000,
             initial_run_us: 5_000,
+            starts_by_deadline: false,
             fair_callers: false,
             spread_retries: false,
         }
@@ -259,7 +263,7 @@
         let request = self.queues[class].pop()?;
         self.refresh(class);
         // A request that would be answered after its deadline must not take a slot from others.
-        if request.deadline_us <= now_us + self.views[class].run_us {
+        if request.deadline_us <= now_us + self.run_before_deadline_us(class) {
             return Some(Turn::TimedOut(request.ticket));
         }
         self.grant(class, request.caller);
@@ -342,6 +346,11 @@
         self.strategy.busy_ahead_us(class, &views, now_us) + busy_us
     }
 
+    /// Returns after how long a caller of the class is advised to retry if it is refused now.
+    pub fn advised_retry_us(&self, class: ClassId, caller: CallerId, now_us: u64) -> u64 {
+        self.retry_after_us(caller, self.predicted_wait_us(class, now_us), now_us)
+    }
+
     /// Returns the number of waiting requests.
     pub fn queued(&self) -> usize {
         self.queues.iter().map(ClassQueue::len).sum()
@@ -398,6 +407,14 @@
         self.refresh(class);
     }
 
+    /// Returns how much of the run time of a request of the class has to pass before its deadline.
+    fn run_before_deadline_us(&self, class: usize) -> u64 {
+        match self.limits.starts_by_deadline {
+            true => 0,
+            false => self.views[class].run_us,
+        }
+    }
+
     /// Returns the time after which a refused caller is advised to retry. With spread retry times,
     /// callers that are refused at the same moment do not return at the same moment.
     fn retry_after_us(&self, caller: CallerId, class_wait_us: u64, now_us: u64) -> u64 {
@@ -416,8 +433,8 @@
         deadline_us: u64,
         now_us: u64,
     ) -> Option<ErrorKind> {
-        let answered_us = predicted_wait_us + self.views[class].run_us;
-        if now_us.saturating_add(answered_us) > deadline_us {
+        let needed_us = predicted_wait_us + self.run_before_deadline_us(class);
+        if now_us.saturating_add(needed_us) > deadline_us {
             return Some(ErrorKind::DeadlineUnreachable);
         }
         let queue = &self.queues[class];
--- a/crates/proxy/src/connection/admission.rs
+++ b/crates/proxy/src/connection/admission.rs
@@ -185,14 +185,20 @@
         let left_us = request.deadline_us.saturating_sub(self.clock.now_us());
         match time::timeout(Duration::from_micros(left_us), granted).await {
             Ok(Ok(Ok(permit))) => Ok(permit),
-            Ok(Ok(Err(kind))) => Err(self.count_refusal(class, kind)),
-            _ => Err(self.count_refusal(class, ErrorKind::WaitTimedOut)),
+            Ok(Ok(Err(kind))) => Err(self.refuse_waiting(class, request.caller, kind)),
+            _ => Err(self.refuse_waiting(class, request.caller, ErrorKind::WaitTimedOut)),
         }
     }
 
-    fn count_refusal(&self, class: ClassId, kind: ErrorKind) -> Refusal {
-        self.inner.lock().counts[class.index()].refused += 1;
-        Refusal::from(kind)
+    /// Counts the refusal of a request that waited, and returns it.
+    fn refuse_waiting(&self, class: ClassId, caller: CallerId, kind: ErrorKind) -> Refusal {
+        let mut inner = self.inner.lock();
+        inner.counts[class.index()].refused += 1;
+        if !inner.limits.spread_retries {
+            return Refusal::from(kind);
+        }
+        let retry_us = inner.queue.advised_retry_us(class, caller, self.clock.now_us());
+        Refusal::with_retry_after(kind, retry_us.div_ceil(1_000))
     }
 
     fn new_permit(
--- a/crates/proxy/src/sessions/connection/peer.rs
+++ b/crates/proxy/src/sessions/connection/peer.rs
@@ -457,6 +457,14 @@
                 return ForwardError::NotAdmitted(refusal);
             }
             AcquireError::Queue(_) => ErrorKind::TargetBusy,
+            // The other proxy tries the next home if this one can't connect. A lost reply, or a wait for a
+            // connection in use, does not show that.
+            AcquireError::NotConnected(_) if self.knows_class => {
+                match self.target.fails_to_connect() {
+                    true => ErrorKind::TargetUnreachable,
+                    false => ErrorKind::TargetBusy,
+                }
+            }
             AcquireError::NotConnected(_) => match self.target.health().failed_since_us {
                 Some(_) => ErrorKind::TargetUnreachable,
                 None => ErrorKind::TargetBusy,
--- a/crates/proxy/src/sessions/process/limits.rs
+++ b/crates/proxy/src/sessions/process/limits.rs
@@ -38,6 +38,14 @@
 /// itself. They cost the target nothing.
 pub const PEER_CONNECTIONS: u32 = 8;
 
+/// The same while the home admits for all VMs: more than the statements of lower classes that usually wait there,
+/// which would otherwise keep an urgent one from being forwarded.
+pub const ADMISSION_PEER_CONNECTIONS: u32 = 24;
+
+/// For how long a home that does not reach a target is passed over while another home may reach it, in
+/// microseconds.
+pub const DEAD_END_EJECTION_US: u64 = 2_000_000;
+
 /// Maximum number of VMs that each watch the store themselves. No VM then depends on another one for new
 /// versions.
 pub const MAX_DIRECT_WATCHERS: usize = 16;
--- a/crates/proxy/src/sessions/process/peer_routes.rs
+++ b/crates/proxy/src/sessions/process/peer_routes.rs
@@ -212,12 +212,13 @@
                 self.eject_failing(target, now_us);
                 let is_shared = admission == AdmissionScope::PerTarget;
                 let home = match is_shared {
-                    true => self.admitting_home(&homes, now_us),
+                    true => self.admitting_home(target, &homes, now_us),
                     false => self.home_for(&homes, now_us),
                 };
                 let connects = match homes.role {
                     HomeRole::Home if is_shared => {
-                        home.is_none() || self.is_fallback(target, now_us)
+                        let is_asked = self.is_fallback(target, now_us);
+                        home.is_none() || (is_asked && !target.is_dead_end(None, now_us))
                     }
                     HomeRole::Home => true,
                     HomeRole::Fallback => home.is_none() || self.is_fallback(target, now_us),
@@ -244,7 +245,11 @@
                     false => self.divide_users(target, &homes, demand, now_us),
                 }
                 target.configure(match homes.role {
+                    _ if !connects && is_shared => limits::ADMISSION_PEER_CONNECTIONS,
                     _ if !connects => limits::PEER_CONNECTIONS,
+                    HomeRole::Home if is_shared && home.is_some() => {
+                        connection_plan::standby_share(demand.max_connections)
+                    }
                     HomeRole::Home if is_shared => {
                         connection_plan::admitting_share(demand.max_connections)
                     }
@@ -408,22 +413,37 @@
         failed_us.retain(|_, failed_us| now_us < *failed_us + limits::HOME_EJECTION_US);
     }
 
-    /// Returns the VM that admits the statements for a target: the first home that is reachable, or a
-    /// fallback if none is; `None` if it is this VM.
-    ///
-    /// A home that another VM asked to forward admits as well, because that VM reaches no home before it.
-    fn admitting_home<'a>(&self, homes: &'a Homes, now_us: u64) -> Option<&'a VmAddress> {
+    /// Returns the VM that admits the statements for a target: the first home that is reachable and reaches
+    /// the target, or a fallback if no home does; `None` if it is this VM.
+    fn admitting_home<'a, C>(
+        &self,
+        target: &TargetState<C>,
+        homes: &'a Homes,
+        now_us: u64,
+    ) -> Option<&'a VmAddress>
+    where
+        C: Codec,
+    {
         let failed_us = self.failed_us.lock();
-        let is_usable = |home: &&VmAddress, span_us: u64| {
-            home.name == self.own || not_failed_within(span_us, &failed_us, home, now_us)
+        let is_own = |home: &VmAddress| home.name == self.own;
+        let is_reachable = |home: &VmAddress, span_us: u64| {
+            is_own(home) || not_failed_within(span_us, &failed_us, home, now_us)
+        };
+        let reaches_target = |home: &VmAddress| {
+            let via = (!is_own(home)).then_some(&home.name);
+            !target.is_dead_end(via, now_us)
         };
         let (first, fallbacks) = homes.vms.split_at(homes.home_count);
-        let stable = first.iter().find(|home| is_usable(home, limits::HOME_EJECTION_US));
-        let usable = stable.or_else(|| {
-            let mut all = first.iter().chain(fallbacks);
-            all.find(|home| is_usable(home, limits::LEAST_HOME_EJECTION_US))
-        });
-        usable.filter(|home| home.name != self.own)
+        let usable = |home: &&VmAddress| is_reachable(home, limits::LEAST_HOME_EJECTION_US);
+        let stable = |home: &&VmAddress| is_reachable(home, limits::HOME_EJECTION_US);
+        let reaching = |home: &&VmAddress| reaches_target(home);
+        let admitting = first.iter().filter(reaching).find(stable);
+        let admitting = admitting
+            .or_else(|| first.iter().chain(fallbacks).filter(reaching).find(usable))
+            // If no path reaches the target, it has likely failed itself.
+            .or_else(|| first.iter().find(stable))
+            .or_else(|| first.iter().chain(fallbacks).find(usable));
+        admitting.filter(|home| !is_own(home))
     }
 
     /// Returns the VM that this process sends statements through. Processes start with different homes. A
--- a/crates/proxy/src/sessions/process/targets.rs
+++ b/crates/proxy/src/sessions/process/targets.rs
@@ -7,6 +7,7 @@
 
 use arc_swap::ArcSwap;
 use parking_lot::Mutex;
+use skylark_core::FastMap;
 use skylark_core::process::connection_plan::AdmissionScope;
 use skylark_core::process::homes;
 use skylark_core::process::sharing::ClassShare;
@@ -29,6 +30,7 @@
 use crate::sessions::process::target_path::PathInputs;
 use crate::sessions::process::target_path::PoolParts;
 use crate::sessions::process::target_path::TargetPath;
+use crate::sessions::request::acquire;
 use crate::sessions::store::VmAddress;
 
 /// The weight of a new answer time in the moving average, as one part in this many.
@@ -123,6 +125,9 @@
     shares_admission: AtomicBool,
     /// What this VM does for the shared admission; `None` if admission is not shared.
     admission_role: Mutex<Option<AdmissionRole>>,
+    /// When a path last did not reach the target, by the VM that relays; `None` for the direct path. Only
+    /// recorded while admission is shared.
+    dead_ends: Mutex<FastMap<Option<Arc<str>>, u64>>,
     /// The inputs that the paths were last set for; `None` before.
     applied_inputs: Mutex<Option<PathInputs>>,
     /// Held while the paths are set, which requests and the maintenance of the pools both do.
@@ -180,6 +185,7 @@
             has_organisations: AtomicBool::new(false),
             shares_admission: AtomicBool::new(false),
             admission_role: Mutex::default(),
+            dead_ends: Mutex::default(),
             applied_inputs: Mutex::default(),
             routing: Mutex::default(),
             routed_us: AtomicU64::new(0),
@@ -387,6 +393,28 @@
         *self.admission_role.lock()
     }
 
+    /// Records that a path does not reach the target, although the VM that relays is reachable. The next use
+    /// of the target sets its paths anew: other homes may be on the target's side of a partition.
+    fn record_dead_end(&self, via: Option<&Arc<str>>, now_us: u64) {
+        if self.shares_admission() {
+            self.dead_ends.lock().insert(via.cloned(), now_us);
+            self.routed_us.store(1, Ordering::Relaxed);
+        }
+    }
+
+    /// Whether the path through a VM, or the direct one, lately did not reach the target.
+    pub fn is_dead_end(&self, via: Option<&Arc<str>>, now_us: u64) -> bool {
+        let mut dead_ends = self.dead_ends.lock();
+        dead_ends.retain(|_, failed_us| now_us < *failed_us + limits::DEAD_END_EJECTION_US);
+        dead_ends.contains_key(&via.cloned())
+    }
+
+    /// Whether this process's connections to the target fail.
+    pub fn fails_to_connect(&self) -> bool {
+        let failure = self.pool().last_connect_failure();
+        failure.is_some_and(|failure| !acquire::is_connection_limit(failure))
+    }
+
     /// Sets this process's share of the connections.
     pub fn configure(&self, share: u32) {
         let shares_admission = self.shares_admission();
@@ -477,7 +505,12 @@
     /// Records a complete reply from the target or from the relaying proxy.
     pub fn replied(&self, error: Option<TargetError>, now_us: u64, took_us: Option<u64>) {
         match error {
-            Some(TargetError::Unreachable) => self.failed(now_us),
+            Some(TargetError::Unreachable) => {
+                self.failed(now_us);
+                if let Some(via) = self.via() {
+                    self.record_dead_end(Some(&via), now_us);
+                }
+            }
             // The relaying proxy may have sent this itself. It is no evidence that the target, and with it
             // the target's zone, is reachable: otherwise a VM in a partitioned zone would count the other
             // zones as reachable.
@@ -505,9 +538,14 @@
     /// Records that the target or the relaying VM was unreachable.
     pub fn record_unreachable(&self, path: &TargetPath<C>, failure: Failure, now_us: u64) {
         match &path.via {
-            None => self.failed(now_us),
+            None => {
+                self.failed(now_us);
+                self.record_dead_end(None, now_us);
+            }
             // The relaying VM answered that it has no path to the target.
-            Some(_) if matches!(failure, Failure::Said { .. }) => (),
+            Some(via) if matches!(failure, Failure::Said { .. }) => {
+                self.record_dead_end(Some(via), now_us);
+            }
             Some(_) => {
                 self.health.lock().path_failed_since_us.get_or_insert(now_us);
             }
@@ -554,6 +592,7 @@
             true => limits::QUEUED_PER_ORGANISATION,
             false => queued,
         },
+        starts_by_deadline: shares_admission,
         fair_callers: shares_admission && has_organisations,
         spread_retries: shares_admission,
         ..QueueLimits::default()
--- a/crates/proxy/src/sessions/request/acquire.rs
+++ b/crates/proxy/src/sessions/request/acquire.rs
@@ -104,7 +104,7 @@
 
 /// Returns whether the target refused the connection because it is at its connection limit, which is not a
 /// fault.
-fn is_connection_limit(failure: Failure) -> bool {
+pub fn is_connection_limit(failure: Failure) -> bool {
     matches!(failure, Failure::Said { sqlstate, .. } if &sqlstate == b"53300")
 }
 
