--- a/crates/proxy/src/connection/pool.rs
+++ b/crates/proxy/src/connection/pool.rs
@@ -191,9 +191,13 @@
         }
         let waiting = std::mem::take(&mut state.waiting);
         drop(state);
-        for waiter in waiting {
-            let _ = waiter.sender.send(Err(failure));
-        }
+        fail_all(waiting, failure);
+    }
+
+    /// Fails all waiting requests, so that they can be routed elsewhere.
+    pub fn fail_waiters(&self, failure: Failure) {
+        let waiting = std::mem::take(&mut self.state.lock().waiting);
+        fail_all(waiting, failure);
     }
 
     /// Fails the waiting requests of a user after the target refused a connection, for example because
@@ -354,3 +358,13 @@
         _ => ConnectFailure::Failed,
     }
 }
+
+fn fail_all<L>(waiting: VecDeque<Waiter<L>>, failure: Failure)
+where
+    L: PooledConnection,
+{
+    for waiter in waiting {
+        // If the task is gone, nobody waits for the result.
+        let _ = waiter.sender.send(Err(failure));
+    }
+}
--- a/crates/proxy/src/sessions/process/limits.rs
+++ b/crates/proxy/src/sessions/process/limits.rs
@@ -42,6 +42,11 @@
 /// which would otherwise keep an urgent one from being forwarded.
 pub const ADMISSION_PEER_CONNECTIONS: u32 = 24;
 
+/// Timeout for the TCP handshake with the home that admits for all VMs, in milliseconds. The peer's kernel answers
+/// even if the VM is overloaded, and the next attempt to send the first packet would follow only after a second.
+/// All statements for the target wait for this connection, so that a partition has to be noticed soon.
+pub const ADMISSION_TCP_CONNECT_MS: u64 = 200;
+
 /// For how long a home that does not reach a target is passed over while another home may reach it, in
 /// microseconds.
 pub const DEAD_END_EJECTION_US: u64 = 2_000_000;
--- a/crates/proxy/src/sessions/process/target_path.rs
+++ b/crates/proxy/src/sessions/process/target_path.rs
@@ -63,6 +63,13 @@
 }
 
 impl PoolParts {
+    /// Returns the same for connections to a VM that admits the statements of all VMs.
+    pub(super) fn with_admission(&self) -> PoolParts {
+        let login =
+            TargetLogin { tcp_connect_ms: limits::ADMISSION_TCP_CONNECT_MS, ..self.login.clone() };
+        PoolParts { login, ..self.clone() }
+    }
+
     /// Creates a path to the target itself, or to a VM that relays to it. The relaying VM has to connect to
     /// the same incarnation, so it gets the target's id; the target itself only knows its name.
     pub(super) fn path<C>(
@@ -95,7 +102,15 @@
         let (vm, target) = (&self.login.vm, &self.login.target_id);
         let options = PoolOptions {
             address: address.to_string(),
-            login: TargetLogin { target_id: Arc::clone(target_id), to_proxy, ..self.login.clone() },
+            login: TargetLogin {
+                target_id: Arc::clone(target_id),
+                to_proxy,
+                tcp_connect_ms: match to_proxy {
+                    true => self.login.tcp_connect_ms,
+                    false => limits::CONNECT_MS,
+                },
+                ..self.login.clone()
+            },
             connect_ms: limits::CONNECT_MS,
             budget: policy(to_proxy, has_organisations),
             drain_ms: limits::DRAIN_MS,
--- a/crates/proxy/src/sessions/process/targets.rs
+++ b/crates/proxy/src/sessions/process/targets.rs
@@ -160,6 +160,7 @@
             target_id: Arc::clone(&record.id),
             vm: Arc::clone(vm),
             to_proxy: false,
+            tcp_connect_ms: limits::CONNECT_MS,
         };
         let parts = PoolParts { login, clock, counters: Arc::clone(counters) };
         let path = parts.path(None, record, false);
@@ -252,7 +253,10 @@
 
     fn new_path(&self, vm: Option<&VmAddress>) -> Arc<TargetPath<C>> {
         let has_organisations = self.has_organisations.load(Ordering::Relaxed);
-        let path = self.parts.path(vm, &self.record, has_organisations);
+        let path = match self.shares_admission() {
+            true => self.parts.with_admission().path(vm, &self.record, has_organisations),
+            false => self.parts.path(vm, &self.record, has_organisations),
+        };
         if vm.is_some() {
             path.pool.set_share(limits::PEER_CONNECTIONS + 1);
         }
@@ -354,6 +358,10 @@
         let is_kept = self.user_paths.load().iter().any(|path| Arc::ptr_eq(path, &old));
         if !is_kept {
             old.close();
+            if self.shares_admission() {
+                // Those that still wait for a connection there try the new path instead.
+                old.pool.fail_waiters(Failure::TimedOut);
+            }
         }
     }
 
