--- a/crates/core/src/process/sharing/queue.rs
+++ b/crates/core/src/process/sharing/queue.rs
@@ -487,7 +487,8 @@
         let shares_queue = queue.queued_of(caller) > 0 && queue.has_others(caller);
         let bound_us = self.standing_bound_us(class) / if shares_queue { 2 } else { 1 };
         let since = self.standing_since_us[class];
-        let is_long = since.is_some_and(|since_us| now_us - since_us >= self.limits.standing_us);
+        let is_long = since
+            .is_some_and(|since_us| now_us.saturating_sub(since_us) >= self.limits.standing_us);
         is_long && predicted_wait_us > bound_us
     }
 
--- a/crates/proxy/src/sessions/connection/peer.rs
+++ b/crates/proxy/src/sessions/connection/peer.rs
@@ -16,6 +16,7 @@
 use skylark_core::request::retry::Effect;
 use skylark_core::request::statement::Prepared;
 use skylark_core::request::statement::Statement;
+use skylark_core::request::statement::TargetError;
 use skylark_core::request::statement::TransactionStatus;
 use skylark_core::version::routes::ReadRule;
 use skylark_core::version::routes::Route;
@@ -48,6 +49,7 @@
 use crate::sessions::request::call::Call;
 use crate::sessions::request::call::Operation;
 use crate::sessions::request::prove;
+use crate::sessions::request::read;
 use crate::sessions::request::sample;
 
 /// The time limit of a forwarded statement. The other proxy applies its own route's limit; this one bounds
@@ -401,19 +403,26 @@
         let is_begin = matches!(operation, Operation::Plain(Statement::Begin { .. }));
         self.keeps_slot = false;
         let sent_us = call.now_us();
-        self.target.started(sent_us);
-        if is_durable {
+        let (link, until_us) = (lease.connection(), call.deadline_us());
+        self.target.started(read::offered_by_us(&call, link));
+        // This VM forwards to another home if it was one itself when the connection began. A commit may then
+        // wait in that home's queue, and is not stuck at the target.
+        let is_monitored = is_durable && link.admission_until_us().is_none();
+        if is_monitored {
             self.target.commit_sent(sent_us);
         }
-        let (link, until_us) = (lease.connection(), call.deadline_us());
         let answered = acquire::run(&call, link, &self.values, operation, at_least, until_us).await;
-        if is_durable {
+        if is_monitored {
             let timed_out = answered.as_ref().is_err_and(LostReply::timed_out);
             self.target.commit_ended(call.now_us(), timed_out);
         }
         self.target.ended();
         match answered {
             Ok(reply) => {
+                if let Some(TargetError::NotAdmitted(refused)) = reply.error() {
+                    lease.return_to_pool();
+                    return Err(self.not_admitted(refused.into()));
+                }
                 self.target.answered(call.now_us(), None);
                 let is_done = reply.error().is_none();
                 if is_durable && is_done {
@@ -453,10 +462,7 @@
     /// sending it reads that another member could serve.
     fn refusal_for(&self, acquire_error: AcquireError) -> ForwardError {
         let kind = match acquire_error {
-            AcquireError::Queue(refusal) if self.knows_class => {
-                return ForwardError::NotAdmitted(refusal);
-            }
-            AcquireError::Queue(_) => ErrorKind::TargetBusy,
+            AcquireError::Queue(refusal) => return self.not_admitted(refusal),
             // The other proxy tries the next home if this one can't connect. A lost reply, or a wait for a
             // connection in use, does not show that.
             AcquireError::NotConnected(_) if self.knows_class => {
@@ -473,6 +479,15 @@
         ForwardError::Refused(kind.into())
     }
 
+    /// Returns the refusal of an admission queue. Without a class, the other proxy may be of an earlier version,
+    /// which only knows a busy target.
+    fn not_admitted(&self, refusal: Refusal) -> ForwardError {
+        match self.knows_class {
+            true => ForwardError::NotAdmitted(refusal),
+            false => ForwardError::Refused(ErrorKind::TargetBusy.into()),
+        }
+    }
+
     fn push_reply(&mut self, reply: &Reply) {
         reply.encode::<C>(&mut self.output);
         self.push_ready(reply.position);
--- a/crates/proxy/src/sessions/process/targets.rs
+++ b/crates/proxy/src/sessions/process/targets.rs
@@ -601,7 +601,6 @@
             false => queued,
         },
         starts_by_deadline: shares_admission,
-        fair_callers: shares_admission && has_organisations,
         spread_retries: shares_admission,
         ..QueueLimits::default()
     }
--- a/crates/proxy/src/sessions/request/acquire.rs
+++ b/crates/proxy/src/sessions/request/acquire.rs
@@ -91,12 +91,13 @@
     let link = lease.connection();
     link.set_user(call.user);
     let now_us = call.now_us();
-    // Only a read that other members did not serve in time comes here after `until_us`: it found a free
-    // connection, so it did not wait. It may still run if the target is not overloaded.
+    // A statement that was delayed before found a free connection here, so it did not wait. It may still run if
+    // the target is not overloaded.
     let wait_until_us = match until_us > now_us {
         true => until_us,
         false => now_us + limits::LEAST_OFFER_US,
     };
+    let wait_until_us = wait_until_us.min(call.deadline_us());
     let precedence = Precedence { class, wait_until_us, now_us };
     link.set_precedence(target.shares_admission().then_some(precedence));
     Ok(lease)
