--- a/crates/proxy/src/sessions/process/limits.rs
+++ b/crates/proxy/src/sessions/process/limits.rs
@@ -77,6 +77,11 @@
 /// answer is in transit.
 pub const RUNNING_BEYOND_SLOTS: u32 = 1;
 
+/// Number of statements that the home that admits for all VMs sends to a target, for each slot. Between `BEGIN` and
+/// the first statement of a transaction, and while a connection is opened, a statement counts as running although
+/// the target does not run it.
+pub const ADMITTED_PER_SLOT: u32 = 2;
+
 /// The part of a request's latency objective, as one part in this many, within which it has to be sent to a
 /// target. After that a refusal with "not run" serves the caller better than a late answer.
 pub const OFFER_DIVISOR: u64 = 2;
--- a/crates/proxy/src/sessions/process/targets.rs
+++ b/crates/proxy/src/sessions/process/targets.rs
@@ -428,9 +428,11 @@
         let shares_admission = self.shares_admission();
         // A home that admits for all VMs decides the order, so the queue in front of the path to it only
         // limits the connections.
-        let running = match shares_admission && self.path.load().via.is_some() {
-            true => share,
-            false => (self.record.slots + limits::RUNNING_BEYOND_SLOTS).min(share),
+        let slots = self.record.slots;
+        let running = match (shares_admission, self.path.load().via.is_some()) {
+            (true, true) => share,
+            (true, false) => (slots * limits::ADMITTED_PER_SLOT).min(share),
+            (false, _) => (slots + limits::RUNNING_BEYOND_SLOTS).min(share),
         };
         let has_organisations = self.has_organisations.load(Ordering::Relaxed);
         let bounds = queue_limits(running, share, has_organisations, shares_admission);
