--- a/crates/proxy/src/sessions/process/limits.rs
+++ b/crates/proxy/src/sessions/process/limits.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use skylark_core::process::connection_budget::BudgetPolicy;
+use skylark_core::process::connection_plan;
 
 /// Maximum size of a caller's message, in bytes. The protocol allows no larger ones.
 pub const MAX_MESSAGE_BYTES: usize = 1 << 20;
@@ -148,6 +149,25 @@
 pub const ORGANISATIONS_PEER_POLICY: BudgetPolicy =
     BudgetPolicy { demand_window_us: 30_000_000, burst: 4, ..CONNECTION_POLICY };
 
+/// Policies for the same connections while one home admits for all VMs: it opens the connections that
+/// [`connection_plan::HOMES`] homes would open otherwise, and each VM uses one path instead of one for each home.
+pub const ADMISSION_POLICY: BudgetPolicy = for_all_homes(CONNECTION_POLICY);
+
+/// See [`ADMISSION_POLICY`].
+pub const ADMISSION_ORGANISATIONS_POLICY: BudgetPolicy = for_all_homes(ORGANISATIONS_POLICY);
+
+/// See [`ADMISSION_POLICY`].
+pub const ADMISSION_PEER_POLICY: BudgetPolicy = for_all_homes(ORGANISATIONS_PEER_POLICY);
+
+const fn for_all_homes(policy: BudgetPolicy) -> BudgetPolicy {
+    let homes = connection_plan::HOMES as u32;
+    BudgetPolicy {
+        attempts_per_second: policy.attempts_per_second * homes,
+        burst: policy.burst * homes,
+        ..policy
+    }
+}
+
 /// How long the balancer may keep sending new callers after the process stopped being ready: two of its probe
 /// intervals.
 pub const BALANCER_REACTION_TIME: Duration = Duration::from_millis(2_300);
--- a/crates/proxy/src/sessions/process/target_path.rs
+++ b/crates/proxy/src/sessions/process/target_path.rs
@@ -60,6 +60,8 @@
     pub(super) login: TargetLogin,
     pub(super) clock: MonotonicClock,
     pub(super) counters: Arc<Counters>,
+    /// Whether one VM admits the statements of all VMs.
+    pub(super) shares_admission: bool,
 }
 
 impl PoolParts {
@@ -67,7 +69,7 @@
     pub(super) fn with_admission(&self) -> PoolParts {
         let login =
             TargetLogin { tcp_connect_ms: limits::ADMISSION_TCP_CONNECT_MS, ..self.login.clone() };
-        PoolParts { login, ..self.clone() }
+        PoolParts { login, shares_admission: true, ..self.clone() }
     }
 
     /// Creates a path to the target itself, or to a VM that relays to it. The relaying VM has to connect to
@@ -112,7 +114,7 @@
                 ..self.login.clone()
             },
             connect_ms: limits::CONNECT_MS,
-            budget: policy(to_proxy, has_organisations),
+            budget: policy(to_proxy, has_organisations, self.shares_admission),
             drain_ms: limits::DRAIN_MS,
             reset_always: false,
             jitter_seed: jitter::seed_of(vm) ^ jitter::seed_of(target),
@@ -123,10 +125,17 @@
 }
 
 /// Returns the policy for connections to a target or to another proxy.
-pub(super) fn policy(to_proxy: bool, has_organisations: bool) -> BudgetPolicy {
-    match (to_proxy, has_organisations) {
-        (true, true) => limits::ORGANISATIONS_PEER_POLICY,
-        (false, true) => limits::ORGANISATIONS_POLICY,
-        (_, false) => limits::CONNECTION_POLICY,
+pub(super) fn policy(
+    to_proxy: bool,
+    has_organisations: bool,
+    shares_admission: bool,
+) -> BudgetPolicy {
+    match (shares_admission, to_proxy, has_organisations) {
+        (true, true, _) => limits::ADMISSION_PEER_POLICY,
+        (true, false, true) => limits::ADMISSION_ORGANISATIONS_POLICY,
+        (true, false, false) => limits::ADMISSION_POLICY,
+        (false, true, true) => limits::ORGANISATIONS_PEER_POLICY,
+        (false, false, true) => limits::ORGANISATIONS_POLICY,
+        (false, _, false) => limits::CONNECTION_POLICY,
     }
 }
--- a/crates/proxy/src/sessions/process/targets.rs
+++ b/crates/proxy/src/sessions/process/targets.rs
@@ -162,7 +162,8 @@
             to_proxy: false,
             tcp_connect_ms: limits::CONNECT_MS,
         };
-        let parts = PoolParts { login, clock, counters: Arc::clone(counters) };
+        let parts =
+            PoolParts { login, clock, counters: Arc::clone(counters), shares_admission: false };
         let path = parts.path(None, record, false);
         let queue = AdmissionQueue::new(QueueLimits::default(), &class_shares(), clock);
         let health = Health {
@@ -372,18 +373,27 @@
 
     /// Sets whether connections serve one organisation each, which determines the policy of the pools.
     pub fn set_has_organisations(&self, has_organisations: bool) {
-        if self.has_organisations.swap(has_organisations, Ordering::Relaxed) == has_organisations {
-            return;
+        if self.has_organisations.swap(has_organisations, Ordering::Relaxed) != has_organisations {
+            self.set_policies();
         }
+    }
+
+    fn set_policies(&self) {
+        let has_organisations = self.has_organisations.load(Ordering::Relaxed);
+        let shares_admission = self.shares_admission();
         self.for_each_path(|path| {
-            path.pool.set_policy(target_path::policy(path.via.is_some(), has_organisations));
+            let to_proxy = path.via.is_some();
+            let policy = target_path::policy(to_proxy, has_organisations, shares_admission);
+            path.pool.set_policy(policy);
         });
     }
 
     /// Sets how many VMs decide what runs at the target.
     pub fn set_admission(&self, admission: AdmissionScope) {
         let is_shared = admission == AdmissionScope::PerTarget;
-        self.shares_admission.store(is_shared, Ordering::Relaxed);
+        if self.shares_admission.swap(is_shared, Ordering::Relaxed) != is_shared {
+            self.set_policies();
+        }
     }
 
     /// Whether one VM admits the statements of all VMs, so that forwarded statements carry their class.
