--- a/crates/core/tests/connection_plan.rs
+++ b/crates/core/tests/connection_plan.rs
@@ -3,6 +3,7 @@
 use quickcheck::Gen;
 use quickcheck::QuickCheck;
 use skylark_core::process::connection_plan;
+use skylark_core::process::connection_plan::AdmissionScope;
 use skylark_core::process::connection_plan::ConnectionPlan;
 use skylark_core::process::connection_plan::Demand;
 use skylark_core::process::connection_plan::HOMES;
@@ -77,3 +78,37 @@
     assert_eq!(connection_plan::fallback_count(10, 13_000_000), 160);
     assert!(connection_plan::fallback_count(2, u64::MAX) > 1_000);
 }
+
+/// One condition is not met. Admission per target would then send a class to a VM that closes the
+/// connection on it, concentrate a service without precedences on one VM, or leave VMs that connect
+/// directly without a VM that admits for them.
+#[test]
+fn each_missing_condition_keeps_admission_per_vm() {
+    let homes = ConnectionPlan::Homes { share: 4, fallbacks: 3 };
+    let direct = ConnectionPlan::Direct { primary: 2, replica: 1 };
+    let scope = connection_plan::admission_scope;
+    assert_eq!(scope(homes, true, true), AdmissionScope::PerTarget);
+    assert_eq!(scope(direct, true, true), AdmissionScope::PerVm);
+    assert_eq!(scope(homes, false, true), AdmissionScope::PerVm);
+    assert_eq!(scope(homes, true, false), AdmissionScope::PerVm);
+}
+
+/// One home admits for all VMs, and each of the others is asked by VMs that do not reach it. Each
+/// has one connection more than its share, for status queries that bypass its queue. Beyond the
+/// limit the target would refuse connections of the home that admits.
+#[test]
+fn an_admitting_home_and_standbys_never_exceed_the_connection_limit() {
+    fn property(above_least: u16) -> bool {
+        let connections = 16 + u32::from(above_least);
+        let admitting = connection_plan::admitting_share(connections) + 1;
+        let standby = connection_plan::standby_share(connections) + 1;
+        let all = admitting + (HOMES as u32 - 1) * standby;
+        all <= connections
+    }
+    // Rounding matters most for small limits, so these are tested exhaustively.
+    assert!((0..1_000).all(property));
+    QuickCheck::new()
+        .tests(1_000)
+        .rng(Gen::from_size_and_seed(100, 1))
+        .quickcheck(property as fn(u16) -> bool);
+}
