--- a/crates/core/tests/sharing.rs
+++ b/crates/core/tests/sharing.rs
@@ -191,6 +191,58 @@
     assert_eq!(queue.running(), 0);
 }
 
+/// Returns a queue whose only slot is taken, and the predicted wait of a booking.
+fn occupied(starts_by_deadline: bool) -> (Queue, u64) {
+    let mut queue = queue(QueueLimits { starts_by_deadline, ..limits() });
+    assert_eq!(arrive(&mut queue, LOOKUP, 1, 0), Admission::Granted);
+    let predicted_us = queue.predicted_wait_us(BOOKING, 0);
+    assert!(predicted_us > 0);
+    (queue, predicted_us)
+}
+
+// A forwarded statement carries the latest time at which it may start. If its run time had to fit as
+// well, urgent statements with short objectives would be refused at a target that has time for them.
+#[test]
+fn a_deadline_for_the_start_leaves_out_the_run_time() {
+    let (mut queue, predicted_us) = occupied(true);
+    let waiting = ticket(queue.arrive(BOOKING, CallerId(2), predicted_us, 0));
+    finish(&mut queue, LOOKUP);
+    let grant = next(&mut queue, predicted_us - 1).expect("its deadline has not passed");
+    assert_eq!(grant.ticket, waiting);
+
+    let (mut queue, predicted_us) = occupied(true);
+    let waiting = ticket(queue.arrive(BOOKING, CallerId(2), predicted_us, 0));
+    finish(&mut queue, LOOKUP);
+    assert_eq!(queue.next_turn(predicted_us), Some(Turn::TimedOut(waiting)));
+    assert_eq!(queue.running(), 0);
+}
+
+// Without a refusal the statement would take a place in the queue and time out there, too late for
+// the caller to use another target.
+#[test]
+fn a_deadline_for_the_start_below_the_predicted_wait_is_refused() {
+    let (mut queue, predicted_us) = occupied(true);
+    let late = queue.arrive(BOOKING, CallerId(2), predicted_us - 1, 0);
+    assert_eq!(refused(late), ErrorKind::DeadlineUnreachable);
+    assert_eq!(queue.queued(), 0);
+}
+
+// Requests of this process's own callers have to be answered by their deadlines.
+#[test]
+fn a_deadline_for_the_answer_includes_the_run_time() {
+    let (mut queue, predicted_us) = occupied(false);
+    let deadline_us = predicted_us + RUN_US;
+    let late = queue.arrive(BOOKING, CallerId(2), deadline_us - 1, 0);
+    assert_eq!(refused(late), ErrorKind::DeadlineUnreachable);
+    let waiting = ticket(queue.arrive(BOOKING, CallerId(2), deadline_us, 0));
+    let (mut late_queue, mut early_queue) = (queue.clone(), queue);
+    finish(&mut early_queue, LOOKUP);
+    let grant = next(&mut early_queue, predicted_us - 1);
+    assert_eq!(grant.map(|grant| grant.ticket), Some(waiting));
+    finish(&mut late_queue, LOOKUP);
+    assert_eq!(late_queue.next_turn(predicted_us), Some(Turn::TimedOut(waiting)));
+}
+
 #[test]
 fn expired_and_abandoned_requests_leave() {
     let mut queue = queue(limits());
