Resolve the path of a statement after its admission, and keep organisations divided among the homes

A statement that waited for admission while the path changed took the closed pool of the old path and waited there until its deadline.

--- a/crates/core/src/process/connection_plan.rs
+++ b/crates/core/src/process/connection_plan.rs
@@ -85,21 +85,23 @@
     PerTarget,
 }
 
-/// Returns how many VMs decide what runs at a target under a plan.
+/// Returns how many VMs decide what runs at a target.
 ///
 /// The load it answers: with [`HOMES`] homes that each let the slots of a target run, the target
 /// itself runs several times its slots in the order of arrival, and urgent statements wait behind
 /// lookups. One home is enough to order them if the service has several precedences and all VMs
 /// understand the messages that carry these.
+///
+/// Organisations stay divided among the homes: each of their connections serves one organisation,
+/// and a single home would evict and open connections for all of them.
 pub fn admission_scope(
-    plan: ConnectionPlan,
+    demand: Demand,
     has_precedences: bool,
     is_announced: bool,
 ) -> AdmissionScope {
-    match plan {
-        ConnectionPlan::Homes { .. } if has_precedences && is_announced => {
-            AdmissionScope::PerTarget
-        }
+    let is_asked_for = has_precedences && is_announced && demand.organisations == 0;
+    match plan(demand) {
+        ConnectionPlan::Homes { .. } if is_asked_for => AdmissionScope::PerTarget,
         ConnectionPlan::Homes { .. } | ConnectionPlan::Direct { .. } => AdmissionScope::PerVm,
     }
 }
--- a/crates/core/tests/connection_plan.rs
+++ b/crates/core/tests/connection_plan.rs
@@ -80,17 +80,20 @@
 }
 
 /// One condition is not met. Admission per target would then send a class to a VM that closes the
-/// connection on it, concentrate a service without precedences on one VM, or leave VMs that connect
-/// directly without a VM that admits for them.
+/// connection on it, concentrate a service without precedences on one VM, leave VMs that connect
+/// directly without a VM that admits for them, or let one VM open the connections of all
+/// organisations.
 #[test]
 fn each_missing_condition_keeps_admission_per_vm() {
-    let homes = ConnectionPlan::Homes { share: 4, fallbacks: 3 };
-    let direct = ConnectionPlan::Direct { primary: 2, replica: 1 };
+    let homes = demand(26, 86);
+    let direct = demand(32, 8);
+    let with_organisations = Demand { organisations: 76, ..homes };
     let scope = connection_plan::admission_scope;
     assert_eq!(scope(homes, true, true), AdmissionScope::PerTarget);
     assert_eq!(scope(direct, true, true), AdmissionScope::PerVm);
     assert_eq!(scope(homes, false, true), AdmissionScope::PerVm);
     assert_eq!(scope(homes, true, false), AdmissionScope::PerVm);
+    assert_eq!(scope(with_organisations, true, true), AdmissionScope::PerVm);
 }
 
 /// One home admits for all VMs, and each of the others is asked by VMs that do not reach it. Each
--- a/crates/proxy/src/sessions/process/fleet.rs
+++ b/crates/proxy/src/sessions/process/fleet.rs
@@ -99,7 +99,7 @@
         let demand = demand(view, service, peer_routes);
         let has_precedences = self.service(service).has_precedences.load(Ordering::Relaxed);
         let admission = connection_plan::admission_scope(
-            connection_plan::plan(demand),
+            demand,
             has_precedences,
             peer_routes.all_admit_by_class(),
         );
--- a/crates/proxy/src/sessions/process/limits.rs
+++ b/crates/proxy/src/sessions/process/limits.rs
@@ -153,9 +153,6 @@
 /// [`connection_plan::HOMES`] homes would open otherwise, and each VM uses one path instead of one for each home.
 pub const ADMISSION_POLICY: BudgetPolicy = for_all_homes(CONNECTION_POLICY);
 
-/// See [`ADMISSION_POLICY`].
-pub const ADMISSION_ORGANISATIONS_POLICY: BudgetPolicy = for_all_homes(ORGANISATIONS_POLICY);
-
 /// See [`ADMISSION_POLICY`].
 pub const ADMISSION_PEER_POLICY: BudgetPolicy = for_all_homes(ORGANISATIONS_PEER_POLICY);
 
--- a/crates/proxy/src/sessions/process/target_path.rs
+++ b/crates/proxy/src/sessions/process/target_path.rs
@@ -132,8 +132,7 @@
 ) -> BudgetPolicy {
     match (shares_admission, to_proxy, has_organisations) {
         (true, true, _) => limits::ADMISSION_PEER_POLICY,
-        (true, false, true) => limits::ADMISSION_ORGANISATIONS_POLICY,
-        (true, false, false) => limits::ADMISSION_POLICY,
+        (true, false, _) => limits::ADMISSION_POLICY,
         (false, true, true) => limits::ORGANISATIONS_PEER_POLICY,
         (false, false, true) => limits::ORGANISATIONS_POLICY,
         (false, _, false) => limits::CONNECTION_POLICY,
--- a/crates/proxy/src/sessions/request/acquire.rs
+++ b/crates/proxy/src/sessions/request/acquire.rs
@@ -6,6 +6,7 @@
 use skylark_core::request::retry::Failure;
 use skylark_core::request::statement::TargetError;
 
+use crate::connection::admission::AdmissionPermit;
 use crate::connection::admission::AdmissionRequest;
 use crate::connection::lease::Lease;
 use crate::connection::pool::Pool;
@@ -42,22 +43,50 @@
     C: Codec,
 {
     call.gateway.prepare_path(target);
-    take_on_path(call, target, &target.path_for(call.user), until_us).await
+    let path = target.path_for(call.user);
+    // The path may change while the statement waits for admission, and that of a home that failed opens no
+    // connections any more.
+    let path_now = || match target.shares_admission() {
+        true => target.path_for(call.user),
+        false => Arc::clone(&path),
+    };
+    take_by(call, target, path_now, until_us).await
 }
 
 /// Does the same as [`take`] on a given path to the target.
 pub async fn take_on_path<C>(
     call: &Call<'_, C>,
     target: &Arc<TargetState<C>>,
-    path: &TargetPath<C>,
+    path: &Arc<TargetPath<C>>,
     until_us: u64,
 ) -> Result<Lease<StatementLink<C>>, AcquireError>
 where
     C: Codec,
+{
+    take_by(call, target, || Arc::clone(path), until_us).await
+}
+
+/// Waits for admission, and then for a connection on the path that `path_now` returns.
+async fn take_by<C, F>(
+    call: &Call<'_, C>,
+    target: &Arc<TargetState<C>>,
+    path_now: F,
+    until_us: u64,
+) -> Result<Lease<StatementLink<C>>, AcquireError>
+where
+    C: Codec,
+    F: Fn() -> Arc<TargetPath<C>>,
 {
     target.queued();
     let asked_us = call.now_us();
-    let taken = queue_and_take(call, target, &path.pool, until_us).await;
+    let (class, caller) = (call.class(), call.caller());
+    let request = AdmissionRequest { class, caller, deadline_us: until_us };
+    let admitted = target.queue.admit(&request).await.map_err(AcquireError::Queue);
+    let path = path_now();
+    let taken = match admitted {
+        Ok(permit) => connect(call, target, &path.pool, permit, until_us).await,
+        Err(refused) => Err(refused),
+    };
     target.unqueued();
     call.record_latency(Stage::Queue, asked_us);
     if let Err(AcquireError::NotConnected(failure)) = &taken {
@@ -67,24 +96,23 @@
             other => Some(*other),
         };
         if let Some(failure) = seen.filter(|failure| !is_connection_limit(*failure)) {
-            target.record_unreachable(path, failure, call.now_us());
+            target.record_unreachable(&path, failure, call.now_us());
         }
     }
     taken
 }
 
-async fn queue_and_take<C>(
+/// Waits for a connection for an admitted statement.
+async fn connect<C>(
     call: &Call<'_, C>,
     target: &Arc<TargetState<C>>,
     pool: &Arc<Pool<StatementLink<C>>>,
+    permit: AdmissionPermit,
     until_us: u64,
 ) -> Result<Lease<StatementLink<C>>, AcquireError>
 where
     C: Codec,
 {
-    let (class, caller) = (call.class(), call.caller());
-    let request = AdmissionRequest { class, caller, deadline_us: until_us };
-    let permit = target.queue.admit(&request).await.map_err(AcquireError::Queue)?;
     let until = call.gateway.clock.instant_at(until_us);
     let taken = pool.take(call.user, Some(permit), until).await;
     let mut lease = taken.map_err(AcquireError::NotConnected)?;
@@ -98,7 +126,7 @@
         false => now_us + limits::LEAST_OFFER_US,
     };
     let wait_until_us = wait_until_us.min(call.deadline_us());
-    let precedence = Precedence { class, wait_until_us, now_us };
+    let precedence = Precedence { class: call.class(), wait_until_us, now_us };
     link.set_precedence(target.shares_admission().then_some(precedence));
     Ok(lease)
 }
