Advise refused callers to return after the goal of their class

While a target is overloaded, callers that return after 20 ms use up their retries within the same overload.

--- a/crates/core/src/process/sharing/queue.rs
+++ b/crates/core/src/process/sharing/queue.rs
@@ -239,7 +239,7 @@
             false => class_wait_us,
         };
         if let Some(kind) = self.refusal(index, caller, predicted_wait_us, deadline_us, now_us) {
-            let retry_after_us = self.retry_after_us(caller, class_wait_us, now_us);
+            let retry_after_us = self.retry_after_us(index, caller, class_wait_us, now_us);
             return Admission::Refused { kind, retry_after_us };
         }
         let ticket = Ticket(self.next_ticket);
@@ -348,7 +348,7 @@
 
     /// Returns after how long a caller of the class is advised to retry if it is refused now.
     pub fn advised_retry_us(&self, class: ClassId, caller: CallerId, now_us: u64) -> u64 {
-        self.retry_after_us(caller, self.predicted_wait_us(class, now_us), now_us)
+        self.retry_after_us(class.index(), caller, self.predicted_wait_us(class, now_us), now_us)
     }
 
     /// Returns the number of waiting requests.
@@ -415,14 +415,24 @@
         }
     }
 
-    /// Returns the time after which a refused caller is advised to retry. With spread retry times,
-    /// callers that are refused at the same moment do not return at the same moment.
-    fn retry_after_us(&self, caller: CallerId, class_wait_us: u64, now_us: u64) -> u64 {
+    /// Returns the time after which a refused caller is advised to retry.
+    ///
+    /// With spread retry times, callers that are refused at the same moment do not return at the same
+    /// moment, and not sooner than after the goal of their class: they would use up their retries
+    /// during the same overload.
+    fn retry_after_us(
+        &self,
+        class: usize,
+        caller: CallerId,
+        class_wait_us: u64,
+        now_us: u64,
+    ) -> u64 {
         let shortest_us = class_wait_us.max(MIN_RETRY_AFTER_US);
-        match self.limits.spread_retries {
-            true => shortest_us + jitter::below_us(caller.0, now_us, shortest_us / 2 + 1),
-            false => shortest_us,
+        if !self.limits.spread_retries {
+            return shortest_us;
         }
+        let shortest_us = shortest_us.max(self.views[class].share.goal_us);
+        shortest_us + jitter::below_us(caller.0, now_us, shortest_us / 2 + 1)
     }
 
     fn refusal(
