--- a/crates/standin/src/target/connection/control.rs
+++ b/crates/standin/src/target/connection/control.rs
@@ -39,7 +39,7 @@
 ///
 /// # Errors
 ///
-/// When the peer is gone or breaks the protocol.
+/// If the peer closed the connection or violates the protocol.
 pub async fn serve(target: &Arc<Target>, wire: &mut Wire<'_>) -> Result<(), WireError> {
     let mut listening = None;
     loop {
--- a/crates/standin/src/target/connection/extended.rs
+++ b/crates/standin/src/target/connection/extended.rs
@@ -67,7 +67,7 @@
     ///
     /// # Errors
     ///
-    /// When there is none of this name.
+    /// If there is none with this name.
     pub fn deallocate(&mut self, name: Option<&str>) -> Result<(), TargetError> {
         let Some(name) = name else {
             self.statements.clear();
--- a/crates/standin/src/target/connection/session.rs
+++ b/crates/standin/src/target/connection/session.rs
@@ -22,13 +22,13 @@
 /// The transaction block that a session is in.
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
 pub(super) enum Block {
-    /// None.
+    /// No transaction is open.
     None,
     /// The statements of one simple query, or of a batch up to its `Sync`.
     Implicit,
     /// Opened by `BEGIN`.
     Open {
-        /// Declared read-only.
+        /// Whether it was declared read-only.
         read_only: bool,
     },
     /// Opened by `BEGIN`, and a statement has failed.
@@ -63,7 +63,7 @@
     ///
     /// # Errors
     ///
-    /// When the peer is gone or breaks the protocol.
+    /// If the peer closed the connection or violates the protocol.
     pub async fn serve(&mut self, wire: &mut Wire<'_>) -> Result<(), WireError> {
         loop {
             match wire.next().await? {
--- a/crates/standin/src/target/connection/types.rs
+++ b/crates/standin/src/target/connection/types.rs
@@ -108,7 +108,7 @@
 ///
 /// # Errors
 ///
-/// When the engine's value doesn't fit the column's type in binary format.
+/// If the value can't be represented in the binary format of the column's type.
 pub fn encode(
     output: &mut BytesMut,
     value: ValueRef<'_>,
@@ -187,7 +187,7 @@
 ///
 /// # Errors
 ///
-/// When the bytes don't fit the type.
+/// If the bytes are no value of the type.
 pub fn decode(bytes: &[u8], oid: u32, binary: bool) -> Result<Value, TargetError> {
     match (Type::from_oid(oid), binary) {
         (Some(type_), true) => decode_binary(bytes, type_),
--- a/crates/standin/src/target/connection/wire.rs
+++ b/crates/standin/src/target/connection/wire.rs
@@ -136,7 +136,7 @@
     ///
     /// # Errors
     ///
-    /// When the peer is gone or breaks the protocol.
+    /// If the peer closed the connection or violates the protocol.
     pub async fn opening(&mut self) -> Result<Opening, WireError> {
         loop {
             self.gate.pass().await;
@@ -153,7 +153,7 @@
     ///
     /// # Errors
     ///
-    /// When the peer is gone or breaks the protocol.
+    /// If the peer closed the connection or violates the protocol.
     pub async fn next(&mut self) -> Result<Message, WireError> {
         loop {
             self.gate.pass().await;
@@ -168,7 +168,7 @@
     ///
     /// # Errors
     ///
-    /// When the peer is gone.
+    /// If the peer closed the connection.
     pub async fn peek(&mut self) -> Result<u8, WireError> {
         loop {
             if let Some(tag) = frontend::peek_tag(&self.input) {
@@ -190,7 +190,7 @@
     ///
     /// # Errors
     ///
-    /// When the peer is gone.
+    /// If the peer closed the connection.
     pub async fn flush(&mut self) -> Result<(), WireError> {
         if self.output.is_empty() {
             return Ok(());
@@ -205,7 +205,7 @@
     ///
     /// # Errors
     ///
-    /// When the peer is gone.
+    /// If the peer closed the connection.
     pub async fn flush_if_large(&mut self) -> Result<(), WireError> {
         if self.output.len() < OUTPUT_BYTES {
             return Ok(());
@@ -217,7 +217,7 @@
     ///
     /// # Errors
     ///
-    /// When the peer is gone.
+    /// If the peer closed the connection.
     pub async fn send_byte(&mut self, byte: u8) -> Result<(), WireError> {
         self.transport.write(&[byte]).await?;
         Ok(())
--- a/crates/standin/src/target/database.rs
+++ b/crates/standin/src/target/database.rs
@@ -55,7 +55,7 @@
     ///
     /// # Panics
     ///
-    /// When the engine can't give an in-memory database, which leaves nothing to stand in with.
+    /// If the engine can't open an in-memory database.
     pub fn new() -> Database {
         let connection = Connection::open_in_memory().expect("an in-memory database opens");
         connection.set_prepared_statement_cache_capacity(CACHED_STATEMENTS);
@@ -64,13 +64,13 @@
         Database { connection, world }
     }
 
-    /// Sets what the next statement sees.
+    /// Sets the time and the random seed that the next statement sees.
     pub fn set_moment(&self, moment: Moment) {
         self.world.time_us.store(moment.time_us, Ordering::Relaxed);
         self.world.random.store(moment.seed, Ordering::Relaxed);
     }
 
-    /// Takes the service time that statements asked for since the last call.
+    /// Returns the service time that statements requested since the last call.
     pub fn take_work(&self) -> Duration {
         Duration::from_micros(self.world.work_us.swap(0, Ordering::Relaxed))
     }
@@ -98,7 +98,7 @@
         self.connection.total_changes()
     }
 
-    /// How many rows the last statement changed itself.
+    /// The number of rows that the last statement changed directly.
     pub fn changes(&self) -> u64 {
         self.connection.changes()
     }
@@ -107,7 +107,7 @@
     ///
     /// # Panics
     ///
-    /// When one fails: it did not at the primary, so the two copies differ.
+    /// If a statement fails. It succeeded at the primary, so the two copies differ.
     pub fn apply(&self, record: &Record) {
         if record.statements.is_empty() {
             return;
@@ -138,11 +138,11 @@
         self.control("COMMIT")
     }
 
-    /// Replaces the data by another database's.
+    /// Replaces the data with a copy of another database's.
     ///
     /// # Panics
     ///
-    /// When the engine can't copy between two in-memory databases.
+    /// If the engine can't copy between two in-memory databases.
     pub fn copy_from(&mut self, source: &Database) {
         self.connection.flush_prepared_statement_cache();
         let copy = backup::Backup::new(&source.connection, &mut self.connection);
--- a/crates/standin/src/target/member.rs
+++ b/crates/standin/src/target/member.rs
@@ -98,7 +98,7 @@
         self.applied
     }
 
-    /// Grows by one at each rewind: what was derived from the log before is void.
+    /// Increases by one with each rewind, which invalidates what was derived from the log before.
     pub fn generation(&self) -> u64 {
         self.generation
     }
@@ -197,8 +197,8 @@
         self.log.iter().map(|record| record.position.term).collect()
     }
 
-    /// Takes records that follow the log's end, at a replica that still follows `followed`.
-    /// Returns whether it took them.
+    /// Appends records that follow the log's end, if the replica still follows `followed`. Returns
+    /// whether they were appended.
     pub fn receive(&mut self, followed: Followed, records: &[Arc<Record>]) -> bool {
         let expected = self.log_length() + 1;
         let fits = records.first().is_some_and(|first| first.position.index == expected);
--- a/crates/standin/src/target/record.rs
+++ b/crates/standin/src/target/record.rs
@@ -26,7 +26,7 @@
 pub struct Record {
     /// The record's place.
     pub position: LogPosition,
-    /// When the primary wrote it. Replicas of the same process count their lag from here.
+    /// The time at which the primary wrote it. Replicas of the same process count their lag from here.
     pub written_at: Instant,
     /// The transaction's time, in microseconds since the Unix epoch.
     pub time_us: i64,
--- a/crates/standin/src/target/replication.rs
+++ b/crates/standin/src/target/replication.rs
@@ -1,7 +1,7 @@
-//! Brings records from the primary to a replica, each after the set delay.
+//! Replicates records from the primary to a replica, each after the configured delay.
 //!
-//! The replica's task asks the followed primary for what comes after its own last record, within
-//! the process. Isolation, pauses and deaths of either side stop it, as they stop a connection.
+//! The replica's task reads the records that follow its own last one from the primary's memory. It
+//! stops while either side is partitioned, paused or down, as a connection would.
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -67,11 +67,11 @@
         connects.then_some((followed, primary))
     }
 
-    /// Takes the records that are due. Returns when the next one will be.
+    /// Receives the records that are due. Returns when the next one is due.
     fn pull(&self, followed: Followed, primary: &Target) -> Option<Instant> {
         loop {
-            // Held while records pass: a fault that came between the look and the record would let
-            // a record through that was written after the fault.
+            // The lock is held during the transfer. Otherwise a fault could be injected after the check,
+            // and a record written after the fault would still be replicated.
             let faults = self.network.faults();
             if !faults.connects(&self.options, &primary.options) {
                 return None;
@@ -124,7 +124,7 @@
         taken
     }
 
-    /// Shows reads the held records that are due. Returns when the next one will be.
+    /// Applies the held records that are due, so that reads see them. Returns when the next one is due.
     fn apply_due(&self) -> Option<Instant> {
         let lag = *self.lag.borrow();
         let delay = Duration::from_micros(lag.hold_us + lag.apply_us);
--- a/crates/standin/src/target/server.rs
+++ b/crates/standin/src/target/server.rs
@@ -44,7 +44,7 @@
     ///
     /// # Errors
     ///
-    /// When the address can't be listened on.
+    /// If the address can't be bound.
     pub async fn start(
         options: TargetOptions,
         network: &Arc<Network>,
@@ -85,7 +85,7 @@
     ///
     /// # Errors
     ///
-    /// When another process listens on the address meanwhile.
+    /// If another process has bound the address meanwhile.
     pub async fn restart(&self) -> Result<(), io::Error> {
         if self.running.lock().is_some() {
             return Ok(());
--- a/crates/standin/src/target/writer.rs
+++ b/crates/standin/src/target/writer.rs
@@ -98,7 +98,7 @@
     ///
     /// # Errors
     ///
-    /// When there is none of this name.
+    /// If there is none with this name.
     pub fn rollback_to(&mut self, name: &str) -> Result<(), TargetError> {
         let place = self.savepoint_place(name)?;
         self.working.database.control(&format!("ROLLBACK TO {}", quoted(name)))?;
@@ -111,7 +111,7 @@
     ///
     /// # Errors
     ///
-    /// When there is none of this name.
+    /// If there is none with this name.
     pub fn release(&mut self, name: &str) -> Result<(), TargetError> {
         let place = self.savepoint_place(name)?;
         self.working.database.control(&format!("RELEASE {}", quoted(name)))?;
@@ -128,8 +128,8 @@
     ///
     /// # Errors
     ///
-    /// [`TargetError::NotPrimary`] when the target was fenced since the transaction began, or what
-    /// the engine has against the commit. Nothing of the transaction remains then.
+    /// [`TargetError::NotPrimary`] if the target was fenced since the transaction began, or the error
+    /// of the engine. The transaction is rolled back in both cases.
     pub fn commit(mut self, target: &Target) -> Result<Option<LogPosition>, TargetError> {
         if self.logged.is_empty() {
             return Ok(None);
