--- a/crates/proxy/src/sessions/connection/link.rs
+++ b/crates/proxy/src/sessions/connection/link.rs
@@ -66,8 +66,8 @@
     pub vm: Arc<str>,
     /// Whether the other end is a proxy, which receives the user with the statements instead of at start-up.
     pub to_proxy: bool,
-    /// Timeout for the TCP handshake, in milliseconds.
-    pub tcp_connect_ms: u64,
+    /// Timeout for the TCP handshake, in milliseconds; `None` if only the whole start-up has a timeout.
+    pub tcp_connect_ms: Option<u64>,
 }
 
 /// The class of a unit of work, and for how long a proxy may keep it waiting for admission to the target.
@@ -344,9 +344,13 @@
     ) -> Result<StatementLink<C>, OpenError> {
         let opening = async {
             let handshake = TcpStream::connect(address);
-            let limit = Duration::from_millis(login.tcp_connect_ms);
-            let connected = time::timeout(limit, handshake).await;
-            let stream = connected.map_err(|_| OpenError::TimedOut)?.map_err(OpenError::Io)?;
+            let connected = match login.tcp_connect_ms.map(Duration::from_millis) {
+                Some(limit) => {
+                    time::timeout(limit, handshake).await.map_err(|_| OpenError::TimedOut)?
+                }
+                None => handshake.await,
+            };
+            let stream = connected.map_err(OpenError::Io)?;
             set_keepalive(&stream).map_err(OpenError::Io)?;
             let mut link = StatementLink {
                 stream,
--- a/crates/proxy/src/sessions/process/target_calls.rs
+++ b/crates/proxy/src/sessions/process/target_calls.rs
@@ -16,7 +16,6 @@
 use crate::sessions::connection::link::StatementLink;
 use crate::sessions::connection::link::TargetLogin;
 use crate::sessions::connection::reply::End;
-use crate::sessions::process::limits;
 
 /// Timeout of one call, including the time to connect. A new connection takes up to 30 ms and waits for slots
 /// that execute statements of up to 110 ms; a target that needs longer counts as lost.
@@ -60,7 +59,7 @@
         target_id: Arc::clone(&record.name),
         vm: Arc::clone(vm),
         to_proxy: false,
-        tcp_connect_ms: limits::CONNECT_MS,
+        tcp_connect_ms: None,
     };
     let address = record.address.to_string();
     let mut link: StatementLink<C> = match StatementLink::open(&address, &login, None, limit).await
--- a/crates/proxy/src/sessions/process/target_path.rs
+++ b/crates/proxy/src/sessions/process/target_path.rs
@@ -67,8 +67,10 @@
 impl PoolParts {
     /// Returns the same for connections to a VM that admits the statements of all VMs.
     pub(super) fn with_admission(&self) -> PoolParts {
-        let login =
-            TargetLogin { tcp_connect_ms: limits::ADMISSION_TCP_CONNECT_MS, ..self.login.clone() };
+        let login = TargetLogin {
+            tcp_connect_ms: Some(limits::ADMISSION_TCP_CONNECT_MS),
+            ..self.login.clone()
+        };
         PoolParts { login, shares_admission: true, ..self.clone() }
     }
 
@@ -107,10 +109,7 @@
             login: TargetLogin {
                 target_id: Arc::clone(target_id),
                 to_proxy,
-                tcp_connect_ms: match to_proxy {
-                    true => self.login.tcp_connect_ms,
-                    false => limits::CONNECT_MS,
-                },
+                tcp_connect_ms: self.login.tcp_connect_ms.filter(|_| to_proxy),
                 ..self.login.clone()
             },
             connect_ms: limits::CONNECT_MS,
--- a/crates/proxy/src/sessions/process/targets.rs
+++ b/crates/proxy/src/sessions/process/targets.rs
@@ -160,7 +160,7 @@
             target_id: Arc::clone(&record.id),
             vm: Arc::clone(vm),
             to_proxy: false,
-            tcp_connect_ms: limits::CONNECT_MS,
+            tcp_connect_ms: None,
         };
         let parts =
             PoolParts { login, clock, counters: Arc::clone(counters), shares_admission: false };
