Compute a home's bound on running statements in one place, and pass the paths their scope

The parts that connections are opened with were copied for shared admission with a flag and a timeout that both follow from the scope, which is now an argument like the organisations. Behaviour is unchanged.

--- a/crates/bench/src/admission/simulation.rs
+++ b/crates/bench/src/admission/simulation.rs
@@ -409,11 +409,7 @@
             true => connection_plan::admitting_share(setup.connections),
             false => home_share(setup.connections),
         };
-        let running = match shares_admission {
-            true => setup.slots * limits::ADMITTED_PER_SLOT,
-            false => setup.slots + limits::RUNNING_BEYOND_SLOTS,
-        };
-        let running = running.min(share);
+        let running = targets::running_limit(setup.slots, share, shares_admission);
         let has_organisations = setup.organisations > 0;
         let bounds = targets::queue_limits(running, share, has_organisations, shares_admission);
         let queue = TargetQueue::new(bounds, &targets::class_shares());
--- a/crates/proxy/src/sessions/process/peer_routes.rs
+++ b/crates/proxy/src/sessions/process/peer_routes.rs
@@ -429,14 +429,13 @@
         let is_reachable = |home: &VmAddress, span_us: u64| {
             is_own(home) || not_failed_within(span_us, &failed_us, home, now_us)
         };
-        let reaches_target = |home: &VmAddress| {
+        let reaching = |home: &&VmAddress| {
             let via = (!is_own(home)).then_some(&home.name);
             !target.is_dead_end(via, now_us)
         };
         let (first, fallbacks) = homes.vms.split_at(homes.home_count);
         let usable = |home: &&VmAddress| is_reachable(home, limits::LEAST_HOME_EJECTION_US);
         let stable = |home: &&VmAddress| is_reachable(home, limits::HOME_EJECTION_US);
-        let reaching = |home: &&VmAddress| reaches_target(home);
         let admitting = first.iter().filter(reaching).find(stable);
         let admitting = admitting
             .or_else(|| first.iter().chain(fallbacks).filter(reaching).find(usable))
--- a/crates/proxy/src/sessions/process/target_path.rs
+++ b/crates/proxy/src/sessions/process/target_path.rs
@@ -60,20 +60,9 @@
     pub(super) login: TargetLogin,
     pub(super) clock: MonotonicClock,
     pub(super) counters: Arc<Counters>,
-    /// Whether one VM admits the statements of all VMs.
-    pub(super) shares_admission: bool,
 }
 
 impl PoolParts {
-    /// Returns the same for connections to a VM that admits the statements of all VMs.
-    pub(super) fn with_admission(&self) -> PoolParts {
-        let login = TargetLogin {
-            tcp_connect_ms: Some(limits::ADMISSION_TCP_CONNECT_MS),
-            ..self.login.clone()
-        };
-        PoolParts { login, shares_admission: true, ..self.clone() }
-    }
-
     /// Creates a path to the target itself, or to a VM that relays to it. The relaying VM has to connect to
     /// the same incarnation, so it gets the target's id; the target itself only knows its name.
     pub(super) fn path<C>(
@@ -81,6 +70,7 @@
         vm: Option<&VmAddress>,
         record: &TargetRecord,
         has_organisations: bool,
+        shares_admission: bool,
     ) -> TargetPath<C>
     where
         C: Codec,
@@ -89,7 +79,7 @@
             Some(vm) => (vm.peer_address, &record.id),
             None => (record.address, &record.name),
         };
-        let pool = self.pool(address, id, vm.is_some(), has_organisations);
+        let pool = self.pool(address, id, vm.is_some(), has_organisations, shares_admission);
         TargetPath { via: vm.map(|vm| Arc::clone(&vm.name)), pool }
     }
 
@@ -99,6 +89,7 @@
         target_id: &Arc<str>,
         to_proxy: bool,
         has_organisations: bool,
+        shares_admission: bool,
     ) -> Arc<Pool<StatementLink<C>>>
     where
         C: Codec,
@@ -109,11 +100,12 @@
             login: TargetLogin {
                 target_id: Arc::clone(target_id),
                 to_proxy,
-                tcp_connect_ms: self.login.tcp_connect_ms.filter(|_| to_proxy),
+                tcp_connect_ms: (to_proxy && shares_admission)
+                    .then_some(limits::ADMISSION_TCP_CONNECT_MS),
                 ..self.login.clone()
             },
             connect_ms: limits::CONNECT_MS,
-            budget: policy(to_proxy, has_organisations, self.shares_admission),
+            budget: policy(to_proxy, has_organisations, shares_admission),
             drain_ms: limits::DRAIN_MS,
             reset_always: false,
             jitter_seed: jitter::seed_of(vm) ^ jitter::seed_of(target),
--- a/crates/proxy/src/sessions/process/targets.rs
+++ b/crates/proxy/src/sessions/process/targets.rs
@@ -162,9 +162,8 @@
             to_proxy: false,
             tcp_connect_ms: None,
         };
-        let parts =
-            PoolParts { login, clock, counters: Arc::clone(counters), shares_admission: false };
-        let path = parts.path(None, record, false);
+        let parts = PoolParts { login, clock, counters: Arc::clone(counters) };
+        let path = parts.path(None, record, false, false);
         let queue = AdmissionQueue::new(QueueLimits::default(), &class_shares(), clock);
         let health = Health {
             average_answer_us: INITIAL_ANSWER_US,
@@ -254,10 +253,8 @@
 
     fn new_path(&self, vm: Option<&VmAddress>) -> Arc<TargetPath<C>> {
         let has_organisations = self.has_organisations.load(Ordering::Relaxed);
-        let path = match self.shares_admission() {
-            true => self.parts.with_admission().path(vm, &self.record, has_organisations),
-            false => self.parts.path(vm, &self.record, has_organisations),
-        };
+        let shares_admission = self.shares_admission();
+        let path = self.parts.path(vm, &self.record, has_organisations, shares_admission);
         if vm.is_some() {
             path.pool.set_share(limits::PEER_CONNECTIONS + 1);
         }
@@ -438,11 +435,9 @@
         let shares_admission = self.shares_admission();
         // A home that admits for all VMs decides the order, so the queue in front of the path to it only
         // limits the connections.
-        let slots = self.record.slots;
-        let running = match (shares_admission, self.path.load().via.is_some()) {
-            (true, true) => share,
-            (true, false) => (slots * limits::ADMITTED_PER_SLOT).min(share),
-            (false, _) => (slots + limits::RUNNING_BEYOND_SLOTS).min(share),
+        let running = match shares_admission && self.path.load().via.is_some() {
+            true => share,
+            false => running_limit(self.record.slots, share, shares_admission),
         };
         let has_organisations = self.has_organisations.load(Ordering::Relaxed);
         let bounds = queue_limits(running, share, has_organisations, shares_admission);
@@ -595,6 +590,15 @@
     }
 }
 
+/// Returns how many statements a VM with this share of the connections sends to a target at a time.
+pub fn running_limit(slots: u32, share: u32, shares_admission: bool) -> u32 {
+    let running = match shares_admission {
+        true => slots * limits::ADMITTED_PER_SLOT,
+        false => slots + limits::RUNNING_BEYOND_SLOTS,
+    };
+    running.min(share)
+}
+
 /// The limits of a queue that lets `running` statements run on `connections` connections.
 pub fn queue_limits(
     running: u32,
