--- a/review/4/standin.rs
+++ b/review/4/standin.rs
@@ -19,6 +19,7 @@
 use std::net::SocketAddr;
 use std::net::TcpListener;
 use std::net::TcpStream;
+use std::os::unix::process::CommandExt;
 use std::path::Path;
 use std::path::PathBuf;
 use std::process;
@@ -57,7 +58,10 @@
 
     fn get(&self, key: &str) -> Option<&Json> {
         match self {
-            Json::Table(fields) => fields.iter().find(|field| field.0 == key).map(|field| &field.1),
+            Json::Table(fields) => fields
+                .iter()
+                .find(|field| field.0 == key)
+                .map(|field| &field.1),
             _ => None,
         }
     }
@@ -79,9 +83,13 @@
     /// Returns this table without one field.
     fn without(&self, key: &str) -> Json {
         match self {
-            Json::Table(fields) => {
-                Json::Table(fields.iter().filter(|field| field.0 != key).cloned().collect())
-            }
+            Json::Table(fields) => Json::Table(
+                fields
+                    .iter()
+                    .filter(|field| field.0 != key)
+                    .cloned()
+                    .collect(),
+            ),
             other => other.clone(),
         }
     }
@@ -160,7 +168,9 @@
                     }
                     b',' => *at += 1,
                     _ => {
-                        let Json::Text(key) = parse_value(text, at)? else { return None };
+                        let Json::Text(key) = parse_value(text, at)? else {
+                            return None;
+                        };
                         skip_blanks(text, at);
                         if *text.get(*at)? != b':' {
                             return None;
@@ -222,7 +232,10 @@
         }
         _ => {
             let from = *at;
-            while text.get(*at).is_some_and(|byte| !b",]} \r\n\t".contains(byte)) {
+            while text
+                .get(*at)
+                .is_some_and(|byte| !b",]} \r\n\t".contains(byte))
+            {
                 *at += 1;
             }
             match std::str::from_utf8(&text[from..*at]).ok()? {
@@ -245,7 +258,12 @@
 }
 
 fn table(fields: Vec<(&str, Json)>) -> Json {
-    Json::Table(fields.into_iter().map(|(key, value)| (key.to_owned(), value)).collect())
+    Json::Table(
+        fields
+            .into_iter()
+            .map(|(key, value)| (key.to_owned(), value))
+            .collect(),
+    )
 }
 
 // ---- The platform's store
@@ -305,7 +323,13 @@
         let created = before.map_or(self.rev, |before| before.created);
         let status = before.map_or(Json::Null, |before| before.status.clone());
         let finalizers = Json::List(Vec::new());
-        let object = Object { rev: self.rev, created, finalizers, spec, status };
+        let object = Object {
+            rev: self.rev,
+            created,
+            finalizers,
+            spec,
+            status,
+        };
         self.objects.insert(key, object.clone());
         self.record(kind, name, false, &object);
         object
@@ -313,7 +337,9 @@
 
     fn remove(&mut self, kind: &str, name: &str) -> bool {
         let key = (kind.to_owned(), name.to_owned());
-        let Some(object) = self.objects.remove(&key) else { return false };
+        let Some(object) = self.objects.remove(&key) else {
+            return false;
+        };
         self.rev += 1;
         self.record(kind, name, true, &object);
         true
@@ -322,11 +348,18 @@
     fn record(&mut self, kind: &str, name: &str, removed: bool, object: &Object) {
         let (rev, object) = (self.rev, object.clone());
         let (kind, name) = (kind.to_owned(), name.to_owned());
-        self.events.push(Event { rev, kind, name, removed, object });
+        self.events.push(Event {
+            rev,
+            kind,
+            name,
+            removed,
+            object,
+        });
     }
 
     fn copy(&mut self) {
-        self.copies.push_back((Instant::now(), self.rev, self.objects.clone()));
+        self.copies
+            .push_back((Instant::now(), self.rev, self.objects.clone()));
         if self.copies.len() > 400 {
             self.copies.pop_front();
         }
@@ -334,7 +367,12 @@
 
     /// Comes back from the newest copy that was made by `until`.
     fn restore(&mut self, until: Instant) -> Duration {
-        let copy = self.copies.iter().rev().find(|copy| copy.0 <= until).cloned();
+        let copy = self
+            .copies
+            .iter()
+            .rev()
+            .find(|copy| copy.0 <= until)
+            .cloned();
         let (made, rev, objects) = copy.expect("copies are made from the start");
         (self.rev, self.objects) = (rev, objects);
         self.events.retain(|event| event.rev <= rev);
@@ -370,7 +408,9 @@
 
 impl Database {
     fn position(&self) -> (u64, u64) {
-        self.log.last().map_or((0, 0), |last| (last.term, last.number))
+        self.log
+            .last()
+            .map_or((0, 0), |last| (last.term, last.number))
     }
 }
 
@@ -440,14 +480,25 @@
     fn entry(&self, index: usize) -> Json {
         let database = &self.databases[index];
         let service = &self.services[database.service];
-        let role = if service.primary == Some(index) { "primary" } else { "replica" };
+        let role = if service.primary == Some(index) {
+            "primary"
+        } else {
+            "replica"
+        };
         table(vec![
             ("Service", text(&service.name)),
             ("Address", text(&database.address.to_string())),
             ("Zone", text(&database.zone)),
             ("Version", text("v1")),
             ("Slots", number(2)),
-            ("State", text(if database.draining { "draining" } else { "ready" })),
+            (
+                "State",
+                text(if database.draining {
+                    "draining"
+                } else {
+                    "ready"
+                }),
+            ),
             ("ColdLeftMs", number(0)),
             ("DbRole", text(role)),
             ("Seq", number(database.seq)),
@@ -482,7 +533,10 @@
 
     /// Sends the primary's log to the replicas that receive. Returns how many have all of it.
     fn replicate(&mut self, primary: usize) -> usize {
-        let (service, log) = (self.databases[primary].service, self.databases[primary].log.clone());
+        let (service, log) = (
+            self.databases[primary].service,
+            self.databases[primary].log.clone(),
+        );
         let term = self.databases[primary].term;
         let mut received = 0;
         for (index, replica) in self.databases.iter_mut().enumerate() {
@@ -506,14 +560,22 @@
         let service = self.databases[index].service;
         self.services[service].term += 1;
         self.services[service].primary = Some(index);
-        let (term, log) = (self.services[service].term, self.databases[index].log.clone());
+        let (term, log) = (
+            self.services[service].term,
+            self.databases[index].log.clone(),
+        );
         for (other, database) in self.databases.iter_mut().enumerate() {
             if database.service == service && database.alive {
                 database.term = term;
                 if other == index {
                     database.paused = 0;
                 } else {
-                    let common = database.log.iter().zip(&log).take_while(|(a, b)| a == b).count();
+                    let common = database
+                        .log
+                        .iter()
+                        .zip(&log)
+                        .take_while(|(a, b)| a == b)
+                        .count();
                     database.log.truncate(common);
                 }
             }
@@ -543,19 +605,32 @@
     let target = words.next().unwrap_or_default().to_owned();
     let (path, rest) = target.split_once('?').unwrap_or((&target, ""));
     let pairs = rest.split('&').filter_map(|pair| pair.split_once('='));
-    let query = pairs.map(|(key, value)| (key.to_owned(), value.to_owned())).collect();
+    let query = pairs
+        .map(|(key, value)| (key.to_owned(), value.to_owned()))
+        .collect();
     let mut headers = HashMap::new();
     loop {
         let mut header = String::new();
         stream.read_line(&mut header)?;
-        let Some((name, value)) = header.trim_end().split_once(':') else { break };
+        let Some((name, value)) = header.trim_end().split_once(':') else {
+            break;
+        };
         headers.insert(name.to_ascii_lowercase(), value.trim().to_owned());
     }
-    let length = headers.get("content-length").and_then(|length| length.parse().ok()).unwrap_or(0);
+    let length = headers
+        .get("content-length")
+        .and_then(|length| length.parse().ok())
+        .unwrap_or(0);
     let mut body = vec![0; length];
     stream.read_exact(&mut body)?;
     let body = String::from_utf8_lossy(&body).into_owned();
-    Ok(Some(Request { method, path: path.to_owned(), query, headers, body }))
+    Ok(Some(Request {
+        method,
+        path: path.to_owned(),
+        query,
+        headers,
+        body,
+    }))
 }
 
 fn respond(stream: &mut TcpStream, status: u32, era: u64, body: &str) -> io::Result<()> {
@@ -594,11 +669,17 @@
         }
         let answered = answer(platform, &request, opened, is_up);
         if request.method != "GET" {
-            let status = answered.as_ref().map_or("cut".to_owned(), |it| it.0.to_string());
-            let Request { method, path, body, .. } = &request;
+            let status = answered
+                .as_ref()
+                .map_or("cut".to_owned(), |it| it.0.to_string());
+            let Request {
+                method, path, body, ..
+            } = &request;
             platform.note(&format!("{method} {path} {body} -> {status}"));
         }
-        let Some((status, body)) = answered else { return Ok(()) };
+        let Some((status, body)) = answered else {
+            return Ok(());
+        };
         let era = platform.lock().store.era;
         respond(&mut writer, status, era, &body)?;
     }
@@ -612,7 +693,10 @@
     opened: u64,
     was_up: bool,
 ) -> Option<(u32, String)> {
-    let mut words = request.path.trim_start_matches("/api/objects/").splitn(3, '/');
+    let mut words = request
+        .path
+        .trim_start_matches("/api/objects/")
+        .splitn(3, '/');
     let kind = words.next().unwrap_or_default().to_owned();
     let name = words.next().map(str::to_owned);
     let mut world = platform.lock();
@@ -625,7 +709,11 @@
             let found = world.store.objects.get(&(kind, name.clone()));
             Some(found.map_or(missing, |it| (200, world.store.encode(&name, it).to_text())))
         }
-        ("GET", None) => match request.query.get("Watch").and_then(|rev| rev.parse::<u64>().ok()) {
+        ("GET", None) => match request
+            .query
+            .get("Watch")
+            .and_then(|rev| rev.parse::<u64>().ok())
+        {
             Some(since) => {
                 let wait_ms = request.query.get("WaitMs").and_then(|it| it.parse().ok());
                 let until = Instant::now() + Duration::from_millis(wait_ms.unwrap_or(0));
@@ -683,8 +771,14 @@
             let meta = body.get("meta").cloned().unwrap_or(Json::Null);
             let named = meta.get("Name").and_then(Json::text).map(str::to_owned);
             let is_new = name.is_none();
-            let Some(name) = name.or(named) else { return Some((400, "{}".to_owned())) };
-            let known = world.store.objects.get(&(kind.clone(), name.clone())).cloned();
+            let Some(name) = name.or(named) else {
+                return Some((400, "{}".to_owned()));
+            };
+            let known = world
+                .store
+                .objects
+                .get(&(kind.clone(), name.clone()))
+                .cloned();
             let required = meta.get("Rev").and_then(Json::whole);
             match known {
                 Some(known) if is_new || required.is_some_and(|rev| rev != known.rev) => {
@@ -700,7 +794,11 @@
             }
         }
         ("DELETE", Some(name)) => {
-            let status = if world.store.remove(&kind, &name) { 200 } else { 404 };
+            let status = if world.store.remove(&kind, &name) {
+                200
+            } else {
+                404
+            };
             platform.changed.notify_all();
             Some((status, "{}".to_owned()))
         }
@@ -711,14 +809,33 @@
 /// Carries out a call that designates a primary. A lower token than one that was seen is refused.
 fn promote(platform: &Platform, request: &Request) -> u32 {
     let body = Json::parse(&request.body).unwrap_or(Json::Null);
-    let field = |name: &str| body.get(name).and_then(Json::text).unwrap_or_default().to_owned();
+    let field = |name: &str| {
+        body.get(name)
+            .and_then(Json::text)
+            .unwrap_or_default()
+            .to_owned()
+    };
     let (service, id) = (field("Service"), field("Id"));
-    let holder = request.headers.get("duty-holder").cloned().unwrap_or_default();
-    let token = request.headers.get("fencing-token").and_then(|it| it.parse().ok()).unwrap_or(0);
+    let holder = request
+        .headers
+        .get("duty-holder")
+        .cloned()
+        .unwrap_or_default();
+    let token = request
+        .headers
+        .get("fencing-token")
+        .and_then(|it| it.parse().ok())
+        .unwrap_or(0);
     let at_ms = platform.at_ms();
     let mut world = platform.lock();
-    let known = world.services.iter().position(|known| known.name == service);
-    let target = world.databases.iter().position(|it| it.id == id && it.alive);
+    let known = world
+        .services
+        .iter()
+        .position(|known| known.name == service);
+    let target = world
+        .databases
+        .iter()
+        .position(|it| it.id == id && it.alive);
     let status = match (known, target) {
         (Some(known), _) if token < world.services[known].token => 409,
         (Some(known), target) => {
@@ -744,7 +861,12 @@
         "{at_ms:>7} ms  POST /promote Service={service} Id={id} Duty-Holder={holder} \
          Fencing-Token={token} -> {status}"
     );
-    world.promotions.push(Promotion { service, holder, token, status });
+    world.promotions.push(Promotion {
+        service,
+        holder,
+        token,
+        status,
+    });
     status
 }
 
@@ -775,7 +897,9 @@
     stream.set_nodelay(true)?;
     let mut writer = stream.try_clone()?;
     let mut reader = BufReader::new(stream);
-    let Some(line) = read_line(&mut reader)? else { return Ok(()) };
+    let Some(line) = read_line(&mut reader)? else {
+        return Ok(());
+    };
     let words: Vec<&str> = line.split(' ').collect();
     let refusal = {
         let mut world = platform.lock();
@@ -837,7 +961,9 @@
     };
     writer.write_all(ready(platform, connection).as_bytes())?;
     while let Some(line) = read_line(reader)? {
-        let Some(query) = line.strip_prefix("QUERY ") else { return Ok(()) };
+        let Some(query) = line.strip_prefix("QUERY ") else {
+            return Ok(());
+        };
         let (id, query) = query.split_once(' ').unwrap_or((query, ""));
         if !platform.lock().databases[connection.index].alive {
             return Ok(());
@@ -896,7 +1022,11 @@
             let database = &world.databases[index];
             let role = if leads { "primary" } else { "replica" };
             let (term, number) = database.position();
-            let position = if term == 0 { "-".to_owned() } else { format!("{term}.{number}") };
+            let position = if term == 0 {
+                "-".to_owned()
+            } else {
+                format!("{term}.{number}")
+            };
             let (known, paused, open) = (database.term, database.paused, database.connections);
             return format!("ROW {role} {known} {position} {paused} 0 0 {open}\r\nCOMPLETE -\r\n");
         }
@@ -909,7 +1039,9 @@
             let mut words = rest.splitn(3, ' ');
             let name = words.next().unwrap_or_default().to_owned();
             let effect = words.next().unwrap_or_default().to_owned();
-            connection.prepared.insert(name, (effect, words.next().unwrap_or_default().to_owned()));
+            connection
+                .prepared
+                .insert(name, (effect, words.next().unwrap_or_default().to_owned()));
             return done;
         }
         "CLOSE" => {
@@ -959,7 +1091,10 @@
         let database = world.databases[index].id.clone();
         let _ = writeln!(world.record, "{at_ms:>7} ms  {database} runs {id} {query}");
     }
-    world.runs.push(Run { id: id.to_owned(), text: query.to_owned() });
+    world.runs.push(Run {
+        id: id.to_owned(),
+        text: query.to_owned(),
+    });
     match effect.as_str() {
         "READ" => {
             drop(world);
@@ -984,7 +1119,12 @@
                 if !writes.is_empty() {
                     let term = world.databases[index].term;
                     let number = world.databases[index].position().1 + 1;
-                    let commit = Commit { term, number, id: id.to_owned(), writes };
+                    let commit = Commit {
+                        term,
+                        number,
+                        id: id.to_owned(),
+                        writes,
+                    };
                     world.databases[index].log.push(commit);
                     while world.services[service].primary == Some(index)
                         && world.replicate(index) == 0
@@ -1026,10 +1166,14 @@
     format!("db{service}{}", ["p", "b", "r"][kind])
 }
 
-fn configuration(version: u64) -> Json {
+/// A desired state, without the route of one database if `dropped` names it.
+fn configuration(version: u64, dropped: &str) -> Json {
     let mut routes = Vec::new();
     for (service, name) in SERVICES.iter().enumerate() {
         for (kind, kind_name) in KINDS.iter().enumerate() {
+            if database_name(service, kind) == dropped {
+                continue;
+            }
             routes.push(table(vec![
                 ("Name", text(&format!("r-{service}{kind}"))),
                 ("DbName", text(&database_name(service, kind))),
@@ -1055,7 +1199,10 @@
     table(vec![
         ("Version", number(version)),
         ("Routes", Json::List(routes)),
-        ("Services", Json::List(SERVICES.iter().map(service).collect())),
+        (
+            "Services",
+            Json::List(SERVICES.iter().map(service).collect()),
+        ),
         ("Limits", table(vec![("TxIdleMs", number(3_000))])),
     ])
 }
@@ -1115,19 +1262,51 @@
 fn start_vm(program: &str, folder: &Path, number: usize, platform: SocketAddr) -> io::Result<Vm> {
     let zone = ZONES[number % ZONES.len()];
     let name = format!("edge-{zone}-{number}");
-    let addresses = [free_address(), free_address(), free_address(), free_address()];
+    let addresses = [
+        free_address(),
+        free_address(),
+        free_address(),
+        free_address(),
+    ];
     let file = folder.join(format!("{name}.toml"));
     fs::write(&file, settings(&name, zone, &addresses, platform))?;
-    let log = fs::File::create(folder.join(format!("{name}.log")))?;
-    let child = Command::new(program)
+    let child = spawn_vm(program, folder, &name)?;
+    Ok(Vm {
+        name,
+        front: addresses[0],
+        ready: addresses[1],
+        child,
+    })
+}
+
+/// Starts the program with the settings of a VM.
+fn spawn_vm(program: &str, folder: &Path, name: &str) -> io::Result<Child> {
+    let log = folder.join(format!("{name}.log"));
+    let log = fs::OpenOptions::new().create(true).append(true).open(log)?;
+    let mut command = Command::new(program);
+    command
         .env_clear()
         .env("PATH", "/usr/bin:/bin")
-        .env("SKYLARKLB_NODE_FILE", &file)
+        .env("SKYLARKLB_NODE_FILE", folder.join(format!("{name}.toml")))
         .stdin(Stdio::null())
         .stdout(log.try_clone()?)
-        .stderr(log)
-        .spawn()?;
-    Ok(Vm { name, front: addresses[0], ready: addresses[1], child })
+        .stderr(log);
+    // SAFETY: the call is safe between fork and exec, and its arguments are plain numbers.
+    unsafe {
+        command.pre_exec(|| {
+            prctl(PR_SET_PDEATHSIG, SIGKILL);
+            Ok(())
+        });
+    }
+    command.spawn()
+}
+
+const PR_SET_PDEATHSIG: i32 = 1;
+const SIGKILL: u64 = 9;
+
+unsafe extern "C" {
+    /// Lets the kernel end a child together with this process.
+    fn prctl(option: i32, ...) -> i32;
 }
 
 fn is_ready(vm: &Vm) -> bool {
@@ -1163,8 +1342,13 @@
         let writer = TcpStream::connect_timeout(&front, Duration::from_secs(1))?;
         writer.set_nodelay(true)?;
         writer.set_read_timeout(Some(Duration::from_secs(3)))?;
-        let mut caller = Caller { reader: BufReader::new(writer.try_clone()?), writer };
-        caller.writer.write_all(format!("STARTUP {database} u1\r\n").as_bytes())?;
+        let mut caller = Caller {
+            reader: BufReader::new(writer.try_clone()?),
+            writer,
+        };
+        caller
+            .writer
+            .write_all(format!("STARTUP {database} u1\r\n").as_bytes())?;
         let ready = caller.line()?;
         match ready.starts_with("READY") {
             true => Ok(caller),
@@ -1192,7 +1376,8 @@
     }
 
     fn query(&mut self, id: &str, text: &str) -> io::Result<Answer> {
-        self.writer.write_all(format!("QUERY {id} {text}\r\n").as_bytes())?;
+        self.writer
+            .write_all(format!("QUERY {id} {text}\r\n").as_bytes())?;
         self.answer()
     }
 }
@@ -1207,8 +1392,17 @@
 
 type Outcomes = Arc<Mutex<HashMap<String, (usize, Outcome)>>>;
 
+/// When each request was sent, in milliseconds, and whether it was served.
+type Served = Arc<Mutex<Vec<(u128, bool)>>>;
+
 /// Sends single writes and reads at a low rate until the scenario is over.
-fn run_caller(platform: Platform, front: SocketAddr, number: usize, outcomes: Outcomes) {
+fn run_caller(
+    platform: Platform,
+    front: SocketAddr,
+    number: usize,
+    outcomes: Outcomes,
+    served: Served,
+) {
     let service = number % SERVICES.len();
     let kind = if number % 2 == 0 { 0 } else { 2 };
     let mut caller = None;
@@ -1218,11 +1412,22 @@
         if caller.is_none() {
             caller = Caller::open(front, &database_name(service, kind)).ok();
         }
-        let Some(open) = &mut caller else { continue };
+        let sent_ms = platform.at_ms();
+        let note_served = |is_served: bool| served.lock().expect("lock").push((sent_ms, is_served));
+        let Some(open) = &mut caller else {
+            note_served(false);
+            continue;
+        };
         count += 1;
         let id = format!("c{number}n{count}");
         if count % 3 != 0 {
-            if open.query(&id, &format!("READ i{number}")).is_err() {
+            let answered = open.query(&id, &format!("READ i{number}"));
+            note_served(
+                answered
+                    .as_ref()
+                    .is_ok_and(|it| it.end.starts_with("COMPLETE")),
+            );
+            if answered.is_err() {
                 caller = None;
             }
             continue;
@@ -1246,7 +1451,11 @@
                 Outcome::Unknown
             }
         };
-        outcomes.lock().expect("lock").insert(data, (service, outcome));
+        note_served(outcome == Outcome::Acknowledged);
+        outcomes
+            .lock()
+            .expect("lock")
+            .insert(data, (service, outcome));
     }
 }
 
@@ -1257,12 +1466,20 @@
     vms: Vec<Vm>,
     trouble: bool,
     outcomes: Outcomes,
+    served: Served,
+    program: String,
+    folder: PathBuf,
+    address: SocketAddr,
 }
 
 impl Scenario {
     fn start(program: &str, folder: &Path, record: &Path, vms: usize) -> io::Result<Scenario> {
-        let service =
-            |name: &&str| Service { name: (*name).to_owned(), primary: None, term: 1, token: 0 };
+        let service = |name: &&str| Service {
+            name: (*name).to_owned(),
+            primary: None,
+            term: 1,
+            token: 0,
+        };
         let store = Store {
             rev: 100,
             era: 1,
@@ -1291,7 +1508,10 @@
         let address = listener.local_addr()?;
         let serving = Arc::clone(&platform);
         thread::spawn(move || serve_platform(serving, listener));
-        platform.lock().store.put("config", "main", configuration(7));
+        platform
+            .lock()
+            .store
+            .put("config", "main", configuration(7, ""));
         for service in 0..SERVICES.len() {
             for zone in 0..ZONES.len() {
                 let zone = ZONES[(zone + service) % ZONES.len()];
@@ -1322,7 +1542,18 @@
             started.push(start_vm(program, folder, number, address)?);
         }
         let trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
-        Ok(Scenario { platform, vms: started, trouble, outcomes: Outcomes::default() })
+        let (program, folder) = (program.to_owned(), folder.to_owned());
+        let (outcomes, served) = (Outcomes::default(), Served::default());
+        Ok(Scenario {
+            platform,
+            vms: started,
+            trouble,
+            outcomes,
+            served,
+            program,
+            folder,
+            address,
+        })
     }
 
     /// Waits until all VMs are ready.
@@ -1342,20 +1573,28 @@
         for number in 0..count {
             let (platform, outcomes) = (Arc::clone(&self.platform), Arc::clone(&self.outcomes));
             let front = self.vms[number / SERVICES.len() % self.vms.len()].front;
-            thread::spawn(move || run_caller(platform, front, number, outcomes));
+            let served = Arc::clone(&self.served);
+            thread::spawn(move || run_caller(platform, front, number, outcomes, served));
         }
     }
 
-    /// Replaces the primary of each service: a new database starts, and the primary drains and leaves.
-    fn replace_primaries(&self, round: usize) {
+    /// Replaces the primary of some services: a new database starts, and the primary drains and leaves.
+    fn replace_primaries(&self, round: usize, services: std::ops::Range<usize>) {
         let mut leaving = Vec::new();
-        for service in 0..SERVICES.len() {
+        for service in services {
             let (zone, primary) = {
                 let world = self.platform.lock();
-                let Some(primary) = world.services[service].primary else { continue };
+                let Some(primary) = world.services[service].primary else {
+                    continue;
+                };
                 (world.databases[primary].zone.clone(), primary)
             };
-            start_database(&self.platform, service, &zone, &format!("i-{service}-new{round}"));
+            start_database(
+                &self.platform,
+                service,
+                &zone,
+                &format!("i-{service}-new{round}"),
+            );
             leaving.push(primary);
         }
         thread::sleep(Duration::from_millis(1_000));
@@ -1391,7 +1630,11 @@
     /// operator and the databases write again what they wrote.
     fn drill(&self, copied: Instant) {
         let mut world = self.platform.lock();
-        let operator = world.store.objects.get(&("config".to_owned(), "main".to_owned())).cloned();
+        let operator = world
+            .store
+            .objects
+            .get(&("config".to_owned(), "main".to_owned()))
+            .cloned();
         world.store.up = false;
         world.store.cuts += 1;
         drop(world);
@@ -1418,7 +1661,11 @@
 
     fn promoted(&self) -> usize {
         let world = self.platform.lock();
-        world.services.iter().map(|service| service.term as usize - 1).sum()
+        world
+            .services
+            .iter()
+            .map(|service| service.term as usize - 1)
+            .sum()
     }
 
     /// Waits until this many promotions have taken effect.
@@ -1433,6 +1680,54 @@
         true
     }
 
+    /// Adds machines, and removes them again a moment later with a SIGTERM. Returns them.
+    fn add_and_remove(&self, first: usize, count: usize) -> io::Result<Vec<Vm>> {
+        let numbers = first..first + count;
+        let added =
+            numbers.map(|number| start_vm(&self.program, &self.folder, number, self.address));
+        let added = added.collect::<io::Result<Vec<Vm>>>()?;
+        let until = Instant::now() + Duration::from_secs(5);
+        while !added.iter().all(is_ready) && Instant::now() < until {
+            thread::sleep(Duration::from_millis(50));
+        }
+        let ids: Vec<String> = added.iter().map(|vm| vm.child.id().to_string()).collect();
+        let line = format!("kill -TERM {}", ids.join(" "));
+        Command::new("sh").arg("-c").arg(line).status()?;
+        self.platform.note(&format!(
+            "{count} machines were added and removed again, from number {first}"
+        ));
+        Ok(added)
+    }
+
+    /// The final fault: all processes are killed, and start again with the same settings.
+    fn kill_all(&mut self) -> io::Result<()> {
+        for vm in &mut self.vms {
+            vm.child.kill()?;
+            vm.child.wait()?;
+        }
+        self.platform.note("all processes are killed");
+        thread::sleep(Duration::from_secs(1));
+        for vm in &mut self.vms {
+            vm.child = spawn_vm(&self.program, &self.folder, &vm.name)?;
+        }
+        self.platform.note("all processes are started again");
+        Ok(())
+    }
+
+    /// Returns how many requests were sent in a span, and how many of them were served.
+    fn served_between(&self, from_ms: u128, to_ms: u128) -> (usize, usize) {
+        let served = self.served.lock().expect("lock");
+        let sent: Vec<bool> = served
+            .iter()
+            .filter(|it| (from_ms..to_ms).contains(&it.0))
+            .map(|it| it.1)
+            .collect();
+        (
+            sent.len(),
+            sent.iter().filter(|is_served| **is_served).count(),
+        )
+    }
+
     /// Ends the VMs and notes what became of the callers' writes.
     fn end(&mut self) {
         self.platform.over.store(true, Ordering::Relaxed);
@@ -1440,7 +1735,8 @@
         for vm in &mut self.vms {
             let ended = vm.child.try_wait().ok().flatten();
             if let Some(status) = ended {
-                self.platform.note(&format!("{} had ended by itself: {status}", vm.name));
+                self.platform
+                    .note(&format!("{} had ended by itself: {status}", vm.name));
             }
             let _ = vm.child.kill();
             let _ = vm.child.wait();
@@ -1449,17 +1745,26 @@
         let world = self.platform.lock();
         let mut kept: HashMap<&str, usize> = HashMap::new();
         for service in &world.services {
-            let Some(primary) = service.primary else { continue };
-            let writes = world.databases[primary].log.iter().flat_map(|commit| &commit.writes);
+            let Some(primary) = service.primary else {
+                continue;
+            };
+            let writes = world.databases[primary]
+                .log
+                .iter()
+                .flat_map(|commit| &commit.writes);
             for (_, data) in writes {
                 *kept.entry(data).or_default() += 1;
             }
         }
         let count_of = |data: &str| kept.get(data).copied().unwrap_or(0);
         let with = |wanted: Outcome| outcomes.iter().filter(move |it| it.1.1 == wanted);
-        let lost = with(Outcome::Acknowledged).filter(|it| count_of(it.0) == 0).count();
+        let lost = with(Outcome::Acknowledged)
+            .filter(|it| count_of(it.0) == 0)
+            .count();
         let twice = outcomes.keys().filter(|data| count_of(data) > 1).count();
-        let denied_kept = with(Outcome::Denied).filter(|it| count_of(it.0) > 0).count();
+        let denied_kept = with(Outcome::Denied)
+            .filter(|it| count_of(it.0) > 0)
+            .count();
         let line = format!(
             "writes: {} acknowledged ({lost} lost), {} denied ({denied_kept} kept), {} unknown, \
              {twice} applied twice",
@@ -1473,6 +1778,128 @@
     }
 }
 
+/// CONFIG: a VM that was frozen while the store came back from a copy serves a dropped route for good.
+fn stale_configuration(scenario: &Scenario) -> Option<bool> {
+    const DROPPED: &str = "db2p";
+    // `ConfigMs` and `OuterMs`, and a second more.
+    const BOUND: Duration = Duration::from_millis(3_000 + 12_000 + 1_000);
+    if !scenario.wait_until_ready() {
+        return None;
+    }
+    scenario.start_callers(36);
+    thread::sleep(Duration::from_secs(3));
+    let copied = Instant::now();
+    thread::sleep(Duration::from_millis(300));
+    scenario.replace_primaries(1, 0..1);
+    if !scenario.wait_for_promotions(1, Duration::from_secs(10)) {
+        return None;
+    }
+    // Each watch has returned once since.
+    thread::sleep(Duration::from_millis(3_000));
+    let frozen = &scenario.vms[0];
+    let signal = |name: &str| {
+        let line = format!("kill -{name} {}", frozen.child.id());
+        let sent = Command::new("sh").arg("-c").arg(line).status();
+        scenario
+            .platform
+            .note(&format!("SIG{name} to {}: {sent:?}", frozen.name));
+    };
+    if scenario.trouble {
+        signal("STOP");
+        scenario.drill(copied);
+    }
+    scenario
+        .platform
+        .lock()
+        .store
+        .put("config", "main", configuration(8, DROPPED));
+    scenario.platform.changed.notify_all();
+    let confirmed = Instant::now();
+    scenario
+        .platform
+        .note(&format!("the operator writes version 8, without {DROPPED}"));
+    scenario.replace_primaries(2, 1..SERVICES.len());
+    thread::sleep(Duration::from_millis(900));
+    let rev = scenario.platform.lock().store.rev;
+    scenario.platform.note(&format!("the store is at {rev}"));
+    if scenario.trouble {
+        signal("CONT");
+    }
+    thread::sleep(BOUND.saturating_sub(confirmed.elapsed()));
+    let mut is_broken = false;
+    for vm in &scenario.vms {
+        let id = format!("late-{}", vm.name);
+        let after_ms = confirmed.elapsed().as_millis();
+        let asked = Caller::open(vm.front, DROPPED)
+            .and_then(|mut caller| caller.query(&id, "WRITE i7 late").map(|answer| answer.end));
+        let did_run = scenario.platform.lock().runs.iter().any(|run| run.id == id);
+        let line = format!(
+            "{after_ms} ms after the confirmation {} answers a request for {DROPPED} with {asked:?}; \
+             run by a database: {did_run}",
+            vm.name
+        );
+        scenario.platform.note(&line);
+        println!("{line}");
+        is_broken |= did_run;
+    }
+    Some(is_broken)
+}
+
+/// RECOVER: after the final fault less than a quarter of the requests is served, because machines that were removed
+/// before still count.
+fn recover(scenario: &mut Scenario) -> io::Result<Option<bool>> {
+    const WAVES: usize = 80;
+    const PER_WAVE: usize = 3;
+    const RECOVER_MS: u128 = 12_000;
+    const OBSERVED_MS: u128 = 10_000;
+    if !scenario.wait_until_ready() {
+        return Ok(None);
+    }
+    scenario.start_callers(36);
+    let from_ms = scenario.platform.at_ms();
+    thread::sleep(Duration::from_secs(5));
+    let mut removed = Vec::new();
+    for wave in 0..WAVES {
+        match scenario.trouble {
+            true => removed.extend(scenario.add_and_remove(100 + wave * PER_WAVE, PER_WAVE)?),
+            false => thread::sleep(Duration::from_millis(400)),
+        }
+    }
+    // Those that were removed end within the grace period.
+    let until = Instant::now() + Duration::from_secs(7);
+    for vm in &mut removed {
+        while vm.child.try_wait()?.is_none() {
+            if Instant::now() > until {
+                vm.child.kill()?;
+                vm.child.wait()?;
+            }
+            thread::sleep(Duration::from_millis(5));
+        }
+    }
+    scenario.platform.note(&format!(
+        "{} machines were added and removed in all",
+        removed.len()
+    ));
+    thread::sleep(Duration::from_secs(5));
+    let fault_ms = scenario.platform.at_ms();
+    scenario.kill_all()?;
+    let back_ms = scenario.platform.at_ms();
+    thread::sleep(Duration::from_millis((RECOVER_MS + OBSERVED_MS) as u64));
+    let (sent_before, served_before) = scenario.served_between(from_ms, fault_ms);
+    let after_ms = back_ms + RECOVER_MS;
+    let (sent, served) = scenario.served_between(after_ms, after_ms + OBSERVED_MS);
+    let line = format!(
+        "RECOVER: before the final fault {served_before} of {sent_before} requests were served, later than \
+         {RECOVER_MS} ms after the machines are back {served} of {sent}"
+    );
+    scenario.platform.note(&line);
+    println!("{line}");
+    if sent == 0 || served_before * 4 < sent_before {
+        return Ok(None);
+    }
+    Ok(Some(served * 4 < sent))
+}
+
 /// UNASKED: a database runs a request that was smuggled inside another one. A caller sends one message whose last
 /// field holds a line feed; the line ends with the next CR LF.
 fn line_feed(scenario: &Scenario) -> Option<bool> {
@@ -1495,13 +1922,19 @@
             let mut caller = Caller::open(vm.front, &database_name(number % SERVICES.len(), 0))?;
             let mut answers = vec![caller.query(&id, &text)?];
             // An answer that nothing was asked for shows that the line was taken for two.
-            caller.writer.set_read_timeout(Some(Duration::from_millis(1_500)))?;
+            caller
+                .writer
+                .set_read_timeout(Some(Duration::from_millis(1_500)))?;
             answers.extend(caller.answer().ok());
             Ok(answers)
         };
         match ask() {
-            Ok(answers) => scenario.platform.note(&format!("the caller gets {answers:?}")),
-            Err(error) => scenario.platform.note(&format!("the caller gets no answer: {error}")),
+            Ok(answers) => scenario
+                .platform
+                .note(&format!("the caller gets {answers:?}")),
+            Err(error) => scenario
+                .platform
+                .note(&format!("the caller gets no answer: {error}")),
         }
     }
     let runs = scenario.platform.lock().runs.clone();
@@ -1510,8 +1943,10 @@
         let asked = sent.get(&run.id);
         if asked != Some(&run.text) {
             is_broken = true;
-            let line =
-                format!("UNASKED: a database ran {} {:?}; sent was {asked:?}", run.id, run.text);
+            let line = format!(
+                "UNASKED: a database ran {} {:?}; sent was {asked:?}",
+                run.id, run.text
+            );
             scenario.platform.note(&line);
             println!("{line}");
         }
@@ -1528,7 +1963,7 @@
     thread::sleep(Duration::from_secs(6));
     let copied = Instant::now();
     thread::sleep(Duration::from_millis(300));
-    scenario.replace_primaries(1);
+    scenario.replace_primaries(1, 0..SERVICES.len());
     if !scenario.wait_for_promotions(SERVICES.len(), Duration::from_secs(15)) {
         scenario.platform.note("the first replacement did not end");
         return None;
@@ -1539,7 +1974,7 @@
     }
     // The databases that were replaced leave, and the store is stable again.
     thread::sleep(Duration::from_secs(14));
-    scenario.replace_primaries(2);
+    scenario.replace_primaries(2, 0..SERVICES.len());
     let is_over = scenario.wait_for_promotions(2 * SERVICES.len(), Duration::from_secs(25));
     if !is_over {
         scenario.platform.note("the second replacement did not end");
@@ -1581,6 +2016,11 @@
     let broken = match name.as_str() {
         "drill" => drill(&scenario),
         "line-feed" => line_feed(&scenario),
+        "stale-configuration" => stale_configuration(&scenario),
+        "recover" => recover(&mut scenario).unwrap_or_else(|error| {
+            eprintln!("{error}");
+            None
+        }),
         _ => None,
     };
     scenario.end();
