--- a/review/4/standin.rs
+++ b/review/4/standin.rs
@@ -1626,6 +1626,34 @@
         });
     }
 
+    /// Lets a database report that it is about to stop.
+    fn drain(&self, index: usize) {
+        let mut world = self.platform.lock();
+        world.databases[index].draining = true;
+        world.heartbeat(index);
+        let id = world.databases[index].id.clone();
+        drop(world);
+        self.platform.changed.notify_all();
+        self.platform.note(&format!("{id} reports draining"));
+    }
+
+    /// Ends a database, whether it was replaced as primary or not.
+    fn leave(&self, index: usize) {
+        let mut world = self.platform.lock();
+        let service = world.databases[index].service;
+        let led = world.services[service].primary == Some(index);
+        if led {
+            world.services[service].primary = None;
+        }
+        world.databases[index].alive = false;
+        let id = world.databases[index].id.clone();
+        world.store.remove("servers", &id);
+        drop(world);
+        self.platform.changed.notify_all();
+        self.platform
+            .note(&format!("{id} left; it was still the primary: {led}"));
+    }
+
     /// The drill: the store is away for a moment and comes back from a copy that was made at `copied`. The
     /// operator and the databases write again what they wrote.
     fn drill(&self, copied: Instant) {
@@ -1845,6 +1873,66 @@
     Some(is_broken)
 }
 
+/// Fault: no request is served after the databases of quiet services were replaced one after the other.
+fn quiet(scenario: &Scenario) -> Option<bool> {
+    const REPLACED: usize = 2;
+    const OBSERVED: Duration = Duration::from_secs(30);
+    if !scenario.wait_until_ready() {
+        return None;
+    }
+    thread::sleep(Duration::from_secs(3));
+    for round in 1..=REPLACED {
+        if !scenario.trouble {
+            break;
+        }
+        // In each service first a replica and then the primary.
+        let mut leaving = Vec::new();
+        for service in 0..SERVICES.len() {
+            let world = scenario.platform.lock();
+            let primary = world.services[service].primary?;
+            let is_replica = |index: &usize| {
+                let database = &world.databases[*index];
+                *index != primary && database.service == service && database.alive
+            };
+            let replica = (0..world.databases.len()).find(is_replica)?;
+            let old = if round == REPLACED { primary } else { replica };
+            let zone = world.databases[old].zone.clone();
+            drop(world);
+            start_database(
+                &scenario.platform,
+                service,
+                &zone,
+                &format!("i-{service}-new{round}"),
+            );
+            leaving.push(old);
+        }
+        thread::sleep(Duration::from_millis(1_500));
+        for index in &leaving {
+            scenario.drain(*index);
+        }
+        // Each goes on for `DrainMs` and a little longer.
+        thread::sleep(Duration::from_millis(9_000));
+        for index in &leaving {
+            scenario.leave(*index);
+        }
+        thread::sleep(Duration::from_millis(500));
+    }
+    scenario
+        .platform
+        .note("the databases were replaced; the traffic begins");
+    let from_ms = scenario.platform.at_ms();
+    scenario.start_callers(36);
+    thread::sleep(OBSERVED);
+    let (sent, served) = scenario.served_between(from_ms, from_ms + OBSERVED.as_millis());
+    let line = format!("Fault: {served} of {sent} requests were served");
+    scenario.platform.note(&line);
+    println!("{line}");
+    if sent == 0 {
+        return None;
+    }
+    Some(served == 0)
+}
+
 /// RECOVER: after the final fault less than a quarter of the requests is served, because machines that were removed
 /// before still count.
 fn recover(scenario: &mut Scenario) -> io::Result<Option<bool>> {
@@ -2016,6 +2104,7 @@
     let broken = match name.as_str() {
         "drill" => drill(&scenario),
         "line-feed" => line_feed(&scenario),
+        "quiet" => quiet(&scenario),
         "stale-configuration" => stale_configuration(&scenario),
         "recover" => recover(&mut scenario).unwrap_or_else(|error| {
             eprintln!("{error}");
