--- a/review/4/standin.rs
+++ b/review/4/standin.rs
@@ -31,6 +31,7 @@
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicU16;
 use std::sync::atomic::Ordering;
 use std::thread;
 use std::time::Duration;
@@ -58,10 +59,7 @@
 
     fn get(&self, key: &str) -> Option<&Json> {
         match self {
-            Json::Table(fields) => fields
-                .iter()
-                .find(|field| field.0 == key)
-                .map(|field| &field.1),
+            Json::Table(fields) => fields.iter().find(|field| field.0 == key).map(|field| &field.1),
             _ => None,
         }
     }
@@ -83,13 +81,9 @@
     /// Returns this table without one field.
     fn without(&self, key: &str) -> Json {
         match self {
-            Json::Table(fields) => Json::Table(
-                fields
-                    .iter()
-                    .filter(|field| field.0 != key)
-                    .cloned()
-                    .collect(),
-            ),
+            Json::Table(fields) => {
+                Json::Table(fields.iter().filter(|field| field.0 != key).cloned().collect())
+            }
             other => other.clone(),
         }
     }
@@ -232,10 +226,7 @@
         }
         _ => {
             let from = *at;
-            while text
-                .get(*at)
-                .is_some_and(|byte| !b",]} \r\n\t".contains(byte))
-            {
+            while text.get(*at).is_some_and(|byte| !b",]} \r\n\t".contains(byte)) {
                 *at += 1;
             }
             match std::str::from_utf8(&text[from..*at]).ok()? {
@@ -258,12 +249,7 @@
 }
 
 fn table(fields: Vec<(&str, Json)>) -> Json {
-    Json::Table(
-        fields
-            .into_iter()
-            .map(|(key, value)| (key.to_owned(), value))
-            .collect(),
-    )
+    Json::Table(fields.into_iter().map(|(key, value)| (key.to_owned(), value)).collect())
 }
 
 // ---- The platform's store
@@ -323,13 +309,7 @@
         let created = before.map_or(self.rev, |before| before.created);
         let status = before.map_or(Json::Null, |before| before.status.clone());
         let finalizers = Json::List(Vec::new());
-        let object = Object {
-            rev: self.rev,
-            created,
-            finalizers,
-            spec,
-            status,
-        };
+        let object = Object { rev: self.rev, created, finalizers, spec, status };
         self.objects.insert(key, object.clone());
         self.record(kind, name, false, &object);
         object
@@ -348,18 +328,11 @@
     fn record(&mut self, kind: &str, name: &str, removed: bool, object: &Object) {
         let (rev, object) = (self.rev, object.clone());
         let (kind, name) = (kind.to_owned(), name.to_owned());
-        self.events.push(Event {
-            rev,
-            kind,
-            name,
-            removed,
-            object,
-        });
+        self.events.push(Event { rev, kind, name, removed, object });
     }
 
     fn copy(&mut self) {
-        self.copies
-            .push_back((Instant::now(), self.rev, self.objects.clone()));
+        self.copies.push_back((Instant::now(), self.rev, self.objects.clone()));
         if self.copies.len() > 400 {
             self.copies.pop_front();
         }
@@ -367,12 +340,7 @@
 
     /// Comes back from the newest copy that was made by `until`.
     fn restore(&mut self, until: Instant) -> Duration {
-        let copy = self
-            .copies
-            .iter()
-            .rev()
-            .find(|copy| copy.0 <= until)
-            .cloned();
+        let copy = self.copies.iter().rev().find(|copy| copy.0 <= until).cloned();
         let (made, rev, objects) = copy.expect("copies are made from the start");
         (self.rev, self.objects) = (rev, objects);
         self.events.retain(|event| event.rev <= rev);
@@ -408,9 +376,7 @@
 
 impl Database {
     fn position(&self) -> (u64, u64) {
-        self.log
-            .last()
-            .map_or((0, 0), |last| (last.term, last.number))
+        self.log.last().map_or((0, 0), |last| (last.term, last.number))
     }
 }
 
@@ -480,25 +446,14 @@
     fn entry(&self, index: usize) -> Json {
         let database = &self.databases[index];
         let service = &self.services[database.service];
-        let role = if service.primary == Some(index) {
-            "primary"
-        } else {
-            "replica"
-        };
+        let role = if service.primary == Some(index) { "primary" } else { "replica" };
         table(vec![
             ("Service", text(&service.name)),
             ("Address", text(&database.address.to_string())),
             ("Zone", text(&database.zone)),
             ("Version", text("v1")),
             ("Slots", number(2)),
-            (
-                "State",
-                text(if database.draining {
-                    "draining"
-                } else {
-                    "ready"
-                }),
-            ),
+            ("State", text(if database.draining { "draining" } else { "ready" })),
             ("ColdLeftMs", number(0)),
             ("DbRole", text(role)),
             ("Seq", number(database.seq)),
@@ -533,10 +488,7 @@
 
     /// Sends the primary's log to the replicas that receive. Returns how many have all of it.
     fn replicate(&mut self, primary: usize) -> usize {
-        let (service, log) = (
-            self.databases[primary].service,
-            self.databases[primary].log.clone(),
-        );
+        let (service, log) = (self.databases[primary].service, self.databases[primary].log.clone());
         let term = self.databases[primary].term;
         let mut received = 0;
         for (index, replica) in self.databases.iter_mut().enumerate() {
@@ -560,22 +512,14 @@
         let service = self.databases[index].service;
         self.services[service].term += 1;
         self.services[service].primary = Some(index);
-        let (term, log) = (
-            self.services[service].term,
-            self.databases[index].log.clone(),
-        );
+        let (term, log) = (self.services[service].term, self.databases[index].log.clone());
         for (other, database) in self.databases.iter_mut().enumerate() {
             if database.service == service && database.alive {
                 database.term = term;
                 if other == index {
                     database.paused = 0;
                 } else {
-                    let common = database
-                        .log
-                        .iter()
-                        .zip(&log)
-                        .take_while(|(a, b)| a == b)
-                        .count();
+                    let common = database.log.iter().zip(&log).take_while(|(a, b)| a == b).count();
                     database.log.truncate(common);
                 }
             }
@@ -605,9 +549,7 @@
     let target = words.next().unwrap_or_default().to_owned();
     let (path, rest) = target.split_once('?').unwrap_or((&target, ""));
     let pairs = rest.split('&').filter_map(|pair| pair.split_once('='));
-    let query = pairs
-        .map(|(key, value)| (key.to_owned(), value.to_owned()))
-        .collect();
+    let query = pairs.map(|(key, value)| (key.to_owned(), value.to_owned())).collect();
     let mut headers = HashMap::new();
     loop {
         let mut header = String::new();
@@ -617,20 +559,11 @@
         };
         headers.insert(name.to_ascii_lowercase(), value.trim().to_owned());
     }
-    let length = headers
-        .get("content-length")
-        .and_then(|length| length.parse().ok())
-        .unwrap_or(0);
+    let length = headers.get("content-length").and_then(|length| length.parse().ok()).unwrap_or(0);
     let mut body = vec![0; length];
     stream.read_exact(&mut body)?;
     let body = String::from_utf8_lossy(&body).into_owned();
-    Ok(Some(Request {
-        method,
-        path: path.to_owned(),
-        query,
-        headers,
-        body,
-    }))
+    Ok(Some(Request { method, path: path.to_owned(), query, headers, body }))
 }
 
 fn respond(stream: &mut TcpStream, status: u32, era: u64, body: &str) -> io::Result<()> {
@@ -669,12 +602,8 @@
         }
         let answered = answer(platform, &request, opened, is_up);
         if request.method != "GET" {
-            let status = answered
-                .as_ref()
-                .map_or("cut".to_owned(), |it| it.0.to_string());
-            let Request {
-                method, path, body, ..
-            } = &request;
+            let status = answered.as_ref().map_or("cut".to_owned(), |it| it.0.to_string());
+            let Request { method, path, body, .. } = &request;
             platform.note(&format!("{method} {path} {body} -> {status}"));
         }
         let Some((status, body)) = answered else {
@@ -693,10 +622,7 @@
     opened: u64,
     was_up: bool,
 ) -> Option<(u32, String)> {
-    let mut words = request
-        .path
-        .trim_start_matches("/api/objects/")
-        .splitn(3, '/');
+    let mut words = request.path.trim_start_matches("/api/objects/").splitn(3, '/');
     let kind = words.next().unwrap_or_default().to_owned();
     let name = words.next().map(str::to_owned);
     let mut world = platform.lock();
@@ -709,11 +635,7 @@
             let found = world.store.objects.get(&(kind, name.clone()));
             Some(found.map_or(missing, |it| (200, world.store.encode(&name, it).to_text())))
         }
-        ("GET", None) => match request
-            .query
-            .get("Watch")
-            .and_then(|rev| rev.parse::<u64>().ok())
-        {
+        ("GET", None) => match request.query.get("Watch").and_then(|rev| rev.parse::<u64>().ok()) {
             Some(since) => {
                 let wait_ms = request.query.get("WaitMs").and_then(|it| it.parse().ok());
                 let until = Instant::now() + Duration::from_millis(wait_ms.unwrap_or(0));
@@ -774,11 +696,7 @@
             let Some(name) = name.or(named) else {
                 return Some((400, "{}".to_owned()));
             };
-            let known = world
-                .store
-                .objects
-                .get(&(kind.clone(), name.clone()))
-                .cloned();
+            let known = world.store.objects.get(&(kind.clone(), name.clone())).cloned();
             let required = meta.get("Rev").and_then(Json::whole);
             match known {
                 Some(known) if is_new || required.is_some_and(|rev| rev != known.rev) => {
@@ -794,11 +712,7 @@
             }
         }
         ("DELETE", Some(name)) => {
-            let status = if world.store.remove(&kind, &name) {
-                200
-            } else {
-                404
-            };
+            let status = if world.store.remove(&kind, &name) { 200 } else { 404 };
             platform.changed.notify_all();
             Some((status, "{}".to_owned()))
         }
@@ -809,33 +723,14 @@
 /// Carries out a call that designates a primary. A lower token than one that was seen is refused.
 fn promote(platform: &Platform, request: &Request) -> u32 {
     let body = Json::parse(&request.body).unwrap_or(Json::Null);
-    let field = |name: &str| {
-        body.get(name)
-            .and_then(Json::text)
-            .unwrap_or_default()
-            .to_owned()
-    };
+    let field = |name: &str| body.get(name).and_then(Json::text).unwrap_or_default().to_owned();
     let (service, id) = (field("Service"), field("Id"));
-    let holder = request
-        .headers
-        .get("duty-holder")
-        .cloned()
-        .unwrap_or_default();
-    let token = request
-        .headers
-        .get("fencing-token")
-        .and_then(|it| it.parse().ok())
-        .unwrap_or(0);
+    let holder = request.headers.get("duty-holder").cloned().unwrap_or_default();
+    let token = request.headers.get("fencing-token").and_then(|it| it.parse().ok()).unwrap_or(0);
     let at_ms = platform.at_ms();
     let mut world = platform.lock();
-    let known = world
-        .services
-        .iter()
-        .position(|known| known.name == service);
-    let target = world
-        .databases
-        .iter()
-        .position(|it| it.id == id && it.alive);
+    let known = world.services.iter().position(|known| known.name == service);
+    let target = world.databases.iter().position(|it| it.id == id && it.alive);
     let status = match (known, target) {
         (Some(known), _) if token < world.services[known].token => 409,
         (Some(known), target) => {
@@ -861,12 +756,7 @@
         "{at_ms:>7} ms  POST /promote Service={service} Id={id} Duty-Holder={holder} \
          Fencing-Token={token} -> {status}"
     );
-    world.promotions.push(Promotion {
-        service,
-        holder,
-        token,
-        status,
-    });
+    world.promotions.push(Promotion { service, holder, token, status });
     status
 }
 
@@ -1022,11 +912,7 @@
             let database = &world.databases[index];
             let role = if leads { "primary" } else { "replica" };
             let (term, number) = database.position();
-            let position = if term == 0 {
-                "-".to_owned()
-            } else {
-                format!("{term}.{number}")
-            };
+            let position = if term == 0 { "-".to_owned() } else { format!("{term}.{number}") };
             let (known, paused, open) = (database.term, database.paused, database.connections);
             return format!("ROW {role} {known} {position} {paused} 0 0 {open}\r\nCOMPLETE -\r\n");
         }
@@ -1039,9 +925,7 @@
             let mut words = rest.splitn(3, ' ');
             let name = words.next().unwrap_or_default().to_owned();
             let effect = words.next().unwrap_or_default().to_owned();
-            connection
-                .prepared
-                .insert(name, (effect, words.next().unwrap_or_default().to_owned()));
+            connection.prepared.insert(name, (effect, words.next().unwrap_or_default().to_owned()));
             return done;
         }
         "CLOSE" => {
@@ -1091,10 +975,7 @@
         let database = world.databases[index].id.clone();
         let _ = writeln!(world.record, "{at_ms:>7} ms  {database} runs {id} {query}");
     }
-    world.runs.push(Run {
-        id: id.to_owned(),
-        text: query.to_owned(),
-    });
+    world.runs.push(Run { id: id.to_owned(), text: query.to_owned() });
     match effect.as_str() {
         "READ" => {
             drop(world);
@@ -1119,12 +1000,7 @@
                 if !writes.is_empty() {
                     let term = world.databases[index].term;
                     let number = world.databases[index].position().1 + 1;
-                    let commit = Commit {
-                        term,
-                        number,
-                        id: id.to_owned(),
-                        writes,
-                    };
+                    let commit = Commit { term, number, id: id.to_owned(), writes };
                     world.databases[index].log.push(commit);
                     while world.services[service].primary == Some(index)
                         && world.replicate(index) == 0
@@ -1157,9 +1033,22 @@
 const SERVICES: [&str; 3] = ["huvo11a", "kafi81c", "wuno96b"];
 const KINDS: [&str; 3] = ["primary", "bounded_staleness", "read_your_writes"];
 
+/// The next port to try. Ports below the usual range of outgoing connections are not taken by these meanwhile.
+static NEXT_PORT: AtomicU16 = AtomicU16::new(0);
+
+/// Returns a loopback address with a free port, a different one each time.
 fn free_address() -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("a free loopback port");
-    listener.local_addr().expect("a bound address")
+    const FIRST: u16 = 10_000;
+    const COUNT: u16 = 20_000;
+    let start = (process::id().wrapping_mul(1_009) % u32::from(COUNT)) as u16;
+    loop {
+        let next = NEXT_PORT.fetch_add(1, Ordering::Relaxed);
+        let port = FIRST + start.wrapping_add(next) % COUNT;
+        let address = SocketAddr::from(([127, 0, 0, 1], port));
+        if TcpListener::bind(address).is_ok() {
+            return address;
+        }
+    }
 }
 
 fn database_name(service: usize, kind: usize) -> String {
@@ -1199,14 +1088,17 @@
     table(vec![
         ("Version", number(version)),
         ("Routes", Json::List(routes)),
-        (
-            "Services",
-            Json::List(SERVICES.iter().map(service).collect()),
-        ),
+        ("Services", Json::List(SERVICES.iter().map(service).collect())),
         ("Limits", table(vec![("TxIdleMs", number(3_000))])),
     ])
 }
 
+/// Returns a commit from before the start of the scenario.
+fn earlier_commit(number: u64) -> Commit {
+    let writes = vec![(format!("e{number}"), format!("earlier{number}"))];
+    Commit { term: 1, number, id: format!("earlier{number}"), writes }
+}
+
 /// Starts a database, which registers itself.
 fn start_database(platform: &Platform, service: usize, zone: &str, id: &str) -> usize {
     let listener = TcpListener::bind("127.0.0.1:0").expect("a free loopback port");
@@ -1228,7 +1120,10 @@
         seq: 0,
     });
     match world.services[service].primary {
-        None if term == 1 => world.services[service].primary = Some(index),
+        None if term == 1 => {
+            world.services[service].primary = Some(index);
+            world.databases[index].log = (1..=5).map(earlier_commit).collect();
+        }
         Some(primary) => drop(world.replicate(primary)),
         None => (),
     }
@@ -1262,21 +1157,11 @@
 fn start_vm(program: &str, folder: &Path, number: usize, platform: SocketAddr) -> io::Result<Vm> {
     let zone = ZONES[number % ZONES.len()];
     let name = format!("edge-{zone}-{number}");
-    let addresses = [
-        free_address(),
-        free_address(),
-        free_address(),
-        free_address(),
-    ];
+    let addresses = [free_address(), free_address(), free_address(), free_address()];
     let file = folder.join(format!("{name}.toml"));
     fs::write(&file, settings(&name, zone, &addresses, platform))?;
     let child = spawn_vm(program, folder, &name)?;
-    Ok(Vm {
-        name,
-        front: addresses[0],
-        ready: addresses[1],
-        child,
-    })
+    Ok(Vm { name, front: addresses[0], ready: addresses[1], child })
 }
 
 /// Starts the program with the settings of a VM.
@@ -1342,13 +1227,8 @@
         let writer = TcpStream::connect_timeout(&front, Duration::from_secs(1))?;
         writer.set_nodelay(true)?;
         writer.set_read_timeout(Some(Duration::from_secs(3)))?;
-        let mut caller = Caller {
-            reader: BufReader::new(writer.try_clone()?),
-            writer,
-        };
-        caller
-            .writer
-            .write_all(format!("STARTUP {database} u1\r\n").as_bytes())?;
+        let mut caller = Caller { reader: BufReader::new(writer.try_clone()?), writer };
+        caller.writer.write_all(format!("STARTUP {database} u1\r\n").as_bytes())?;
         let ready = caller.line()?;
         match ready.starts_with("READY") {
             true => Ok(caller),
@@ -1376,8 +1256,7 @@
     }
 
     fn query(&mut self, id: &str, text: &str) -> io::Result<Answer> {
-        self.writer
-            .write_all(format!("QUERY {id} {text}\r\n").as_bytes())?;
+        self.writer.write_all(format!("QUERY {id} {text}\r\n").as_bytes())?;
         self.answer()
     }
 }
@@ -1422,11 +1301,7 @@
         let id = format!("c{number}n{count}");
         if count % 3 != 0 {
             let answered = open.query(&id, &format!("READ i{number}"));
-            note_served(
-                answered
-                    .as_ref()
-                    .is_ok_and(|it| it.end.starts_with("COMPLETE")),
-            );
+            note_served(answered.as_ref().is_ok_and(|it| it.end.starts_with("COMPLETE")));
             if answered.is_err() {
                 caller = None;
             }
@@ -1452,10 +1327,7 @@
             }
         };
         note_served(outcome == Outcome::Acknowledged);
-        outcomes
-            .lock()
-            .expect("lock")
-            .insert(data, (service, outcome));
+        outcomes.lock().expect("lock").insert(data, (service, outcome));
     }
 }
 
@@ -1474,12 +1346,8 @@
 
 impl Scenario {
     fn start(program: &str, folder: &Path, record: &Path, vms: usize) -> io::Result<Scenario> {
-        let service = |name: &&str| Service {
-            name: (*name).to_owned(),
-            primary: None,
-            term: 1,
-            token: 0,
-        };
+        let service =
+            |name: &&str| Service { name: (*name).to_owned(), primary: None, term: 1, token: 0 };
         let store = Store {
             rev: 100,
             era: 1,
@@ -1508,10 +1376,7 @@
         let address = listener.local_addr()?;
         let serving = Arc::clone(&platform);
         thread::spawn(move || serve_platform(serving, listener));
-        platform
-            .lock()
-            .store
-            .put("config", "main", configuration(7, ""));
+        platform.lock().store.put("config", "main", configuration(7, ""));
         for service in 0..SERVICES.len() {
             for zone in 0..ZONES.len() {
                 let zone = ZONES[(zone + service) % ZONES.len()];
@@ -1544,16 +1409,7 @@
         let trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
         let (program, folder) = (program.to_owned(), folder.to_owned());
         let (outcomes, served) = (Outcomes::default(), Served::default());
-        Ok(Scenario {
-            platform,
-            vms: started,
-            trouble,
-            outcomes,
-            served,
-            program,
-            folder,
-            address,
-        })
+        Ok(Scenario { platform, vms: started, trouble, outcomes, served, program, folder, address })
     }
 
     /// Waits until all VMs are ready.
@@ -1589,12 +1445,7 @@
                 };
                 (world.databases[primary].zone.clone(), primary)
             };
-            start_database(
-                &self.platform,
-                service,
-                &zone,
-                &format!("i-{service}-new{round}"),
-            );
+            start_database(&self.platform, service, &zone, &format!("i-{service}-new{round}"));
             leaving.push(primary);
         }
         thread::sleep(Duration::from_millis(1_000));
@@ -1650,19 +1501,14 @@
         world.store.remove("servers", &id);
         drop(world);
         self.platform.changed.notify_all();
-        self.platform
-            .note(&format!("{id} left; it was still the primary: {led}"));
+        self.platform.note(&format!("{id} left; it was still the primary: {led}"));
     }
 
     /// The drill: the store is away for a moment and comes back from a copy that was made at `copied`. The
     /// operator and the databases write again what they wrote.
     fn drill(&self, copied: Instant) {
         let mut world = self.platform.lock();
-        let operator = world
-            .store
-            .objects
-            .get(&("config".to_owned(), "main".to_owned()))
-            .cloned();
+        let operator = world.store.objects.get(&("config".to_owned(), "main".to_owned())).cloned();
         world.store.up = false;
         world.store.cuts += 1;
         drop(world);
@@ -1689,11 +1535,7 @@
 
     fn promoted(&self) -> usize {
         let world = self.platform.lock();
-        world
-            .services
-            .iter()
-            .map(|service| service.term as usize - 1)
-            .sum()
+        world.services.iter().map(|service| service.term as usize - 1).sum()
     }
 
     /// Waits until this many promotions have taken effect.
@@ -1721,9 +1563,8 @@
         let ids: Vec<String> = added.iter().map(|vm| vm.child.id().to_string()).collect();
         let line = format!("kill -TERM {}", ids.join(" "));
         Command::new("sh").arg("-c").arg(line).status()?;
-        self.platform.note(&format!(
-            "{count} machines were added and removed again, from number {first}"
-        ));
+        self.platform
+            .note(&format!("{count} machines were added and removed again, from number {first}"));
         Ok(added)
     }
 
@@ -1745,15 +1586,9 @@
     /// Returns how many requests were sent in a span, and how many of them were served.
     fn served_between(&self, from_ms: u128, to_ms: u128) -> (usize, usize) {
         let served = self.served.lock().expect("lock");
-        let sent: Vec<bool> = served
-            .iter()
-            .filter(|it| (from_ms..to_ms).contains(&it.0))
-            .map(|it| it.1)
-            .collect();
-        (
-            sent.len(),
-            sent.iter().filter(|is_served| **is_served).count(),
-        )
+        let sent: Vec<bool> =
+            served.iter().filter(|it| (from_ms..to_ms).contains(&it.0)).map(|it| it.1).collect();
+        (sent.len(), sent.iter().filter(|is_served| **is_served).count())
     }
 
     /// Ends the VMs and notes what became of the callers' writes.
@@ -1763,8 +1598,7 @@
         for vm in &mut self.vms {
             let ended = vm.child.try_wait().ok().flatten();
             if let Some(status) = ended {
-                self.platform
-                    .note(&format!("{} had ended by itself: {status}", vm.name));
+                self.platform.note(&format!("{} had ended by itself: {status}", vm.name));
             }
             let _ = vm.child.kill();
             let _ = vm.child.wait();
@@ -1776,23 +1610,16 @@
             let Some(primary) = service.primary else {
                 continue;
             };
-            let writes = world.databases[primary]
-                .log
-                .iter()
-                .flat_map(|commit| &commit.writes);
+            let writes = world.databases[primary].log.iter().flat_map(|commit| &commit.writes);
             for (_, data) in writes {
                 *kept.entry(data).or_default() += 1;
             }
         }
         let count_of = |data: &str| kept.get(data).copied().unwrap_or(0);
         let with = |wanted: Outcome| outcomes.iter().filter(move |it| it.1.1 == wanted);
-        let lost = with(Outcome::Acknowledged)
-            .filter(|it| count_of(it.0) == 0)
-            .count();
+        let lost = with(Outcome::Acknowledged).filter(|it| count_of(it.0) == 0).count();
         let twice = outcomes.keys().filter(|data| count_of(data) > 1).count();
-        let denied_kept = with(Outcome::Denied)
-            .filter(|it| count_of(it.0) > 0)
-            .count();
+        let denied_kept = with(Outcome::Denied).filter(|it| count_of(it.0) > 0).count();
         let line = format!(
             "writes: {} acknowledged ({lost} lost), {} denied ({denied_kept} kept), {} unknown, \
              {twice} applied twice",
@@ -1828,24 +1655,16 @@
     let signal = |name: &str| {
         let line = format!("kill -{name} {}", frozen.child.id());
         let sent = Command::new("sh").arg("-c").arg(line).status();
-        scenario
-            .platform
-            .note(&format!("SIG{name} to {}: {sent:?}", frozen.name));
+        scenario.platform.note(&format!("SIG{name} to {}: {sent:?}", frozen.name));
     };
     if scenario.trouble {
         signal("STOP");
         scenario.drill(copied);
     }
-    scenario
-        .platform
-        .lock()
-        .store
-        .put("config", "main", configuration(8, DROPPED));
+    scenario.platform.lock().store.put("config", "main", configuration(8, DROPPED));
     scenario.platform.changed.notify_all();
     let confirmed = Instant::now();
-    scenario
-        .platform
-        .note(&format!("the operator writes version 8, without {DROPPED}"));
+    scenario.platform.note(&format!("the operator writes version 8, without {DROPPED}"));
     scenario.replace_primaries(2, 1..SERVICES.len());
     thread::sleep(Duration::from_millis(900));
     let rev = scenario.platform.lock().store.rev;
@@ -1898,12 +1717,7 @@
             let old = if round == REPLACED { primary } else { replica };
             let zone = world.databases[old].zone.clone();
             drop(world);
-            start_database(
-                &scenario.platform,
-                service,
-                &zone,
-                &format!("i-{service}-new{round}"),
-            );
+            start_database(&scenario.platform, service, &zone, &format!("i-{service}-new{round}"));
             leaving.push(old);
         }
         thread::sleep(Duration::from_millis(1_500));
@@ -1917,9 +1731,7 @@
         }
         thread::sleep(Duration::from_millis(500));
     }
-    scenario
-        .platform
-        .note("the databases were replaced; the traffic begins");
+    scenario.platform.note("the databases were replaced; the traffic begins");
     let from_ms = scenario.platform.at_ms();
     scenario.start_callers(36);
     thread::sleep(OBSERVED);
@@ -1964,10 +1776,7 @@
             thread::sleep(Duration::from_millis(5));
         }
     }
-    scenario.platform.note(&format!(
-        "{} machines were added and removed in all",
-        removed.len()
-    ));
+    scenario.platform.note(&format!("{} machines were added and removed in all", removed.len()));
     thread::sleep(Duration::from_secs(5));
     let fault_ms = scenario.platform.at_ms();
     scenario.kill_all()?;
@@ -2010,19 +1819,13 @@
             let mut caller = Caller::open(vm.front, &database_name(number % SERVICES.len(), 0))?;
             let mut answers = vec![caller.query(&id, &text)?];
             // An answer that nothing was asked for shows that the line was taken for two.
-            caller
-                .writer
-                .set_read_timeout(Some(Duration::from_millis(1_500)))?;
+            caller.writer.set_read_timeout(Some(Duration::from_millis(1_500)))?;
             answers.extend(caller.answer().ok());
             Ok(answers)
         };
         match ask() {
-            Ok(answers) => scenario
-                .platform
-                .note(&format!("the caller gets {answers:?}")),
-            Err(error) => scenario
-                .platform
-                .note(&format!("the caller gets no answer: {error}")),
+            Ok(answers) => scenario.platform.note(&format!("the caller gets {answers:?}")),
+            Err(error) => scenario.platform.note(&format!("the caller gets no answer: {error}")),
         }
     }
     let runs = scenario.platform.lock().runs.clone();
@@ -2031,10 +1834,8 @@
         let asked = sent.get(&run.id);
         if asked != Some(&run.text) {
             is_broken = true;
-            let line = format!(
-                "UNASKED: a database ran {} {:?}; sent was {asked:?}",
-                run.id, run.text
-            );
+            let line =
+                format!("UNASKED: a database ran {} {:?}; sent was {asked:?}", run.id, run.text);
             scenario.platform.note(&line);
             println!("{line}");
         }
