Order revisions and fencing tokens across restores of the store

Cause: a token was that of the stored claim plus one, and 1 without a claim. A store that is restored loses claims and assigns revisions again; nothing read its count of restores.

Change: StoreRevision combines the store's generation with its counter. Tokens carry the generation. Where a claim may have been lost, a claim waits for the lost one's lease and treats promotion calls for any target as pending. A write of a claim counts only if it was answered in the generation in which its condition was read: a revision that was assigned again satisfies the condition of a claim that is gone.

The stand-in's store can be restored.

--- a/crates/bench/src/slopes/sessions.rs
+++ b/crates/bench/src/slopes/sessions.rs
@@ -18,6 +18,7 @@
 use crate::slopes::measure;
 use crate::slopes::measure::Spread;
 use crate::slopes::sessions_fleet;
+use skylark_core::store_revision::StoreRevision;
 
 /// The sizes of the fleet, with as many services of three targets.
 const SIZES: &[u64] = &[30, 100, 300, 1_000, 2_000];
@@ -180,7 +181,7 @@
     let before = sessions_fleet::target_list(size);
     let mut members = sessions_fleet::members(size);
     members[0] = sessions_fleet::member(0, 0, 2);
-    (before, TargetList::new(2, members))
+    (before, TargetList::new(StoreRevision::new(0, 2), members))
 }
 
 /// Returns how long the slowest watcher of a zone needs to send the whole state to its part of the zone, in
--- a/crates/bench/src/slopes/sessions_fleet.rs
+++ b/crates/bench/src/slopes/sessions_fleet.rs
@@ -20,6 +20,7 @@
 use skylark_proxy::sessions::version::view::View;
 
 use crate::slopes::no_protocol::NoProtocol;
+use skylark_core::store_revision::StoreRevision;
 
 /// The availability zones. Targets are in the first three.
 const ZONES: u64 = 5;
@@ -73,7 +74,7 @@
         leaving: false,
         role: if place == 0 { TargetRole::Primary } else { TargetRole::Replica },
     };
-    Member { record: Arc::new(record), role_since }
+    Member { record: Arc::new(record), role_since: StoreRevision::new(0, role_since) }
 }
 
 fn service_name(service: u64) -> Arc<str> {
@@ -122,12 +123,12 @@
 
 /// Returns the list of targets as it is sent.
 pub fn target_list(services: u64) -> TargetList {
-    TargetList::new(1, members(services))
+    TargetList::new(StoreRevision::new(0, 1), members(services))
 }
 
 /// Returns the list of VMs as it is sent.
 pub fn vm_list(count: u64) -> VmList {
-    VmList::new(1, vms(count, true))
+    VmList::new(StoreRevision::new(0, 1), vms(count, true))
 }
 
 /// Returns a view of these targets.
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -6,7 +6,8 @@
 //! daemon, the tests, the model checker and embedding programs run the same code.
 //!
 //! The modules are grouped by the lifetime of their state: [`request`], [`connection`], [`version`]
-//! and [`process`]. Shared data types are in [`ids`], [`log_position`] and [`member_status`].
+//! and [`process`]. Shared data types are in [`ids`], [`log_position`], [`member_status`]
+//! and [`store_revision`].
 
 use std::collections;
 
@@ -16,6 +17,7 @@
 pub mod member_status;
 pub mod process;
 pub mod request;
+pub mod store_revision;
 pub mod version;
 
 /// A hash map with a fast hasher that does not resist collision attacks. Keys come from the
--- a/crates/core/src/process/takeover_claim.rs
+++ b/crates/core/src/process/takeover_claim.rs
@@ -21,11 +21,23 @@
 //! a higher token makes it ineffective. If they are not, it can't be cancelled: until it can have
 //! no effect any more, only the same target may be promoted, for which a late call changes nothing.
 //! So the target is written to the claim before the call, and kept for the next driver.
+//!
+//! A store that is restored from a backup may lose claims, together with their tokens and what they
+//! say of promotion calls. Three rules hold then:
+//!
+//! - The store's generation is part of each token, so that the tokens of a restored store are higher
+//!   than all that were lost.
+//! - Where a claim may have been lost, its holder may still act. A successor waits for
+//!   [`DRIVER_SILENCE_US`] since it first saw the generation: the lost write was answered before.
+//! - A lost claim may have been about a promotion call that can still be executed, for an unknown
+//!   target. The next claim is therefore unsettled without a target, for [`LATE_EFFECT_US`].
 
 use serde::Deserialize;
 use serde::Serialize;
 
 use crate::process::jitter;
+use crate::store_revision::SeenGeneration;
+use crate::store_revision::StoreRevision;
 
 /// How long another VM that detects the same failure leaves the takeover to the last driver, in
 /// microseconds. The last driver needs a probe and a write to the store, some 100 ms; one second
@@ -80,7 +92,7 @@
     pub token: u64,
     /// The progress of the takeover.
     pub state: ClaimState,
-    /// The target of the last promotion call; empty before the first one.
+    /// The target of the last promotion call; empty before the first one, or if it is unknown.
     pub chosen: String,
     /// Whether a promotion call for that target got no answer or may be in progress.
     #[serde(default)]
@@ -104,6 +116,13 @@
             writes: 0,
         }
     }
+
+    /// Returns the claim that a VM writes where the store may have lost one. Unless that was long ago,
+    /// calls for any target may still be executed.
+    pub fn after_loss(holder: &str, token: u64, generation: &SeenGeneration, now_us: u64) -> Claim {
+        let unsettled = now_us < generation.since_us + LATE_EFFECT_US;
+        Claim { unsettled, ..Claim::next(None, holder, token) }
+    }
 }
 
 /// A claim read from the store, and when it was first seen.
@@ -112,18 +131,31 @@
     /// The claim.
     pub claim: Claim,
     /// The store's revision of the claim, on which replacing it is conditional.
-    pub revision: u64,
+    pub revision: StoreRevision,
     /// The time at which this process first saw this revision.
     pub seen_us: u64,
 }
 
+impl SeenClaim {
+    /// Returns whether the claim was made before the store was restored, so that the store may have
+    /// lost later ones.
+    pub fn is_outdated(&self, generation: &SeenGeneration) -> bool {
+        StoreRevision::generation_of_token(self.claim.token) < generation.number
+    }
+}
+
+/// Returns whether the store may have lost a claim that is newer than the one in the store.
+pub fn may_be_lost(seen: Option<&SeenClaim>, generation: &SeenGeneration) -> bool {
+    seen.map_or(generation.follows_another, |seen| seen.is_outdated(generation))
+}
+
 /// A claim that this process holds.
 #[derive(Clone, PartialEq, Eq, Debug)]
 pub struct HeldClaim {
     /// The claim as last written.
     pub claim: Claim,
     /// The store's revision of the claim.
-    pub revision: u64,
+    pub revision: StoreRevision,
     /// The time at which the last answered write of the claim was sent.
     pub written_us: u64,
     /// The time since which no other process can have made a call for the chosen target; used only
@@ -167,7 +199,8 @@
     /// the primary again after it stepped down. Such a call has to be fenced off first, by a call for
     /// the same target, which changes nothing while that one leads.
     pub fn must_fence_off(&self, primary: &str, checks_tokens: bool, now_us: u64) -> bool {
-        checks_tokens && self.may_take_effect_late(now_us) && self.claim.chosen == primary
+        let may_be_for_primary = self.claim.chosen == primary || self.claim.chosen.is_empty();
+        checks_tokens && self.may_take_effect_late(now_us) && may_be_for_primary
     }
 
     /// Returns whether an earlier call may still promote another target than `target`.
@@ -207,18 +240,25 @@
     },
 }
 
-/// Returns the next step of the VM `own`, which has wanted a takeover since `wanted_us`.
-pub fn next_claim(seen: Option<&SeenClaim>, own: &str, wanted_us: u64, now_us: u64) -> ClaimStep {
-    let Some(seen) = seen else {
-        return ClaimStep::Write { token: 1 };
-    };
-    let token = seen.claim.token + 1;
-    if seen.claim.holder == own {
-        return ClaimStep::Write { token };
-    }
-    let at_us = match seen.claim.state {
-        ClaimState::Moving => seen.seen_us + DRIVER_SILENCE_US,
-        ClaimState::Settled => wanted_us.max(seen.seen_us) + HOLDER_GRACE_US,
+/// Returns the next step of the VM `own`, which has wanted a takeover since `wanted_us`. `seen` is the
+/// claim as the store has it in `generation`.
+pub fn next_claim(
+    seen: Option<&SeenClaim>,
+    own: &str,
+    generation: &SeenGeneration,
+    wanted_us: u64,
+    now_us: u64,
+) -> ClaimStep {
+    let (token, at_us) = match seen.filter(|seen| !seen.is_outdated(generation)) {
+        None => after_restore(seen, generation),
+        Some(seen) => {
+            let at_us = match seen.claim.state {
+                _ if seen.claim.holder == own => now_us,
+                ClaimState::Moving => seen.seen_us + DRIVER_SILENCE_US,
+                ClaimState::Settled => wanted_us.max(seen.seen_us) + HOLDER_GRACE_US,
+            };
+            (seen.claim.token + 1, at_us)
+        }
     };
     match now_us >= at_us {
         true => ClaimStep::Write { token },
@@ -226,6 +266,18 @@
     }
 }
 
+/// Returns the token and the earliest time of a claim where the store has none of this generation. That
+/// holds for the last driver too, since a lost claim may have been another's.
+fn after_restore(seen: Option<&SeenClaim>, generation: &SeenGeneration) -> (u64, u64) {
+    let since_us = generation.since_us;
+    // A write from before the restore that was executed after it may have replaced a claim of this
+    // generation. The object's revision is higher than the token of that claim.
+    let number = seen.map_or(0, |seen| seen.revision.number());
+    let token = StoreRevision::new(generation.number, number).as_token() + 1;
+    let seen_us = seen.map_or(0, |seen| seen.seen_us);
+    (token, seen_us.clamp(since_us, since_us + LATE_EFFECT_US) + DRIVER_SILENCE_US)
+}
+
 /// Returns how long a process waits before it reads the claim of another driver again, in
 /// microseconds. `waiting` is the number of groups whose claims the process waits for.
 ///
--- a/crates/core/tests/takeover_claim.rs
+++ b/crates/core/tests/takeover_claim.rs
@@ -13,17 +13,29 @@
 use skylark_core::process::takeover_claim::PromoteEnd;
 use skylark_core::process::takeover_claim::RENEW_US;
 use skylark_core::process::takeover_claim::SeenClaim;
+use skylark_core::store_revision::SeenGeneration;
+use skylark_core::store_revision::StoreRevision;
 
 fn seen(holder: &str, state: ClaimState, seen_us: u64) -> SeenClaim {
     let holder = holder.to_owned();
     let claim =
         Claim { holder, token: 7, state, chosen: String::new(), unsettled: false, writes: 0 };
-    SeenClaim { claim, revision: 40, seen_us }
+    SeenClaim { claim, revision: StoreRevision::new(0, 40), seen_us }
+}
+
+/// Returns the generation of a store that was not restored.
+fn started_at(since_us: u64) -> SeenGeneration {
+    SeenGeneration { number: 0, since_us, follows_another: false }
+}
+
+/// Returns the generation of a store that was restored.
+fn restored_at(since_us: u64) -> SeenGeneration {
+    SeenGeneration { number: 3, since_us, follows_another: true }
 }
 
 #[test]
 fn the_first_claim_has_the_first_token() {
-    let step = takeover_claim::next_claim(None, "vm-1", 0, 0);
+    let step = takeover_claim::next_claim(None, "vm-1", &started_at(0), 0, DRIVER_SILENCE_US);
     assert_eq!(step, ClaimStep::Write { token: 1 });
 }
 
@@ -31,7 +43,7 @@
 fn the_last_driver_goes_first_with_a_higher_token() {
     for state in [ClaimState::Moving, ClaimState::Settled] {
         let seen = seen("vm-1", state, 0);
-        let step = takeover_claim::next_claim(Some(&seen), "vm-1", 0, 0);
+        let step = takeover_claim::next_claim(Some(&seen), "vm-1", &started_at(0), 0, 0);
         assert_eq!(step, ClaimStep::Write { token: 8 });
     }
 }
@@ -39,23 +51,24 @@
 #[test]
 fn others_wait_for_the_last_driver() {
     let seen = seen("vm-2", ClaimState::Settled, 0);
-    let step = takeover_claim::next_claim(Some(&seen), "vm-1", 500, 600);
+    let step = takeover_claim::next_claim(Some(&seen), "vm-1", &started_at(0), 500, 600);
     assert_eq!(step, ClaimStep::WaitUntil { at_us: 500 + HOLDER_GRACE_US });
-    let step = takeover_claim::next_claim(Some(&seen), "vm-1", 500, 500 + HOLDER_GRACE_US);
+    let step =
+        takeover_claim::next_claim(Some(&seen), "vm-1", &started_at(0), 500, 500 + HOLDER_GRACE_US);
     assert_eq!(step, ClaimStep::Write { token: 8 });
 }
 
 #[test]
 fn active_driver_is_replaced_only_after_its_silence() {
     let seen = seen("vm-2", ClaimState::Moving, 1_000);
-    let step = takeover_claim::next_claim(Some(&seen), "vm-1", 0, 2_000);
+    let step = takeover_claim::next_claim(Some(&seen), "vm-1", &started_at(0), 0, 2_000);
     assert_eq!(step, ClaimStep::WaitUntil { at_us: 1_000 + DRIVER_SILENCE_US });
 }
 
 fn held(unsettled: bool, unsettled_since_us: u64) -> HeldClaim {
     let (holder, state) = ("vm-1".to_owned(), ClaimState::Moving);
     let claim = Claim { holder, token: 7, state, chosen: "a".to_owned(), unsettled, writes: 0 };
-    HeldClaim { claim, revision: 40, written_us: 0, unsettled_since_us }
+    HeldClaim { claim, revision: StoreRevision::new(0, 40), written_us: 0, unsettled_since_us }
 }
 
 /// Two drivers promoted targets in turn: the superseded one made its call 15 ms after its
@@ -66,9 +79,10 @@
     let held = held(false, 0);
     assert!(held.may_send_promote(LEASE_US - PROMOTE_CALL_US));
     assert!(!held.may_send_promote(LEASE_US - PROMOTE_CALL_US + 1));
-    let claim = SeenClaim { claim: held.claim.clone(), revision: 40, seen_us: 0 };
+    let claim =
+        SeenClaim { claim: held.claim.clone(), revision: StoreRevision::new(0, 40), seen_us: 0 };
     for now_us in 0..=LEASE_US {
-        let step = takeover_claim::next_claim(Some(&claim), "vm-2", 0, now_us);
+        let step = takeover_claim::next_claim(Some(&claim), "vm-2", &started_at(0), 0, now_us);
         assert!(matches!(step, ClaimStep::WaitUntil { .. }));
     }
 }
@@ -187,3 +201,77 @@
     assert!(!pending.must_fence_off("a", true, 1_000 + LATE_EFFECT_US));
     assert!(!held(false, 1_000).must_fence_off("a", true, 1_000));
 }
+
+/// Guards against tokens that are assigned again after the store lost claims.
+#[test]
+fn tokens_increase_across_restores() {
+    let (generation, now_us) = (restored_at(0), DRIVER_SILENCE_US);
+    let lost = StoreRevision::new(2, u64::MAX).as_token();
+    for seen in [None, Some(seen("vm-1", ClaimState::Settled, 0))] {
+        let step = takeover_claim::next_claim(seen.as_ref(), "vm-1", &generation, 0, now_us);
+        assert!(matches!(step, ClaimStep::Write { token } if token > lost), "{step:?}");
+    }
+}
+
+/// Guards against a token that is assigned twice where a write from before the restore replaced a claim.
+#[test]
+fn a_token_exceeds_those_of_replaced_claims() {
+    let generation = restored_at(0);
+    let first = takeover_claim::next_claim(None, "vm-1", &generation, 0, DRIVER_SILENCE_US);
+    let replaced = SeenClaim {
+        revision: StoreRevision::new(generation.number, 41),
+        ..seen("vm-2", ClaimState::Settled, 0)
+    };
+    let now_us = LATE_EFFECT_US + DRIVER_SILENCE_US;
+    let next = takeover_claim::next_claim(Some(&replaced), "vm-3", &generation, 0, now_us);
+    let (ClaimStep::Write { token: first }, ClaimStep::Write { token: next }) = (first, next)
+    else {
+        panic!("{first:?}, {next:?}");
+    };
+    assert!(next > first + 1);
+}
+
+/// Guards against a claim beside the holder of a lost one, also by the VM whose earlier claim is back.
+#[test]
+fn a_claim_after_a_restore_waits_for_a_lost_lease() {
+    let generation = restored_at(7_000);
+    for seen in [None, Some(seen("vm-1", ClaimState::Settled, 0))] {
+        let at_us = 7_000 + DRIVER_SILENCE_US;
+        let step = takeover_claim::next_claim(seen.as_ref(), "vm-1", &generation, 0, at_us - 1);
+        assert_eq!(step, ClaimStep::WaitUntil { at_us });
+    }
+}
+
+/// Guards against the same where a late write replaced the claim of a driver that still acts.
+#[test]
+fn a_claim_that_a_late_write_replaced_is_waited_for() {
+    let generation = restored_at(0);
+    let seen = seen("vm-1", ClaimState::Moving, 9_000_000);
+    let step = takeover_claim::next_claim(Some(&seen), "vm-2", &generation, 0, 9_000_001);
+    assert_eq!(step, ClaimStep::WaitUntil { at_us: 9_000_000 + DRIVER_SILENCE_US });
+}
+
+/// Guards against a promotion beside a call that only a lost claim told of.
+#[test]
+fn calls_of_lost_claims_may_still_be_executed() {
+    let generation = restored_at(1_000);
+    let late_us = generation.since_us + LATE_EFFECT_US;
+    let claim = Claim::after_loss("vm-1", 7, &generation, 2_000);
+    let lost = HeldClaim { claim, unsettled_since_us: generation.since_us, ..held(false, 0) };
+    assert!(!lost.may_promote("a", false, late_us - 1));
+    assert!(lost.may_promote("a", false, late_us));
+    assert!(lost.must_fence_off("a", true, late_us - 1));
+    assert!(!Claim::after_loss("vm-1", 7, &generation, late_us).unsettled);
+}
+
+/// Guards against treating a process's start as a restore, which would delay its first promotion.
+#[test]
+fn only_a_later_generation_loses_claims() {
+    let mut generation = SeenGeneration::default();
+    generation.observe(5, 1_000);
+    assert!(!takeover_claim::may_be_lost(None, &generation));
+    generation.observe(4, 2_000);
+    assert_eq!((generation.number, generation.since_us), (5, 1_000));
+    generation.observe(6, 3_000);
+    assert!(takeover_claim::may_be_lost(None, &generation));
+}
--- a/crates/proxy/src/process/counters.rs
+++ b/crates/proxy/src/process/counters.rs
@@ -98,6 +98,8 @@
         LimitsUnanswered = "limits.unanswered",
         /// Sessions that were closed because their key was withdrawn.
         KeysWithdrawn = "callers.key_withdrawn",
+        /// Restores of the store from an earlier state.
+        StoreRestored = "store.restored",
         /// Connections reset after a transaction that may have changed their session state.
         ConnectionsReset = "connections.reset",
         /// Abandoned answers that were read to the end, so that the connection became idle again.
--- a/crates/proxy/src/sessions/process/claims.rs
+++ b/crates/proxy/src/sessions/process/claims.rs
@@ -14,10 +14,12 @@
 use skylark_core::process::takeover_claim::ClaimStep;
 use skylark_core::process::takeover_claim::HeldClaim;
 use skylark_core::process::takeover_claim::SeenClaim;
+use skylark_core::store_revision::StoreRevision;
 use tokio::time;
 
 use crate::sessions::codec::Codec;
 use crate::sessions::process::gateway::Gateway;
+use crate::sessions::store::AtRevision;
 use crate::sessions::store::Freshness;
 use crate::sessions::store::StateStore;
 use crate::sessions::store::StoreError;
@@ -43,6 +45,22 @@
 /// How often a process that waits for another driver checks whether the takeover is still needed.
 const NEED_CHECK_INTERVAL: Duration = Duration::from_millis(300);
 
+/// What the store must have for the write of a claim.
+#[derive(Clone, Copy, Debug)]
+struct Expected {
+    /// The revision of the claim that is replaced; `None` if there is none.
+    revision: Option<StoreRevision>,
+    /// The store's generation.
+    generation: u64,
+}
+
+impl Expected {
+    fn held(held: &HeldClaim) -> Expected {
+        let revision = held.revision;
+        Expected { revision: Some(revision), generation: revision.generation() }
+    }
+}
+
 /// Access to the claims of all services for one process.
 #[derive(Debug)]
 pub struct Claims<C, S>
@@ -78,6 +96,7 @@
         F: Fn() -> bool,
     {
         let mut seen: Option<SeenClaim> = None;
+        let mut read_in;
         let mut failures = 0;
         let mut freshness = Freshness::Latest;
         loop {
@@ -85,13 +104,13 @@
             match self.store.claim(service, freshness).await {
                 Ok(found) => {
                     failures = 0;
+                    let AtRevision { revision, value } = found;
+                    self.gateway.store_generation.observe(revision);
                     let now_us = self.gateway.clock.now_us();
-                    let known = seen.take();
-                    seen = found.map(|found| {
-                        let known = known.filter(|known| known.revision == found.revision);
-                        let seen_us = known.map_or(now_us, |known| known.seen_us);
-                        SeenClaim { claim: found.value, revision: found.revision, seen_us }
-                    });
+                    let known = seen.take().filter(|known| known.revision == revision);
+                    let seen_us = known.map_or(now_us, |known| known.seen_us);
+                    seen = value.map(|claim| SeenClaim { claim, revision, seen_us });
+                    read_in = revision.generation();
                 }
                 Err(error) => {
                     slog::info!(self.gateway.log, "could not read the claim";
@@ -104,18 +123,35 @@
                     continue;
                 }
             }
+            let generation = self.gateway.store_generation.newest();
+            if read_in < generation.number {
+                // The answer is from before a restore.
+                time::sleep(CONFLICT_PAUSE).await;
+                continue;
+            }
             let now_us = self.gateway.clock.now_us();
             let vm = &*self.gateway.vm;
-            match takeover_claim::next_claim(seen.as_ref(), vm, needed_since_us, now_us) {
+            let previous = seen.as_ref();
+            match takeover_claim::next_claim(previous, vm, &generation, needed_since_us, now_us) {
                 ClaimStep::Write { token } => {
-                    let previous = seen.as_ref();
-                    let claim = Claim::next(previous.map(|seen| &seen.claim), vm, token);
-                    let expected_revision = previous.map(|seen| seen.revision);
                     // Calls of the previous holder had reached the platform before its claim was silent for
-                    // long enough to be taken over.
-                    let unsettled_since_us = now_us;
+                    // long enough to be taken over, and those of a lost claim before it was lost.
+                    let (claim, unsettled_since_us) =
+                        match takeover_claim::may_be_lost(previous, &generation) {
+                            true => {
+                                let claim = Claim::after_loss(vm, token, &generation, now_us);
+                                (claim, generation.since_us)
+                            }
+                            false => {
+                                (Claim::next(previous.map(|seen| &seen.claim), vm, token), now_us)
+                            }
+                        };
+                    let expected = Expected {
+                        revision: previous.map(|seen| seen.revision),
+                        generation: generation.number,
+                    };
                     if let Some(held) =
-                        self.write(service, claim, expected_revision, unsettled_since_us).await
+                        self.write(service, claim, expected, unsettled_since_us).await
                     {
                         return Some(held);
                     }
@@ -169,7 +205,8 @@
         claim: Claim,
     ) -> Option<HeldClaim> {
         let claim = Claim { writes: held.claim.writes + 1, ..claim };
-        self.write(service, claim, Some(held.revision), held.unsettled_since_us).await
+        let expected = Expected::held(held);
+        self.write(service, claim, expected, held.unsettled_since_us).await
     }
 
     /// Releases a claim. Returns whether the store accepted it; otherwise the next driver takes over
@@ -185,23 +222,23 @@
         &self,
         service: &Arc<str>,
         claim: &Claim,
-        expected_revision: Option<u64>,
-    ) -> Result<u64, StoreError> {
-        let mut result = self.store.write_claim(service, claim, expected_revision).await;
+        expected: Expected,
+    ) -> Result<StoreRevision, StoreError> {
+        let mut result = self.write_once(service, claim, expected).await;
         for _ in 0..MAX_READ_BACKS {
             let Err(StoreError::NoAnswer(_)) = result else { return result };
-            let found = self.store.claim(service, Freshness::Latest).await?;
-            let revision = found.as_ref().map(|found| found.revision);
-            match found {
-                Some(found) if found.value == *claim => return Ok(found.revision),
-                _ if revision != expected_revision => return Err(StoreError::Conflict),
-                _ => result = self.store.write_claim(service, claim, expected_revision).await,
+            let found = self.read_back(service, expected).await?;
+            let revision = found.value.as_ref().map(|_| found.revision);
+            match found.value {
+                Some(value) if value == *claim => return Ok(found.revision),
+                _ if revision != expected.revision => return Err(StoreError::Conflict),
+                _ => result = self.write_once(service, claim, expected).await,
             }
             // The first write may have been executed between the read and the second write.
             if result == Err(StoreError::Conflict) {
-                let found = self.store.claim(service, Freshness::Latest).await?;
-                return match found {
-                    Some(found) if found.value == *claim => Ok(found.revision),
+                let found = self.read_back(service, expected).await?;
+                return match found.value {
+                    Some(value) if value == *claim => Ok(found.revision),
                     Some(_) | None => result,
                 };
             }
@@ -209,16 +246,56 @@
         result
     }
 
+    async fn write_once(
+        &self,
+        service: &Arc<str>,
+        claim: &Claim,
+        expected: Expected,
+    ) -> Result<StoreRevision, StoreError> {
+        if self.gateway.store_generation.newest().number != expected.generation {
+            return Err(StoreError::Conflict);
+        }
+        let revision = self.store.write_claim(service, claim, expected.revision).await?;
+        self.check_generation(revision, expected)?;
+        Ok(revision)
+    }
+
+    /// Reads the claim after a write that was not answered.
+    async fn read_back(
+        &self,
+        service: &Arc<str>,
+        expected: Expected,
+    ) -> Result<AtRevision<Option<Claim>>, StoreError> {
+        let found = self.store.claim(service, Freshness::Latest).await?;
+        self.check_generation(found.revision, expected)?;
+        Ok(found)
+    }
+
+    /// Fails if the store was restored since the claim was read. The restored store may have lost another
+    /// claim, and a write may have replaced one that this process has not read, since revisions are assigned
+    /// again.
+    fn check_generation(
+        &self,
+        revision: StoreRevision,
+        expected: Expected,
+    ) -> Result<(), StoreError> {
+        let newest = self.gateway.store_generation.observe(revision);
+        match newest.number == expected.generation {
+            true => Ok(()),
+            false => Err(StoreError::Conflict),
+        }
+    }
+
     async fn write(
         &self,
         service: &Arc<str>,
         claim: Claim,
-        expected_revision: Option<u64>,
+        expected: Expected,
         unsettled_since_us: u64,
     ) -> Option<HeldClaim> {
         // The lease is counted from before the write, and a successor counts it from after the write.
         let written_us = self.gateway.clock.now_us();
-        match self.write_and_confirm(service, &claim, expected_revision).await {
+        match self.write_and_confirm(service, &claim, expected).await {
             Ok(revision) => {
                 slog::info!(self.gateway.log, "wrote the claim";
                     "service" => &**service, "token" => claim.token, "chosen" => &*claim.chosen,
--- a/crates/proxy/src/sessions/process/cluster_state.rs
+++ b/crates/proxy/src/sessions/process/cluster_state.rs
@@ -7,6 +7,7 @@
 
 use skylark_core::FastSet;
 use skylark_core::process::departures::Departures;
+use skylark_core::store_revision::StoreRevision;
 use skylark_core::version::route_changes::RouteChanges;
 use skylark_core::version::routes::RouteTable;
 use skylark_core::version::routes::TargetRecord;
@@ -88,7 +89,8 @@
         self.publish(known);
     }
 
-    pub(super) fn apply_target_list(&self, revision: u64, listed: Vec<ListedTarget>) {
+    pub(super) fn apply_target_list(&self, revision: StoreRevision, listed: Vec<ListedTarget>) {
+        self.gateway.store_generation.observe(revision);
         let mut known = self.known.lock();
         let member = |target: ListedTarget| {
             let before = known.targets.get(&target.record.id);
@@ -100,13 +102,19 @@
 
     /// Applies a complete list of targets from another process, unless it is older than the known one.
     pub fn apply_target_snapshot(&self, list: &TargetList) {
+        self.gateway.store_generation.observe(list.revision);
         let mut known = self.known.lock();
         if list.revision >= known.targets_revision {
             self.replace_targets(&mut known, list.revision, &list.entries);
         }
     }
 
-    fn replace_targets(&self, known: &mut ClusterState, revision: u64, members: &[Member]) {
+    fn replace_targets(
+        &self,
+        known: &mut ClusterState,
+        revision: StoreRevision,
+        members: &[Member],
+    ) {
         known.targets_revision = revision;
         let now_us = self.gateway.clock.now_us();
         for member in members {
@@ -135,7 +143,7 @@
         }
     }
 
-    pub(super) fn apply_target_changes(&self, revision: u64, changes: Vec<TargetChange>) {
+    pub(super) fn apply_target_changes(&self, revision: StoreRevision, changes: Vec<TargetChange>) {
         let mut known = self.known.lock();
         known.targets_revision = revision;
         if changes.is_empty() {
@@ -221,7 +229,8 @@
             "zone" => &*member.record.zone,
             "primary" => member.is_primary(),
             "leaving" => member.record.leaving,
-            "role_since" => member.role_since);
+            "role_since" => member.role_since.number(),
+            "generation" => member.role_since.generation());
     }
 
     fn publish(&self, known: &mut ClusterState) {
@@ -280,6 +289,7 @@
 
     /// Applies a list of VMs from the store or from another process, unless it is older than the known one.
     pub fn apply_vms(&self, list: Arc<VmList>) {
+        self.gateway.store_generation.observe(list.revision);
         let mut known = self.known.lock();
         if list.revision < known.vms_revision {
             return;
@@ -293,7 +303,8 @@
         });
         if is_new || !self.gateway.knows_vms() {
             slog::info!(self.gateway.log, "list of VMs";
-                "vms" => list.entries.len(), "revision" => list.revision);
+                "vms" => list.entries.len(), "revision" => list.revision.number(),
+                "generation" => list.revision.generation());
             self.gateway.set_vms(&list.entries);
         }
     }
--- a/crates/proxy/src/sessions/process/counted_store.rs
+++ b/crates/proxy/src/sessions/process/counted_store.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use skylark_core::process::takeover_claim::Claim;
+use skylark_core::store_revision::StoreRevision;
 use skylark_core::version::routes::RouteTable;
 
 use crate::process::counters::Counters;
@@ -67,7 +68,7 @@
 
     async fn watch_configuration(
         &self,
-        revision: u64,
+        revision: StoreRevision,
         wait: Duration,
     ) -> Result<AtRevision<Option<RouteTable>>, StoreError> {
         let watch = self.store.watch_configuration(revision, wait);
@@ -80,7 +81,7 @@
 
     async fn watch_targets(
         &self,
-        revision: u64,
+        revision: StoreRevision,
         wait: Duration,
     ) -> Result<AtRevision<Vec<TargetChange>>, StoreError> {
         let watch = self.store.watch_targets(revision, wait);
@@ -103,7 +104,7 @@
         &self,
         service: &str,
         freshness: Freshness,
-    ) -> Result<Option<AtRevision<Claim>>, StoreError> {
+    ) -> Result<AtRevision<Option<Claim>>, StoreError> {
         self.counted(StoreCall::ReadClaim, self.store.claim(service, freshness)).await
     }
 
@@ -111,8 +112,8 @@
         &self,
         service: &str,
         claim: &Claim,
-        revision: Option<u64>,
-    ) -> Result<u64, StoreError> {
+        revision: Option<StoreRevision>,
+    ) -> Result<StoreRevision, StoreError> {
         let write = self.store.write_claim(service, claim, revision);
         self.counted(StoreCall::WriteClaim, write).await
     }
--- a/crates/proxy/src/sessions/process/feed/listing.rs
+++ b/crates/proxy/src/sessions/process/feed/listing.rs
@@ -9,6 +9,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 use skylark_core::FastSet;
+use skylark_core::store_revision::StoreRevision;
 use skylark_core::version::list_digest;
 use skylark_core::version::list_digest::ListDigest;
 
@@ -37,7 +38,7 @@
 #[derive(Clone, PartialEq, Eq, Debug)]
 pub struct Listing<T> {
     /// Revision of the store that the list was read at; zero for the initial empty list.
-    pub revision: u64,
+    pub revision: StoreRevision,
     /// The entries, sorted by key.
     pub entries: Vec<T>,
 }
@@ -50,7 +51,7 @@
 
 impl<T> Default for Listing<T> {
     fn default() -> Listing<T> {
-        Listing { revision: 0, entries: Vec::new() }
+        Listing { revision: StoreRevision::default(), entries: Vec::new() }
     }
 }
 
@@ -58,7 +59,7 @@
 #[derive(Clone, PartialEq, Eq, Debug, Serialize, Deserialize)]
 pub struct ListChanges<T> {
     /// The store's revision of the newer list.
-    pub revision: u64,
+    pub revision: StoreRevision,
     /// Entries that were added or modified.
     pub listed: Vec<T>,
     /// Keys of the removed entries.
@@ -69,7 +70,7 @@
 #[derive(Clone, PartialEq, Eq, Debug, Serialize, Deserialize)]
 pub struct ListBuckets<T> {
     /// The store's revision of the newer list.
-    pub revision: u64,
+    pub revision: StoreRevision,
     /// The buckets that replace those of the copy.
     pub buckets: Vec<usize>,
     /// All entries of these buckets.
@@ -112,7 +113,7 @@
     }
 
     /// Creates a list of entries in any order.
-    pub fn new(revision: u64, mut entries: Vec<T>) -> Listing<T> {
+    pub fn new(revision: StoreRevision, mut entries: Vec<T>) -> Listing<T> {
         entries.sort_by(|a, b| a.key().cmp(b.key()));
         Listing { revision, entries }
     }
--- a/crates/proxy/src/sessions/process/gateway.rs
+++ b/crates/proxy/src/sessions/process/gateway.rs
@@ -26,6 +26,7 @@
 use crate::sessions::process::active_targets::ActiveTargets;
 use crate::sessions::process::control_links::ControlLinks;
 use crate::sessions::process::feed::outbox::Outbox;
+use crate::sessions::process::generation_tracker::GenerationTracker;
 use crate::sessions::process::latencies::Latencies;
 use crate::sessions::process::limits;
 use crate::sessions::process::log_budget::LogBudget;
@@ -79,6 +80,8 @@
     pub outbox: Outbox,
     /// Whether this process calls the store itself.
     pub store_access: StoreAccessTracker,
+    /// The store's generation.
+    pub store_generation: GenerationTracker,
     /// Reachability of the other availability zones, if this process watches the store for its own.
     pub zone_reach: Mutex<ZoneReachability>,
     /// Until when this process's zone counts as partitioned, in microseconds; zero if it does not.
@@ -118,6 +121,7 @@
         let clock = MonotonicClock::start();
         let (vm, zone) = (settings.vm.as_str().into(), settings.zone.as_str().into());
         let counters = Arc::default();
+        let store_generation = GenerationTracker::new(clock, &counters, &log);
         let quotas = Quotas::new(&vm, &zone, settings.quota, clock, &counters);
         Gateway {
             vm,
@@ -135,6 +139,7 @@
             sessions: AtomicU32::new(0),
             outbox: Outbox::default(),
             store_access: StoreAccessTracker::new(&settings.vm, clock),
+            store_generation,
             zone_reach: Mutex::default(),
             zone_cut_until_us: AtomicU64::new(0),
             can_serve: AtomicBool::new(false),
--- a/crates/proxy/src/sessions/process/leader.rs
+++ b/crates/proxy/src/sessions/process/leader.rs
@@ -10,6 +10,7 @@
 
 use skylark_core::FastMap;
 use skylark_core::FastSet;
+use skylark_core::store_revision::StoreRevision;
 
 /// How long after its refusal a target is asked again if no other candidate is known, in microseconds. A
 /// promotion takes 300 to 600 ms to take effect.
@@ -21,7 +22,7 @@
     /// The target that last proved or announced to be the primary.
     preferred: Option<Arc<str>>,
     /// The revision of the newest announcement that was applied.
-    announced_revision: u64,
+    announced_revision: StoreRevision,
     /// When each target last refused a request because it was not the primary.
     refused_us: FastMap<Arc<str>, u64>,
     /// Targets that answer as primary although a later term is known.
@@ -30,7 +31,7 @@
 
 impl LeaderBelief {
     /// Records that a target announced to be the primary at this revision.
-    pub fn announced(&mut self, target: &Arc<str>, revision: u64) {
+    pub fn announced(&mut self, target: &Arc<str>, revision: StoreRevision) {
         if revision > self.announced_revision {
             self.announced_revision = revision;
             self.proved(target);
--- a/crates/proxy/src/sessions/process/mod.rs
+++ b/crates/proxy/src/sessions/process/mod.rs
@@ -11,6 +11,7 @@
 pub mod feed;
 pub mod fleet;
 pub mod gateway;
+pub mod generation_tracker;
 pub mod isolation;
 pub mod latencies;
 pub mod lead;
--- a/crates/proxy/src/sessions/process/watch.rs
+++ b/crates/proxy/src/sessions/process/watch.rs
@@ -15,6 +15,7 @@
 use skylark_core::process::store_calls;
 use skylark_core::process::store_calls::StoreAccess;
 use skylark_core::process::store_calls::StoreStatus;
+use skylark_core::store_revision::StoreRevision;
 use skylark_core::version::routes::RouteTable;
 use skylark_core::version::routes::TargetRecord;
 use tokio::time;
@@ -132,7 +133,7 @@
     /// Targets that are no longer listed, but may register again.
     pub(super) expired: FastSet<Arc<str>>,
     /// The store's revision of the list of targets.
-    pub(super) targets_revision: u64,
+    pub(super) targets_revision: StoreRevision,
     /// The states of the watches.
     health: StoreHealth,
     /// What the followed feed reports; `None` if no feed is followed.
@@ -145,7 +146,7 @@
     /// When a watch last delivered a change of targets, in microseconds; zero before the first.
     targets_changed_us: u64,
     /// The store's revision of the list of VMs.
-    pub(super) vms_revision: u64,
+    pub(super) vms_revision: StoreRevision,
 }
 
 /// Watches the platform's state and publishes it within the process.
@@ -182,7 +183,7 @@
         let known = self.known.lock();
         let was_never_unavailable = known.health.answers_targets()
             && known.store_recovered_us == 0
-            && known.targets_revision > 0;
+            && known.targets_revision > StoreRevision::default();
         was_never_unavailable || self.is_settled(&known)
     }
 
@@ -303,7 +304,7 @@
     }
 
     /// Reads the list of all targets. Returns the revision at which a watch starts.
-    pub(super) async fn list_targets(&self) -> Result<u64, StoreError> {
+    pub(super) async fn list_targets(&self) -> Result<StoreRevision, StoreError> {
         let found = self.store.targets().await?;
         self.record_answer(Watched::Targets);
         self.apply_target_list(found.revision, found.value);
@@ -311,7 +312,11 @@
     }
 
     /// Waits for changes of targets. Returns the revision at which the next watch starts.
-    async fn watch_targets(&self, revision: u64, wait: Duration) -> Result<u64, StoreError> {
+    async fn watch_targets(
+        &self,
+        revision: StoreRevision,
+        wait: Duration,
+    ) -> Result<StoreRevision, StoreError> {
         let found = self.store.watch_targets(revision, wait).await?;
         self.record_answer(Watched::Targets);
         let has_changes = !found.value.is_empty();
@@ -352,9 +357,9 @@
     async fn handle_error(
         &self,
         error: StoreError,
-        revision: Option<u64>,
+        revision: Option<StoreRevision>,
         watched: Watched,
-    ) -> Option<u64> {
+    ) -> Option<StoreRevision> {
         if error == StoreError::HistoryGone {
             slog::info!(self.gateway.log, "the store compacted its history; reading everything again";
                 "watch" => watched.name());
--- a/crates/proxy/src/sessions/store.rs
+++ b/crates/proxy/src/sessions/store.rs
@@ -10,6 +10,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 use skylark_core::process::takeover_claim::Claim;
+use skylark_core::store_revision::StoreRevision;
 use skylark_core::version::routes::RouteTable;
 use skylark_core::version::routes::TargetRecord;
 
@@ -44,7 +45,7 @@
 #[derive(Clone, PartialEq, Eq, Debug)]
 pub struct ListedTarget {
     /// The platform's revision of the entry.
-    pub revision: u64,
+    pub revision: StoreRevision,
     /// The target's registration.
     pub record: Arc<TargetRecord>,
 }
@@ -88,7 +89,7 @@
 #[derive(Clone, PartialEq, Eq, Debug)]
 pub struct AtRevision<T> {
     /// The platform's revision.
-    pub revision: u64,
+    pub revision: StoreRevision,
     /// The result.
     pub value: T,
 }
@@ -113,7 +114,7 @@
     /// `wait`.
     fn watch_configuration(
         &self,
-        revision: u64,
+        revision: StoreRevision,
         wait: Duration,
     ) -> impl Future<Output = Result<AtRevision<Option<RouteTable>>, StoreError>> + Send;
 
@@ -125,7 +126,7 @@
     /// Waits for changes of targets after `revision`. The value is empty if none appears within `wait`.
     fn watch_targets(
         &self,
-        revision: u64,
+        revision: StoreRevision,
         wait: Duration,
     ) -> impl Future<Output = Result<AtRevision<Vec<TargetChange>>, StoreError>> + Send;
 
@@ -141,15 +142,17 @@
     /// Checks that the store replies, with the cheapest call available.
     fn probe(&self, vm: &str) -> impl Future<Output = Result<(), StoreError>> + Send;
 
-    /// Reads the takeover claim of a service with its revision; `None` if the service was never claimed.
+    /// Reads the takeover claim of a service with its revision. The value is `None` if there is no claim, and
+    /// the revision then only tells the store's generation.
     fn claim(
         &self,
         service: &str,
         freshness: Freshness,
-    ) -> impl Future<Output = Result<Option<AtRevision<Claim>>, StoreError>> + Send;
+    ) -> impl Future<Output = Result<AtRevision<Option<Claim>>, StoreError>> + Send;
 
     /// Replaces the takeover claim of a service if its revision is still `revision`, or creates it if
-    /// `revision` is `None`. Returns the new revision.
+    /// `revision` is `None`. Returns the new revision. If its generation is not that of `revision`, the store
+    /// was restored meanwhile, and the claim that the write replaced is not the one that was read.
     ///
     /// # Errors
     ///
@@ -158,8 +161,8 @@
         &self,
         service: &str,
         claim: &Claim,
-        revision: Option<u64>,
-    ) -> impl Future<Output = Result<u64, StoreError>> + Send;
+        revision: Option<StoreRevision>,
+    ) -> impl Future<Output = Result<StoreRevision, StoreError>> + Send;
 }
 
 /// A promotion that was not accepted.
--- a/crates/proxy/src/sessions/version/view.rs
+++ b/crates/proxy/src/sessions/version/view.rs
@@ -5,6 +5,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 use skylark_core::FastMap;
+use skylark_core::store_revision::StoreRevision;
 use skylark_core::version::organisations::Organisations;
 use skylark_core::version::routes::RouteTable;
 use skylark_core::version::routes::TargetRecord;
@@ -18,7 +19,7 @@
     /// The platform's revision at which the target was first listed in its present role. Of two targets
     /// listed as primary the one with the higher revision leads, because a primary that was replaced while it
     /// was partitioned can't correct its entry.
-    pub role_since: u64,
+    pub role_since: StoreRevision,
 }
 
 impl Member {
--- a/crates/proxy/tests/listing.rs
+++ b/crates/proxy/tests/listing.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 
 use quickcheck::quickcheck;
+use skylark_core::store_revision::StoreRevision;
 use skylark_core::version::list_digest::ListDigest;
 use skylark_proxy::sessions::process::feed::listing::VmList;
 use skylark_proxy::sessions::store::VmAddress;
@@ -16,7 +17,7 @@
         link_mbps: 0,
         admits_by_class: false,
     };
-    VmList::new(revision, vms.iter().map(vm).collect())
+    VmList::new(StoreRevision::new(0, revision), vms.iter().map(vm).collect())
 }
 
 quickcheck! {
--- a/crates/proxy/tests/member_table.rs
+++ b/crates/proxy/tests/member_table.rs
@@ -7,6 +7,7 @@
 use quickcheck::Arbitrary;
 use quickcheck::Gen;
 use quickcheck::QuickCheck;
+use skylark_core::store_revision::StoreRevision;
 use skylark_core::version::routes::TargetRecord;
 use skylark_core::version::routes::TargetRole;
 use skylark_proxy::sessions::process::member_table::MemberTable;
@@ -28,7 +29,7 @@
         leaving: false,
         role: TargetRole::Replica,
     };
-    Member { record: Arc::new(record), role_since }
+    Member { record: Arc::new(record), role_since: StoreRevision::new(0, role_since) }
 }
 
 fn view(number: u64, table: &MemberTable) -> View {
--- a/crates/proxy/tests/session_leader.rs
+++ b/crates/proxy/tests/session_leader.rs
@@ -1,5 +1,6 @@
 //! The choice of the target that a session tries as the primary.
 
+use skylark_core::store_revision::StoreRevision;
 use std::sync::Arc;
 
 use skylark_proxy::sessions::process::leader::LeaderBelief;
@@ -17,7 +18,7 @@
 #[test]
 fn an_announced_primary_is_asked() {
     let mut belief = LeaderBelief::default();
-    belief.announced(&ids()[1], 10);
+    belief.announced(&ids()[1], StoreRevision::new(0, 10));
     assert_eq!(chosen_target(&belief, 0).as_deref(), Some("i-2"));
 }
 
@@ -26,15 +27,15 @@
 #[test]
 fn an_older_announcement_changes_nothing() {
     let mut belief = LeaderBelief::default();
-    belief.announced(&ids()[1], 10);
-    belief.announced(&ids()[0], 8);
+    belief.announced(&ids()[1], StoreRevision::new(0, 10));
+    belief.announced(&ids()[0], StoreRevision::new(0, 8));
     assert_eq!(chosen_target(&belief, 0).as_deref(), Some("i-2"));
 }
 
 #[test]
 fn a_target_that_refused_is_asked_last_and_after_a_pause() {
     let mut belief = LeaderBelief::default();
-    belief.announced(&ids()[0], 10);
+    belief.announced(&ids()[0], StoreRevision::new(0, 10));
     belief.refused(&ids()[0], 1_000);
     assert_eq!(chosen_target(&belief, 1_001).as_deref(), Some("i-2"));
     belief.refused(&ids()[1], 1_002);
@@ -46,7 +47,7 @@
 #[test]
 fn proof_takes_precedence_over_an_announcement() {
     let mut belief = LeaderBelief::default();
-    belief.announced(&ids()[0], 10);
+    belief.announced(&ids()[0], StoreRevision::new(0, 10));
     belief.proved(&ids()[2]);
     assert_eq!(chosen_target(&belief, 0).as_deref(), Some("i-3"));
 }
@@ -59,6 +60,6 @@
     let listed: Vec<&Arc<str>> = ids.iter().collect();
     let leaving = |id: &str| id == "i-1";
     assert_eq!(belief.pick_target(&listed, leaving, 0).as_deref(), Some("i-2"));
-    belief.announced(&ids[0], 10);
+    belief.announced(&ids[0], StoreRevision::new(0, 10));
     assert_eq!(belief.pick_target(&listed, leaving, 0).as_deref(), Some("i-1"));
 }
--- a/crates/spec/src/takeover/state.rs
+++ b/crates/spec/src/takeover/state.rs
@@ -11,6 +11,7 @@
 use skylark_core::request::lead_proof::CommitVerdict;
 use skylark_core::request::lead_proof::LeadReport;
 use skylark_core::request::lead_proof::LeadReports;
+use skylark_core::store_revision::StoreRevision;
 
 /// The first primary, two replicas, and a member that may join.
 pub(super) const MEMBERS: usize = 4;
@@ -161,7 +162,12 @@
             unsettled: self.unsettled,
             writes: 0,
         };
-        HeldClaim { claim, revision: 0, written_us: 0, unsettled_since_us: 0 }
+        HeldClaim {
+            claim,
+            revision: StoreRevision::default(),
+            written_us: 0,
+            unsettled_since_us: 0,
+        }
     }
 
     /// The state after a call that got no answer and may be carried out later, if the bounds allow one.
--- a/crates/standin/src/typed/object_store.rs
+++ b/crates/standin/src/typed/object_store.rs
@@ -15,8 +15,10 @@
 /// The maximum number of objects on a page. It is small so that tests regularly read several pages.
 const PAGE_SIZE: usize = 4;
 
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 struct State {
+    /// The number of restores.
+    generation: u64,
     revision: u64,
     objects: BTreeMap<(String, String), Object>,
     /// The revision, the kind and the event of each change, in the order of revisions.
@@ -25,6 +27,10 @@
     forgotten_through: u64,
 }
 
+/// A copy of the store, from which it can be restored.
+#[derive(Clone, Debug)]
+pub struct Backup(State);
+
 /// The reason why a call was refused.
 #[derive(Clone, PartialEq, Debug)]
 pub enum Refused {
@@ -46,6 +52,7 @@
 impl Default for ObjectStore {
     fn default() -> ObjectStore {
         let state = State {
+            generation: 0,
             revision: 1,
             objects: BTreeMap::new(),
             history: Vec::new(),
@@ -61,6 +68,38 @@
         self.changed.subscribe()
     }
 
+    /// Returns how often the store was restored.
+    pub fn generation(&self) -> u64 {
+        self.state.lock().generation
+    }
+
+    /// Copies the store.
+    pub fn backup(&self) -> Backup {
+        Backup(self.state.lock().clone())
+    }
+
+    /// Restores the store from a copy. All later writes are lost, and their revisions are assigned again,
+    /// first to the later writes of `kinds`, whose writers repeat them.
+    pub fn restore(&self, backup: &Backup, kinds: &[&str]) {
+        let lost = {
+            let mut state = self.state.lock();
+            let generation = state.generation + 1;
+            let restored = State { generation, ..backup.0.clone() };
+            std::mem::replace(&mut *state, restored)
+        };
+        let is_repeated = |key: &&(String, String)| kinds.contains(&key.0.as_str());
+        for (kind, name) in backup.0.objects.keys().filter(is_repeated) {
+            if !lost.objects.contains_key(&(kind.clone(), name.clone())) {
+                self.remove(kind, name);
+            }
+        }
+        for (kind, name) in lost.objects.keys().filter(is_repeated) {
+            let object = &lost.objects[&(kind.clone(), name.clone())];
+            self.put(kind, name, object.spec.clone());
+        }
+        self.changed.send_replace(self.state.lock().revision);
+    }
+
     /// Returns a page of the objects of a kind whose names sort after `after`.
     pub fn list(&self, kind: &str, after: &str) -> Page {
         let state = self.state.lock();
@@ -164,10 +203,11 @@
     ///
     /// # Errors
     ///
-    /// Fails with [`Refused::HistoryGone`] if events after `after` were discarded.
+    /// Fails with [`Refused::HistoryGone`] if events after `after` were discarded, or if that revision was lost
+    /// with a restore.
     pub fn events(&self, kind: &str, after: u64) -> Result<Events, Refused> {
         let state = self.state.lock();
-        if after < state.forgotten_through {
+        if after < state.forgotten_through || after > state.revision {
             return Err(Refused::HistoryGone);
         }
         let later =
--- a/crates/standin/src/typed/platform.rs
+++ b/crates/standin/src/typed/platform.rs
@@ -15,6 +15,7 @@
 use axum::extract::Request;
 use axum::extract::State;
 use axum::http::HeaderMap;
+use axum::http::HeaderValue;
 use axum::http::StatusCode;
 use axum::middleware;
 use axum::middleware::Next;
@@ -34,6 +35,7 @@
 use tokio::time;
 
 use crate::typed::group::Group;
+use crate::typed::object_store::Backup;
 use crate::typed::object_store::ObjectStore;
 use crate::typed::object_store::Refused;
 
@@ -97,6 +99,11 @@
         self.objects.put(kind, name, objects::encode_configuration(table, organisations));
     }
 
+    /// Restores the store from a copy. The operator and the targets repeat what they wrote since.
+    pub fn restore(&self, backup: &Backup) {
+        self.objects.restore(backup, &[store::CONFIGURATION.0, store::TARGETS]);
+    }
+
     fn group(&self, service: &str) -> Option<Arc<Group>> {
         let groups = self.groups.lock();
         groups.iter().find(|group| *group.options.service == *service).cloned()
@@ -174,7 +181,7 @@
     platform.calls.fetch_add(1, Ordering::Relaxed);
     let is_write = !request.method().is_safe();
     let platform_mode = *platform.platform_mode.lock();
-    match platform_mode {
+    let mut response = match platform_mode {
         PlatformMode::Silent => std::future::pending().await,
         PlatformMode::Busy => StatusCode::SERVICE_UNAVAILABLE.into_response(),
         PlatformMode::LosesAnswers if is_write => {
@@ -190,7 +197,10 @@
         | PlatformMode::LosesAnswers
         | PlatformMode::HidesConfiguration
         | PlatformMode::PromotesLate(_) => next.run(request).await,
-    }
+    };
+    let generation = HeaderValue::from(platform.objects.generation());
+    response.headers_mut().insert(store::GENERATION, generation);
+    response
 }
 
 fn answer<T>(result: Result<T, Refused>) -> Response
