End watches when the store was restored, and register VMs again

Cause: a watch was continued by the store's counter alone, which is assigned again after a restore. The watch got no 410 and missed what lay behind its revision.

Related: missing targets count as possibly expired after a restore that no failed call announced, an answer of an earlier generation does not undo a newer list, and each VM registers again, since its entry may be lost.

--- a/crates/proxy/src/sessions/process/cluster_state.rs
+++ b/crates/proxy/src/sessions/process/cluster_state.rs
@@ -92,6 +92,10 @@
     pub(super) fn apply_target_list(&self, revision: StoreRevision, listed: Vec<ListedTarget>) {
         self.gateway.store_generation.observe(revision);
         let mut known = self.known.lock();
+        // A slow answer of an earlier generation must not undo a newer list.
+        if revision.generation() < known.targets_revision.generation() {
+            return;
+        }
         let member = |target: ListedTarget| {
             let before = known.targets.get(&target.record.id);
             member_of(target, before)
--- a/crates/proxy/src/sessions/process/vms.rs
+++ b/crates/proxy/src/sessions/process/vms.rs
@@ -9,10 +9,12 @@
 use skylark_core::process::jitter;
 use skylark_core::process::store_calls;
 use skylark_core::process::store_calls::StoreAccess;
+use skylark_core::store_revision::SeenGeneration;
 use tokio::time;
 
 use crate::sessions::codec::Codec;
 use crate::sessions::process::feed::listing::VmList;
+use crate::sessions::process::gateway::Gateway;
 use crate::sessions::process::limits;
 use crate::sessions::process::watch::Watcher;
 use crate::sessions::store::AtRevision;
@@ -38,6 +40,40 @@
 /// computed from them, may differ for that long.
 const WATCHER_LIST_INTERVAL: Duration = Duration::from_millis(2_000);
 
+/// Time per VM over which the VMs of a fleet register again after a restore of the store.
+const REREGISTRATION_SPREAD_US: u64 = 5_000;
+
+/// Registers this VM again whenever the store was restored, since its entry may have been lost.
+pub async fn keep_registered<C, S>(gateway: Arc<Gateway<C>>, own: VmAddress, store: S)
+where
+    C: Codec,
+    S: StateStore,
+{
+    let mut generations = gateway.store_generation.subscribe();
+    let seed = jitter::seed_of(&gateway.vm);
+    let mut registered_in = 0;
+    loop {
+        let is_lost = |seen: &SeenGeneration| seen.follows_another && seen.number > registered_in;
+        let Ok(restored) = generations.wait_for(is_lost).await.map(|seen| seen.number) else {
+            return;
+        };
+        let vms = gateway.vm_count().max(1) as u64;
+        let mut pause_us = seed % (vms * REREGISTRATION_SPREAD_US);
+        let mut failures = 0;
+        loop {
+            time::sleep(Duration::from_micros(pause_us)).await;
+            let Err(error) = store.register_vm(&own).await else { break };
+            slog::info!(gateway.log, "could not register this VM again";
+                "reason" => error.to_string());
+            failures += 1;
+            let access = StoreAccess::NoPeer;
+            pause_us = store_calls::retry_pause_us(access, gateway.vm_count(), failures, seed);
+        }
+        slog::info!(gateway.log, "registered this VM again"; "generation" => restored);
+        registered_in = restored;
+    }
+}
+
 /// Registers this VM unless it is listed already, and follows the list of all VMs for as long as the process
 /// runs.
 pub async fn follow<C, S>(watcher: Arc<Watcher<C, S>>, own: VmAddress, store: S)
@@ -98,6 +134,8 @@
             match self.store.vms(freshness).await {
                 Ok(found) => {
                     self.failures = 0;
+                    // Before the registration: an entry that is lost later has to be written again.
+                    self.watcher.gateway.store_generation.observe(found.revision);
                     return found;
                 }
                 Err(error) => self.handle_error(error, "could not read the list of VMs").await,
--- a/crates/proxy/src/sessions/process/watch.rs
+++ b/crates/proxy/src/sessions/process/watch.rs
@@ -183,13 +183,17 @@
         let known = self.known.lock();
         let was_never_unavailable = known.health.answers_targets()
             && known.store_recovered_us == 0
+            && !self.gateway.store_generation.newest().follows_another
             && known.targets_revision > StoreRevision::default();
         was_never_unavailable || self.is_settled(&known)
     }
 
     pub(super) fn is_settled(&self, known: &ClusterState) -> bool {
         if known.health.answers_targets() {
-            return self.gateway.clock.now_us() >= known.store_recovered_us + REREGISTRATION_US;
+            let generation = self.gateway.store_generation.newest();
+            let restored_us = if generation.follows_another { generation.since_us } else { 0 };
+            let recovered_us = known.store_recovered_us.max(restored_us);
+            return self.gateway.clock.now_us() >= recovered_us + REREGISTRATION_US;
         }
         let feed = known.feed.filter(|feed| feed.store_status != StoreStatus::Unavailable);
         feed.is_some_and(|feed| feed.is_settled)
@@ -255,6 +259,7 @@
             match result {
                 Ok(found) => {
                     self.record_answer(Watched::Configuration);
+                    self.gateway.store_generation.observe(found.revision);
                     revision = Some(found.revision);
                     if let Some(routes) = found.value {
                         self.apply_routes(Arc::new(routes));
@@ -361,7 +366,7 @@
         watched: Watched,
     ) -> Option<StoreRevision> {
         if error == StoreError::HistoryGone {
-            slog::info!(self.gateway.log, "the store compacted its history; reading everything again";
+            slog::info!(self.gateway.log, "the store lost its history; reading everything again";
                 "watch" => watched.name());
             return None;
         }
--- a/crates/proxy/src/sessions/store.rs
+++ b/crates/proxy/src/sessions/store.rs
@@ -19,7 +19,8 @@
 pub enum StoreError {
     /// The object was changed by another writer since it was read.
     Conflict,
-    /// The store no longer has the history from the watch's revision on; the caller has to list again.
+    /// The store no longer has the history from the watch's revision on, or was restored since; the caller has to
+    /// list again.
     HistoryGone,
     /// The platform rejected the call with this HTTP status and did nothing; a retry may succeed.
     Refused(u16),
