Read the first line of a connection between proxies up to its line feed

Requests between proxies end at a single line feed: with messages that end at CR LF only, no VM subscribed to another or got a limit granted. Seen in the platform's tests (one_added_route_is_sent_as_one_route and 14 others timed out); with the change all of them pass.

--- a/crates/proxy/src/sessions/connection/peer.rs
+++ b/crates/proxy/src/sessions/connection/peer.rs
@@ -119,8 +119,10 @@
         return;
     }
     let mut input = BytesMut::new();
-    let first = next_message::<C>(&stream, &mut input);
-    let Ok(Some(message)) = time::timeout(limits::STARTUP_LIMIT, first).await else { return };
+    // Requests between proxies end at a line feed, unlike the targets' messages. A startup contains none before
+    // its end.
+    let first = answer::next_line(&stream, &mut input);
+    let Ok(Ok(message)) = time::timeout(limits::STARTUP_LIMIT, first).await else { return };
     if let Some(known_version) = feed::parse_subscription(&message) {
         let known_lists = feed::parse_known_lists(&input);
         return publisher::serve(gateway, stream, known_version, known_lists).await;
