--- a/crates/soak/src/callers.rs
+++ b/crates/soak/src/callers.rs
@@ -271,7 +271,7 @@
 }
 
 fn startup_message(database: &str, key: &str) -> String {
-    format!("STARTUP {database} {key}\n")
+    format!("STARTUP {database} {key}\r\n")
 }
 
 /// Returns whether a proxy refuses a session because it does not know the key. Returns false if no answer is
