Simplify how a restore of the store is noticed, claimed over and registered

From a reading of the whole change:

- takeover_claim::claim_over decides which claim is written and since when earlier calls count; the choice stood in the I/O loop of Claims::acquire.
- Claims::read rejects an answer from before a known restore like a failed read.
- Registering again after a restore uses VmListFollower::register and its retries, which were written a second time.
- Watcher::recovered_us and SeenGeneration::restored_us replace two spellings of the same condition; was_restored_since and an unused Display are gone.

--- a/crates/bench/src/slopes/sessions.rs
+++ b/crates/bench/src/slopes/sessions.rs
@@ -4,6 +4,7 @@
 use std::hint;
 use std::sync::Arc;
 
+use skylark_core::store_revision::StoreRevision;
 use skylark_core::version::list_digest::ListDigest;
 use skylark_proxy::sessions::process::feed::Message;
 use skylark_proxy::sessions::process::feed::frame;
@@ -18,7 +19,6 @@
 use crate::slopes::measure;
 use crate::slopes::measure::Spread;
 use crate::slopes::sessions_fleet;
-use skylark_core::store_revision::StoreRevision;
 
 /// The sizes of the fleet, with as many services of three targets.
 const SIZES: &[u64] = &[30, 100, 300, 1_000, 2_000];
--- a/crates/bench/src/slopes/sessions_fleet.rs
+++ b/crates/bench/src/slopes/sessions_fleet.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 
 use skylark_core::process::quota::QuotaTolerance;
+use skylark_core::store_revision::StoreRevision;
 use skylark_core::version::routes::ReadRule;
 use skylark_core::version::routes::Route;
 use skylark_core::version::routes::RouteTable;
@@ -20,7 +21,6 @@
 use skylark_proxy::sessions::version::view::View;
 
 use crate::slopes::no_protocol::NoProtocol;
-use skylark_core::store_revision::StoreRevision;
 
 /// The availability zones. Targets are in the first three.
 const ZONES: u64 = 5;
--- a/crates/core/src/process/takeover_claim.rs
+++ b/crates/core/src/process/takeover_claim.rs
@@ -278,6 +278,24 @@
     (token, seen_us.clamp(since_us, since_us + LATE_EFFECT_US) + DRIVER_SILENCE_US)
 }
 
+/// Returns the claim that a VM writes over `seen` with `token`, and the time since which no other process
+/// can have made a call for the claim's target.
+///
+/// Calls of the previous holder had reached the platform before its claim was silent for long enough to
+/// be taken over, and those of a lost claim before the store was restored.
+pub fn claim_over(
+    seen: Option<&SeenClaim>,
+    own: &str,
+    token: u64,
+    generation: &SeenGeneration,
+    now_us: u64,
+) -> (Claim, u64) {
+    match may_be_lost(seen, generation) {
+        true => (Claim::after_loss(own, token, generation, now_us), generation.since_us),
+        false => (Claim::next(seen.map(|seen| &seen.claim), own, token), now_us),
+    }
+}
+
 /// Returns how long a process waits before it reads the claim of another driver again, in
 /// microseconds. `waiting` is the number of groups whose claims the process waits for.
 ///
--- a/crates/core/src/store_revision.rs
+++ b/crates/core/src/store_revision.rs
@@ -5,8 +5,6 @@
 //! therefore identified and ordered by its generation first, and by the store's own counter second. A
 //! fact that was read in an earlier generation may have been lost with the restore.
 
-use std::fmt;
-
 use serde::Deserialize;
 use serde::Serialize;
 
@@ -55,12 +53,6 @@
     }
 }
 
-impl fmt::Display for StoreRevision {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "{}:{}", self.generation(), self.number())
-    }
-}
-
 /// The newest generation of the store that a process knows, and since when.
 #[derive(Clone, Copy, PartialEq, Eq, Debug, Default)]
 pub struct SeenGeneration {
@@ -83,8 +75,8 @@
         }
     }
 
-    /// Returns whether the store was restored after `before` was seen.
-    pub fn was_restored_since(&self, before: &SeenGeneration) -> bool {
-        self.follows_another && self.number > before.number
+    /// Returns when the process noticed the last restore, in microseconds; zero if it noticed none.
+    pub fn restored_us(&self) -> u64 {
+        if self.follows_another { self.since_us } else { 0 }
     }
 }
--- a/crates/core/tests/takeover_claim.rs
+++ b/crates/core/tests/takeover_claim.rs
@@ -251,7 +251,7 @@
     assert_eq!(step, ClaimStep::WaitUntil { at_us: 9_000_000 + DRIVER_SILENCE_US });
 }
 
-/// Guards against a promotion beside a call that only a lost claim told of.
+/// Guards against a promotion while a call that only a lost claim recorded may still be executed.
 #[test]
 fn calls_of_lost_claims_may_still_be_executed() {
     let generation = restored_at(1_000);
--- a/crates/proxy/src/sessions/process/claims.rs
+++ b/crates/proxy/src/sessions/process/claims.rs
@@ -96,21 +96,17 @@
         F: Fn() -> bool,
     {
         let mut seen: Option<SeenClaim> = None;
-        let mut read_in;
         let mut failures = 0;
         let mut freshness = Freshness::Latest;
         loop {
             self.gateway.store_access.wait_while_unavailable(STORE_UNAVAILABLE_LIMIT).await;
-            match self.store.claim(service, freshness).await {
-                Ok(found) => {
+            match self.read(service, freshness).await {
+                Ok(AtRevision { revision, value }) => {
                     failures = 0;
-                    let AtRevision { revision, value } = found;
-                    self.gateway.store_generation.observe(revision);
                     let now_us = self.gateway.clock.now_us();
                     let known = seen.take().filter(|known| known.revision == revision);
                     let seen_us = known.map_or(now_us, |known| known.seen_us);
                     seen = value.map(|claim| SeenClaim { claim, revision, seen_us });
-                    read_in = revision.generation();
                 }
                 Err(error) => {
                     slog::info!(self.gateway.log, "could not read the claim";
@@ -124,28 +120,13 @@
                 }
             }
             let generation = self.gateway.store_generation.newest();
-            if read_in < generation.number {
-                // The answer is from before a restore.
-                time::sleep(CONFLICT_PAUSE).await;
-                continue;
-            }
             let now_us = self.gateway.clock.now_us();
             let vm = &*self.gateway.vm;
             let previous = seen.as_ref();
             match takeover_claim::next_claim(previous, vm, &generation, needed_since_us, now_us) {
                 ClaimStep::Write { token } => {
-                    // Calls of the previous holder had reached the platform before its claim was silent for
-                    // long enough to be taken over, and those of a lost claim before it was lost.
                     let (claim, unsettled_since_us) =
-                        match takeover_claim::may_be_lost(previous, &generation) {
-                            true => {
-                                let claim = Claim::after_loss(vm, token, &generation, now_us);
-                                (claim, generation.since_us)
-                            }
-                            false => {
-                                (Claim::next(previous.map(|seen| &seen.claim), vm, token), now_us)
-                            }
-                        };
+                        takeover_claim::claim_over(previous, vm, token, &generation, now_us);
                     let expected = Expected {
                         revision: previous.map(|seen| seen.revision),
                         generation: generation.number,
@@ -205,8 +186,7 @@
         claim: Claim,
     ) -> Option<HeldClaim> {
         let claim = Claim { writes: held.claim.writes + 1, ..claim };
-        let expected = Expected::held(held);
-        self.write(service, claim, expected, held.unsettled_since_us).await
+        self.write(service, claim, Expected::held(held), held.unsettled_since_us).await
     }
 
     /// Releases a claim. Returns whether the store accepted it; otherwise the next driver takes over
@@ -246,6 +226,20 @@
         result
     }
 
+    /// Reads the claim. Fails if the answer is from before a restore that is known.
+    async fn read(
+        &self,
+        service: &Arc<str>,
+        freshness: Freshness,
+    ) -> Result<AtRevision<Option<Claim>>, StoreError> {
+        let found = self.store.claim(service, freshness).await?;
+        let newest = self.gateway.store_generation.observe(found.revision);
+        match found.revision.generation() == newest.number {
+            true => Ok(found),
+            false => Err(StoreError::HistoryGone),
+        }
+    }
+
     async fn write_once(
         &self,
         service: &Arc<str>,
--- a/crates/proxy/src/sessions/process/control.rs
+++ b/crates/proxy/src/sessions/process/control.rs
@@ -90,7 +90,7 @@
 {
     let store = CountedStore::new(store, &gateway.counters);
     let watcher = Arc::new(Watcher::new(&gateway, store.clone()));
-    tokio::spawn(vms::keep_registered(Arc::clone(&gateway), own.clone(), store.clone()));
+    tokio::spawn(vms::keep_registered(Arc::clone(&watcher), own.clone(), store.clone()));
     tokio::spawn(vms::follow(Arc::clone(&watcher), own, store.clone()));
     let takeovers = Arc::new(Takeovers::new(&gateway, &watcher, store, promoter));
     let (configuration, targets) = (Arc::clone(&watcher), Arc::clone(&watcher));
--- a/crates/proxy/src/sessions/process/generation_tracker.rs
+++ b/crates/proxy/src/sessions/process/generation_tracker.rs
@@ -39,12 +39,13 @@
         self.newest.send_if_modified(|newest| {
             let before = *newest;
             newest.observe(generation, self.clock.now_us());
-            if newest.was_restored_since(&before) {
+            let is_newer = *newest != before;
+            if is_newer && newest.follows_another {
                 self.counters.event(Event::StoreRestored);
                 slog::warn!(self.log, "the store was restored from an earlier state";
                     "generation" => generation, "before" => before.number);
             }
-            *newest != before
+            is_newer
         });
         self.newest()
     }
--- a/crates/proxy/src/sessions/process/vms.rs
+++ b/crates/proxy/src/sessions/process/vms.rs
@@ -14,7 +14,6 @@
 
 use crate::sessions::codec::Codec;
 use crate::sessions::process::feed::listing::VmList;
-use crate::sessions::process::gateway::Gateway;
 use crate::sessions::process::limits;
 use crate::sessions::process::watch::Watcher;
 use crate::sessions::store::AtRevision;
@@ -44,11 +43,13 @@
 const REREGISTRATION_SPREAD_US: u64 = 5_000;
 
 /// Registers this VM again whenever the store was restored, since its entry may have been lost.
-pub async fn keep_registered<C, S>(gateway: Arc<Gateway<C>>, own: VmAddress, store: S)
+pub async fn keep_registered<C, S>(watcher: Arc<Watcher<C, S>>, own: VmAddress, store: S)
 where
     C: Codec,
     S: StateStore,
 {
+    let gateway = &watcher.gateway;
+    let mut vms = VmListFollower { watcher: &watcher, own, store, failures: 0 };
     let mut generations = gateway.store_generation.subscribe();
     let seed = jitter::seed_of(&gateway.vm);
     let mut registered_in = 0;
@@ -57,18 +58,9 @@
         let Ok(restored) = generations.wait_for(is_lost).await.map(|seen| seen.number) else {
             return;
         };
-        let vms = gateway.vm_count().max(1) as u64;
-        let mut pause_us = seed % (vms * REREGISTRATION_SPREAD_US);
-        let mut failures = 0;
-        loop {
-            time::sleep(Duration::from_micros(pause_us)).await;
-            let Err(error) = store.register_vm(&own).await else { break };
-            slog::info!(gateway.log, "could not register this VM again";
-                "reason" => error.to_string());
-            failures += 1;
-            let access = StoreAccess::NoPeer;
-            pause_us = store_calls::retry_pause_us(access, gateway.vm_count(), failures, seed);
-        }
+        let spread_us = gateway.vm_count().max(1) as u64 * REREGISTRATION_SPREAD_US;
+        time::sleep(Duration::from_micros(seed % spread_us)).await;
+        vms.register().await;
         slog::info!(gateway.log, "registered this VM again"; "generation" => restored);
         registered_in = restored;
     }
--- a/crates/proxy/src/sessions/process/watch.rs
+++ b/crates/proxy/src/sessions/process/watch.rs
@@ -182,23 +182,24 @@
     pub fn list_is_complete(&self) -> bool {
         let known = self.known.lock();
         let was_never_unavailable = known.health.answers_targets()
-            && known.store_recovered_us == 0
-            && !self.gateway.store_generation.newest().follows_another
+            && self.recovered_us(&known) == 0
             && known.targets_revision > StoreRevision::default();
         was_never_unavailable || self.is_settled(&known)
     }
 
     pub(super) fn is_settled(&self, known: &ClusterState) -> bool {
         if known.health.answers_targets() {
-            let generation = self.gateway.store_generation.newest();
-            let restored_us = if generation.follows_another { generation.since_us } else { 0 };
-            let recovered_us = known.store_recovered_us.max(restored_us);
-            return self.gateway.clock.now_us() >= recovered_us + REREGISTRATION_US;
+            return self.gateway.clock.now_us() >= self.recovered_us(known) + REREGISTRATION_US;
         }
         let feed = known.feed.filter(|feed| feed.store_status != StoreStatus::Unavailable);
         feed.is_some_and(|feed| feed.is_settled)
     }
 
+    /// When the store last answered again after an outage or a restore, in microseconds; zero before.
+    fn recovered_us(&self, known: &ClusterState) -> u64 {
+        known.store_recovered_us.max(self.gateway.store_generation.newest().restored_us())
+    }
+
     /// What this process publishes about the store. A subscriber has no answers of its own to report; one
     /// that watches the store itself also reports what another VM supplies meanwhile.
     pub(super) fn store_status_for_peers(&self, known: &ClusterState) -> StoreStatus {
--- a/crates/proxy/src/sessions/store.rs
+++ b/crates/proxy/src/sessions/store.rs
@@ -144,7 +144,7 @@
     fn probe(&self, vm: &str) -> impl Future<Output = Result<(), StoreError>> + Send;
 
     /// Reads the takeover claim of a service with its revision. The value is `None` if there is no claim, and
-    /// the revision then only tells the store's generation.
+    /// then only the generation of the revision is meaningful.
     fn claim(
         &self,
         service: &str,
--- a/crates/proxy/tests/session_leader.rs
+++ b/crates/proxy/tests/session_leader.rs
@@ -1,8 +1,8 @@
 //! The choice of the target that a session tries as the primary.
 
-use skylark_core::store_revision::StoreRevision;
 use std::sync::Arc;
 
+use skylark_core::store_revision::StoreRevision;
 use skylark_proxy::sessions::process::leader::LeaderBelief;
 
 fn ids() -> [Arc<str>; 3] {
